Start the module: errors, settings, metrics, inner protocol, store and engine interfaces

Cause: an empty repository. Change: the module with its tools (gofumpt, vet, staticcheck, protobuf), typed errors with step and peer, checked INI settings, metrics export, protobuf over yamux, the store interface with an in-memory fake, the engine and service drivers' interfaces, and the configuration objects. Before: nothing. Conclusion: subsystems can be built against these interfaces.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# Builds, tests, demonstrates and measures greengagegate.
+BIN      := bin
+PROGRAMS := greengage-router greengage-agent greengagectl greengage-standin greengage-load
+VERSION  ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
+LDFLAGS  := -X github.com/greengagegate/greengagegate/internal/daemon.Version=$(VERSION)
+SEED     ?= 1
+
+export CGO_ENABLED := 1
+
+.PHONY: build test lint generate-check demo measure soak slopes fuzz
+
+build:
+	@mkdir -p $(BIN)
+	go build -ldflags '$(LDFLAGS)' -o $(BIN)/ ./cmd/...
+
+test:
+	go test -race -timeout 20m ./...
+
+lint:
+	@unformatted=$$(go tool gofumpt -l . | grep -v '\.pb\.go$$'); \
+	if [ -n "$$unformatted" ]; then echo "gofumpt: $$unformatted"; exit 1; fi
+	go vet ./...
+	go tool staticcheck ./...
+
+# Fails when the committed generated code differs from what the generator writes.
+generate-check:
+	go generate ./internal/wire
+	git diff --exit-code -- internal/wire/wirepb
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,126 @@
+// Package metrics names and exports the process's metrics, which packages
+// declare where they count.
+package metrics
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	sampleReservoir = 1028
+	sampleAlpha     = 0.015
+)
+
+// quantiles are exported for each histogram.
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// Histogram returns the registered histogram with this name and label values,
+// such as Histogram("router.ttft_us", "customer", "limon-agents").
+func Histogram(name string, labels ...string) metrics.Histogram {
+	return metrics.GetOrRegister(labelled(name, labels), func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleReservoir, sampleAlpha))
+	}).(metrics.Histogram)
+}
+
+// Counter returns the registered counter with this name and label values.
+func Counter(name string, labels ...string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(labelled(name, labels), nil)
+}
+
+// Gauge returns the registered gauge with this name and label values.
+func Gauge(name string, labels ...string) metrics.Gauge {
+	return metrics.GetOrRegisterGauge(labelled(name, labels), nil)
+}
+
+// labelled encodes pairs of label and value behind the name.
+func labelled(name string, labels []string) string {
+	if len(labels) == 0 {
+		return name
+	}
+	var b strings.Builder
+	b.WriteString(name)
+	for i := 0; i+1 < len(labels); i += 2 {
+		b.WriteString(";" + labels[i] + "=" + labels[i+1])
+	}
+	return b.String()
+}
+
+// Handler serves all metrics: JSON by default, Prometheus text with
+// ?format=prometheus or an Accept header that asks for text/plain.
+func Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Get("format") == "prometheus" || strings.Contains(r.Header.Get("Accept"), "text/plain") {
+			writePrometheus(w)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(metrics.DefaultRegistry, w)
+	})
+}
+
+func writePrometheus(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", string(expfmt.NewFormat(expfmt.TypeTextPlain)))
+	families := make(map[string]*io_prometheus_client.MetricFamily)
+	metrics.DefaultRegistry.Each(func(name string, value any) { addFamily(families, name, value) })
+	for _, family := range families {
+		if _, err := expfmt.MetricFamilyToText(w, family); err != nil {
+			return
+		}
+	}
+}
+
+func addFamily(families map[string]*io_prometheus_client.MetricFamily, name string, value any) {
+	parts := strings.Split(name, ";")
+	exported := "greengage_" + strings.NewReplacer(".", "_", "-", "_").Replace(parts[0])
+	metric := &io_prometheus_client.Metric{}
+	for _, pair := range parts[1:] {
+		label, text, _ := strings.Cut(pair, "=")
+		metric.Label = append(metric.Label, &io_prometheus_client.LabelPair{Name: proto.String(label), Value: proto.String(text)})
+	}
+	kind := fillMetric(metric, value)
+	if kind == nil {
+		return
+	}
+	family := families[exported]
+	if family == nil {
+		family = &io_prometheus_client.MetricFamily{Name: proto.String(exported), Type: kind}
+		families[exported] = family
+	}
+	family.Metric = append(family.Metric, metric)
+}
+
+func fillMetric(metric *io_prometheus_client.Metric, value any) *io_prometheus_client.MetricType {
+	switch m := value.(type) {
+	case metrics.Counter:
+		metric.Counter = &io_prometheus_client.Counter{Value: proto.Float64(float64(m.Count()))}
+		return io_prometheus_client.MetricType_COUNTER.Enum()
+	case metrics.Gauge:
+		metric.Gauge = &io_prometheus_client.Gauge{Value: proto.Float64(float64(m.Value()))}
+		return io_prometheus_client.MetricType_GAUGE.Enum()
+	case metrics.Histogram:
+		metric.Summary = summary(m.Snapshot())
+		return io_prometheus_client.MetricType_SUMMARY.Enum()
+	default:
+		return nil
+	}
+}
+
+func summary(h metrics.Histogram) *io_prometheus_client.Summary {
+	s := &io_prometheus_client.Summary{
+		SampleCount: proto.Uint64(uint64(h.Count())),
+		SampleSum:   proto.Float64(h.Mean() * float64(h.Count())),
+	}
+	for i, value := range h.Percentiles(quantiles) {
+		s.Quantile = append(s.Quantile, &io_prometheus_client.Quantile{
+			Quantile: proto.Float64(quantiles[i]),
+			Value:    proto.Float64(value),
+		})
+	}
+	return s
+}
--- /dev/null
+++ b/internal/wire/server.go
@@ -0,0 +1,193 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/fault"
+	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
+	"github.com/hashicorp/yamux"
+	"github.com/rs/zerolog"
+)
+
+// Request describes an accepted stream.
+type Request struct {
+	ID   string
+	Peer *wirepb.Hello
+}
+
+// Handler serves one stream of its kind on its own goroutine. The stream is
+// closed when it returns. ctx ends with the caller's deadline, with the
+// session, and with the server.
+type Handler func(ctx context.Context, request Request, stream *Stream)
+
+// Server accepts sessions and hands their streams to handlers by kind.
+type Server struct {
+	own      *wirepb.Hello
+	log      zerolog.Logger
+	mu       sync.Mutex
+	handlers map[wirepb.Kind]Handler
+	sessions map[*yamux.Session]struct{}
+	streams  sync.WaitGroup
+	closing  bool
+	ctx      context.Context
+	cancel   context.CancelFunc
+}
+
+// NewServer returns a server that introduces itself with own.
+func NewServer(own *wirepb.Hello, log zerolog.Logger) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{
+		own:      own,
+		log:      log,
+		handlers: make(map[wirepb.Kind]Handler),
+		sessions: make(map[*yamux.Session]struct{}),
+		ctx:      ctx,
+		cancel:   cancel,
+	}
+}
+
+// Handle registers the handler of a kind. It is called before Serve.
+func (s *Server) Handle(kind wirepb.Kind, handler Handler) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handlers[kind] = handler
+}
+
+// Serve accepts sessions until the listener is closed.
+func (s *Server) Serve(listener net.Listener) error {
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return fault.Wrap(err, "accept session", listener.Addr().String())
+		}
+		go s.serveConn(conn)
+	}
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	address := conn.RemoteAddr().String()
+	hello, err := exchangeHello(conn, cloneHello(s.own))
+	if err != nil {
+		_ = conn.Close()
+		s.log.Debug().Err(err).Str("peer", address).Msg("wire: hello failed")
+		return
+	}
+	mux, err := yamux.Server(conn, yamuxConfig())
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	if !s.addSession(mux) {
+		_ = mux.Close()
+		return
+	}
+	defer s.removeSession(mux)
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	for {
+		stream, err := mux.AcceptStream()
+		if err != nil {
+			return
+		}
+		if !s.addStream() {
+			_ = stream.Close()
+			continue
+		}
+		go s.serveStream(ctx, stream, hello, address)
+	}
+}
+
+func (s *Server) serveStream(ctx context.Context, conn net.Conn, hello *wirepb.Hello, address string) {
+	defer s.streams.Done()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream := newStream(ctx, conn, address)
+	defer func() { _ = stream.Close() }()
+	open := new(wirepb.Open)
+	if err := stream.Recv(open); err != nil {
+		return
+	}
+	if open.DeadlineMs > 0 {
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeout(ctx, time.Duration(open.DeadlineMs)*time.Millisecond)
+		defer stop()
+	}
+	s.mu.Lock()
+	handler := s.handlers[open.Kind]
+	s.mu.Unlock()
+	if handler == nil {
+		s.log.Warn().Str("peer", address).Stringer("kind", open.Kind).Msg("wire: no handler for kind")
+		return
+	}
+	handler(ctx, Request{ID: open.RequestId, Peer: hello}, stream)
+}
+
+func (s *Server) addSession(mux *yamux.Session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		return false
+	}
+	s.sessions[mux] = struct{}{}
+	return true
+}
+
+func (s *Server) removeSession(mux *yamux.Session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, mux)
+	_ = mux.Close()
+}
+
+func (s *Server) addStream() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		return false
+	}
+	s.streams.Add(1)
+	return true
+}
+
+// Shutdown refuses new streams, tells the peers to go away, and waits for the
+// streams in flight until ctx ends. Then it closes every session.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.mu.Lock()
+	s.closing = true
+	for mux := range s.sessions {
+		_ = mux.GoAway()
+	}
+	s.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		s.streams.Wait()
+		close(done)
+	}()
+	var err error
+	select {
+	case <-done:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	s.cancel()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for mux := range s.sessions {
+		_ = mux.Close()
+	}
+	return err
+}
+
+func cloneHello(h *wirepb.Hello) *wirepb.Hello {
+	return &wirepb.Hello{
+		Version: h.Version, Process: h.Process, Role: h.Role,
+		Address: h.Address, Zone: h.Zone, Incarnation: h.Incarnation,
+	}
+}
