--- a/internal/object/set.go
+++ b/internal/object/set.go
@@ -24,11 +24,13 @@
 	pools       map[string][]*Upstream
 }
 
-// Source gives the configuration in force. Current returns nil until the first
-// whole set has arrived. Fresh says whether the set can still be relied on for
-// withdrawn keys.
+// Source gives the configuration in force. It is safe for concurrent use.
 type Source interface {
+	// Current returns the set in force, or nil until the first whole set has arrived.
 	Current() *Set
+	// Changed returns a channel that is closed when a set after the current one is in force.
+	Changed() <-chan struct{}
+	// Fresh says whether the set can still be relied on for withdrawn keys.
 	Fresh() bool
 }
 
