Add placement policies, picker, cache index, fair queue and prober

Cause: the router needs to choose an engine by what a few agents say, and the agent needs to say it: cached blocks, waiting work and availability. Change: package placement with rendezvous ranking, a cost rule and five policies; internal/picker asks agents over the inner protocol with a bounded wait and replaces silent ones; internal/agent/cacheindex estimates the engine's cache from late, lossy events and own dispatches; internal/agent/fairqueue starts requests in weighted fair order with a bounded number before their first token; internal/agent/prober answers probes. Conclusion: the seams are in place for the router and the agent to be wired.

--- /dev/null
+++ b/internal/agent/fairqueue/grant.go
@@ -0,0 +1,73 @@
+package fairqueue
+
+import "time"
+
+// Grant is a request's place at the engine.
+type Grant struct {
+	queue  *Queue
+	ticket Ticket
+	done   bool
+}
+
+// SetPrefill corrects the number of tokens to compute, once the engine or an
+// import has told it.
+func (g *Grant) SetPrefill(tokens int64) {
+	g.queue.mu.Lock()
+	defer g.queue.mu.Unlock()
+	account := g.queue.customers[g.ticket.Customer]
+	if g.done || account == nil {
+		return
+	}
+	account.finish += float64(tokens-g.ticket.PrefillTokens) / g.ticket.weight()
+	g.ticket.PrefillTokens = tokens
+}
+
+// FirstToken says that the prompt is computed, which lets the next one in.
+func (g *Grant) FirstToken() {
+	g.queue.mu.Lock()
+	defer g.queue.mu.Unlock()
+	g.queue.endPrefill(g, true)
+	g.queue.dispatch()
+}
+
+// Release ends the request. Actual is the service it got in tokens: prompt
+// tokens computed and decodeCost for each generated one, see Service. Further calls do nothing.
+func (g *Grant) Release(actual float64) {
+	g.queue.mu.Lock()
+	defer g.queue.mu.Unlock()
+	if g.done {
+		return
+	}
+	g.done = true
+	g.queue.endPrefill(g, false)
+	g.queue.running--
+	if g.ticket.Suspect {
+		g.queue.suspects--
+	}
+	g.queue.settle(g.ticket, actual)
+	g.queue.dispatch()
+}
+
+// Service returns the service of a request in tokens, for Release.
+func Service(prefillTokens, generatedTokens int64) float64 {
+	return Ticket{PrefillTokens: prefillTokens, DecodeTokens: generatedTokens}.cost()
+}
+
+// endPrefill takes g out of the requests without a first token. A completed one
+// tells the engine's rate.
+func (q *Queue) endPrefill(g *Grant, completed bool) {
+	for i, other := range q.prefills {
+		if other != g {
+			continue
+		}
+		now := time.Now()
+		if i == 0 {
+			if completed {
+				q.learnRate(g.ticket.PrefillTokens, now.Sub(q.headSince))
+			}
+			q.headSince = now
+		}
+		q.prefills = append(q.prefills[:i], q.prefills[i+1:]...)
+		return
+	}
+}
--- /dev/null
+++ b/internal/agent/prober/prober.go
@@ -0,0 +1,118 @@
+// Package prober answers routers' questions about what serving a prompt would
+// cost on the engine beside the agent.
+package prober
+
+import (
+	"context"
+	"slices"
+
+	"github.com/greengagegate/greengagegate/internal/agent/cacheindex"
+	"github.com/greengagegate/greengagegate/internal/agent/fairqueue"
+	"github.com/greengagegate/greengagegate/internal/metrics"
+	"github.com/greengagegate/greengagegate/internal/wire"
+	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
+)
+
+var answered = metrics.Counter("agent.probes")
+
+// Status is the agent's present view of its engine.
+type Status struct {
+	// Serving is false while the engine is down, cold or held for another reason.
+	Serving  bool
+	Draining bool
+	// Weights are the versions that the engine has finished loading.
+	Weights     []string
+	Incarnation uint64
+	BlockTokens int64
+	PrefillRate float64
+	Revision    uint64
+}
+
+// StatusSource gives the present status.
+type StatusSource interface {
+	Status() Status
+}
+
+// Transfers tells what the KV store could add to a cache.
+type Transfers interface {
+	// Importable returns how many leading blocks of hashes the KV store holds, 0
+	// when unknown, and the speed of a copy in tokens a second. It blocks briefly.
+	Importable(ctx context.Context, hashes []uint64, cached int) (blocks int, rate float64)
+}
+
+// Options are a Prober's parts.
+type Options struct {
+	Index  *cacheindex.Index
+	Queue  *fairqueue.Queue
+	Status StatusSource
+	// Transfers is nil without a KV store.
+	Transfers Transfers
+}
+
+// Prober answers probes.
+type Prober struct {
+	options Options
+}
+
+// New returns a Prober.
+func New(options Options) *Prober { return &Prober{options: options} }
+
+// Handle serves a stream of wirepb.KIND_PROBE.
+func (p *Prober) Handle(ctx context.Context, _ wire.Request, stream *wire.Stream) {
+	request := new(wirepb.ProbeRequest)
+	if err := stream.Recv(request); err != nil {
+		return
+	}
+	_ = stream.Send(p.Answer(ctx, request))
+}
+
+// Answer returns the reply to a probe.
+func (p *Prober) Answer(ctx context.Context, request *wirepb.ProbeRequest) *wirepb.ProbeReply {
+	answered.Inc(1)
+	status := p.options.Status.Status()
+	reply := &wirepb.ProbeReply{
+		Incarnation:    status.Incarnation,
+		Draining:       status.Draining,
+		ConfigRevision: status.Revision,
+	}
+	if !status.Serving || !slices.Contains(status.Weights, request.Weights) {
+		reply.Unavailable = true
+		return reply
+	}
+	cached := p.cachedBlocks(request.BlockHashes, status.Incarnation)
+	reply.CachedTokens = min(int64(cached)*status.BlockTokens, request.PromptTokens)
+	p.addBacklog(reply, request)
+	p.addImport(ctx, reply, request, cached, status)
+	return reply
+}
+
+// cachedBlocks counts leading blocks that the present engine process holds.
+func (p *Prober) cachedBlocks(hashes []uint64, incarnation uint64) int {
+	blocks, holder := p.options.Index.Cached(hashes)
+	if holder != incarnation {
+		return 0
+	}
+	return blocks
+}
+
+func (p *Prober) addBacklog(reply *wirepb.ProbeReply, request *wirepb.ProbeRequest) {
+	backlog := p.options.Queue.Backlog(request.Customer, 0, request.PromptTokens-reply.CachedTokens)
+	reply.QueuedTokens = backlog.Tokens
+	reply.Running = int32(backlog.Running)
+	reply.Queued = int32(backlog.Queued)
+	reply.QueueFull = backlog.Full
+	reply.ExpectedWaitUs = backlog.Wait.Microseconds()
+	reply.PrefillTokensPerSecond = backlog.Rate
+}
+
+func (p *Prober) addImport(ctx context.Context, reply *wirepb.ProbeReply, request *wirepb.ProbeRequest, cached int, status Status) {
+	if p.options.Transfers == nil || cached >= len(request.BlockHashes) {
+		return
+	}
+	stored, rate := p.options.Transfers.Importable(ctx, request.BlockHashes, cached)
+	if stored <= cached {
+		return
+	}
+	reply.ImportableTokens = int64(stored-cached) * status.BlockTokens
+	reply.ImportTokensPerSecond = rate
+}
--- /dev/null
+++ b/internal/picker/picker_test.go
@@ -0,0 +1,157 @@
+package picker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/object"
+	"github.com/greengagegate/greengagegate/internal/wire"
+	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
+	"github.com/rs/zerolog"
+)
+
+// agents starts agents on loopback that answer probes with the given function.
+func agents(t *testing.T, count int, answer func(agent int) *wirepb.ProbeReply) *object.Set {
+	t.Helper()
+	set := object.NewSet(1)
+	for i := range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := wire.NewServer(&wirepb.Hello{}, zerolog.Nop())
+		server.Handle(wirepb.Kind_KIND_PROBE, func(ctx context.Context, _ wire.Request, stream *wire.Stream) {
+			request := new(wirepb.ProbeRequest)
+			if stream.Recv(request) != nil {
+				return
+			}
+			reply := answer(i)
+			if reply == nil {
+				<-ctx.Done()
+				return
+			}
+			_ = stream.Send(reply)
+		})
+		go func() { _ = server.Serve(listener) }()
+		t.Cleanup(func() {
+			_ = listener.Close()
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			_ = server.Shutdown(ctx)
+		})
+		name := fmt.Sprintf("engine-%d", i)
+		set.Upstreams[name] = &object.Upstream{
+			Name: name, Address: listener.Addr().String(), Kind: object.UpstreamEngine, Pool: "engines",
+		}
+	}
+	set.Index()
+	return set
+}
+
+func newPicker(t *testing.T, policy string) *Manager {
+	t.Helper()
+	pool := wire.NewPool(&wirepb.Hello{}, wire.NewDialer(""))
+	t.Cleanup(pool.Close)
+	m, err := New(Options{Policy: policy, Import: true, Pool: pool})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+func prompt(key uint64) Prompt {
+	return Prompt{
+		Customer:     "a",
+		Version:      &object.ModelVersion{Pool: "engines", Weights: "v1"},
+		Hashes:       []uint64{key, key + 1},
+		PromptTokens: 4_000,
+	}
+}
+
+func TestPoliciesChooseByWhatAgentsSay(t *testing.T) {
+	set := agents(t, 4, func(agent int) *wirepb.ProbeReply {
+		reply := &wirepb.ProbeReply{ExpectedWaitUs: 1_000_000, PrefillTokensPerSecond: 20_000}
+		switch agent {
+		case 1:
+			reply.ExpectedWaitUs = 0
+		case 2:
+			reply.ExpectedWaitUs, reply.CachedTokens = 100_000, 4_000
+		case 3:
+			return &wirepb.ProbeReply{Unavailable: true}
+		}
+		return reply
+	})
+	for policy, want := range map[string]string{PolicyLeastLoaded: "engine-1", PolicyProbeAll: "engine-2", PolicyPrefix: "engine-2"} {
+		candidates, err := newPicker(t, policy).Pick(t.Context(), set, prompt(7))
+		if err != nil || candidates[0].Upstream.Name != want {
+			t.Errorf("%s: %v, %v", policy, candidates, err)
+		}
+	}
+	for _, policy := range []string{PolicyRandom, PolicyHash} {
+		candidates, err := newPicker(t, policy).Pick(t.Context(), set, prompt(7))
+		if err != nil || len(candidates) != 4 {
+			t.Errorf("%s: %v, %v", policy, candidates, err)
+		}
+	}
+	if _, err := New(Options{Policy: "best"}); err == nil {
+		t.Error("unknown policy accepted")
+	}
+}
+
+func TestSilentAgentsAreReplacedAndDeadFleetIsAnError(t *testing.T) {
+	set := agents(t, 6, func(agent int) *wirepb.ProbeReply {
+		if agent != 5 {
+			return nil
+		}
+		return &wirepb.ProbeReply{}
+	})
+	m := newPicker(t, PolicyProbeAll)
+	candidates, err := m.Pick(t.Context(), set, prompt(1))
+	if err != nil || len(candidates) != 1 || candidates[0].Upstream.Name != "engine-5" {
+		t.Fatalf("got %v, %v", candidates, err)
+	}
+	m.Report("engine-5", Outcome{Kind: OutcomeFailed})
+	if _, err := m.Pick(t.Context(), set, prompt(1)); !errors.Is(err, ErrNoUpstream) {
+		t.Fatalf("got %v, want ErrNoUpstream", err)
+	}
+}
+
+func TestLeavingUpstreamsGetNoWork(t *testing.T) {
+	set := agents(t, 3, func(int) *wirepb.ProbeReply { return &wirepb.ProbeReply{} })
+	set.Upstreams["engine-0"].Leaving = true
+	for _, policy := range []string{PolicyRandom, PolicyHash, PolicyPrefix} {
+		candidates, err := newPicker(t, policy).Pick(t.Context(), set, prompt(3))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, candidate := range candidates {
+			if candidate.Upstream.Name == "engine-0" {
+				t.Errorf("%s: leaving upstream chosen", policy)
+			}
+		}
+	}
+}
+
+func TestUpstreamThatUnderstatesItsWaitIsDemotedAndTriedAgain(t *testing.T) {
+	now := time.Now()
+	w := newWatch()
+	w.now = func() time.Time { return now }
+	for range 10 {
+		w.report("liar", Outcome{Expected: 10 * time.Millisecond, FirstToken: 2 * time.Second})
+		w.report("honest", Outcome{Expected: time.Second, FirstToken: time.Second})
+	}
+	if penalty, _ := w.verdict("liar"); penalty < time.Second {
+		t.Fatalf("penalty %v", penalty)
+	}
+	if penalty, _ := w.verdict("honest"); penalty != 0 {
+		t.Fatalf("honest upstream has penalty %v", penalty)
+	}
+	now = now.Add(30 * time.Second)
+	if penalty, _ := w.verdict("liar"); penalty != 0 {
+		t.Fatalf("penalty %v stays without news", penalty)
+	}
+}
