--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,50 @@
+// Package admission decides, before a request runs, whether its customer has
+// tokens for it. It applies the limits that package quota keeps across routers.
+package admission
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/object"
+)
+
+// Code says why a request was refused.
+type Code string
+
+// The codes of refusals. None of the refused requests has run.
+const (
+	// CodeRateLimited asks the caller to come back after RetryAfter.
+	CodeRateLimited Code = "rate_limited"
+	// CodeAboveBurst means that the request can never be admitted: it costs more than the customer's burst.
+	CodeAboveBurst Code = "cost_above_burst"
+	// CodeCanceled means that the caller left while the request waited.
+	CodeCanceled Code = "canceled"
+)
+
+// Refusal is the error of a request that was not admitted and has not run.
+type Refusal struct {
+	Code       Code
+	RetryAfter time.Duration
+	Message    string
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s: %s", r.Code, r.Message)
+}
+
+// Controller admits requests. It is safe for concurrent use.
+type Controller interface {
+	// Admit reserves tokens of a customer. It blocks for a bounded time while
+	// the customer is short of tokens. An error is always a *Refusal.
+	Admit(ctx context.Context, customer *object.Customer, tokens int64) (Ticket, error)
+}
+
+// Ticket is the reservation of one admitted request.
+type Ticket interface {
+	// Settle ends the reservation with the tokens that were used and returns
+	// the rest to the customer. Only the first call has an effect.
+	Settle(used int64)
+}
