--- a/Makefile
+++ b/Makefile
@@ -24,5 +24,5 @@
 
 # Fails when the committed generated code differs from what the generator writes.
 generate-check:
-	go generate ./internal/wire
-	git diff --exit-code -- internal/wire/wirepb
+	go generate ./internal/wire ./membership
+	git diff --exit-code -- '*.pb.go'
--- a/membership/member.go
+++ b/membership/member.go
@@ -30,7 +30,9 @@
 	Process string
 	// Address is its inner address, an IP number and port.
 	Address string
-	Role    Role
+	// GossipAddress is where it takes the datagrams of this package.
+	GossipAddress string
+	Role          Role
 	Zone    string
 	Region  string
 	// Incarnation grows with each start of the process. A higher one overrides any state.
