--- a/membership/member.go
+++ b/membership/member.go
@@ -33,8 +33,8 @@
 	// GossipAddress is where it takes the datagrams of this package.
 	GossipAddress string
 	Role          Role
-	Zone    string
-	Region  string
+	Zone          string
+	Region        string
 	// Incarnation grows with each start of the process. A higher one overrides any state.
 	Incarnation uint64
 	State       State
