--- a/membership/manager_test.go
+++ b/membership/manager_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"sync"
@@ -116,7 +117,7 @@
 func stopFleet(fleet []*Manager) {
 	for _, m := range fleet {
 		if m != nil {
-			_ = m.Stop(nil)
+			_ = m.Stop(context.Background())
 		}
 	}
 }
@@ -154,8 +155,8 @@
 				t.Fatalf("%s holds p007 for %+v", m.Self().Process, member)
 			}
 		}
-		_ = fleet[7].Stop(nil)
-		_ = fleet[8].Stop(nil)
+		_ = fleet[7].Stop(context.Background())
+		_ = fleet[8].Stop(context.Background())
 		rest := append(append([]*Manager(nil), fleet[:7]...), fleet[9:]...)
 		fleet[7], fleet[8] = nil, nil
 		time.Sleep(60 * time.Second)
@@ -169,7 +170,7 @@
 		fleet := startFleet(t, n, 6)
 		defer stopFleet(fleet)
 		time.Sleep(10 * time.Second)
-		_ = fleet[5].Stop(nil)
+		_ = fleet[5].Stop(context.Background())
 		time.Sleep(40 * time.Second)
 		requireAll(t, fleet[:5], 5, "after the crash")
 		// The host's clock was set back: the new life has a lower number.
@@ -263,7 +264,7 @@
 		paused := address(3)
 		n.setCut(func(from, to string) bool { return from == paused || to == paused })
 		time.Sleep(30 * time.Second)
-		_ = fleet[4].Stop(nil)
+		_ = fleet[4].Stop(context.Background())
 		time.Sleep(30 * time.Second)
 		n.setCut(nil)
 		time.Sleep(60 * time.Second)
