--- /dev/null
+++ b/internal/engine/httpengine/driver_test.go
@@ -0,0 +1,141 @@
+package httpengine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+
+	"github.com/greengagegate/greengagegate/internal/engine"
+)
+
+// scripted serves each run with the given lines and records the connections used.
+func scripted(t *testing.T, lines string) (*Driver, func() int) {
+	t.Helper()
+	var mu sync.Mutex
+	connections := make(map[string]bool)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		connections[r.RemoteAddr] = true
+		mu.Unlock()
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, lines)
+	}))
+	t.Cleanup(server.Close)
+	driver := New(server.URL)
+	t.Cleanup(driver.Close)
+	return driver, func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(connections)
+	}
+}
+
+func drain(t *testing.T, driver *Driver, requestID string) ([]engine.RunEvent, error) {
+	t.Helper()
+	run, err := driver.Run(context.Background(), engine.RunRequest{RequestID: requestID, Prompt: []byte("text")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = run.Close() }()
+	var events []engine.RunEvent
+	for {
+		event, err := run.Next()
+		if err == io.EOF {
+			return events, nil
+		}
+		if err != nil {
+			return events, err
+		}
+		events = append(events, event)
+	}
+}
+
+func TestRunOutcomes(t *testing.T) {
+	tokens := string(AppendRunEvent(nil, engine.RunEvent{Type: engine.EventTokens, RequestID: "a", Offset: 7, Count: 1, Text: "abcd"}))
+	end := string(AppendRunEvent(nil, engine.RunEvent{Type: engine.EventEnd, RequestID: "a"}))
+	other := string(AppendRunEvent(nil, engine.RunEvent{Type: engine.EventTokens, RequestID: "b", Count: 1, Text: "wxyz"}))
+	cases := []struct {
+		name   string
+		lines  string
+		events int
+		want   error
+	}{
+		{"whole run", tokens + end, 2, nil},
+		{"stream without end is lost", tokens, 1, engine.ErrLost},
+		{"broken line is lost", tokens + `{"type":"tok`, 1, engine.ErrLost},
+		{"answer of another request", tokens + other + end, 1, engine.ErrCrossed},
+		{"nothing is read after the end", tokens + end + other, 2, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			driver, _ := scripted(t, c.lines)
+			events, err := drain(t, driver, "a")
+			if len(events) != c.events || !errors.Is(err, c.want) {
+				t.Fatalf("events %+v, error %v", events, err)
+			}
+			if events[0].Offset != 7 || events[0].Text != "abcd" {
+				t.Fatalf("first event %+v", events[0])
+			}
+		})
+	}
+}
+
+func TestEachRunHasItsOwnConnection(t *testing.T) {
+	started := string(AppendRunEvent(nil, engine.RunEvent{Type: engine.EventStart, RequestID: "a"}))
+	driver, connections := scripted(t, started+started)
+	for range 3 {
+		run, err := driver.Run(context.Background(), engine.RunRequest{RequestID: "a"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := run.Next(); err != nil {
+			t.Fatal(err)
+		}
+		if err := run.Close(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if connections() != 3 {
+		t.Fatalf("%d connections for 3 cancelled runs", connections())
+	}
+}
+
+func TestLinesRoundTrip(t *testing.T) {
+	for _, event := range []engine.RunEvent{
+		{Type: engine.EventTokens, RequestID: "a", Offset: 12, Count: 3, Text: "plain text"},
+		{Type: engine.EventTokens, RequestID: "a", Text: "quote \" and \\ and \n and é"},
+		{Type: engine.EventEnd, RequestID: "a", PromptTokens: 9, FinishReason: "length"},
+	} {
+		line := AppendRunEvent(nil, event)
+		got, err := parseRunEvent(line[:len(line)-1], "a")
+		if err != nil || got != event {
+			t.Fatalf("%+v became %+v, %v", event, got, err)
+		}
+	}
+	for _, line := range []string{
+		`{"seq":3,"incarnation":9,"kind":"stored","salt":5,"hashes":[1,18446744073709551615]}`,
+		`{"kind":"stored","hashes":[1,18446744073709551615],"salt":5,"incarnation":9,"seq":3}`,
+	} {
+		event, err := parseCacheEvent([]byte(line))
+		want := engine.CacheEvent{Sequence: 3, Incarnation: 9, Kind: engine.CacheStored, Salt: 5, Hashes: []uint64{1, 1<<64 - 1}}
+		if err != nil || fmt.Sprint(event) != fmt.Sprint(want) {
+			t.Fatalf("%s became %+v, %v", line, event, err)
+		}
+	}
+}
+
+func BenchmarkParseTokens(b *testing.B) {
+	line := AppendRunEvent(nil, engine.RunEvent{Type: engine.EventTokens, RequestID: "0123456789abcdef", Offset: 12, Count: 1, Text: "abcd"})
+	line = line[:len(line)-1]
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := parseRunEvent(line, "0123456789abcdef"); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/answer/answer.go
@@ -0,0 +1,53 @@
+// Package answer derives the text that the engine stand-in generates, so that
+// whoever knows the prompt can verify an answer.
+package answer
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// BytesPerToken is the size of a token of prompts and answers.
+const BytesPerToken = 4
+
+const (
+	letters  = "abcdefghijklmnopqrstuvwxyz234567"
+	fiveBits = 5
+	fiveMask = 1<<fiveBits - 1
+)
+
+// Digest returns the digest of a prompt. It does not depend on customer or weights.
+func Digest(prompt []byte) uint64 {
+	return xxhash.Sum64(prompt)
+}
+
+// Tokens returns the number of tokens of a text, a started one counted whole.
+func Tokens(text []byte) int64 {
+	return int64((len(text) + BytesPerToken - 1) / BytesPerToken)
+}
+
+// Append appends count tokens of the answer to the prompt with this digest, from offset on.
+func Append(b []byte, digest uint64, offset, count int64) []byte {
+	for i := offset; i < offset+count; i++ {
+		b = appendToken(b, digest, i)
+	}
+	return b
+}
+
+// Text returns the first count tokens of the answer to the prompt.
+func Text(prompt []byte, count int64) string {
+	return string(Append(nil, Digest(prompt), 0, count))
+}
+
+func appendToken(b []byte, digest uint64, offset int64) []byte {
+	var seed [16]byte
+	binary.LittleEndian.PutUint64(seed[:8], digest)
+	binary.LittleEndian.PutUint64(seed[8:], uint64(offset))
+	sum := xxhash.Sum64(seed[:])
+	for range BytesPerToken {
+		b = append(b, letters[sum&fiveMask])
+		sum >>= fiveBits
+	}
+	return b
+}
--- /dev/null
+++ b/store/httpstore/httpstore.go
@@ -0,0 +1,193 @@
+// Package httpstore is a store.Store over HTTP. Objects are read and changed
+// at /v1/objects/KEY; a change names the version that it expects.
+package httpstore
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/fault"
+	"github.com/greengagegate/greengagegate/store"
+)
+
+// Paths and parameters of the service.
+const (
+	PathObjects = "/v1/objects/"
+	PathList    = "/v1/list"
+	PathWatch   = "/v1/watch"
+	PathHosts   = "/v1/hosts"
+
+	ParamExpected = "expected"
+	ParamPrefix   = "prefix"
+	ParamAfter    = "after"
+)
+
+// Codes of refusals.
+const (
+	CodeNotFound    = "not_found"
+	CodeConflict    = "conflict"
+	CodeUnavailable = "unavailable"
+	CodeCompacted   = "compacted"
+)
+
+const (
+	dialTimeout     = 2 * time.Second
+	idleTimeout     = 30 * time.Second
+	maxIdleConns    = 16
+	maxRefusalBytes = 4 << 10
+)
+
+// Refusal is the body of each answer that is not 200.
+type Refusal struct {
+	Code string `json:"code"`
+}
+
+// Written is the answer to a change.
+type Written struct {
+	Version int64 `json:"version"`
+}
+
+// Listing is the answer to a list.
+type Listing struct {
+	Objects []store.Object `json:"objects"`
+	Version int64          `json:"version"`
+}
+
+// Client is a store.Store and store.HostLister. It never repeats a change: when
+// the answer to one is lost, the caller gets store.ErrUnknownOutcome.
+type Client struct {
+	base   string
+	client *http.Client
+}
+
+var (
+	_ store.Store      = (*Client)(nil)
+	_ store.HostLister = (*Client)(nil)
+)
+
+// New returns a client of the service at base, such as "http://127.0.0.1:7400".
+func New(base string) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Client{
+		base: base,
+		client: &http.Client{Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			IdleConnTimeout:     idleTimeout,
+			MaxIdleConnsPerHost: maxIdleConns,
+		}},
+	}
+}
+
+// Close closes the connections that are not in use.
+func (c *Client) Close() { c.client.CloseIdleConnections() }
+
+// Get implements store.Store.
+func (c *Client) Get(ctx context.Context, key string) (store.Object, error) {
+	var object store.Object
+	err := c.read(ctx, PathObjects+url.PathEscape(key), &object)
+	return object, fault.Wrap(err, "get object", c.base)
+}
+
+// List implements store.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]store.Object, int64, error) {
+	var listing Listing
+	err := c.read(ctx, PathList+"?"+url.Values{ParamPrefix: {prefix}}.Encode(), &listing)
+	return listing.Objects, listing.Version, fault.Wrap(err, "list objects", c.base)
+}
+
+// Hosts implements store.HostLister.
+func (c *Client) Hosts(ctx context.Context) ([]store.Host, error) {
+	var hosts []store.Host
+	err := c.read(ctx, PathHosts, &hosts)
+	return hosts, fault.Wrap(err, "list hosts", c.base)
+}
+
+// Put implements store.Store.
+func (c *Client) Put(ctx context.Context, key string, value []byte, expected int64) (int64, error) {
+	version, err := c.write(ctx, http.MethodPut, key, value, expected)
+	return version, fault.Wrap(err, "put object", c.base)
+}
+
+// Delete implements store.Store.
+func (c *Client) Delete(ctx context.Context, key string, expected int64) error {
+	_, err := c.write(ctx, http.MethodDelete, key, nil, expected)
+	return fault.Wrap(err, "delete object", c.base)
+}
+
+func (c *Client) read(ctx context.Context, path string, out any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+	if err != nil {
+		return err
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return errors.Join(store.ErrUnavailable, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return refusalError(response, store.ErrUnavailable)
+	}
+	if err := json.NewDecoder(response.Body).Decode(out); err != nil {
+		return errors.Join(store.ErrUnavailable, err)
+	}
+	return nil
+}
+
+// write makes a change once. Until a connection is there the change cannot have
+// been sent; from then on a missing answer leaves the outcome unknown.
+func (c *Client) write(ctx context.Context, method, key string, value []byte, expected int64) (int64, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	target := c.base + PathObjects + url.PathEscape(key) + "?" + ParamExpected + "=" + strconv.FormatInt(expected, 10)
+	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(value))
+	if err != nil {
+		return 0, errors.Join(store.ErrUnavailable, err)
+	}
+	response, err := c.client.Do(request)
+	if err != nil && !connected.Load() {
+		return 0, errors.Join(store.ErrUnavailable, err)
+	}
+	if err != nil {
+		return 0, errors.Join(store.ErrUnknownOutcome, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return 0, refusalError(response, store.ErrUnknownOutcome)
+	}
+	var written Written
+	if err := json.NewDecoder(response.Body).Decode(&written); err != nil {
+		return 0, errors.Join(store.ErrUnknownOutcome, err)
+	}
+	return written.Version, nil
+}
+
+// refusalError returns the error that the answer names, or otherwise when the
+// answer is not one that the service gives.
+func refusalError(response *http.Response, otherwise error) error {
+	var refusal Refusal
+	_ = json.NewDecoder(io.LimitReader(response.Body, maxRefusalBytes)).Decode(&refusal)
+	switch refusal.Code {
+	case CodeNotFound:
+		return store.ErrNotFound
+	case CodeConflict:
+		return store.ErrConflict
+	case CodeUnavailable:
+		return store.ErrUnavailable
+	case CodeCompacted:
+		return store.ErrCompacted
+	default:
+		return errors.Join(otherwise, errors.New(response.Status))
+	}
+}
