--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -1,14 +1,17 @@
-// Package runner is the agent's handler of prompts: it runs each on the engine
-// beside it and streams the tokens to the router.
+// Package runner is the agent's handler of prompts: it queues each fairly, runs
+// it on the engine beside the agent and streams the tokens to the router.
 package runner
 
 import (
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 
+	"github.com/greengagegate/greengagegate/internal/agent/cacheindex"
+	"github.com/greengagegate/greengagegate/internal/agent/fairqueue"
 	"github.com/greengagegate/greengagegate/internal/engine"
-	"github.com/greengagegate/greengagegate/internal/fault"
+	"github.com/greengagegate/greengagegate/internal/refusal"
 	"github.com/greengagegate/greengagegate/internal/wire"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 	"github.com/greengagegate/greengagegate/placement"
@@ -18,6 +21,8 @@
 // Options holds what a Runner works with.
 type Options struct {
 	Driver engine.Driver
+	Queue  *fairqueue.Queue
+	Index  *cacheindex.Index
 	// Name is the upstream's name, told in refusals.
 	Name string
 	Log  zerolog.Logger
@@ -25,7 +30,8 @@
 
 // Runner serves streams of KIND_RUN.
 type Runner struct {
-	options Options
+	options  Options
+	draining atomic.Bool
 }
 
 // New returns a runner.
@@ -33,6 +39,9 @@
 	return &Runner{options: options}
 }
 
+// Drain refuses further prompts; those in flight go on.
+func (r *Runner) Drain() { r.draining.Store(true) }
+
 // Handle implements wire.Handler. It returns when the run has ended or the
 // router has left, in which case the engine's run is cancelled.
 func (r *Runner) Handle(ctx context.Context, _ wire.Request, stream *wire.Stream) {
@@ -43,7 +52,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go cancelOnLeave(stream, cancel)
-	if err := r.run(ctx, request, stream); err != nil {
+	if err := r.serve(ctx, request, stream); err != nil {
 		r.options.Log.Debug().Err(err).Str("request", request.RequestId).Msg("runner: run ended early")
 	}
 }
@@ -54,30 +63,154 @@
 	_ = stream.Recv(new(wirepb.Open))
 }
 
-func (r *Runner) run(ctx context.Context, request *wirepb.RunRequest, stream *wire.Stream) error {
-	run, err := r.options.Driver.Run(ctx, engineRequest(request))
+func (r *Runner) serve(ctx context.Context, request *wirepb.RunRequest, stream *wire.Stream) error {
+	if r.draining.Load() {
+		return stream.Send(r.refuse(refusal.Draining, wirepb.RunState_RUN_NOT_RUN, "the upstream is leaving"))
+	}
+	grant, err := r.options.Queue.Acquire(ctx, r.ticket(ctx, request))
 	if err != nil {
-		return stream.Send(r.refusalEvent("start run", err, startState(err)))
+		return stream.Send(r.refuse(queueCode(err), wirepb.RunState_RUN_NOT_RUN, err.Error()))
+	}
+	run := &running{runner: r, request: request, stream: stream, grant: grant}
+	defer run.release()
+	return run.start(ctx)
+}
+
+// ticket describes the request to the queue.
+func (r *Runner) ticket(ctx context.Context, request *wirepb.RunRequest) fairqueue.Ticket {
+	blocks, _ := r.options.Index.Cached(request.BlockHashes)
+	ticket := fairqueue.Ticket{
+		Customer:      request.Customer,
+		Weight:        request.CustomerWeight,
+		PrefillTokens: uncached(request, blocks),
+		DecodeTokens:  request.MaxTokens,
+		Priority:      request.Priority,
+		Suspect:       request.Suspect,
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		ticket.Deadline = deadline
+	}
+	return ticket
+}
+
+// uncached estimates the prompt tokens that are left to compute.
+func uncached(request *wirepb.RunRequest, blocks int) int64 {
+	if len(request.BlockHashes) == 0 {
+		return request.PromptTokens
+	}
+	blockTokens := request.PromptTokens / int64(len(request.BlockHashes))
+	return max(0, request.PromptTokens-int64(blocks)*blockTokens)
+}
+
+func queueCode(err error) refusal.Code {
+	switch {
+	case errors.Is(err, fairqueue.ErrClosed):
+		return refusal.Draining
+	case errors.Is(err, fairqueue.ErrExpired):
+		return refusal.DeadlineExceeded
+	default:
+		return refusal.QueueFull
+	}
+}
+
+func (r *Runner) refuse(code refusal.Code, state wirepb.RunState, message string) *wirepb.RunEvent {
+	return &wirepb.RunEvent{Event: &wirepb.RunEvent_Refusal{Refusal: &wirepb.Refusal{
+		Code:    string(code),
+		Message: message,
+		Run:     state,
+		Step:    "run prompt",
+		Peer:    r.options.Name,
+	}}}
+}
+
+// running is one prompt at the engine.
+type running struct {
+	runner  *Runner
+	request *wirepb.RunRequest
+	stream  *wire.Stream
+	grant   *fairqueue.Grant
+
+	prefill   int64
+	generated int64
+}
+
+// release gives the place at the engine back with the service that was used.
+func (x *running) release() {
+	x.grant.Release(fairqueue.Service(x.prefill, x.generated))
+}
+
+func (x *running) start(ctx context.Context) error {
+	options := x.runner.options
+	if x.request.AllowImport {
+		x.importBlocks(ctx)
+	}
+	run, err := options.Driver.Run(ctx, engineRequest(x.request))
+	if err != nil {
+		return x.stream.Send(x.runner.refuse(startCode(err), startState(err), err.Error()))
 	}
 	defer func() { _ = run.Close() }()
+	return x.forward(run)
+}
+
+// importBlocks copies missing blocks from the KV store. Without them the
+// engine computes the prompt as usual.
+func (x *running) importBlocks(ctx context.Context) {
+	options := x.runner.options
+	transfer, err := options.Driver.Import(ctx, salt(x.request), x.request.BlockHashes)
+	if err != nil {
+		options.Log.Debug().Err(err).Msg("runner: import failed")
+		return
+	}
+	options.Index.Imported(x.request.BlockHashes[:min(transfer.Blocks, len(x.request.BlockHashes))])
+}
+
+// forward passes the engine's events on until the end.
+func (x *running) forward(run engine.Run) error {
 	for {
 		event, err := run.Next()
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
-			return stream.Send(r.refusalEvent("read tokens", err, wirepb.RunState_RUN_UNKNOWN))
+			return x.stream.Send(x.runner.refuse(refusal.UpstreamLost, wirepb.RunState_RUN_UNKNOWN, err.Error()))
 		}
-		if err := stream.Send(toWire(event)); err != nil {
+		x.observe(event)
+		if err := x.stream.Send(toWire(event)); err != nil {
 			return err
 		}
 	}
 }
 
+// observe lets the queue and the index learn from an event.
+func (x *running) observe(event engine.RunEvent) {
+	switch event.Type {
+	case engine.EventStart:
+		x.prefill = event.PromptTokens - event.CachedTokens
+		x.grant.SetPrefill(x.prefill)
+		x.runner.options.Index.Started(event.Incarnation, x.request.BlockHashes, x.cachedBlocks(event.CachedTokens))
+	case engine.EventTokens:
+		if x.generated == 0 {
+			x.grant.FirstToken()
+		}
+		x.generated += event.Count
+	}
+}
+
+func (x *running) cachedBlocks(cachedTokens int64) int {
+	if len(x.request.BlockHashes) == 0 || x.request.PromptTokens == 0 {
+		return 0
+	}
+	return int(cachedTokens * int64(len(x.request.BlockHashes)) / x.request.PromptTokens)
+}
+
+func salt(request *wirepb.RunRequest) uint64 {
+	return placement.Root(request.Customer, request.Model, request.Weights)
+}
+
 func engineRequest(request *wirepb.RunRequest) engine.RunRequest {
 	return engine.RunRequest{
 		RequestID:    request.RequestId,
-		Salt:         placement.Root(request.Customer, request.Model, request.Weights),
+		Salt:         salt(request),
 		Weights:      request.Weights,
 		Prompt:       request.Prompt,
 		MaxTokens:    request.MaxTokens,
@@ -89,23 +222,21 @@
 
 // startState says whether a run whose start failed may have begun.
 func startState(err error) wirepb.RunState {
-	for _, notRun := range []error{engine.ErrBusy, engine.ErrNotLoaded, engine.ErrUnreachable} {
-		if errors.Is(err, notRun) {
-			return wirepb.RunState_RUN_NOT_RUN
-		}
+	if startCode(err) == refusal.UpstreamLost {
+		return wirepb.RunState_RUN_UNKNOWN
 	}
-	return wirepb.RunState_RUN_UNKNOWN
+	return wirepb.RunState_RUN_NOT_RUN
 }
 
-func (r *Runner) refusalEvent(step string, err error, state wirepb.RunState) *wirepb.RunEvent {
-	err = fault.Wrap(err, step, r.options.Name)
-	return &wirepb.RunEvent{Event: &wirepb.RunEvent_Refusal{Refusal: &wirepb.Refusal{
-		Code:    "engine_failed",
-		Message: err.Error(),
-		Run:     state,
-		Step:    step,
-		Peer:    r.options.Name,
-	}}}
+func startCode(err error) refusal.Code {
+	switch {
+	case errors.Is(err, engine.ErrBusy):
+		return refusal.QueueFull
+	case errors.Is(err, engine.ErrNotLoaded), errors.Is(err, engine.ErrUnreachable):
+		return refusal.UpstreamUnreachable
+	default:
+		return refusal.UpstreamLost
+	}
 }
 
 func toWire(event engine.RunEvent) *wirepb.RunEvent {
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -1,4 +1,6 @@
-// Package dispatch carries admitted requests to upstreams.
+// Package dispatch carries admitted requests to upstreams: prompts to one of
+// several candidates, resumed elsewhere when a stream is lost, and calls to
+// plain services.
 package dispatch
 
 import (
--- a/internal/object/set.go
+++ b/internal/object/set.go
@@ -170,3 +170,12 @@
 	}
 	return found
 }
+
+// Models returns the names of all models that have a route.
+func (s *Set) Models() []string {
+	names := make([]string, 0, len(s.modelRoutes))
+	for name := range s.modelRoutes {
+		names = append(names, name)
+	}
+	return names
+}
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -22,6 +22,8 @@
 	AgentLost Code = "agent_lost"
 	// Draining says that the process is stopping and takes no new work.
 	Draining Code = "draining"
+	// QueueFull says that the agent's queue took no more requests.
+	QueueFull Code = "queue_full"
 	// UpstreamUnreachable says that no byte of the request reached the upstream.
 	UpstreamUnreachable Code = "upstream_unreachable"
 	// UpstreamLost says that the upstream's answer was lost.
@@ -72,6 +74,7 @@
 	AgentUnreachable:    http.StatusServiceUnavailable,
 	Draining:            http.StatusServiceUnavailable,
 	UpstreamUnreachable: http.StatusServiceUnavailable,
+	QueueFull:           http.StatusServiceUnavailable,
 	CircuitOpen:         http.StatusServiceUnavailable,
 	RetryBudget:         http.StatusServiceUnavailable,
 	ShardUnavailable:    http.StatusServiceUnavailable,
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -139,11 +139,12 @@
 	c.failedAt = time.Now()
 }
 
+// drop forgets a session that takes no new streams. Streams in flight on it go
+// on until the peer ends them.
 func (c *peer) drop(s *session) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.session == s {
-		_ = s.mux.Close()
 		c.session = nil
 	}
 }
