Ask three homes, count recomputing twice, and copy wanted blocks to the KV store

Cause: two homes of a document left both busy at times, and a cost equal to the request's own delay places it away from its cache, which costs those after it. Change: placement/prefix asks three homes of the first 8 blocks, one more when the best makes the request wait, and counts the time to compute missing blocks twice. internal/agent/transfer times copies from and to the KV store, tells probes what an import would bring with the present wait for the store, and exports leading blocks that were wanted again within 20 s while the store is not busy. The index can take in the blocks of requests that still wait.

--- a/internal/agent/cacheindex/cacheindex.go
+++ b/internal/agent/cacheindex/cacheindex.go
@@ -116,6 +116,17 @@
 	}
 }
 
+// Promised takes in the blocks of a request that waits for its turn, which will
+// be cached by the time that a later request is computed. Missing withdraws
+// those that did not come about.
+func (x *Index) Promised(incarnation uint64, hashes []uint64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if incarnation == x.incarnation {
+		x.put(hashes, x.tick())
+	}
+}
+
 // Started takes in what the engine said when it began a request: the number of
 // leading blocks that it found cached. The request's other blocks are about to be stored.
 func (x *Index) Started(incarnation uint64, hashes []uint64, cached int) {
@@ -133,7 +144,7 @@
 	x.put(hashes, x.tick())
 }
 
-// Missing removes the blocks of a request that did not complete after the
+// Missing removes the blocks of a request that was not computed, after the
 // leading ones that are known to be cached.
 func (x *Index) Missing(incarnation uint64, hashes []uint64, cached int) {
 	x.mu.Lock()
--- a/internal/agent/prober/prober.go
+++ b/internal/agent/prober/prober.go
@@ -11,6 +11,7 @@
 	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/wire"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
+	"github.com/greengagegate/greengagegate/placement"
 )
 
 var answered = metrics.Counter("agent.probes")
@@ -36,8 +37,9 @@
 // Transfers tells what the KV store could add to a cache.
 type Transfers interface {
 	// Importable returns how many leading blocks of hashes the KV store holds, 0
-	// when unknown, and the speed of a copy in tokens a second. It blocks briefly.
-	Importable(ctx context.Context, hashes []uint64, cached int) (blocks int, rate float64)
+	// when unknown, and the speed at which those after the cached ones would come,
+	// in tokens a second. It blocks briefly.
+	Importable(ctx context.Context, salt uint64, hashes []uint64, cached int) (blocks int, rate float64)
 }
 
 // Options are a Prober's parts.
@@ -109,7 +111,8 @@
 	if p.options.Transfers == nil || cached >= len(request.BlockHashes) {
 		return
 	}
-	stored, rate := p.options.Transfers.Importable(ctx, request.BlockHashes, cached)
+	salt := placement.Root(request.Customer, request.Model, request.Weights)
+	stored, rate := p.options.Transfers.Importable(ctx, salt, request.BlockHashes, cached)
 	if stored <= cached {
 		return
 	}
--- a/internal/agent/prober/prober_test.go
+++ b/internal/agent/prober/prober_test.go
@@ -15,7 +15,9 @@
 
 type shelf int
 
-func (s shelf) Importable(context.Context, []uint64, int) (int, float64) { return int(s), 1_000 }
+func (s shelf) Importable(context.Context, uint64, []uint64, int) (int, float64) {
+	return int(s), 1_000
+}
 
 func TestAnswer(t *testing.T) {
 	serving := Status{Serving: true, Weights: []string{"v2"}, Incarnation: 1, BlockTokens: 2_000}
--- /dev/null
+++ b/internal/agent/transfer/transfer.go
@@ -0,0 +1,173 @@
+// Package transfer copies cache blocks between the engine beside the agent and
+// the KV store that all engines share.
+//
+// The store's bandwidth is shared, so each copy is timed, and what it waited for
+// others decides whether further copies are worth their while.
+package transfer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/engine"
+	"github.com/greengagegate/greengagegate/internal/metrics"
+	"github.com/rs/zerolog"
+)
+
+const (
+	// minImportBlocks is the least number of blocks that is worth a copy.
+	minImportBlocks = 1
+	storedTimeout   = 8 * time.Millisecond
+	importTimeout   = 3 * time.Second
+	exportTimeout   = 5 * time.Second
+	// maxExportWait is the wait for the store above which nothing is exported.
+	maxExportWait = 60 * time.Millisecond
+	exportQueue   = 8
+)
+
+var (
+	imported       = metrics.Counter("agent.imported_blocks")
+	importFailures = metrics.Counter("agent.import_failures")
+	exported       = metrics.Counter("agent.exported_blocks")
+	exportsSkipped = metrics.Counter("agent.exports_skipped")
+)
+
+// Options are a Manager's parts.
+type Options struct {
+	Driver engine.Driver
+	// BlockTokens returns the size of a block, 0 when unknown.
+	BlockTokens func() int64
+	Log         zerolog.Logger
+}
+
+// Manager copies blocks. It is safe for concurrent use.
+type Manager struct {
+	options Options
+	exports chan export
+
+	mu    sync.Mutex
+	speed speed
+	wants wants
+}
+
+// export is a prefix to copy to the KV store.
+type export struct {
+	salt   uint64
+	hashes []uint64
+}
+
+// New returns a Manager whose exports are made by Run.
+func New(options Options) *Manager {
+	return &Manager{
+		options: options,
+		exports: make(chan export, exportQueue),
+		speed:   newSpeed(),
+		wants:   newWants(),
+	}
+}
+
+// Importable returns how many leading blocks of hashes the KV store holds, 0
+// when it does not answer at once, and the speed at which those after the
+// cached ones would come, in tokens a second.
+func (m *Manager) Importable(ctx context.Context, salt uint64, hashes []uint64, cached int) (blocks int, rate float64) {
+	if len(hashes)-cached < minImportBlocks {
+		return 0, 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, storedTimeout)
+	defer cancel()
+	blocks, err := m.options.Driver.Stored(ctx, salt, hashes)
+	if err != nil || blocks-cached < minImportBlocks {
+		return 0, 0
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return blocks, m.speed.rateFor(float64(int64(blocks-cached)*m.options.BlockTokens()), time.Now())
+}
+
+// Import copies the stored blocks of hashes into the engine's cache and returns
+// how many leading ones it then holds. It blocks for the copy; cached is the
+// number of blocks that need none.
+func (m *Manager) Import(ctx context.Context, salt uint64, hashes []uint64, cached int) int {
+	ctx, cancel := context.WithTimeout(ctx, importTimeout)
+	defer cancel()
+	began := time.Now()
+	done, err := m.options.Driver.Import(ctx, salt, hashes)
+	if err != nil {
+		importFailures.Inc(1)
+		m.options.Log.Debug().Err(err).Msg("transfer: import failed")
+		return cached
+	}
+	if copied := done.Blocks - cached; copied > 0 {
+		imported.Inc(int64(copied))
+		m.observe(copied, time.Since(began))
+	}
+	return min(done.Blocks, len(hashes))
+}
+
+func (m *Manager) observe(blocks int, took time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.speed.observe(float64(int64(blocks)*m.options.BlockTokens()), took, time.Now())
+}
+
+// Served says that the engine has computed a prompt. Its leading blocks that
+// were wanted before within a short time are copied to the KV store later, when
+// the store is not busy.
+func (m *Manager) Served(salt uint64, hashes []uint64) {
+	m.mu.Lock()
+	now := time.Now()
+	again := m.wants.note(hashes, now)
+	busy := m.speed.waitNow(now) > maxExportWait
+	known := m.wants.exported(hashes[:again], now)
+	m.mu.Unlock()
+	if again == 0 || known {
+		return
+	}
+	if busy {
+		exportsSkipped.Inc(1)
+		return
+	}
+	select {
+	case m.exports <- export{salt: salt, hashes: hashes[:again]}:
+	default:
+		exportsSkipped.Inc(1)
+	}
+}
+
+// Run makes the exports until ctx ends.
+func (m *Manager) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-m.exports:
+			m.export(ctx, e)
+		}
+	}
+}
+
+func (m *Manager) export(ctx context.Context, e export) {
+	ctx, cancel := context.WithTimeout(ctx, exportTimeout)
+	defer cancel()
+	stored, err := m.options.Driver.Stored(ctx, e.salt, e.hashes)
+	if err != nil {
+		return
+	}
+	if stored < len(e.hashes) {
+		began := time.Now()
+		done, err := m.options.Driver.Export(ctx, e.salt, e.hashes)
+		if err != nil {
+			m.options.Log.Debug().Err(err).Msg("transfer: export failed")
+			return
+		}
+		if copied := done.Blocks - stored; copied > 0 {
+			exported.Inc(int64(copied))
+			m.observe(copied, time.Since(began))
+		}
+		stored = min(done.Blocks, len(e.hashes))
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.wants.markExported(e.hashes[:stored], time.Now())
+}
--- /dev/null
+++ b/internal/agent/transfer/wants.go
@@ -0,0 +1,59 @@
+package transfer
+
+import "time"
+
+const (
+	wantSlots = 1 << 12
+	// wantWindow is how soon a block must be wanted again to be worth exporting.
+	wantWindow = 20 * time.Second
+	// exportedFor is how long an exported block is taken to be in the store still.
+	exportedFor = 5 * time.Second
+)
+
+// wants remembers when blocks were last wanted and last known to be in the
+// store, in bounded tables in which newer blocks overwrite older ones.
+type wants struct {
+	wanted []seen
+	stored []seen
+}
+
+// seen is a block and a time.
+type seen struct {
+	hash uint64
+	at   time.Time
+}
+
+func newWants() wants {
+	return wants{wanted: make([]seen, wantSlots), stored: make([]seen, wantSlots)}
+}
+
+// note marks blocks as wanted and returns how many leading ones were wanted
+// before within wantWindow.
+func (w *wants) note(hashes []uint64, now time.Time) int {
+	again := 0
+	for i, hash := range hashes {
+		slot := &w.wanted[hash%wantSlots]
+		if again == i && slot.hash == hash && now.Sub(slot.at) <= wantWindow {
+			again++
+		}
+		*slot = seen{hash: hash, at: now}
+	}
+	return again
+}
+
+// exported reports whether all blocks are known to be in the store.
+func (w *wants) exported(hashes []uint64, now time.Time) bool {
+	for _, hash := range hashes {
+		slot := w.stored[hash%wantSlots]
+		if slot.hash != hash || now.Sub(slot.at) > exportedFor {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *wants) markExported(hashes []uint64, now time.Time) {
+	for _, hash := range hashes {
+		w.stored[hash%wantSlots] = seen{hash: hash, at: now}
+	}
+}
--- a/placement/policy.go
+++ b/placement/policy.go
@@ -75,9 +75,3 @@
 	// when no upstream can serve. It blocks while it asks.
 	Choose(ctx context.Context, upstreams []Upstream, request Request, prober Prober) []Choice
 }
-
-// Observer is implemented by policies that learn from where requests went.
-type Observer interface {
-	// Placed is called when the upstream named has begun to serve a request.
-	Placed(request Request, upstream string)
-}
--- a/placement/prefix/prefix.go
+++ b/placement/prefix/prefix.go
@@ -25,9 +25,9 @@
 // DefaultOptions returns the options that are used unless settings say otherwise.
 func DefaultOptions() Options {
 	return Options{
-		Costs:     placement.Costs{Recompute: 1, Import: true},
+		Costs:     placement.Costs{Recompute: 2, Import: true},
 		Depth:     8,
-		Homes:     2,
+		Homes:     3,
 		MaxAsked:  4,
 		BusyAfter: 20 * time.Millisecond,
 	}
