Add package once: at most one execution for each idempotency key

Repeats of a charge by its caller, through any router and after any crash, must not run it again. Keys are sharded; a shard's owner journals each claim before the call runs, in group commits with a budget, and replays answers.

--- /dev/null
+++ b/once/handover.go
@@ -0,0 +1,140 @@
+package once
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/fault"
+)
+
+const (
+	closeRetryPause  = 50 * time.Millisecond
+	rebalanceTimeout = 3 * time.Second
+	rebalancePause   = 30 * time.Second
+)
+
+// rebalance hands over one shard that prefers another live peer.
+func (m *Manager) rebalance() {
+	m.mu.Lock()
+	shards := m.shards
+	m.mu.Unlock()
+	for _, s := range shards {
+		preferred, ok := m.preferred(s.number)
+		if !ok || preferred.Process == m.options.Self.Process || !s.mayRebalance() {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(m.ctx, rebalanceTimeout)
+		err := s.handOver(ctx, preferred, false)
+		cancel()
+		if err != nil {
+			m.log.Debug().Err(err).Int("shard", s.number).Msg("once: shard not handed over")
+		}
+		return
+	}
+}
+
+// handOverAll gives up all shards, each to the best peer that takes it.
+func (m *Manager) handOverAll(ctx context.Context, shards []*shard) error {
+	var group sync.WaitGroup
+	failures := make([]error, len(shards))
+	for i, s := range shards {
+		if s.isOwned() {
+			group.Go(func() { failures[i] = m.handOverAny(ctx, s) })
+		}
+	}
+	group.Wait()
+	return errors.Join(failures...)
+}
+
+func (m *Manager) handOverAny(ctx context.Context, s *shard) error {
+	for _, peer := range rank(m.options.Peers(), m.options.Pool, s.number) {
+		if peer.Process == m.options.Self.Process {
+			continue
+		}
+		err := s.handOver(ctx, peer, true)
+		if err == nil || ctx.Err() != nil || !s.isOwned() {
+			return err
+		}
+	}
+	return s.close(ctx, true)
+}
+
+// mayRebalance reports whether the shard is owned and the store answered lately.
+func (s *shard) mayRebalance() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.owned && (s.journal.failedAt.IsZero() || time.Since(s.journal.failedAt) > rebalancePause)
+}
+
+// handOver gives the shard to a peer that agrees to take it. With persist set it
+// writes until ctx ends, else once.
+func (s *shard) handOver(ctx context.Context, to Peer, persist bool) error {
+	accepted, err := s.m.options.Transport.Offer(ctx, to, s.number, false)
+	if err != nil {
+		return fault.Wrap(err, "offer shard", to.Address)
+	}
+	if !accepted {
+		return fault.New("declined", "offer shard", to.Address)
+	}
+	if err := s.close(ctx, persist); err != nil {
+		return err
+	}
+	_, err = s.m.options.Transport.Offer(ctx, to, s.number, true)
+	s.m.log.Info().Int("shard", s.number).Str("to", to.Process).Msg("once: shard handed over")
+	return fault.Wrap(err, "pass shard", to.Address)
+}
+
+// close waits for the claims in flight and writes the record without an owner.
+// When it fails the shard stays owned.
+func (s *shard) close(ctx context.Context, persist bool) error {
+	s.mu.Lock()
+	if !s.owned || s.closing {
+		s.mu.Unlock()
+		return errMoved
+	}
+	s.closing = true
+	s.mu.Unlock()
+	err := s.closeRecord(ctx, persist)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.owned {
+		s.closing = false
+	}
+	return err
+}
+
+func (s *shard) closeRecord(ctx context.Context, persist bool) error {
+	for s.inFlight() > 0 {
+		if err := pauseFor(ctx, closeRetryPause); err != nil {
+			return fault.Wrap(err, "finish calls", "")
+		}
+	}
+	for {
+		err := s.commit(ctx, true)
+		if err == nil || errors.Is(err, errMoved) || !persist {
+			return err
+		}
+		if ctxErr := pauseFor(ctx, closeRetryPause); ctxErr != nil {
+			return err
+		}
+	}
+}
+
+func (s *shard) inFlight() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.active
+}
+
+func pauseFor(ctx context.Context, pause time.Duration) error {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/once/ownership.go
@@ -0,0 +1,291 @@
+package once
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/greengagegate/greengagegate/internal/fault"
+	"github.com/greengagegate/greengagegate/store"
+)
+
+const (
+	maxResolves  = 3
+	maxWitnesses = 4
+)
+
+// rank orders the peers by preference for a shard.
+func rank(peers []Peer, pool string, shard int) []Peer {
+	weight := func(p Peer) uint64 {
+		return xxhash.Sum64String(pool + "/" + strconv.Itoa(shard) + "/" + p.Process)
+	}
+	ranked := slices.Clone(peers)
+	slices.SortFunc(ranked, func(a, b Peer) int {
+		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a.Process, b.Process))
+	})
+	return ranked
+}
+
+func (m *Manager) preferred(shard int) (Peer, bool) {
+	ranked := rank(m.options.Peers(), m.options.Pool, shard)
+	if len(ranked) == 0 {
+		return Peer{}, false
+	}
+	return ranked[0], true
+}
+
+// ownershipLoop takes the shards that prefer this process and may be taken, and
+// hands over those that prefer a live peer. It asks the store only while a
+// preferred shard is missing.
+func (m *Manager) ownershipLoop() {
+	pause := ownershipInterval
+	for m.sleep(pause / 4) {
+		if err := m.loadTable(m.ctx); err == nil {
+			break
+		}
+	}
+	look := ownershipInterval
+	for {
+		missing := m.missing()
+		if len(missing) == 0 {
+			look = ownershipInterval
+			m.rebalance()
+		} else if m.lookAt(missing) > 0 {
+			look = ownershipInterval
+		} else {
+			look = min(2*look, maxLookInterval)
+		}
+		if !m.sleep(look) {
+			return
+		}
+	}
+}
+
+// sleep returns false once the manager stops.
+func (m *Manager) sleep(pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-m.ctx.Done():
+		return false
+	}
+}
+
+// missing returns the shards that prefer this process and are not owned by it.
+func (m *Manager) missing() []*shard {
+	m.mu.Lock()
+	shards, stopping := m.shards, m.stopping
+	m.mu.Unlock()
+	if stopping {
+		return nil
+	}
+	var found []*shard
+	for _, s := range shards {
+		preferred, ok := m.preferred(s.number)
+		if ok && preferred.Process == m.options.Self.Process && !s.isOwned() {
+			found = append(found, s)
+		}
+	}
+	return found
+}
+
+// lookAt reads all heads with one call, takes what may be taken, and returns the
+// number of shards taken.
+func (m *Manager) lookAt(missing []*shard) int {
+	ctx, cancel := context.WithTimeout(m.ctx, storeTimeout)
+	defer cancel()
+	objects, _, err := m.options.Store.List(ctx, headPrefix(m.options.Pool))
+	if err != nil {
+		m.log.Debug().Err(err).Msg("once: shards not read")
+		return 0
+	}
+	records := make(map[int]record)
+	for _, object := range objects {
+		number, ok := shardNumber(m.options.Pool, object.Key)
+		if !ok {
+			continue
+		}
+		if found, err := decodeHead(object); err == nil {
+			records[number] = found
+		}
+	}
+	m.observeHosts(missing, records)
+	taken := 0
+	for _, s := range missing {
+		if s.takeIfEntitled(m.ctx, records[s.number]) == nil && s.isOwned() {
+			taken++
+		}
+	}
+	return taken
+}
+
+// observeHosts asks for the platform's list when a missing shard's owner is not
+// among the live peers.
+func (m *Manager) observeHosts(missing []*shard, records map[int]record) {
+	if m.options.Hosts == nil {
+		return
+	}
+	live := m.options.Peers()
+	var absent []string
+	for _, s := range missing {
+		found := records[s.number]
+		if found.head == nil || found.head.Closed {
+			continue
+		}
+		owner := fromWire(found.head.Owner)
+		alive := slices.ContainsFunc(live, func(p Peer) bool { return p.Process == owner.Process })
+		if !alive {
+			absent = append(absent, owner.Address)
+		}
+	}
+	if len(absent) == 0 {
+		m.hosts.observe(nil, nil, time.Now())
+		return
+	}
+	ctx, cancel := context.WithTimeout(m.ctx, storeTimeout)
+	defer cancel()
+	hosts, err := m.options.Hosts.Hosts(ctx)
+	if err != nil {
+		return
+	}
+	m.hosts.observe(absent, hosts, time.Now())
+}
+
+// takeIfEntitled takes the shard given its record, if it may be taken. An error
+// means that the attempt failed.
+func (s *shard) takeIfEntitled(ctx context.Context, found record) error {
+	s.lookMu.Lock()
+	defer s.lookMu.Unlock()
+	return s.takeLocked(ctx, found)
+}
+
+func (s *shard) takeLocked(ctx context.Context, found record) error {
+	if found.head != nil {
+		s.note(found)
+	}
+	if s.isOwned() || s.m.isStopping() || !s.m.entitled(found) {
+		return nil
+	}
+	err := s.take(ctx, found)
+	if err != nil {
+		s.m.log.Debug().Err(err).Int("shard", s.number).Msg("once: shard not taken")
+	}
+	return err
+}
+
+func (m *Manager) isStopping() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stopping
+}
+
+// look reads the shard's record and takes the shard if it may be taken.
+func (m *Manager) look(ctx context.Context, s *shard) error {
+	s.lookMu.Lock()
+	defer s.lookMu.Unlock()
+	return s.lookLocked(ctx, true)
+}
+
+// lookLocked reads the record, and with mayTake set takes the shard if it may be
+// taken; s.lookMu is held.
+func (s *shard) lookLocked(ctx context.Context, mayTake bool) error {
+	key := headKey(s.m.options.Pool, s.number)
+	readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	object, err := s.m.options.Store.Get(readCtx, key)
+	if errors.Is(err, store.ErrNotFound) {
+		return s.takeUnless(ctx, !mayTake, record{})
+	}
+	if err != nil {
+		return fault.Wrap(err, "read shard", key)
+	}
+	found, err := decodeHead(object)
+	if err != nil {
+		return err
+	}
+	return s.takeUnless(ctx, !mayTake, found)
+}
+
+func (s *shard) takeUnless(ctx context.Context, readOnly bool, found record) error {
+	if !readOnly {
+		return s.takeLocked(ctx, found)
+	}
+	if found.head != nil {
+		s.note(found)
+	}
+	return nil
+}
+
+// resolve names the process to ask for a shard that is not served here; it may
+// take the shard. ok is false when no process can be named.
+func (m *Manager) resolve(ctx context.Context, s *shard) (owner Peer, ok bool) {
+	if !s.awaitRelease(ctx) {
+		return Peer{}, false
+	}
+	preferred, ok := m.preferred(s.number)
+	if !ok {
+		return Peer{}, false
+	}
+	s.lookMu.Lock()
+	defer s.lookMu.Unlock()
+	if owner, ok := s.knownOwner(knownFreshFor); ok {
+		return owner, true
+	}
+	if preferred.Process != m.options.Self.Process && s.knownAbsent() {
+		return preferred, true
+	}
+	err := s.lookLocked(ctx, preferred.Process == m.options.Self.Process)
+	if owner, ok := s.knownOwner(0); ok {
+		return owner, true
+	}
+	if err != nil {
+		return Peer{}, false
+	}
+	return preferred, preferred != m.options.Self
+}
+
+// awaitRelease waits for a hand-over under way.
+func (s *shard) awaitRelease(ctx context.Context) bool {
+	s.mu.Lock()
+	closing, released := s.closing, s.released
+	s.mu.Unlock()
+	if !closing {
+		return true
+	}
+	select {
+	case <-released:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// knownOwner returns the owner that was last seen, if that was recent; any age
+// will do when freshFor is 0.
+func (s *shard) knownOwner(freshFor time.Duration) (Peer, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.owned {
+		return s.m.options.Self, true
+	}
+	head := s.known.head
+	if head == nil || head.Closed || (freshFor > 0 && time.Since(s.knownAt) > freshFor) {
+		return Peer{}, false
+	}
+	owner := fromWire(head.Owner)
+	return owner, owner.Process != s.m.options.Self.Process
+}
+
+// knownAbsent reports whether the record was recently seen without an owner.
+func (s *shard) knownAbsent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	head := s.known.head
+	return head != nil && head.Closed && time.Since(s.knownAt) <= knownFreshFor
+}
--- /dev/null
+++ b/once/record.go
@@ -0,0 +1,72 @@
+package once
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/greengagegate/greengagegate/internal/fault"
+	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
+	"github.com/greengagegate/greengagegate/store"
+	"google.golang.org/protobuf/proto"
+)
+
+const keyPrefix = "once/"
+
+func tableKey(pool string) string { return keyPrefix + pool + "/table" }
+
+func headPrefix(pool string) string { return keyPrefix + pool + "/head/" }
+
+func headKey(pool string, shard int) string { return fmt.Sprintf("%s%05d", headPrefix(pool), shard) }
+
+func segmentPrefix(pool string, shard int) string {
+	return fmt.Sprintf("%s%s/segment/%05d/", keyPrefix, pool, shard)
+}
+
+func segmentKey(pool string, shard int, epoch, number uint64) string {
+	return fmt.Sprintf("%s%08d-%08d", segmentPrefix(pool, shard), epoch, number)
+}
+
+// record is a shard's head as read from the store.
+type record struct {
+	head    *wirepb.OnceHead
+	version int64
+}
+
+func decodeHead(object store.Object) (record, error) {
+	head := new(wirepb.OnceHead)
+	if err := proto.Unmarshal(object.Value, head); err != nil {
+		return record{}, fault.Wrap(err, "decode shard", object.Key)
+	}
+	return record{head: head, version: object.Version}, nil
+}
+
+// shardNumber returns the shard whose head is stored at key.
+func shardNumber(pool, key string) (int, bool) {
+	var shard int
+	_, err := fmt.Sscanf(strings.TrimPrefix(key, headPrefix(pool)), "%d", &shard)
+	return shard, err == nil
+}
+
+func toWire(p Peer) *wirepb.OncePeer {
+	return &wirepb.OncePeer{Process: p.Process, Address: p.Address, Incarnation: p.Incarnation}
+}
+
+func fromWire(p *wirepb.OncePeer) Peer {
+	return Peer{Process: p.GetProcess(), Address: p.GetAddress(), Incarnation: p.GetIncarnation()}
+}
+
+func peersToWire(peers []Peer) []*wirepb.OncePeer {
+	var out []*wirepb.OncePeer
+	for _, p := range peers {
+		out = append(out, toWire(p))
+	}
+	return out
+}
+
+func peersFromWire(peers []*wirepb.OncePeer) []Peer {
+	var out []Peer
+	for _, p := range peers {
+		out = append(out, fromWire(p))
+	}
+	return out
+}
--- /dev/null
+++ b/once/witness.go
@@ -0,0 +1,81 @@
+package once
+
+import (
+	"errors"
+	"sync"
+)
+
+// ErrWitness reports that a witness can't vouch: it was started anew, or a later
+// epoch has asked it already.
+var ErrWitness = errors.New("witness can't vouch")
+
+// Mark tells a witness that the owner of an epoch begins, or has ended, an
+// episode of running calls without a journal.
+type Mark struct {
+	Shard   int
+	Epoch   uint64
+	Episode uint64
+	Ended   bool
+}
+
+// Ask asks a witness about the owner of an epoch.
+type Ask struct {
+	Shard int
+	Epoch uint64
+}
+
+// witness remembers the episodes of other owners. A successor's question fences
+// the epoch it asks about: later marks of that epoch are refused.
+type witness struct {
+	mu     sync.Mutex
+	shards map[int]*testimony
+}
+
+// testimony is what a witness knows of one shard's latest epoch.
+type testimony struct {
+	epoch  uint64
+	begun  uint64
+	ended  uint64
+	fenced uint64
+}
+
+func newWitness() *witness {
+	return &witness{shards: make(map[int]*testimony)}
+}
+
+func (w *witness) testimony(shard int) *testimony {
+	found, ok := w.shards[shard]
+	if !ok {
+		found = new(testimony)
+		w.shards[shard] = found
+	}
+	return found
+}
+
+// mark records an episode; it fails for an epoch that is fenced or past.
+func (w *witness) mark(m Mark) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t := w.testimony(m.Shard)
+	if m.Epoch <= t.fenced || m.Epoch < t.epoch {
+		return ErrWitness
+	}
+	if m.Epoch > t.epoch {
+		t.epoch, t.begun, t.ended = m.Epoch, 0, 0
+	}
+	if m.Ended {
+		t.ended = max(t.ended, m.Episode)
+		return nil
+	}
+	t.begun = max(t.begun, m.Episode)
+	return nil
+}
+
+// ask fences the epoch and reports whether an episode of it is under way.
+func (w *witness) ask(a Ask) (marked bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t := w.testimony(a.Shard)
+	t.fenced = max(t.fenced, a.Epoch)
+	return t.epoch == a.Epoch && t.begun > t.ended
+}
