--- a/internal/agent/prober/prober.go
+++ b/internal/agent/prober/prober.go
@@ -76,6 +76,7 @@
 		Incarnation:    status.Incarnation,
 		Draining:       status.Draining,
 		ConfigRevision: status.Revision,
+		LoadedWeights:  status.Weights,
 	}
 	if !status.Serving || !slices.Contains(status.Weights, request.Weights) {
 		reply.Unavailable = true
--- a/internal/picker/asker.go
+++ b/internal/picker/asker.go
@@ -96,6 +96,7 @@
 		probesSilent.Inc(1)
 		return
 	}
+	a.manager.versions.note(object.Name, reply.LoadedWeights)
 	answer.Answered = true
 	answer.Unavailable = reply.Unavailable || reply.Draining || reply.QueueFull
 	answer.Incarnation = reply.Incarnation
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -60,6 +60,9 @@
 
 // Picker chooses upstreams. It is safe for concurrent use.
 type Picker interface {
+	// Versions returns the versions of a model that requests of a customer may
+	// use, the one to try first at the front. It is empty when none is published.
+	Versions(set *object.Set, model, pool, customer string) []*object.ModelVersion
 	// Pick returns the upstreams to try, best first. It blocks while it asks
 	// agents, for a bounded time. ErrNoUpstream means that none can serve.
 	Pick(ctx context.Context, set *object.Set, p Prompt) ([]Candidate, error)
@@ -84,11 +87,12 @@
 
 // Manager is the Picker of a router.
 type Manager struct {
-	options Options
-	policy  placement.Policy
-	watch   *watch
-	fleet   atomic.Pointer[fleet]
-	took    func(time.Duration)
+	options  Options
+	policy   placement.Policy
+	watch    *watch
+	versions *versions
+	fleet    atomic.Pointer[fleet]
+	took     func(time.Duration)
 }
 
 // New returns a picker, or an error for an unknown policy.
@@ -99,10 +103,11 @@
 	}
 	histogram := metrics.Histogram("router.pick_us", "policy", options.Policy)
 	return &Manager{
-		options: options,
-		policy:  policy,
-		watch:   newWatch(),
-		took:    func(d time.Duration) { histogram.Update(d.Microseconds()) },
+		options:  options,
+		policy:   policy,
+		watch:    newWatch(),
+		versions: newVersions(),
+		took:     func(d time.Duration) { histogram.Update(d.Microseconds()) },
 	}, nil
 }
 
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -155,3 +155,49 @@
 		t.Fatalf("penalty %v stays without news", penalty)
 	}
 }
+
+func TestOldWeightsServeUntilEnoughUpstreamsHaveTheNewOnes(t *testing.T) {
+	set := agents(t, 10, func(int) *wirepb.ProbeReply { return &wirepb.ProbeReply{} })
+	for _, name := range []string{"m-1", "m-2"} {
+		set.ModelVersions[name] = &object.ModelVersion{Name: name, Model: "m", Pool: "engines", Weights: name}
+	}
+	set.Index()
+	m := newPicker(t, PolicyPrefix)
+	onNew := func() int {
+		count := 0
+		for customer := range 100 {
+			versions := m.Versions(set, "m", "engines", fmt.Sprint(customer))
+			if len(versions) != 2 {
+				t.Fatalf("versions %v", versions)
+			}
+			if versions[0].Name == "m-2" {
+				count++
+			}
+		}
+		return count
+	}
+	if got := onNew(); got != 100 {
+		t.Fatalf("%d customers on the newest weights before anything is known", got)
+	}
+	previous := 0
+	for upgraded := range 11 {
+		for i := range 10 {
+			weights := []string{"m-1"}
+			if i < upgraded {
+				weights = append(weights, "m-2")
+			}
+			m.versions.note(fmt.Sprintf("engine-%d", i), weights)
+		}
+		now := onNew()
+		if now < previous {
+			t.Fatalf("%d customers on new weights at %d upstreams, %d before", now, upgraded, previous)
+		}
+		previous = now
+		if upgraded < 3 && now != 0 {
+			t.Fatalf("%d customers on new weights at %d of 10 upstreams", now, upgraded)
+		}
+	}
+	if previous != 100 {
+		t.Fatalf("%d customers on new weights in the end", previous)
+	}
+}
--- a/internal/router/prompts.go
+++ b/internal/router/prompts.go
@@ -23,6 +23,8 @@
 	caller   caller
 	customer *object.Customer
 	route    *object.Route
+	// versions are those to try, and version is the one in use.
+	versions []*object.ModelVersion
 	version  *object.ModelVersion
 	tokens   int64
 	hashes   []uint64
@@ -108,17 +110,39 @@
 	if failure := s.checkFresh(p.route); failure != nil {
 		return failure
 	}
-	p.version = set.ModelVersionFor(p.request.Model, p.route.Pool)
-	if p.version == nil {
+	p.customer = billedCustomer(set, p.route, p.caller)
+	p.versions = s.options.Picker.Versions(set, p.request.Model, p.route.Pool, p.customerName())
+	if len(p.versions) == 0 {
 		return refuse(http.StatusServiceUnavailable, "no_model_version", "find version", "no version of the model is published")
 	}
-	p.customer = billedCustomer(set, p.route, p.caller)
-	p.tokens = estimateTokens(len(p.request.Prompt), p.version.BytesPerToken)
-	root := placement.Root(p.customerName(), p.request.Model, p.version.Weights)
-	p.hashes = placement.Chain(root, p.request.Prompt, blockBytes(p.version))
+	p.use(p.versions[0])
 	return nil
 }
 
+// use sets the version and what follows from it.
+func (p *prompt) use(version *object.ModelVersion) {
+	p.version = version
+	p.tokens = estimateTokens(len(p.request.Prompt), version.BytesPerToken)
+	root := placement.Root(p.customerName(), p.request.Model, version.Weights)
+	p.hashes = placement.Chain(root, p.request.Prompt, blockBytes(version))
+}
+
+// place returns the candidates for the first version that some upstream serves.
+func (s *Server) place(ctx context.Context, set *object.Set, p *prompt, id string) ([]picker.Candidate, error) {
+	var err error
+	for _, version := range p.versions {
+		if version != p.version {
+			p.use(version)
+		}
+		var candidates []picker.Candidate
+		candidates, err = s.options.Picker.Pick(ctx, set, p.forPicker(id))
+		if !errors.Is(err, picker.ErrNoUpstream) {
+			return candidates, err
+		}
+	}
+	return nil, err
+}
+
 // checkFresh refuses keyed routes when withdrawn keys may have gone unseen.
 func (s *Server) checkFresh(route *object.Route) *apiError {
 	if route.Open || s.options.Source.Fresh() {
@@ -164,7 +188,7 @@
 	}
 	var used int64
 	defer func() { ticket.Settle(used) }()
-	candidates, err := s.options.Picker.Pick(ctx, set, p.forPicker(id))
+	candidates, err := s.place(ctx, set, p, id)
 	if err != nil {
 		return s.promptError(ctx, err, "place", answer)
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -91,6 +91,10 @@
 	return nil, ctx.Err()
 }
 
+func (blockingPicker) Versions(set *object.Set, model, pool, _ string) []*object.ModelVersion {
+	return []*object.ModelVersion{set.ModelVersionFor(model, pool)}
+}
+
 func (blockingPicker) Report(string, picker.Outcome) {}
 
 type openAdmission struct{}
@@ -107,6 +111,9 @@
 	if options.Prompter == nil {
 		options.Prompter = dispatch.NewPrompter(dispatch.Options{})
 	}
+	if options.Picker == nil {
+		options.Picker = blockingPicker{entered: make(chan struct{})}
+	}
 	server := New(options)
 	listener := httptest.NewServer(server.Handler())
 	t.Cleanup(func() {
