--- /dev/null
+++ b/internal/configsync/evidence.go
@@ -0,0 +1,212 @@
+package configsync
+
+import (
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
+)
+
+const (
+	// ageSteps is the number of steps that StaleAfter is divided in when the
+	// ages of agents' statements are sent.
+	ageSteps = 64
+	// ageUnknown stands for an agent without a recent statement.
+	ageUnknown = 255
+	// agreementFraction is the part of StaleAfter without evidence from the
+	// store after which agents' statements are exchanged.
+	agreementFraction = 4
+)
+
+// never is the moment of evidence that does not exist.
+const never = time.Duration(-1 << 62)
+
+// evidence keeps the moments, on this process's monotonic clock, at which the
+// revision in force was known to be the newest. Moments are durations since start.
+type evidence struct {
+	start time.Time
+	// store is the latest moment at which the store's head was no newer.
+	store atomic.Int64
+	// agreement is the latest moment since which a majority of agents has stated so.
+	agreement  atomic.Int64
+	staleAfter atomic.Int64
+
+	mu sync.Mutex
+	// revision is the one that the statements below are about.
+	revision uint64
+	agents   map[string]int
+	stated   []time.Duration
+	pending  map[string]time.Duration
+}
+
+func newEvidence() *evidence {
+	e := &evidence{start: time.Now(), pending: make(map[string]time.Duration)}
+	e.store.Store(int64(never))
+	e.agreement.Store(int64(never))
+	return e
+}
+
+// now returns the present moment.
+func (e *evidence) now() time.Duration { return time.Since(e.start) }
+
+// reset forgets the agents' statements, which were about the former revision.
+// What the store has shown stays true of a later revision.
+func (e *evidence) reset(next *configuration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.staleAfter.Store(int64(next.set.Fleet.StaleAfter))
+	e.revision = next.snapshot.Revision()
+	e.agents = make(map[string]int, len(next.agents))
+	e.stated = make([]time.Duration, len(next.agents))
+	for i, address := range next.agents {
+		e.agents[address] = i
+		e.stated[i] = never
+	}
+	e.agreement.Store(int64(never))
+	clear(e.pending)
+}
+
+// fresh reports whether evidence of either kind is younger than StaleAfter.
+func (e *evidence) fresh() bool {
+	latest := max(e.store.Load(), e.agreement.Load())
+	return time.Duration(latest) > e.now()-time.Duration(e.staleAfter.Load())
+}
+
+// storeAge returns the age of the latest evidence from the store.
+func (e *evidence) storeAge() time.Duration {
+	return e.now() - time.Duration(e.store.Load())
+}
+
+// age returns the age of the latest evidence of either kind.
+func (e *evidence) age() time.Duration {
+	return e.now() - time.Duration(max(e.store.Load(), e.agreement.Load()))
+}
+
+// sawStore records that the store's head was no newer at some moment after asked.
+func (e *evidence) sawStore(asked time.Duration) {
+	for {
+		known := e.store.Load()
+		if int64(asked) <= known || e.store.CompareAndSwap(known, int64(asked)) {
+			return
+		}
+	}
+}
+
+// prepare notes a publication under way on top of the revision in force: this
+// process makes no further statement about that revision until the publication
+// is resolved. It returns false when another revision is in force.
+func (e *evidence) prepare(revision uint64, nonce string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if revision != e.revision {
+		return false
+	}
+	if _, ok := e.pending[nonce]; !ok {
+		e.pending[nonce] = e.now()
+	}
+	return true
+}
+
+// abandon forgets a publication that its writer knows has not and will not take effect.
+func (e *evidence) abandon(nonce string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.pending, nonce)
+}
+
+// oldestPending returns the age of the oldest publication under way.
+func (e *evidence) oldestPending() (time.Duration, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var oldest time.Duration
+	for _, since := range e.pending {
+		oldest = max(oldest, e.now()-since)
+	}
+	return oldest, len(e.pending) > 0
+}
+
+// state makes this process's own statement, if it is one of the agents.
+func (e *evidence) state(address string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	i, ok := e.agents[address]
+	if !ok || len(e.pending) > 0 {
+		return
+	}
+	e.stated[i] = e.now()
+	e.recount()
+}
+
+// recount finds the moment since which a majority of agents has made statements; e.mu is held.
+func (e *evidence) recount() {
+	if len(e.stated) == 0 {
+		return
+	}
+	moments := append([]time.Duration(nil), e.stated...)
+	sort.Slice(moments, func(i, j int) bool { return moments[i] > moments[j] })
+	e.agreement.Store(int64(moments[majority(len(moments))-1]))
+}
+
+// message returns the evidence for a reply that names the revision. Ages are rounded up.
+func (e *evidence) message(revision uint64) *wirepb.ConfigEvidence {
+	message := new(wirepb.ConfigEvidence)
+	staleAfter := time.Duration(e.staleAfter.Load())
+	age := e.storeAge()
+	if age < staleAfter {
+		message.StoreAgeMsPlus1 = uint64((age+time.Millisecond-1)/time.Millisecond) + 1
+	}
+	if age > staleAfter/agreementFraction {
+		message.AgentAges = e.agentAges(revision, staleAfter)
+	}
+	return message
+}
+
+func (e *evidence) agentAges(revision uint64, staleAfter time.Duration) []byte {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if revision != e.revision {
+		return nil
+	}
+	step := staleAfter / ageSteps
+	now := e.now()
+	ages := make([]byte, len(e.stated))
+	for i, moment := range e.stated {
+		steps := (now - moment + step - 1) / step
+		if moment == never || steps >= ageUnknown {
+			steps = ageUnknown
+		}
+		ages[i] = byte(steps)
+	}
+	return ages
+}
+
+// merge takes over a peer's evidence from a reply to a question that was put at
+// the moment asked. The peer's revision, given too, was no newer than the one in force.
+func (e *evidence) merge(message *wirepb.ConfigEvidence, asked time.Duration, revision uint64) {
+	if message == nil {
+		return
+	}
+	if message.StoreAgeMsPlus1 > 0 {
+		e.sawStore(asked - time.Duration(message.StoreAgeMsPlus1-1)*time.Millisecond)
+	}
+	if len(message.AgentAges) > 0 {
+		e.mergeAgents(message.AgentAges, asked, revision)
+	}
+}
+
+func (e *evidence) mergeAgents(ages []byte, asked time.Duration, revision uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if revision != e.revision || len(ages) != len(e.stated) {
+		return
+	}
+	step := time.Duration(e.staleAfter.Load()) / ageSteps
+	for i, age := range ages {
+		if age != ageUnknown {
+			e.stated[i] = max(e.stated[i], asked-time.Duration(age)*step)
+		}
+	}
+	e.recount()
+}
--- /dev/null
+++ b/internal/configsync/storeloop.go
@@ -0,0 +1,159 @@
+package configsync
+
+import (
+	"context"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/metrics"
+	"github.com/greengagegate/greengagegate/snapshot"
+	"github.com/greengagegate/greengagegate/store"
+)
+
+const (
+	storeRetryInterval = time.Second
+	// readFraction is the part of StaleAfter after which a watcher reads the head again.
+	readFraction = 3
+	// fenceAfter is how long a publication under way is waited for.
+	fenceAfter = 30 * time.Second
+)
+
+// loadFromStore reads the newest snapshot until a first set is in force.
+func (m *Manager) loadFromStore(ctx context.Context) {
+	for m.Current() == nil && ctx.Err() == nil {
+		if err := m.readStore(ctx); err != nil {
+			m.log.Debug().Err(err).Msg("config: store not read")
+		}
+		pause(ctx, m.jitter(storeRetryInterval))
+	}
+}
+
+// readStore reads the head and puts its snapshot in force. It is evidence that
+// the revision in force is the newest.
+func (m *Manager) readStore(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	asked := m.evidence.now()
+	state, err := m.repository.Head(ctx)
+	if err != nil {
+		return err
+	}
+	return m.adoptHead(ctx, state, asked)
+}
+
+// adoptHead puts the snapshot of a head in force, which was in the store at
+// some moment after asked.
+func (m *Manager) adoptHead(ctx context.Context, state snapshot.State, asked time.Duration) error {
+	if state.Revision() > m.Revision() {
+		next, err := m.repository.Load(ctx, state, m.Snapshot())
+		if err != nil {
+			return err
+		}
+		if err := m.Adopt(next, ""); err != nil {
+			m.log.Error().Err(err).Uint64("revision", state.Revision()).Msg("config: stored set refused")
+			return err
+		}
+	}
+	m.evidence.sawStore(asked)
+	return nil
+}
+
+// storeLoop reads the head when evidence grows old: soon in the process that
+// watches for its zone, late in the others, which hear of it from peers.
+func (m *Manager) storeLoop(ctx context.Context) {
+	var stopWatch context.CancelFunc
+	for ctx.Err() == nil {
+		pause(ctx, m.jitter(storeRetryInterval))
+		if m.Current() == nil {
+			continue
+		}
+		watching := m.watches()
+		if watching && stopWatch == nil {
+			stopWatch = m.startWatch(ctx)
+		}
+		if !watching && stopWatch != nil {
+			stopWatch()
+			stopWatch = nil
+		}
+		if m.evidenceDue(watching) {
+			if err := m.readStore(ctx); err != nil {
+				m.log.Debug().Err(err).Msg("config: head not read")
+			}
+		}
+	}
+	if stopWatch != nil {
+		stopWatch()
+	}
+}
+
+// evidenceDue reports whether this process reads the head now.
+func (m *Manager) evidenceDue(watching bool) bool {
+	staleAfter := time.Duration(m.evidence.staleAfter.Load())
+	if watching {
+		return m.evidence.storeAge() > staleAfter/readFraction
+	}
+	return m.evidence.age() > staleAfter*2/readFraction
+}
+
+// startWatch follows the head until the returned function is called.
+func (m *Manager) startWatch(ctx context.Context) context.CancelFunc {
+	ctx, cancel := context.WithCancel(ctx)
+	m.run(func(context.Context) {
+		metrics.Gauge("config.watching").Update(1)
+		defer metrics.Gauge("config.watching").Update(0)
+		for ctx.Err() == nil {
+			if err := m.watch(ctx); err != nil {
+				m.log.Debug().Err(err).Msg("config: watch lost")
+			}
+			pause(ctx, m.jitter(storeRetryInterval))
+		}
+	})
+	return cancel
+}
+
+// watch follows the head until the watch is cut. What a watch delivers may be
+// late, so it is no evidence of freshness.
+func (m *Manager) watch(ctx context.Context) error {
+	readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	state, err := m.repository.Head(readCtx)
+	cancel()
+	if err != nil {
+		return err
+	}
+	changes, err := m.repository.Watch(ctx, state)
+	if err != nil {
+		return err
+	}
+	if err := m.adoptWatched(ctx, state); err != nil {
+		return err
+	}
+	for object := range changes {
+		state, err := snapshot.ParseHead(object)
+		if err != nil {
+			return err
+		}
+		if err := m.adoptWatched(ctx, state); err != nil {
+			return err
+		}
+	}
+	return store.ErrUnavailable
+}
+
+func (m *Manager) adoptWatched(ctx context.Context, state snapshot.State) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if state.Revision() <= m.Revision() {
+		return nil
+	}
+	next, err := m.repository.Load(ctx, state, m.Snapshot())
+	if err != nil {
+		return err
+	}
+	return m.Adopt(next, "")
+}
+
+// jitter returns a random duration between half of d and d.
+func (m *Manager) jitter(d time.Duration) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return d/2 + time.Duration(m.random.Int64N(int64(d/2)))
+}
--- a/internal/object/object.go
+++ b/internal/object/object.go
@@ -105,6 +105,7 @@
 
 // Fleet holds settings that all processes share. There is one, named "fleet".
 type Fleet struct {
+	Name string `json:"-"`
 	// EntrySlots is the number of shares that limits are divided in.
 	EntrySlots int `json:"entry_slots"`
 	// LoanTerm is how long a lent share is not spent by its lender.
--- /dev/null
+++ b/snapshot/snapshot.go
@@ -0,0 +1,207 @@
+// Package snapshot keeps a versioned set of small records that many processes
+// hold whole: immutable snapshots, the changes between them, and a repository
+// in the platform's store where writers race safely.
+//
+// Records are hashed into a fixed number of buckets. A snapshot's hash covers
+// its revision and every bucket, so two processes with equal revision and hash
+// hold the same records.
+package snapshot
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"hash/fnv"
+	"sort"
+)
+
+// BucketCount is the number of buckets of each snapshot.
+const BucketCount = 64
+
+// Hash is a SHA-256 digest.
+type Hash [sha256.Size]byte
+
+// Record is one named value.
+type Record struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+}
+
+// bucket holds the records of one bucket in key order. It is immutable.
+type bucket struct {
+	records []Record
+	hash    Hash
+}
+
+// Snapshot is an immutable set of records at one revision. The zero value is
+// the empty snapshot of revision 0.
+type Snapshot struct {
+	revision uint64
+	buckets  [BucketCount]bucket
+}
+
+// Change sets or deletes one record.
+type Change struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+// BucketOf returns the number of the bucket that holds key.
+func BucketOf(key string) int {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(key))
+	return int(h.Sum64() % BucketCount)
+}
+
+// Revision returns the snapshot's revision.
+func (s *Snapshot) Revision() uint64 { return s.revision }
+
+// Hash returns the digest of the revision and all records.
+func (s *Snapshot) Hash() Hash {
+	h := sha256.New()
+	var revision [8]byte
+	binary.BigEndian.PutUint64(revision[:], s.revision)
+	h.Write(revision[:])
+	for i := range s.buckets {
+		h.Write(s.buckets[i].hash[:])
+	}
+	return Hash(h.Sum(nil))
+}
+
+// BucketHash returns the digest of one bucket. An empty bucket has the zero hash.
+func (s *Snapshot) BucketHash(index int) Hash { return s.buckets[index].hash }
+
+// Bucket returns the records of one bucket in key order. The caller must not change them.
+func (s *Snapshot) Bucket(index int) []Record { return s.buckets[index].records }
+
+// Get returns the value at key.
+func (s *Snapshot) Get(key string) ([]byte, bool) {
+	records := s.buckets[BucketOf(key)].records
+	i := sort.Search(len(records), func(i int) bool { return records[i].Key >= key })
+	if i == len(records) || records[i].Key != key {
+		return nil, false
+	}
+	return records[i].Value, true
+}
+
+// Len returns the number of records.
+func (s *Snapshot) Len() int {
+	total := 0
+	for i := range s.buckets {
+		total += len(s.buckets[i].records)
+	}
+	return total
+}
+
+// Records returns all records in key order.
+func (s *Snapshot) Records() []Record {
+	all := make([]Record, 0, s.Len())
+	for i := range s.buckets {
+		all = append(all, s.buckets[i].records...)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Key < all[j].Key })
+	return all
+}
+
+// Apply returns the snapshot at the given revision with the changes made.
+// Untouched buckets are shared with s.
+func (s *Snapshot) Apply(revision uint64, changes []Change) *Snapshot {
+	next := &Snapshot{revision: revision, buckets: s.buckets}
+	touched := make(map[int][]Change)
+	for _, change := range changes {
+		index := BucketOf(change.Key)
+		touched[index] = append(touched[index], change)
+	}
+	for index, list := range touched {
+		next.buckets[index] = newBucket(applyTo(s.buckets[index].records, list))
+	}
+	return next
+}
+
+// Replace returns the snapshot at the given revision with whole buckets
+// replaced. Records that do not belong into their bucket are an error.
+func (s *Snapshot) Replace(revision uint64, buckets map[int][]Record) (*Snapshot, error) {
+	next := &Snapshot{revision: revision, buckets: s.buckets}
+	for index, records := range buckets {
+		if index < 0 || index >= BucketCount {
+			return nil, fmt.Errorf("bucket %d does not exist", index)
+		}
+		for _, record := range records {
+			if BucketOf(record.Key) != index {
+				return nil, fmt.Errorf("record %q is not of bucket %d", record.Key, index)
+			}
+		}
+		next.buckets[index] = newBucket(records)
+	}
+	return next, nil
+}
+
+// Diff returns the changes that lead from s to other, in key order.
+func (s *Snapshot) Diff(other *Snapshot) []Change {
+	var changes []Change
+	for i := range s.buckets {
+		if s.buckets[i].hash != other.buckets[i].hash {
+			changes = append(changes, diffRecords(s.buckets[i].records, other.buckets[i].records)...)
+		}
+	}
+	sort.Slice(changes, func(i, j int) bool { return changes[i].Key < changes[j].Key })
+	return changes
+}
+
+// applyTo returns a copy of the records with the changes made, in key order.
+func applyTo(records []Record, changes []Change) []Record {
+	byKey := make(map[string][]byte, len(records)+len(changes))
+	for _, record := range records {
+		byKey[record.Key] = record.Value
+	}
+	for _, change := range changes {
+		if change.Deleted {
+			delete(byKey, change.Key)
+			continue
+		}
+		byKey[change.Key] = change.Value
+	}
+	next := make([]Record, 0, len(byKey))
+	for key, value := range byKey {
+		next = append(next, Record{key, value})
+	}
+	return next
+}
+
+// newBucket sorts the records and computes their digest.
+func newBucket(records []Record) bucket {
+	if len(records) == 0 {
+		return bucket{}
+	}
+	records = append([]Record(nil), records...)
+	sort.Slice(records, func(i, j int) bool { return records[i].Key < records[j].Key })
+	h := sha256.New()
+	var length [binary.MaxVarintLen64]byte
+	for _, record := range records {
+		h.Write(binary.AppendUvarint(length[:0], uint64(len(record.Key))))
+		h.Write([]byte(record.Key))
+		h.Write(binary.AppendUvarint(length[:0], uint64(len(record.Value))))
+		h.Write(record.Value)
+	}
+	return bucket{records: records, hash: Hash(h.Sum(nil))}
+}
+
+func diffRecords(from, to []Record) []Change {
+	old := make(map[string][]byte, len(from))
+	for _, record := range from {
+		old[record.Key] = record.Value
+	}
+	var changes []Change
+	for _, record := range to {
+		value, ok := old[record.Key]
+		if !ok || string(value) != string(record.Value) {
+			changes = append(changes, Change{Key: record.Key, Value: record.Value})
+		}
+		delete(old, record.Key)
+	}
+	for key := range old {
+		changes = append(changes, Change{Key: key, Deleted: true})
+	}
+	return changes
+}
