--- a/internal/configsync/evidence.go
+++ b/internal/configsync/evidence.go
@@ -11,12 +11,12 @@
 
 const (
 	// ageSteps is the number of steps that StaleAfter is divided in when the
-	// ages of agents' statements are sent.
+	// ages of witnesses' statements are sent.
 	ageSteps = 64
-	// ageUnknown stands for an agent without a recent statement.
+	// ageUnknown stands for a witness without a recent statement.
 	ageUnknown = 255
 	// agreementFraction is the part of StaleAfter without evidence from the
-	// store after which agents' statements are exchanged.
+	// store after which the witnesses' statements are exchanged.
 	agreementFraction = 4
 )
 
@@ -29,16 +29,16 @@
 	start time.Time
 	// store is the latest moment at which the store's head was no newer.
 	store atomic.Int64
-	// agreement is the latest moment since which a majority of agents has stated so.
+	// agreement is the latest moment since which a majority of witnesses has stated so.
 	agreement  atomic.Int64
 	staleAfter atomic.Int64
 
 	mu sync.Mutex
 	// revision is the one that the statements below are about.
-	revision uint64
-	agents   map[string]int
-	stated   []time.Duration
-	pending  map[string]time.Duration
+	revision  uint64
+	witnesses map[string]int
+	stated    []time.Duration
+	pending   map[string]time.Duration
 }
 
 func newEvidence() *evidence {
@@ -51,17 +51,17 @@
 // now returns the present moment.
 func (e *evidence) now() time.Duration { return time.Since(e.start) }
 
-// reset forgets the agents' statements, which were about the former revision.
+// reset forgets the witnesses' statements, which were about the former revision.
 // What the store has shown stays true of a later revision.
 func (e *evidence) reset(next *configuration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.staleAfter.Store(int64(next.set.Fleet.StaleAfter))
 	e.revision = next.snapshot.Revision()
-	e.agents = make(map[string]int, len(next.agents))
-	e.stated = make([]time.Duration, len(next.agents))
-	for i, address := range next.agents {
-		e.agents[address] = i
+	e.witnesses = make(map[string]int, len(next.witnesses))
+	e.stated = make([]time.Duration, len(next.witnesses))
+	for i, address := range next.witnesses {
+		e.witnesses[address] = i
 		e.stated[i] = never
 	}
 	e.agreement.Store(int64(never))
@@ -127,11 +127,11 @@
 	return oldest, len(e.pending) > 0
 }
 
-// state makes this process's own statement, if it is one of the agents.
+// state makes this process's own statement, if it is a witness.
 func (e *evidence) state(address string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	i, ok := e.agents[address]
+	i, ok := e.witnesses[address]
 	if !ok || len(e.pending) > 0 {
 		return
 	}
@@ -139,7 +139,7 @@
 	e.recount()
 }
 
-// recount finds the moment since which a majority of agents has made statements; e.mu is held.
+// recount finds the moment since which a majority of witnesses has made statements; e.mu is held.
 func (e *evidence) recount() {
 	if len(e.stated) == 0 {
 		return
@@ -149,6 +149,12 @@
 	e.agreement.Store(int64(moments[majority(len(moments))-1]))
 }
 
+// seeksAgreement reports whether the store has been silent for so long that the
+// witnesses' statements matter.
+func (e *evidence) seeksAgreement() bool {
+	return e.storeAge() > time.Duration(e.staleAfter.Load())/agreementFraction
+}
+
 // message returns the evidence for a reply that names the revision. Ages are rounded up.
 func (e *evidence) message(revision uint64) *wirepb.ConfigEvidence {
 	message := new(wirepb.ConfigEvidence)
@@ -157,13 +163,13 @@
 	if age < staleAfter {
 		message.StoreAgeMsPlus1 = uint64((age+time.Millisecond-1)/time.Millisecond) + 1
 	}
-	if age > staleAfter/agreementFraction {
-		message.AgentAges = e.agentAges(revision, staleAfter)
+	if e.seeksAgreement() {
+		message.WitnessAges = e.witnessAges(revision, staleAfter)
 	}
 	return message
 }
 
-func (e *evidence) agentAges(revision uint64, staleAfter time.Duration) []byte {
+func (e *evidence) witnessAges(revision uint64, staleAfter time.Duration) []byte {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if revision != e.revision {
@@ -191,12 +197,12 @@
 	if message.StoreAgeMsPlus1 > 0 {
 		e.sawStore(asked - time.Duration(message.StoreAgeMsPlus1-1)*time.Millisecond)
 	}
-	if len(message.AgentAges) > 0 {
-		e.mergeAgents(message.AgentAges, asked, revision)
+	if len(message.WitnessAges) > 0 {
+		e.mergeWitnesses(message.WitnessAges, asked, revision)
 	}
 }
 
-func (e *evidence) mergeAgents(ages []byte, asked time.Duration, revision uint64) {
+func (e *evidence) mergeWitnesses(ages []byte, asked time.Duration, revision uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if revision != e.revision || len(ages) != len(e.stated) {
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -12,8 +12,11 @@
 	"github.com/greengagegate/greengagegate/snapshot"
 )
 
-// startPeers is the number of peers asked at once at the start.
-const startPeers = 4
+const (
+	// startPeers is the number of peers asked at once at the start.
+	startPeers    = 4
+	startInterval = 100 * time.Millisecond
+)
 
 var errHash = errors.New("result does not match its hash")
 
@@ -176,7 +179,8 @@
 	peers.Wait()
 }
 
-// compareLoop compares revisions with a random neighbour at intervals.
+// compareLoop compares revisions with a random neighbour at intervals, and with
+// all neighbours while the store is silent.
 func (m *Manager) compareLoop(ctx context.Context) {
 	ticker := time.NewTicker(compareInterval)
 	defer ticker.Stop()
@@ -187,26 +191,36 @@
 			return
 		}
 		m.evidence.state(m.options.View.Self().Address)
-		peer, ok := m.pick(m.neighbours())
-		if !ok {
-			continue
-		}
-		if err := m.pull(ctx, peer); err != nil {
-			m.log.Debug().Err(err).Msg("config: comparison failed")
+		peers := m.neighbours()
+		if !m.evidence.seeksAgreement() {
+			peers = m.pick(peers)
 		}
+		m.compare(ctx, peers)
 		metrics.Gauge("config.evidence_age_ms").Update(m.evidence.age().Milliseconds())
 	}
 }
 
-// loadFromPeers asks several peers at once until a first set is in force.
+// compare pulls from the peers at once and waits for all.
+func (m *Manager) compare(ctx context.Context, peers []string) {
+	var all sync.WaitGroup
+	for _, peer := range peers {
+		all.Go(func() {
+			if err := m.pull(ctx, peer); err != nil {
+				m.log.Debug().Err(err).Msg("config: comparison failed")
+			}
+		})
+	}
+	all.Wait()
+}
+
+// loadFromPeers asks several peers at once until a set is in force that is
+// known to be the newest. It pauses longer after each attempt.
 func (m *Manager) loadFromPeers(ctx context.Context) {
-	for m.Current() == nil && ctx.Err() == nil {
-		var peers sync.WaitGroup
-		for _, address := range m.startAddresses() {
-			peers.Go(func() { _ = m.pull(ctx, address) })
-		}
-		peers.Wait()
-		pause(ctx, compareInterval/4)
+	interval := startInterval
+	for !m.Fresh() && ctx.Err() == nil {
+		m.compare(ctx, m.startAddresses())
+		pause(ctx, m.jitter(interval))
+		interval = min(2*interval, compareInterval)
 	}
 }
 
--- a/internal/configsync/manager.go
+++ b/internal/configsync/manager.go
@@ -49,10 +49,10 @@
 
 // configuration is one snapshot with its decoded set.
 type configuration struct {
-	snapshot *snapshot.Snapshot
-	hash     snapshot.Hash
-	set      *object.Set
-	agents   []string
+	snapshot  *snapshot.Snapshot
+	hash      snapshot.Hash
+	set       *object.Set
+	witnesses []string
 }
 
 // delta is a change that this process has applied, kept for peers that lag.
--- a/internal/configsync/neighbours.go
+++ b/internal/configsync/neighbours.go
@@ -70,14 +70,15 @@
 	return ring
 }
 
-// pick returns a random address.
-func (m *Manager) pick(addresses []string) (string, bool) {
+// pick returns one random address of those given, or none.
+func (m *Manager) pick(addresses []string) []string {
 	if len(addresses) == 0 {
-		return "", false
+		return nil
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return addresses[m.random.IntN(len(addresses))], true
+	i := m.random.IntN(len(addresses))
+	return addresses[i : i+1]
 }
 
 // startAddresses returns some random members and seeds to ask at the start.
--- a/internal/configsync/prepare.go
+++ b/internal/configsync/prepare.go
@@ -16,10 +16,10 @@
 	prepareInterval = 300 * time.Millisecond
 )
 
-// Announcement is the result of announcing a publication to the agents.
+// Announcement is the result of announcing a publication to the witnesses.
 type Announcement struct {
-	// Confirmed is the number of agents that noted it, of Agents in all.
-	Confirmed, Agents int
+	// Confirmed is the number of witnesses that noted it, of Witnesses in all.
+	Confirmed, Witnesses int
 	// Needed is the number of confirmations without which it must not be made.
 	Needed int
 }
@@ -27,23 +27,23 @@
 // Enough reports whether the publication may be made.
 func (a Announcement) Enough() bool { return a.Confirmed >= a.Needed }
 
-// Announce tells the agents that the set in force names about a publication on
-// top of it. From its confirmation on, an agent makes no statement that the set
+// Announce tells the witnesses of the set in force about a publication on top of
+// it. From its confirmation on, a witness makes no statement that the set
 // is the newest, until the publication is resolved. The base must be in force here.
 func (m *Manager) Announce(ctx context.Context, base *snapshot.Snapshot, nonce string) Announcement {
 	current := m.current.Load()
-	result := Announcement{Agents: len(current.agents), Needed: majority(len(current.agents))}
+	result := Announcement{Witnesses: len(current.witnesses), Needed: majority(len(current.witnesses))}
 	if current.snapshot.Revision() != base.Revision() {
 		return result
 	}
 	request := &wirepb.ConfigExchange{Revision: base.Revision(), Hash: current.hash[:], Prepare: nonce}
-	left := current.agents
+	left := current.witnesses
 	for attempt := range prepareAttempts {
 		if attempt > 0 {
 			pause(ctx, prepareInterval)
 		}
 		left = m.announceTo(ctx, left, request)
-		result.Confirmed = result.Agents - len(left)
+		result.Confirmed = result.Witnesses - len(left)
 		if result.Enough() || ctx.Err() != nil {
 			return result
 		}
@@ -51,7 +51,7 @@
 	return result
 }
 
-// announceTo asks the agents at the addresses and returns those that did not confirm.
+// announceTo asks the witnesses at the addresses and returns those that did not confirm.
 func (m *Manager) announceTo(ctx context.Context, addresses []string, request *wirepb.ConfigExchange) []string {
 	confirmed := make([]atomic.Bool, len(addresses))
 	var group errgroup.Group
@@ -72,7 +72,7 @@
 	return left
 }
 
-// announceOne asks one agent, which may be this process itself.
+// announceOne asks one witness, which may be this process itself.
 func (m *Manager) announceOne(ctx context.Context, address string, request *wirepb.ConfigExchange) bool {
 	if address == m.options.View.Self().Address {
 		return m.Answer("", request).Prepared
@@ -81,10 +81,10 @@
 	return err == nil && reply.Prepared
 }
 
-// Abandon tells the agents that an announced publication has not taken effect
+// Abandon tells the witnesses that an announced publication has not taken effect
 // and never will. It does not wait.
 func (m *Manager) Abandon(base *snapshot.Snapshot, nonce string) {
 	current := m.current.Load()
 	request := &wirepb.ConfigExchange{Revision: base.Revision(), Prepare: nonce, Abandon: true}
-	m.run(func(ctx context.Context) { m.announceTo(ctx, current.agents, request) })
+	m.run(func(ctx context.Context) { m.announceTo(ctx, current.witnesses, request) })
 }
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -148,7 +148,7 @@
 
 func (c *command) publishFlags() {
 	c.flags.StringVar(&c.author, "author", os.Getenv("USER"), "who publishes, for the history")
-	c.flags.BoolVar(&c.force, "force", false, "publish although fewer than half of the agents confirm")
+	c.flags.BoolVar(&c.force, "force", false, "publish although fewer than half of the witnesses confirm")
 }
 
 // printJSON writes v when -json is set and reports whether it was.
--- a/internal/ctl/publish.go
+++ b/internal/ctl/publish.go
@@ -78,8 +78,8 @@
 
 func (c *command) printResult(result publish.Result) {
 	fmt.Fprintf(c.stdout, "%s, revision %d", result.Outcome, result.Revision)
-	if result.Agents > 0 {
-		fmt.Fprintf(c.stdout, ", noted by %d of %d agents", result.Confirmed, result.Agents)
+	if result.Witnesses > 0 {
+		fmt.Fprintf(c.stdout, ", noted by %d of %d witnesses", result.Confirmed, result.Witnesses)
 	}
 	fmt.Fprintln(c.stdout)
 	if result.Reason != "" {
--- a/internal/publish/fleet_test.go
+++ b/internal/publish/fleet_test.go
@@ -179,7 +179,7 @@
 	f.mu.Unlock()
 	way := &gate{Store: f.store}
 	manager := configsync.New(configsync.Options{
-		Store: way, Transport: link{f, address}, View: view{f, self}, Log: zerolog.Nop(), Seed: uint64(len(address)) + 1,
+		Store: way, Transport: link{f, address}, View: view{f, self}, Log: zerolog.Nop(), Seed: seedOf(address),
 	})
 	p := &process{member: self, manager: manager, publisher: NewPublisher(manager), gate: way}
 	f.mu.Lock()
@@ -270,3 +270,12 @@
 
 // pilotDigest is the digest of the demo's key for pilots.
 const pilotDigest = "da5b5a13b914c5291a4d70d33326040790481915078984b62998ed9ae6c83d5c"
+
+// seedOf gives each process its own fixed seed.
+func seedOf(address string) uint64 {
+	seed := uint64(1)
+	for _, b := range []byte(address) {
+		seed = seed*31 + uint64(b)
+	}
+	return seed
+}
--- a/internal/publish/publisher.go
+++ b/internal/publish/publisher.go
@@ -132,13 +132,13 @@
 		p.manager.Abandon(try.base, try.nonce)
 		return nil
 	}
-	result := Result{Revision: try.base.Revision(), Confirmed: announced.Confirmed, Agents: announced.Agents}
+	result := Result{Revision: try.base.Revision(), Confirmed: announced.Confirmed, Witnesses: announced.Witnesses}
 	if !announced.Enough() && !try.request.Force {
 		p.manager.Abandon(try.base, try.nonce)
 		result.Outcome = OutcomeNotRun
-		result.Reason = fmt.Sprintf("%d of %d agents confirm, %d are needed: "+
+		result.Reason = fmt.Sprintf("%d of %d witnesses confirm, %d are needed: "+
 			"processes that are cut off could miss the change; force overrides this",
-			announced.Confirmed, announced.Agents, announced.Needed)
+			announced.Confirmed, announced.Witnesses, announced.Needed)
 		return &result
 	}
 	entry := snapshot.Entry{
--- a/internal/publish/types.go
+++ b/internal/publish/types.go
@@ -51,7 +51,7 @@
 	Note   string `json:"note,omitempty"`
 	// DryRun checks only.
 	DryRun bool `json:"dry_run,omitempty"`
-	// Force publishes although fewer than half of the agents confirm. Processes
+	// Force publishes although fewer than half of the witnesses confirm. Processes
 	// that reach neither the store nor a peer that does may then go on for as
 	// long as they hear each other.
 	Force   bool     `json:"force,omitempty"`
@@ -79,9 +79,9 @@
 	Changed   []string        `json:"changed,omitempty"`
 	Conflicts []Conflict      `json:"conflicts,omitempty"`
 	Mistakes  object.Mistakes `json:"mistakes,omitempty"`
-	// Confirmed is the number of agents that noted the publication, of Agents.
+	// Confirmed is the number of witnesses that noted the publication, of Witnesses.
 	Confirmed int `json:"confirmed"`
-	Agents    int `json:"agents"`
+	Witnesses int `json:"witnesses"`
 }
 
 // Published is an object of the set in force.
--- a/snapshot/commit.go
+++ b/snapshot/commit.go
@@ -144,7 +144,8 @@
 			return 0, true, ErrMoved
 		}
 		if sleep(ctx, settleInterval) != nil {
-			return 0, true, fmt.Errorf("%w: %w", ErrUnknown, err)
+			// The cause is not wrapped: it must not read as a refusal.
+			return 0, true, fmt.Errorf("%w: %v", ErrUnknown, err)
 		}
 	}
 }
