Queue prompts with what waiting ones will have cached, and copy while they wait

Cause: a probe did not see blocks that a waiting request is about to compute, and imports held the place at the engine while they were copied. Cached tokens are converted to whole blocks by rounding up, which is exact for prompts that end within a block. The first token tells the KV store's side what to export.

--- a/internal/agent/cacheindex/cacheindex.go
+++ b/internal/agent/cacheindex/cacheindex.go
@@ -34,7 +34,6 @@
 var (
 	eventsApplied = metrics.Counter("agent.cache_events")
 	eventsLost    = metrics.Counter("agent.cache_events_lost")
-	overestimates = metrics.Counter("agent.cache_overestimates")
 	indexBlocks   = metrics.Gauge("agent.cache_index_blocks")
 )
 
@@ -127,9 +126,9 @@
 	}
 }
 
-// Started takes in what the engine said when it began a request: the number of
-// leading blocks that it found cached. The request's other blocks are about to be stored.
-func (x *Index) Started(incarnation uint64, hashes []uint64, cached int) {
+// Started takes in that the engine began a request: its blocks are cached or
+// about to be.
+func (x *Index) Started(incarnation uint64, hashes []uint64) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if incarnation < x.incarnation {
@@ -138,9 +137,6 @@
 	if incarnation > x.incarnation {
 		x.reset(incarnation)
 	}
-	if x.leading(hashes, x.tick()) > cached {
-		overestimates.Inc(1)
-	}
 	x.put(hashes, x.tick())
 }
 
@@ -157,13 +153,6 @@
 	}
 }
 
-// Imported takes in blocks that were copied into the engine's cache.
-func (x *Index) Imported(hashes []uint64) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	x.put(hashes, x.tick())
-}
-
 // Cached returns how many leading blocks of hashes are believed to be cached,
 // and the incarnation of the engine that holds them.
 func (x *Index) Cached(hashes []uint64) (blocks int, incarnation uint64) {
--- a/internal/agent/cacheindex/cacheindex_test.go
+++ b/internal/agent/cacheindex/cacheindex_test.go
@@ -55,7 +55,7 @@
 			t.Fatalf("%d blocks kept across incarnations", got)
 		}
 		x.Apply(event(2, engine.CacheStored, 11, 12))
-		x.Started(1, []uint64{11, 12}, 0)
+		x.Started(1, []uint64{11, 12})
 		if got := cached(x, 11, 12); got != 0 {
 			t.Fatalf("%d blocks taken from a late event", got)
 		}
@@ -71,7 +71,7 @@
 		x := New()
 		x.Apply(event(1, engine.CacheStored, 11))
 		time.Sleep(5 * time.Second)
-		x.Started(1, []uint64{11}, 0)
+		x.Started(1, []uint64{11})
 		time.Sleep(500 * time.Millisecond)
 		x.Apply(event(2, engine.CacheEvicted, 11))
 		if got := cached(x, 11); got != 1 {
@@ -91,7 +91,7 @@
 		x.Apply(event(1, engine.CacheStored, 1, 2, 3))
 		time.Sleep(8 * time.Second)
 		x.Apply(event(2, engine.CacheEvicted, 1))
-		x.Started(1, []uint64{4}, 0)
+		x.Started(1, []uint64{4})
 		// The evictions of 2 and 3 are lost.
 		x.Apply(event(5, engine.CacheStored, 5))
 		if got := cached(x, 2, 3); got != 2 {
@@ -113,12 +113,12 @@
 
 func TestOnlyLeadingBlocksCount(t *testing.T) {
 	x := New()
-	x.Started(1, []uint64{1, 2, 3, 4}, 0)
+	x.Started(1, []uint64{1, 2, 3, 4})
 	x.Missing(1, []uint64{1, 2, 3, 4}, 2)
 	if got := cached(x, 1, 2, 3, 4); got != 2 {
 		t.Fatalf("got %d leading blocks", got)
 	}
-	x.Imported([]uint64{4})
+	x.Promised(1, []uint64{4})
 	if got := cached(x, 1, 2, 3, 4); got != 2 {
 		t.Fatalf("got %d leading blocks with a hole", got)
 	}
--- a/internal/agent/prober/prober_test.go
+++ b/internal/agent/prober/prober_test.go
@@ -35,7 +35,7 @@
 		{"engine down", func(s *Status) { s.Serving = false }, 0, 0, false},
 	} {
 		index := cacheindex.New()
-		index.Started(1, []uint64{1, 2}, 0)
+		index.Started(1, []uint64{1, 2})
 		status := serving
 		test.change(&status)
 		p := New(Options{
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -23,6 +23,8 @@
 	Driver engine.Driver
 	Queue  *fairqueue.Queue
 	Index  *cacheindex.Index
+	// Transfers is nil without a KV store.
+	Transfers Transfers
 	// Name is the upstream's name, told in refusals.
 	Name string
 	Log  zerolog.Logger
@@ -67,22 +69,23 @@
 	if r.draining.Load() {
 		return stream.Send(r.refuse(refusal.Draining, wirepb.RunState_RUN_NOT_RUN, "the upstream is leaving"))
 	}
-	grant, err := r.options.Queue.Acquire(ctx, r.ticket(ctx, request))
+	prefix := r.prepare(ctx, request)
+	grant, err := r.options.Queue.Acquire(ctx, ticket(ctx, request, prefix))
 	if err != nil {
+		prefix.abandon()
 		return stream.Send(r.refuse(queueCode(err), wirepb.RunState_RUN_NOT_RUN, err.Error()))
 	}
-	run := &running{runner: r, request: request, stream: stream, grant: grant}
+	run := &running{runner: r, request: request, prefix: prefix, stream: stream, grant: grant}
 	defer run.release()
 	return run.start(ctx)
 }
 
 // ticket describes the request to the queue.
-func (r *Runner) ticket(ctx context.Context, request *wirepb.RunRequest) fairqueue.Ticket {
-	blocks, _ := r.options.Index.Cached(request.BlockHashes)
+func ticket(ctx context.Context, request *wirepb.RunRequest, prefix *prefix) fairqueue.Ticket {
 	ticket := fairqueue.Ticket{
 		Customer:      request.Customer,
 		Weight:        request.CustomerWeight,
-		PrefillTokens: uncached(request, blocks),
+		PrefillTokens: uncached(request, prefix.cached),
 		DecodeTokens:  request.MaxTokens,
 		Priority:      request.Priority,
 		Suspect:       request.Suspect,
@@ -127,6 +130,7 @@
 type running struct {
 	runner  *Runner
 	request *wirepb.RunRequest
+	prefix  *prefix
 	stream  *wire.Stream
 	grant   *fairqueue.Grant
 
@@ -136,14 +140,16 @@
 
 // release gives the place at the engine back with the service that was used.
 func (x *running) release() {
+	if x.generated == 0 {
+		x.prefix.abandon()
+	}
 	x.grant.Release(fairqueue.Service(x.prefill, x.generated))
 }
 
 func (x *running) start(ctx context.Context) error {
 	options := x.runner.options
-	if x.request.AllowImport {
-		x.importBlocks(ctx)
-	}
+	x.prefix.await(ctx)
+	x.grant.SetPrefill(uncached(x.request, x.prefix.cached))
 	run, err := options.Driver.Run(ctx, engineRequest(x.request))
 	if err != nil {
 		return x.stream.Send(x.runner.refuse(startCode(err), startState(err), err.Error()))
@@ -152,18 +158,6 @@
 	return x.forward(run)
 }
 
-// importBlocks copies missing blocks from the KV store. Without them the
-// engine computes the prompt as usual.
-func (x *running) importBlocks(ctx context.Context) {
-	options := x.runner.options
-	transfer, err := options.Driver.Import(ctx, salt(x.request), x.request.BlockHashes)
-	if err != nil {
-		options.Log.Debug().Err(err).Msg("runner: import failed")
-		return
-	}
-	options.Index.Imported(x.request.BlockHashes[:min(transfer.Blocks, len(x.request.BlockHashes))])
-}
-
 // forward passes the engine's events on until the end.
 func (x *running) forward(run engine.Run) error {
 	for {
@@ -187,20 +181,33 @@
 	case engine.EventStart:
 		x.prefill = event.PromptTokens - event.CachedTokens
 		x.grant.SetPrefill(x.prefill)
-		x.runner.options.Index.Started(event.Incarnation, x.request.BlockHashes, x.cachedBlocks(event.CachedTokens))
+		x.prefix.incarnation = event.Incarnation
+		x.prefix.held = x.cachedBlocks(event.CachedTokens)
+		x.runner.options.Index.Started(event.Incarnation, x.request.BlockHashes)
 	case engine.EventTokens:
 		if x.generated == 0 {
-			x.grant.FirstToken()
+			x.firstToken()
 		}
 		x.generated += event.Count
 	}
 }
 
+// firstToken says that the prompt is computed, so that all of its blocks are cached.
+func (x *running) firstToken() {
+	x.grant.FirstToken()
+	if x.runner.options.Transfers != nil {
+		x.runner.options.Transfers.Served(salt(x.request), x.request.BlockHashes)
+	}
+}
+
+// cachedBlocks converts tokens to whole blocks. The prompt may end within a
+// block, so rounding up gives the exact number.
 func (x *running) cachedBlocks(cachedTokens int64) int {
-	if len(x.request.BlockHashes) == 0 || x.request.PromptTokens == 0 {
+	blocks := int64(len(x.request.BlockHashes))
+	if x.request.PromptTokens <= 0 {
 		return 0
 	}
-	return int(cachedTokens * int64(len(x.request.BlockHashes)) / x.request.PromptTokens)
+	return int(min(blocks, (cachedTokens*blocks+x.request.PromptTokens-1)/x.request.PromptTokens))
 }
 
 func salt(request *wirepb.RunRequest) uint64 {
