Add greengage-load: workloads, faults, judge and report

Cause: the project's targets are on figures that only a whole fleet shows. Change: greengage-load starts the real programs, publishes a configuration, sends a seeded plan of prompts and charges, brings about faults, and judges the outcome from the plan, the callers' answers and the stand-ins' counters. make measure runs both scenarios with all policies and computes the targets. Figures: none yet; only the parts' tests ran, the whole needs the agent.

--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,9 @@
 generate-check:
 	go generate ./internal/wire ./membership
 	git diff --exit-code -- '*.pb.go'
+
+# Runs the workloads against each placement policy and writes measure/latest.*.
+# FULL=1 repeats each three times, QUICK=1 is short.
+measure: build
+	$(BIN)/greengage-load -suite $(if $(FULL),full,$(if $(QUICK),quick,normal)) \
+		-seed $(SEED) -bin $(BIN) -out measure -commit $(VERSION)
--- /dev/null
+++ b/internal/load/disturb/callers.go
@@ -0,0 +1,104 @@
+package disturb
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/load/fleet"
+	"github.com/greengagegate/greengagegate/internal/load/scenario"
+)
+
+const (
+	poisonRepeats = 20
+	poisonPause   = 100 * time.Millisecond
+	poisonOutput  = 16
+
+	revokeUseEvery = 20 * time.Millisecond
+	revokeBefore   = time.Second
+	revokeAfter    = 10 * time.Second
+	useTimeout     = 2 * time.Second
+)
+
+// poison sends a request that crashes engines, again and again through
+// different routers, as a caller does that gets errors.
+func (m *Manager) poison(ctx context.Context) error {
+	text := append(bytes.Repeat([]byte("poison. "), m.options.Plan.Scenario.BlockTokens/2), fleet.PoisonMarker...)
+	for i := range poisonRepeats {
+		prompt := scenario.Prompt{Output: poisonOutput, Router: i % m.options.Plan.Scenario.Zones}
+		result := m.options.Client.Prompt(ctx, prompt, text)
+		if ctx.Err() != nil {
+			return nil
+		}
+		m.mu.Lock()
+		m.report.PoisonSent++
+		m.report.PoisonCodes[string(result.Outcome)+" "+result.Code]++
+		m.mu.Unlock()
+		time.Sleep(poisonPause)
+	}
+	return nil
+}
+
+// revoke uses a key on connections that stay open, withdraws it, and notes for
+// how long it still worked.
+func (m *Manager) revoke(ctx context.Context) error {
+	using, stop := context.WithCancel(ctx)
+	defer stop()
+	users := make([]*keyUser, len(m.options.Callers))
+	var all sync.WaitGroup
+	for i, address := range m.options.Callers {
+		users[i] = &keyUser{address: address, secret: m.options.Secret, http: &http.Client{Timeout: useTimeout}}
+		all.Go(func() { users[i].run(using) })
+	}
+	time.Sleep(revokeBefore)
+	err := m.options.Fleet.WithdrawKey(ctx)
+	accepted := time.Now()
+	select {
+	case <-time.After(revokeAfter):
+	case <-ctx.Done():
+	}
+	stop()
+	all.Wait()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, user := range users {
+		m.report.RevokeUses += user.uses
+		late := float64(user.last.Sub(accepted).Microseconds()) / 1000
+		m.report.RevokeMs = max(m.report.RevokeMs, late)
+	}
+	return err
+}
+
+// keyUser calls one router with a key over and over.
+type keyUser struct {
+	address, secret string
+	http            *http.Client
+	uses            int
+	last            time.Time
+}
+
+func (u *keyUser) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if u.use(ctx) {
+			u.uses++
+			u.last = time.Now()
+		}
+		time.Sleep(revokeUseEvery)
+	}
+}
+
+func (u *keyUser) use(ctx context.Context) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+u.address+fleet.PathBalance+"/any", nil)
+	if err != nil {
+		return false
+	}
+	request.Header.Set("Authorization", "Bearer "+u.secret)
+	response, err := u.http.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/internal/load/judge/judge_test.go
@@ -0,0 +1,119 @@
+package judge
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/load/client"
+	"github.com/greengagegate/greengagegate/internal/load/scenario"
+	"github.com/greengagegate/greengagegate/internal/standin/plainsvc"
+	"pgregory.net/rapid"
+)
+
+func TestQuantilesAreNearestRank(t *testing.T) {
+	var durations []time.Duration
+	for i := range 100 {
+		durations = append(durations, time.Duration(100-i)*time.Millisecond)
+	}
+	if got := QuantilesOf(durations); got != (Quantiles{P50: 50, P95: 95, P99: 99}) {
+		t.Fatalf("%+v", got)
+	}
+}
+
+func TestExcessFindsTheWorstWindow(t *testing.T) {
+	second := time.Second
+	cases := []struct {
+		name  string
+		spans []span
+		want  float64
+	}{
+		{"one burst is allowed", []span{{0, second, 100}}, 0},
+		{"two bursts at once", []span{{0, second, 100}, {0, second, 100}}, 90},
+		{"may have come before the window", []span{{0, 20 * second, 100}, {0, second, 100}}, 0},
+		{"late double", []span{{0, 0, 100}, {100 * second, 100 * second, 100}, {101 * second, 101 * second, 60}}, 50},
+	}
+	for _, c := range cases {
+		if got := excess(c.spans, 10, 100); math.Abs(got-c.want) > 1e-9 {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// A history that one exact bucket admits has no excess in any window.
+func TestExactBucketHasNoExcess(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBucket(10, 100)
+		var spans []span
+		var at time.Duration
+		for range rapid.IntRange(1, 60).Draw(t, "arrivals") {
+			at += time.Duration(rapid.IntRange(0, 5000).Draw(t, "gap")) * time.Millisecond
+			tokens := float64(rapid.IntRange(1, 100).Draw(t, "tokens"))
+			if b.admit(at, tokens) {
+				spans = append(spans, span{at, at, tokens})
+			}
+		}
+		if got := excess(spans, 10, 100); got > 1e-6 {
+			t.Fatalf("excess %v", got)
+		}
+	})
+}
+
+func TestNeededTokensCountEachPrefixOnce(t *testing.T) {
+	s, err := scenario.Named("letak")
+	if err != nil {
+		t.Fatal(err)
+	}
+	plan := &scenario.Plan{Scenario: s, Options: scenario.PlanOptions{Seed: 1}}
+	first := scenario.Prompt{ID: 0, Document: 1, Own: 1, OwnBlocks: 4}
+	plan.Prompts = []scenario.Prompt{
+		first,
+		{ID: 1, Document: 1, Own: 1, OwnBlocks: 4},
+		{ID: 2, Document: 1, Own: 2, OwnBlocks: 5},
+		{ID: 3, Document: 2, Own: 3, OwnBlocks: 4},
+		{ID: 4, Customer: 1, Document: 1, Own: 4, OwnBlocks: 4},
+		{ID: 5, Customer: 2, Document: 1, Own: 5, OwnBlocks: 4},
+	}
+	var results []client.PromptResult
+	for _, p := range plan.Prompts[:5] {
+		results = append(results, client.PromptResult{Prompt: p, Outcome: client.Complete})
+	}
+	document := s.DocumentBlocks.Min
+	blocks := (s.RootBlocks + document + 4) + 5 + (document + 4) + (s.RootBlocks + document + 4)
+	if got := neededTokens(plan, results); got != int64(blocks*s.BlockTokens) {
+		t.Fatalf("needed %d tokens, want %d blocks", got, blocks)
+	}
+}
+
+func TestChargesAgainstLedger(t *testing.T) {
+	ran := client.Attempt{RequestID: "a", Told: client.ToldRan}
+	not := client.Attempt{RequestID: "b", Told: client.ToldNotRun}
+	unknown := client.Attempt{RequestID: "c", Told: client.ToldUnknown}
+	cases := []struct {
+		name     string
+		attempts []client.Attempt
+		executed []string
+		want     Charges
+	}{
+		{"ran", []client.Attempt{ran}, []string{"a"}, Charges{Settled: 1}},
+		{"ran after a refusal", []client.Attempt{not, ran}, []string{"a"}, Charges{Settled: 1}},
+		{"unknown and not executed", []client.Attempt{unknown}, nil, Charges{Unknown: 1}},
+		{"unknown and executed", []client.Attempt{unknown}, []string{"c"}, Charges{Unknown: 1}},
+		{"doubled", []client.Attempt{ran, unknown}, []string{"a", "c"}, Charges{Settled: 1, Doubled: 1}},
+		{"told to have run", []client.Attempt{ran}, nil, Charges{Settled: 1, FalseRan: 1}},
+		{"told not to have run", []client.Attempt{not}, []string{"b"}, Charges{FalseNotRun: 1}},
+		{"refused attempt was executed", []client.Attempt{not, ran}, []string{"b"}, Charges{Settled: 1, FalseNotRun: 1}},
+	}
+	for _, c := range cases {
+		ledger := plainsvc.Ledger{}
+		if c.executed != nil {
+			ledger.Entries = []plainsvc.Entry{{ID: "x", Executions: len(c.executed), RequestIDs: c.executed}}
+		}
+		result := client.ChargeResult{Charge: scenario.Charge{ID: "x"}, Attempts: c.attempts}
+		got := judgeCharges([]client.ChargeResult{result}, []plainsvc.Ledger{ledger})
+		c.want.Sent, c.want.Attempts, c.want.Latency = 1, len(c.attempts), got.Latency
+		if got != c.want {
+			t.Errorf("%s: %+v, want %+v", c.name, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/load/report/markdown.go
@@ -0,0 +1,77 @@
+package report
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/greengagegate/greengagegate/internal/load/run"
+)
+
+// Markdown returns the file as a page.
+func (f *File) Markdown() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "# Measured figures\n\nCommit %s, seed %d, %d cores, mode %s.\n", f.Commit, f.Seed, f.Cores, f.Mode)
+	b.WriteString("Written by `make measure`; the definitions are in docs/MEASURE.md.\n")
+	for _, name := range f.scenarios() {
+		f.writeScenario(&b, name)
+	}
+	f.writeExtra(&b, "With a surge of the first customer", f.Surges)
+	f.writeExtra(&b, "With a crash of a quarter of the engines", f.Crashes)
+	f.writeOverhead(&b)
+	f.writeTargets(&b)
+	return b.String()
+}
+
+const tableHead = `
+| policy | requests | hit rate | ttft p50 | p95 (min-max) | p99 ms | recomputed / needed | worst customer p95 | wrongful | failed | truncated | wrong | doubled | false not-run |
+|---|---|---|---|---|---|---|---|---|---|---|---|---|---|
+`
+
+func (f *File) writeScenario(b *strings.Builder, name string) {
+	fmt.Fprintf(b, "\n## %s\n", name)
+	b.WriteString(tableHead)
+	for _, s := range f.Entries {
+		if s.Scenario == name {
+			writeRow(b, s.Entry, s.Min.TTFT95, s.Max.TTFT95)
+		}
+	}
+}
+
+func (f *File) writeExtra(b *strings.Builder, title string, entries []run.Entry) {
+	if len(entries) == 0 {
+		return
+	}
+	fmt.Fprintf(b, "\n## %s\n", title)
+	b.WriteString(tableHead)
+	for _, entry := range entries {
+		entry.Policy = entry.Scenario + " " + entry.Policy
+		writeRow(b, entry, entry.TTFT95, entry.TTFT95)
+	}
+}
+
+func writeRow(b *strings.Builder, e run.Entry, low, high float64) {
+	fmt.Fprintf(b, "| %s | %d | %.3f | %.0f | %.0f (%.0f-%.0f) | %.0f | %.2f | %.0f | %d | %d | %d | %d | %d | %d |\n",
+		e.Policy, e.Requests, e.PrefixHitRate, e.TTFT50, e.TTFT95, low, high, e.TTFT99,
+		ratio(float64(e.Recomputed), float64(e.Needed)), e.WorstTTFT95, e.Wrongful, e.Failed,
+		e.Truncated, e.WrongAnswers, e.Doubled, e.FalseNotRun)
+}
+
+func (f *File) writeOverhead(b *strings.Builder) {
+	if f.Overhead == nil {
+		return
+	}
+	o := f.Overhead
+	fmt.Fprintf(b, "\n## Overhead at %d requests/s\n\n", o.RequestsPerSecond)
+	b.WriteString("| | p50 ms | p95 ms | p99 ms |\n|---|---|---|---|\n")
+	fmt.Fprintf(b, "| straight to an engine | %.2f | %.2f | %.2f |\n", o.Direct.P50, o.Direct.P95, o.Direct.P99)
+	fmt.Fprintf(b, "| through router and agent | %.2f | %.2f | %.2f |\n", o.Routed.P50, o.Routed.P95, o.Routed.P99)
+	fmt.Fprintf(b, "\nRouters and agents used %.1f us for each token event and %.0f us for each request; %d requests failed.\n",
+		o.CPUPerTokenEvent, o.CPUPerRequest, o.Failures)
+}
+
+func (f *File) writeTargets(b *strings.Builder) {
+	b.WriteString("\n## Targets\n\n| target | value | bound | |\n|---|---|---|---|\n")
+	for _, t := range f.Targets {
+		fmt.Fprintf(b, "| %s | %.2f | %s | %s |\n", t.Name, t.Value, t.bound(), t.verdict())
+	}
+}
--- /dev/null
+++ b/internal/load/report/report_test.go
@@ -0,0 +1,75 @@
+package report
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/greengagegate/greengagegate/internal/load/judge"
+	"github.com/greengagegate/greengagegate/internal/load/run"
+)
+
+func entry(policy string, hits, p95 float64) run.Entry {
+	return run.Entry{
+		Scenario: "limon", Policy: policy,
+		Figures: judge.Figures{Requests: 10, PrefixHitRate: hits, TTFT95: p95, Recomputed: 130, Needed: 100},
+	}
+}
+
+func TestSummaryTakesEachFigureOnItsOwn(t *testing.T) {
+	summary, err := Summarize([]run.Entry{entry("prefix", 0.9, 300), entry("prefix", 0.7, 100), entry("prefix", 0.8, 200)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if summary.PrefixHitRate != 0.8 || summary.TTFT95 != 200 || summary.Min.TTFT95 != 100 || summary.Max.PrefixHitRate != 0.9 {
+		t.Fatalf("%+v", summary)
+	}
+	if summary.Policy != "prefix" || summary.Recomputed != 130 {
+		t.Fatalf("%+v", summary)
+	}
+}
+
+func TestTargetsAreMetOrNot(t *testing.T) {
+	f := &File{}
+	for _, e := range []run.Entry{
+		entry(policyRandom, 0.4, 1000), entry(policyLeastLoaded, 0.4, 800),
+		entry(policyProbeAll, 0.76, 500), entry(policyPrefix, 0.75, 560),
+	} {
+		summary, err := Summarize([]run.Entry{e})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.Entries = append(f.Entries, summary)
+	}
+	f.SetTargets()
+	met := map[string]bool{
+		"hit rate / least-loaded": true, "hit rate / probe-all": true,
+		"ttft p95 / better": false, "ttft p95 / probe-all": false, "recomputed": true,
+	}
+	for part, want := range met {
+		found := false
+		for _, target := range f.Targets {
+			if strings.Contains(target.Name, part) {
+				found = true
+				if target.Met != want {
+					t.Errorf("%+v, want met %v", target, want)
+				}
+			}
+		}
+		if !found {
+			t.Errorf("no target on %q", part)
+		}
+	}
+	page := f.Markdown()
+	if !strings.Contains(page, "**not met**") || !strings.Contains(page, "| not run |") {
+		t.Errorf("page hides what was missed or not run:\n%s", page)
+	}
+	path := filepath.Join(t.TempDir(), "plot.svg")
+	if err := f.Plot(path); err != nil {
+		t.Fatal(err)
+	}
+	if svg, err := os.ReadFile(path); err != nil || !strings.Contains(string(svg), "least-loaded") {
+		t.Errorf("plot lacks its labels: %v", err)
+	}
+}
