Tell the picker what the router sees of each candidate

Cause: nothing reported refusals, failures and late first tokens, so that slow or lying upstreams were not demoted. Change: dispatch reports full queues, failures, and the first token against what was expected. Conclusion: takes effect once the router's set-up passes picker.Report on.

--- a/internal/dispatch/prompt.go
+++ b/internal/dispatch/prompt.go
@@ -82,8 +82,10 @@
 
 func (p *Prompter) runOn(ctx context.Context, candidate picker.Candidate, a *attempt) error {
 	address := candidate.Upstream.Address
+	seen := p.watch(candidate)
 	stream, err := p.options.Pool.Open(ctx, address, wirepb.Kind_KIND_RUN, a.request.RequestId)
 	if err != nil {
+		seen.failed()
 		a.note(&wirepb.Refusal{Code: "agent_unreachable", Message: err.Error(), Run: wirepb.RunState_RUN_NOT_RUN})
 		return err
 	}
@@ -97,9 +99,13 @@
 	for {
 		event := new(wirepb.RunEvent)
 		if err := stream.Recv(event); err != nil {
+			if ctx.Err() == nil {
+				seen.failed()
+			}
 			a.note(lostRefusal(err))
 			return err
 		}
+		seen.see(event)
 		done, err := a.apply(event)
 		if done || err != nil {
 			return err
--- /dev/null
+++ b/internal/dispatch/report.go
@@ -0,0 +1,67 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/picker"
+	"github.com/greengagegate/greengagegate/internal/refusal"
+	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
+)
+
+// sighting is what the router sees of one candidate, for the picker.
+type sighting struct {
+	prompter  *Prompter
+	candidate picker.Candidate
+	began     time.Time
+	cached    int64
+	answered  bool
+}
+
+func (p *Prompter) watch(candidate picker.Candidate) *sighting {
+	return &sighting{prompter: p, candidate: candidate, began: time.Now()}
+}
+
+func (s *sighting) report(outcome picker.Outcome) {
+	if s.prompter.options.Report != nil {
+		s.prompter.options.Report(s.candidate.Upstream.Name, outcome)
+	}
+}
+
+// failed reports that the upstream could not be reached or broke off.
+func (s *sighting) failed() { s.report(picker.Outcome{Kind: picker.OutcomeFailed}) }
+
+// see takes in an event of the run.
+func (s *sighting) see(event *wirepb.RunEvent) {
+	switch e := event.Event.(type) {
+	case *wirepb.RunEvent_Started:
+		s.cached = e.Started.CachedTokens
+	case *wirepb.RunEvent_Tokens:
+		s.firstToken()
+	case *wirepb.RunEvent_Refusal:
+		s.refused(refusal.Code(e.Refusal.Code))
+	}
+}
+
+func (s *sighting) firstToken() {
+	if s.answered {
+		return
+	}
+	s.answered = true
+	s.report(picker.Outcome{
+		Kind:           picker.OutcomeFirstToken,
+		Expected:       s.candidate.ExpectedWait,
+		FirstToken:     time.Since(s.began),
+		ExpectedCached: s.candidate.CachedTokens,
+		Cached:         s.cached,
+	})
+}
+
+// refused reports refusals that say something about the upstream's state.
+func (s *sighting) refused(code refusal.Code) {
+	switch code {
+	case refusal.QueueFull:
+		s.report(picker.Outcome{Kind: picker.OutcomeFull})
+	case refusal.UpstreamLost, refusal.UpstreamUnreachable, refusal.CircuitOpen, refusal.Draining:
+		s.failed()
+	}
+}
--- /dev/null
+++ b/internal/dispatch/report_test.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/object"
+	"github.com/greengagegate/greengagegate/internal/picker"
+	"github.com/greengagegate/greengagegate/internal/refusal"
+	"github.com/greengagegate/greengagegate/internal/wire"
+	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
+	"github.com/rs/zerolog"
+)
+
+// agent answers runs with the events, then closes the stream.
+func agent(t *testing.T, name string, events ...*wirepb.RunEvent) picker.Candidate {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := wire.NewServer(&wirepb.Hello{}, zerolog.Nop())
+	server.Handle(wirepb.Kind_KIND_RUN, func(_ context.Context, _ wire.Request, stream *wire.Stream) {
+		if stream.Recv(new(wirepb.RunRequest)) != nil {
+			return
+		}
+		for _, event := range events {
+			_ = stream.Send(event)
+		}
+	})
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		_ = server.Shutdown(context.Background())
+	})
+	return picker.Candidate{
+		Upstream:     &object.Upstream{Name: name, Address: listener.Addr().String()},
+		ExpectedWait: time.Millisecond,
+		CachedTokens: 4_000,
+	}
+}
+
+type discard struct{}
+
+func (discard) Tokens([]byte, int64) error { return nil }
+
+func TestPickerHearsWhatBecameOfEachCandidate(t *testing.T) {
+	candidates := []picker.Candidate{
+		agent(t, "full", &wirepb.RunEvent{Event: &wirepb.RunEvent_Refusal{Refusal: &wirepb.Refusal{Code: string(refusal.QueueFull), Run: wirepb.RunState_RUN_NOT_RUN}}}),
+		agent(t, "lost"),
+		agent(t, "good",
+			&wirepb.RunEvent{Event: &wirepb.RunEvent_Started{Started: &wirepb.RunStarted{CachedTokens: 2_000}}},
+			&wirepb.RunEvent{Event: &wirepb.RunEvent_Tokens{Tokens: &wirepb.RunTokens{Count: 1, Text: []byte("x")}}},
+			&wirepb.RunEvent{Event: &wirepb.RunEvent_End{End: &wirepb.RunEnd{}}}),
+	}
+	pool := wire.NewPool(&wirepb.Hello{}, wire.NewDialer(""))
+	defer pool.Close()
+	var heard []string
+	p := NewPrompter(Options{Pool: pool, Log: zerolog.Nop(), Report: func(upstream string, o picker.Outcome) {
+		heard = append(heard, fmt.Sprint(upstream, " ", o.Kind, " ", o.ExpectedCached, " ", o.Cached))
+		if o.Kind == picker.OutcomeFirstToken && (o.Expected != time.Millisecond || o.FirstToken <= 0) {
+			t.Errorf("first token %+v", o)
+		}
+	}})
+	if _, err := p.Run(t.Context(), candidates, &wirepb.RunRequest{}, discard{}); err != nil {
+		t.Fatal(err)
+	}
+	want := fmt.Sprintf("[full %d 0 0 lost %d 0 0 good %d 4000 2000]", picker.OutcomeFull, picker.OutcomeFailed, picker.OutcomeFirstToken)
+	if fmt.Sprint(heard) != want {
+		t.Fatalf("heard %v, want %s", heard, want)
+	}
+}
