--- a/membership/manager.go
+++ b/membership/manager.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/bits"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -68,6 +69,10 @@
 	joinRetryInterval = 250 * time.Millisecond
 )
 
+// syncDelays are the pauses after which a started process asks for a whole
+// table again, since others may have started at the same time.
+var syncDelays = []time.Duration{5 * time.Second, 20 * time.Second, 40 * time.Second}
+
 // Manager spreads and keeps the table. It implements View.
 type Manager struct {
 	options Options
@@ -210,7 +215,9 @@
 		Sequence: sequence,
 		Sender:   toEntry(self),
 		Revision: self.Revision,
-		Digests:  slices.Clone(m.table.digests[:]),
+	}
+	if kind == memberpb.Type_TYPE_PING {
+		message.Digests = slices.Clone(m.table.digests[:])
 	}
 	for _, member := range m.table.freshest(piggybackEntries, m.maxSends()) {
 		message.Entries = append(message.Entries, toEntry(member))
@@ -232,11 +239,7 @@
 
 // maxSends grows with the logarithm of the fleet's size; m.mu is held.
 func (m *Manager) maxSends() int {
-	sends := 4
-	for n := len(m.table.rows); n > 1; n /= 2 {
-		sends += 2
-	}
-	return sends
+	return 4 + bits.Len(uint(len(m.table.rows)))
 }
 
 func (m *Manager) send(to string, message *memberpb.Message) {
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -160,6 +160,7 @@
 // that were cut apart find each other again.
 func (m *Manager) rejoinLoop() {
 	defer m.done.Done()
+	m.done.Go(m.syncAgain)
 	for {
 		alone := m.alone()
 		m.rejoin(alone)
@@ -173,6 +174,23 @@
 	}
 }
 
+// syncAgain asks random members for their whole table some times after the start.
+func (m *Manager) syncAgain() {
+	for _, delay := range syncDelays {
+		if !m.sleep(delay) {
+			return
+		}
+		m.mu.Lock()
+		peers := m.pick(1, func(member Member) bool { return member.State == StateAlive })
+		m.mu.Unlock()
+		for _, peer := range peers {
+			ping := m.newMessage(memberpb.Type_TYPE_PING, m.nextSequence())
+			ping.Sync = true
+			m.send(peer.GossipAddress, ping)
+		}
+	}
+}
+
 func (m *Manager) alone() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"net"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/metrics"
@@ -14,8 +16,8 @@
 	receiveBufferBytes = 2048
 	// syncPause spaces the datagrams of a whole table, so that none is dropped.
 	syncPause = 2 * time.Millisecond
-	// messageOverheadBytes is kept free in a datagram for all but its entries.
-	messageOverheadBytes = 320
+	// entryOverheadBytes is the tag and the length before each entry.
+	entryOverheadBytes = 3
 )
 
 func (m *Manager) receiveLoop() {
@@ -58,11 +60,13 @@
 	defer m.mu.Unlock()
 	now := time.Now()
 	sender := fromEntry(message.Sender)
-	changed := m.mergeOne(sender, now)
+	changed := m.mergeOne(sender, now, 0)
 	for _, entry := range message.Entries {
-		if m.mergeOne(fromEntry(entry), now) {
-			changed = true
-		}
+		changed = m.mergeOne(fromEntry(entry), now, 0) || changed
+	}
+	// Rows that another table already held are known widely and not spread on.
+	for _, entry := range message.Table {
+		changed = m.mergeOne(fromEntry(entry), now, m.maxSends()) || changed
 	}
 	if row := m.table.rows[sender.Process]; row != nil && row.member.Incarnation == sender.Incarnation {
 		row.member.Revision = max(row.member.Revision, message.Revision)
@@ -74,12 +78,12 @@
 
 // mergeOne merges news about one member; m.mu is held. News about the process
 // itself that is worse than the truth is refuted with a higher incarnation.
-func (m *Manager) mergeOne(news Member, now time.Time) bool {
+func (m *Manager) mergeOne(news Member, now time.Time, sends int) bool {
 	if news.Process == "" {
 		return false
 	}
 	if news.Process != m.table.self {
-		return m.table.merge(news, now)
+		return m.table.merge(news, now, sends)
 	}
 	self := m.table.rows[m.table.self].member
 	if !overrides(news, self) {
@@ -91,50 +95,56 @@
 	return true
 }
 
-// answer acknowledges a ping, with the rows in which the tables differ. The
-// whole table goes to a process that asks for it.
+// answer acknowledges a ping, with rows in which the tables differ. The whole
+// table goes to a process that asks for it.
 func (m *Manager) answer(ping *memberpb.Message, from string) {
 	ack := m.newMessage(memberpb.Type_TYPE_ACK, ping.Sequence)
 	m.addNewsAbout(ack, ping.Sender.Process)
-	m.mu.Lock()
-	var differing []Member
-	if ping.Sync {
-		differing = m.table.members()
-	} else {
-		differing = m.table.inDifferingBuckets(ping.Digests)
-		m.random.Shuffle(len(differing), func(i, j int) { differing[i], differing[j] = differing[j], differing[i] })
-	}
-	m.mu.Unlock()
-	rest := appendEntries(ack, differing)
+	rest := appendRows(ack, m.rowsFor(ping))
 	m.send(from, ack)
 	if ping.Sync && len(rest) > 0 {
 		go m.sendRest(from, rest)
 	}
 }
 
+// rowsFor returns the whole table, or the rows of one bucket in which the
+// sender's table differs, in random order.
+func (m *Manager) rowsFor(ping *memberpb.Message) []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if ping.Sync {
+		return m.table.members()
+	}
+	buckets := m.table.differingBuckets(ping.Digests)
+	if len(buckets) == 0 {
+		return nil
+	}
+	rows := m.table.inBucket(buckets[m.random.IntN(len(buckets))])
+	slices.SortFunc(rows, func(a, b Member) int { return strings.Compare(a.Process, b.Process) })
+	m.random.Shuffle(len(rows), func(i, j int) { rows[i], rows[j] = rows[j], rows[i] })
+	return rows
+}
+
 // sendRest sends the part of a whole table that did not fit the first datagram.
 func (m *Manager) sendRest(to string, rest []Member) {
 	for len(rest) > 0 && m.sleep(syncPause) {
 		part := m.newMessage(memberpb.Type_TYPE_ACK, 0)
 		part.Entries = nil
-		rest = appendEntries(part, rest)
+		rest = appendRows(part, rest)
 		m.send(to, part)
 	}
 }
 
-// appendEntries adds rows until the datagram is full and returns those left.
-func appendEntries(message *memberpb.Message, rows []Member) []Member {
-	size := messageOverheadBytes
-	for _, entry := range message.Entries {
-		size += proto.Size(entry) + 2
-	}
+// appendRows adds rows until the datagram is full and returns those left.
+func appendRows(message *memberpb.Message, rows []Member) []Member {
+	size := proto.Size(message) + macBytes
 	for i, row := range rows {
 		entry := toEntry(row)
-		size += proto.Size(entry) + 2
-		if size > maxDatagramBytes && i > 0 {
+		size += proto.Size(entry) + entryOverheadBytes
+		if size > maxDatagramBytes {
 			return rows[i:]
 		}
-		message.Entries = append(message.Entries, entry)
+		message.Table = append(message.Table, entry)
 	}
 	return nil
 }
--- /dev/null
+++ b/membership/slopes_test.go
@@ -0,0 +1,64 @@
+package membership
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/slope"
+)
+
+var slopes = flag.Bool("slopes", false, "measure cost against size")
+
+// TestSlopes prints what one member costs in fleets of several sizes, in a
+// quiet fleet and with one restart a second.
+func TestSlopes(t *testing.T) {
+	if !*slopes {
+		t.Skip("run with -slopes")
+	}
+	for _, size := range []int{10, 50, 200, 950} {
+		measure(t, "membership quiet", size, false)
+		measure(t, "membership one restart a second", size, true)
+	}
+}
+
+func measure(t *testing.T, name string, size int, restarts bool) {
+	const settle, observed = 300 * time.Second, 30 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		empty := slope.Read()
+		fleet := startFleet(t, n, size)
+		defer func() { stopFleet(fleet) }()
+		time.Sleep(settle)
+		requireAll(t, fleet, size, name)
+		n.mu.Lock()
+		bytesBefore := n.bytes
+		n.mu.Unlock()
+		before := slope.Read()
+		for second := range int(observed / time.Second) {
+			if restarts {
+				i := 2 + second%(size-2)
+				_ = fleet[i].Stop(t.Context())
+				fleet[i] = startMember(t, n, i, uint64(1000+second))
+			}
+			time.Sleep(time.Second)
+		}
+		after := slope.Read()
+		n.mu.Lock()
+		sent := n.bytes - bytesBefore
+		n.mu.Unlock()
+		perMemberSecond := float64(size) * observed.Seconds()
+		point := slope.Point{
+			Name: name, Size: float64(size), Unit: "members",
+			// Each byte is sent by one member and received by another.
+			BytesPerSecond:     2 * float64(sent) / perMemberSecond,
+			CPUMicrosPerSecond: float64((after.CPU - before.CPU).Microseconds()) / perMemberSecond,
+			HeapBytes:          float64(after.Heap-empty.Heap) / float64(size),
+		}
+		if err := slope.Print(os.Stdout, point); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- a/membership/table.go
+++ b/membership/table.go
@@ -10,7 +10,7 @@
 )
 
 // bucketCount is the number of parts that tables are compared in.
-const bucketCount = 16
+const bucketCount = 32
 
 // record is one row of the table.
 type record struct {
@@ -44,7 +44,8 @@
 }
 
 // merge takes news about another member and reports whether the table changed.
-func (t *table) merge(news Member, now time.Time) bool {
+// Sends is how often the row counts as piggybacked already.
+func (t *table) merge(news Member, now time.Time, sends int) bool {
 	known, ok := t.rows[news.Process]
 	if ok && !overrides(news, known.member) {
 		return false
@@ -53,6 +54,7 @@
 		news.Revision = max(news.Revision, known.member.Revision)
 	}
 	t.set(news, now)
+	t.rows[news.Process].sends = sends
 	return true
 }
 
@@ -129,15 +131,25 @@
 	return list
 }
 
-// inDifferingBuckets returns the rows of the buckets whose digests differ from a peer's.
-func (t *table) inDifferingBuckets(digests []uint32) []Member {
+// differingBuckets returns the buckets whose digests differ from a peer's.
+func (t *table) differingBuckets(digests []uint32) []int {
 	if len(digests) != bucketCount {
 		return nil
 	}
+	var buckets []int
+	for bucket, digest := range t.digests {
+		if digest != digests[bucket] {
+			buckets = append(buckets, bucket)
+		}
+	}
+	return buckets
+}
+
+// inBucket returns the rows of a bucket that are not dead.
+func (t *table) inBucket(bucket int) []Member {
 	var list []Member
 	for _, row := range t.rows {
-		bucket := bucketOf(row.member.Process)
-		if t.digests[bucket] != digests[bucket] && row.member.State != StateDead {
+		if row.member.State != StateDead && bucketOf(row.member.Process) == bucket {
 			list = append(list, row.member)
 		}
 	}
