Assemble router and agent, and demonstrate the whole path

Cause: the parts need to run as processes. Change: package app wires routers and agents with fx, settings are checked as a whole, a stop drains before it closes; make demo runs stand-ins, 3 routers and 6 agents on loopback. Before: no programs.

--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,6 @@
 measure: build
 	$(BIN)/greengage-load -suite $(if $(FULL),full,$(if $(QUICK),quick,normal)) \
 		-seed $(SEED) -bin $(BIN) -out measure -commit $(VERSION)
+# Runs the whole path on loopback and fails when any step does.
+demo: build
+	scripts/demo.sh
--- /dev/null
+++ b/cmd/greengage-agent/main.go
@@ -0,0 +1,22 @@
+// Command greengage-agent stands beside one upstream and serves routers.
+package main
+
+import (
+	"os"
+
+	"github.com/greengagegate/greengagegate/internal/app"
+	"github.com/greengagegate/greengagegate/internal/daemon"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+)
+
+func main() {
+	s := app.NewAgentSettings()
+	os.Exit(daemon.Main(daemon.Program{
+		Name:        "greengage-agent",
+		Summary:     "stands beside one upstream and serves routers",
+		Sections:    s.Sections(),
+		StopTimeout: s.StopTimeout,
+		Options:     func(zerolog.Logger) fx.Option { return app.Agent(s) },
+	}))
+}
--- /dev/null
+++ b/internal/app/agent.go
@@ -0,0 +1,135 @@
+package app
+
+import (
+	"context"
+
+	"github.com/greengagegate/greengagegate/internal/admin"
+	"github.com/greengagegate/greengagegate/internal/agent/cacheindex"
+	"github.com/greengagegate/greengagegate/internal/agent/calls"
+	"github.com/greengagegate/greengagegate/internal/agent/enginestate"
+	"github.com/greengagegate/greengagegate/internal/agent/fairqueue"
+	"github.com/greengagegate/greengagegate/internal/agent/prober"
+	"github.com/greengagegate/greengagegate/internal/agent/runner"
+	"github.com/greengagegate/greengagegate/internal/engine"
+	"github.com/greengagegate/greengagegate/internal/engine/httpengine"
+	"github.com/greengagegate/greengagegate/internal/node"
+	"github.com/greengagegate/greengagegate/internal/object"
+	"github.com/greengagegate/greengagegate/internal/service"
+	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
+	"github.com/greengagegate/greengagegate/membership"
+	"github.com/greengagegate/greengagegate/store"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+)
+
+// initialBatchLimit sizes the queue until the engine has told its own limit.
+const initialBatchLimit = 8
+
+// Agent returns the application of an agent.
+func Agent(s *AgentSettings) fx.Option {
+	parts := engineParts()
+	if s.Upstream.Kind == "service" {
+		parts = serviceParts()
+	}
+	return fx.Options(common(&s.Common, membership.RoleAgent), fx.Supply(s), parts)
+}
+
+func engineParts() fx.Option {
+	return fx.Options(
+		fx.Provide(
+			func(s *AgentSettings) engine.Driver { return httpengine.New(s.Upstream.URL) },
+			cacheindex.New,
+			func() *fairqueue.Queue { return fairqueue.New(fairqueue.DefaultOptions(initialBatchLimit)) },
+			newEngineState,
+			newRunner,
+		),
+		fx.Invoke(registerEngine, drainEngineAgent),
+	)
+}
+
+func newEngineState(lifecycle fx.Lifecycle, driver engine.Driver, index *cacheindex.Index, queue *fairqueue.Queue, source object.Source, log zerolog.Logger) *enginestate.Poller {
+	poller := enginestate.New(enginestate.Options{Driver: driver, Index: index, Queue: queue, Source: source, Log: log})
+	appendHook(lifecycle, poller.Start, poller.Stop)
+	return poller
+}
+
+func newRunner(s *AgentSettings, driver engine.Driver, index *cacheindex.Index, queue *fairqueue.Queue, log zerolog.Logger) *runner.Runner {
+	return runner.New(runner.Options{Driver: driver, Queue: queue, Index: index, Name: s.Upstream.Name, Log: log})
+}
+
+// registerEngine connects the handlers of prompts.
+func registerEngine(n *node.Node, r *runner.Runner, state *enginestate.Poller, index *cacheindex.Index, queue *fairqueue.Queue) {
+	answers := prober.New(prober.Options{Index: index, Queue: queue, Status: state})
+	n.Server.Handle(wirepb.Kind_KIND_PROBE, answers.Handle)
+	n.Server.Handle(wirepb.Kind_KIND_RUN, r.Handle)
+}
+
+// drainEngineAgent makes the stop of an engine's agent graceful: new work is
+// turned away, then the streams in flight finish.
+func drainEngineAgent(lifecycle fx.Lifecycle, s *AgentSettings, n *node.Node, members *membership.Manager, state *enginestate.Poller, r *runner.Runner, ready *admin.Readiness) {
+	start := func(context.Context) error {
+		ready.Set(true)
+		return nil
+	}
+	stop := func(ctx context.Context) error {
+		ready.Set(false)
+		members.Leave()
+		state.Drain()
+		pause(ctx, s.Stop.DrainDelay)
+		r.Drain()
+		return n.Server.Shutdown(ctx)
+	}
+	appendHook(lifecycle, start, stop)
+}
+
+func serviceParts() fx.Option {
+	return fx.Options(
+		fx.Provide(
+			func(s *AgentSettings) service.Driver { return service.NewHTTP(s.Upstream.URL) },
+			newCalls,
+		),
+		fx.Invoke(registerService, drainServiceAgent),
+	)
+}
+
+func newCalls(s *AgentSettings, driver service.Driver, st store.Store, hosts store.HostLister, n *node.Node, view membership.View, source object.Source, log zerolog.Logger) *calls.Manager {
+	return calls.New(calls.Options{
+		Driver:   driver,
+		Store:    st,
+		Hosts:    hosts,
+		Pool:     n.Pool,
+		View:     view,
+		Source:   source,
+		Upstream: s.Upstream.Name,
+		Address:  n.Address,
+		Log:      log,
+	})
+}
+
+// registerService connects the handlers of calls.
+func registerService(n *node.Node, manager *calls.Manager) {
+	n.Server.Handle(wirepb.Kind_KIND_CALL, manager.Handle)
+	n.Server.Handle(wirepb.Kind_KIND_ONCE, manager.HandleOnce)
+}
+
+// drainServiceAgent makes the stop of a service's agent graceful: shards are
+// handed over, then the calls in flight finish.
+func drainServiceAgent(lifecycle fx.Lifecycle, s *AgentSettings, n *node.Node, members *membership.Manager, manager *calls.Manager, ready *admin.Readiness) {
+	start := func(ctx context.Context) error {
+		if err := manager.Start(ctx); err != nil {
+			return err
+		}
+		ready.Set(true)
+		return nil
+	}
+	stop := func(ctx context.Context) error {
+		ready.Set(false)
+		members.Leave()
+		if err := manager.Stop(ctx); err != nil {
+			return err
+		}
+		pause(ctx, s.Stop.DrainDelay)
+		return n.Server.Shutdown(ctx)
+	}
+	appendHook(lifecycle, start, stop)
+}
--- /dev/null
+++ b/internal/app/common.go
@@ -0,0 +1,168 @@
+package app
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/admin"
+	"github.com/greengagegate/greengagegate/internal/configsync"
+	"github.com/greengagegate/greengagegate/internal/fault"
+	"github.com/greengagegate/greengagegate/internal/invariant"
+	"github.com/greengagegate/greengagegate/internal/node"
+	"github.com/greengagegate/greengagegate/internal/object"
+	"github.com/greengagegate/greengagegate/internal/tlsconf"
+	"github.com/greengagegate/greengagegate/membership"
+	"github.com/greengagegate/greengagegate/store"
+	"github.com/greengagegate/greengagegate/store/httpstore"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+)
+
+// common provides what routers and agents share.
+func common(c *Common, role membership.Role) fx.Option {
+	c.Identity.Role = role
+	c.Identity.Incarnation = node.NewIncarnation()
+	return fx.Options(
+		fx.Supply(c),
+		fx.Provide(
+			newNode,
+			newStore,
+			newMembership,
+			newConfiguration,
+			func(m *membership.Manager) membership.View { return m },
+			func(m *configsync.Manager) object.Source { return m },
+			func() *admin.Readiness { return new(admin.Readiness) },
+		),
+		fx.Invoke(func(log zerolog.Logger) { invariant.SetLogger(log) }, startAdmin, reportRevision),
+	)
+}
+
+// appendHook ties a part to the life of the program.
+func appendHook(lifecycle fx.Lifecycle, start, stop func(context.Context) error) {
+	lifecycle.Append(fx.Hook{OnStart: start, OnStop: stop})
+}
+
+func newNode(lifecycle fx.Lifecycle, c *Common, log zerolog.Logger) (*node.Node, error) {
+	n, err := node.New(c.Identity, c.Inner, c.InnerTLS, log)
+	if err != nil {
+		return nil, err
+	}
+	appendHook(lifecycle, n.Start, n.Stop)
+	return n, nil
+}
+
+// newStore returns the client of the platform's store and host list.
+func newStore(c *Common) (store.Store, store.HostLister) {
+	client := httpstore.New(c.Store.URL)
+	return client, client
+}
+
+func newMembership(lifecycle fx.Lifecycle, c *Common, n *node.Node, log zerolog.Logger) (*membership.Manager, error) {
+	transport, err := membership.ListenUDP(c.Membership.Listen)
+	if err != nil {
+		return nil, err
+	}
+	manager := membership.New(membership.Options{
+		Self: membership.Member{
+			Process:       c.Identity.Name,
+			Address:       n.Address,
+			GossipAddress: c.Membership.Listen,
+			Role:          c.Identity.Role,
+			Zone:          c.Identity.Zone,
+			Region:        c.Identity.Region,
+			Incarnation:   c.Identity.Incarnation,
+		},
+		Transport: transport,
+		Key:       []byte(c.Membership.Key),
+		Seeds:     func() []string { return c.Membership.Seeds },
+		Log:       log,
+	})
+	appendHook(lifecycle, manager.Start, manager.Stop)
+	return manager, nil
+}
+
+func newConfiguration(lifecycle fx.Lifecycle, s store.Store, n *node.Node, view membership.View, log zerolog.Logger) *configsync.Manager {
+	manager := configsync.New(configsync.Options{Store: s, Pool: n.Pool, View: view, Log: log})
+	manager.Register(n.Server)
+	appendHook(lifecycle, manager.Start, manager.Stop)
+	return manager
+}
+
+// startAdmin serves health, metrics and profiles.
+func startAdmin(lifecycle fx.Lifecycle, c *Common, ready *admin.Readiness, log zerolog.Logger) {
+	server := &http.Server{Handler: admin.NewRouter(ready), ReadHeaderTimeout: 5 * time.Second}
+	serveHTTP(lifecycle, server, c.Admin.Listen, nil, log)
+}
+
+// serveHTTP runs an HTTP server during the life of the program.
+func serveHTTP(lifecycle fx.Lifecycle, server *http.Server, address string, security *tlsconf.Reloader, log zerolog.Logger) {
+	start := func(context.Context) error {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			return fault.Wrap(err, "listen", address)
+		}
+		if security != nil {
+			listener = tls.NewListener(listener, security.Server())
+		}
+		go func() {
+			if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				log.Error().Err(err).Str("address", address).Msg("app: HTTP listener failed")
+			}
+		}()
+		return nil
+	}
+	stop := func(ctx context.Context) error {
+		return fault.Wrap(server.Shutdown(ctx), "finish requests", address)
+	}
+	appendHook(lifecycle, start, stop)
+}
+
+// reloader returns nil when TLS is not configured.
+func reloader(files tlsconf.Files) (*tlsconf.Reloader, error) {
+	if !files.Enabled() {
+		return nil, nil
+	}
+	return tlsconf.NewReloader(files)
+}
+
+// reportRevision passes the configuration's revision to membership.
+func reportRevision(lifecycle fx.Lifecycle, source object.Source, members *membership.Manager) {
+	ctx, cancel := context.WithCancel(context.Background())
+	start := func(context.Context) error {
+		go reportRevisions(ctx, source, members)
+		return nil
+	}
+	stop := func(context.Context) error {
+		cancel()
+		return nil
+	}
+	appendHook(lifecycle, start, stop)
+}
+
+func reportRevisions(ctx context.Context, source object.Source, members *membership.Manager) {
+	for {
+		changed := source.Changed()
+		if set := source.Current(); set != nil {
+			members.SetRevision(set.Revision)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/app/settings.go
@@ -0,0 +1,211 @@
+// Package app assembles the long-running programs from their parts with fx.
+package app
+
+import (
+	"errors"
+	"net"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/node"
+	"github.com/greengagegate/greengagegate/internal/picker"
+	"github.com/greengagegate/greengagegate/internal/router"
+	"github.com/greengagegate/greengagegate/internal/settings"
+	"github.com/greengagegate/greengagegate/internal/tlsconf"
+)
+
+// Store holds the settings of the platform's store.
+type Store struct {
+	// URL is the base address of the store, such as "http://10.0.0.5:7400".
+	URL string `ini:"url,required"`
+}
+
+// Membership holds the settings of the exchange between processes.
+type Membership struct {
+	// Listen is the IP number and UDP port for datagrams.
+	Listen string `ini:"listen,required"`
+	// Seeds are the datagram addresses of some other processes.
+	Seeds []string `ini:"seeds"`
+	// Key is the secret that authenticates datagrams, shared by the fleet.
+	Key string `ini:"key,required"`
+}
+
+// minMembershipKeyBytes keeps keys from being guessed.
+const minMembershipKeyBytes = 16
+
+// Validate implements settings.Validator.
+func (m *Membership) Validate() (string, error) {
+	if len(m.Key) < minMembershipKeyBytes {
+		return "key", errors.New("must be at least 16 bytes long")
+	}
+	for _, seed := range append([]string{m.Listen}, m.Seeds...) {
+		if err := checkAddress(seed); err != nil {
+			return "seeds", err
+		}
+	}
+	return "", nil
+}
+
+// Admin holds the settings of the listener for health, metrics and profiles.
+type Admin struct {
+	Listen string `ini:"listen,required"`
+}
+
+// Validate implements settings.Validator.
+func (a *Admin) Validate() (string, error) { return "listen", checkAddress(a.Listen) }
+
+// Stop holds the settings of a graceful stop.
+type Stop struct {
+	// DrainDelay is how long a stopping process still accepts new work, so that
+	// balancers and routers can notice.
+	DrainDelay time.Duration `ini:"drain_delay"`
+	// Timeout bounds the whole stop.
+	Timeout time.Duration `ini:"timeout"`
+}
+
+// Validate implements settings.Validator.
+func (s *Stop) Validate() (string, error) {
+	if s.Timeout <= s.DrainDelay {
+		return "timeout", errors.New("must be longer than drain_delay")
+	}
+	return "", nil
+}
+
+func defaultStop() Stop {
+	return Stop{DrainDelay: 3 * time.Second, Timeout: 150 * time.Second}
+}
+
+// Common holds the settings that routers and agents share.
+type Common struct {
+	Identity   node.Identity
+	Inner      node.Inner
+	InnerTLS   tlsconf.Files
+	Store      Store
+	Membership Membership
+	Admin      Admin
+	Stop       Stop
+}
+
+func (c *Common) sections(identity string) []settings.Section {
+	return []settings.Section{
+		{Name: identity, Target: &c.Identity},
+		{Name: "inner", Target: &c.Inner},
+		{Name: "inner_tls", Target: &c.InnerTLS},
+		{Name: "store", Target: &c.Store},
+		{Name: "membership", Target: &c.Membership},
+		{Name: "admin", Target: &c.Admin},
+		{Name: "stop", Target: &c.Stop},
+	}
+}
+
+// StopTimeout bounds a graceful stop.
+func (c *Common) StopTimeout() time.Duration { return c.Stop.Timeout }
+
+// Operators holds the settings of the operators' API.
+type Operators struct {
+	Listen string `ini:"listen,required"`
+}
+
+// Validate implements settings.Validator.
+func (o *Operators) Validate() (string, error) { return "listen", checkAddress(o.Listen) }
+
+// Placement holds the settings of the choice of upstreams.
+type Placement struct {
+	// Policy is one of random, least-loaded, hash, probe-all and prefix.
+	Policy string `ini:"policy"`
+	// Import allows copying cache blocks from the KV store.
+	Import bool `ini:"import"`
+	// ZoneDelay is the round trip to another zone.
+	ZoneDelay time.Duration `ini:"zone_delay"`
+}
+
+// Validate implements settings.Validator.
+func (p *Placement) Validate() (string, error) {
+	_, err := picker.New(picker.Options{Policy: p.Policy})
+	return "policy", err
+}
+
+// RouterSettings holds all settings of a router.
+type RouterSettings struct {
+	Common
+	CallersListen CallersListen
+	Limits        router.Limits
+	CallersTLS    tlsconf.Files
+	Operators     Operators
+	OperatorsTLS  tlsconf.Files
+	Placement     Placement
+}
+
+// CallersListen holds the address of the callers' listener.
+type CallersListen struct {
+	Listen string `ini:"listen,required"`
+}
+
+// Validate implements settings.Validator.
+func (c *CallersListen) Validate() (string, error) { return "listen", checkAddress(c.Listen) }
+
+// NewRouterSettings returns the settings with their defaults.
+func NewRouterSettings() *RouterSettings {
+	return &RouterSettings{
+		Common:    Common{Stop: defaultStop()},
+		Limits:    router.DefaultLimits(),
+		Placement: Placement{Policy: picker.PolicyPrefix, Import: true, ZoneDelay: time.Millisecond},
+	}
+}
+
+// Sections binds the settings to a file's sections.
+func (s *RouterSettings) Sections() []settings.Section {
+	return append(
+		s.sections("router"),
+		settings.Section{Name: "callers", Target: &s.CallersListen},
+		settings.Section{Name: "limits", Target: &s.Limits},
+		settings.Section{Name: "callers_tls", Target: &s.CallersTLS},
+		settings.Section{Name: "operators", Target: &s.Operators},
+		settings.Section{Name: "operators_tls", Target: &s.OperatorsTLS},
+		settings.Section{Name: "placement", Target: &s.Placement},
+	)
+}
+
+// Upstream holds the settings of the upstream beside an agent.
+type Upstream struct {
+	// Name is the Upstream object's name.
+	Name string `ini:"name,required"`
+	// Kind is engine or service.
+	Kind string `ini:"kind,required"`
+	// URL is the upstream's base address on the host.
+	URL string `ini:"url,required"`
+}
+
+// Validate implements settings.Validator.
+func (u *Upstream) Validate() (string, error) {
+	if u.Kind != "engine" && u.Kind != "service" {
+		return "kind", errors.New("must be engine or service")
+	}
+	return "", nil
+}
+
+// AgentSettings holds all settings of an agent.
+type AgentSettings struct {
+	Common
+	Upstream Upstream
+}
+
+// NewAgentSettings returns the settings with their defaults.
+func NewAgentSettings() *AgentSettings {
+	return &AgentSettings{Common: Common{Stop: defaultStop()}}
+}
+
+// Sections binds the settings to a file's sections.
+func (s *AgentSettings) Sections() []settings.Section {
+	return append(s.sections("agent"), settings.Section{Name: "upstream", Target: &s.Upstream})
+}
+
+func checkAddress(address string) error {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return err
+	}
+	if net.ParseIP(host) == nil {
+		return errors.New("not an IP number: " + host)
+	}
+	return nil
+}
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,132 @@
+#!/usr/bin/env bash
+# Demonstrates the whole path on loopback: stand-ins, three routers in three
+# zones, agents beside four engines and two plain services. Exits non-zero when
+# any step failed. Everything that it starts is stopped by process id.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+readonly demo=examples/demo
+readonly operators=http://127.0.1.1:7550
+readonly readiness_seconds=20
+readonly withdrawal_limit_ms=3000
+logs=$(mktemp -d)
+names=()
+pids=()
+
+step() { printf '\n== %s\n' "$*"; }
+
+fail() {
+  echo "demo: FAILED: $*" >&2
+  tail -n 5 "$logs"/*.log >&2 || true
+  exit 1
+}
+
+start() { # name program settings
+  "bin/$2" -config "$demo/$3" >"$logs/$1.log" 2>&1 &
+  names+=("$1")
+  pids+=($!)
+}
+
+kill_all() {
+  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+  rm -rf "$logs"
+}
+trap kill_all EXIT
+
+await() { # url description
+  local deadline=$((SECONDS + readiness_seconds))
+  until curl -sf -o /dev/null "$1"; do
+    [ "$SECONDS" -lt "$deadline" ] || fail "$2 not ready"
+    sleep 0.1
+  done
+}
+
+now_ms() { date +%s%3N; }
+
+# Sends a prompt whose answer is streamed.
+prompt() { # router_ip key max_tokens
+  curl -sSf -N --retry 5 --max-time 60 -H "Authorization: Bearer $2" \
+    -d "{\"model\":\"harbour-7b\",\"prompt\":\"$long_prompt\",\"max_tokens\":$3,\"stream\":true,\"stream_options\":{\"include_usage\":true}}" \
+    "http://$1:7500/v1/completions"
+}
+
+# Posts a charge; the answer's header goes to a file.
+charge() { # router_ip idempotency_key header_file
+  curl -sSf -D "$3" --retry 5 --max-time 20 -H 'Authorization: Bearer demo-agent-key' -H "Idempotency-Key: $2" \
+    -H 'Content-Type: application/json' -d '{"id":"berth-17","account":"vessel-9","amount":125}' \
+    "http://$1:7500/charges"
+}
+
+long_prompt=$(printf 'harbour tariff rules %.0s' {1..1200})
+
+step "starting stand-ins, agents and routers"
+start standin greengage-standin standin.ini
+await http://127.0.0.1:7409/healthz stand-ins
+for agent in engine-1 engine-2 engine-3 engine-4 billing-1 billing-2; do
+  start "agent-$agent" greengage-agent "agent-$agent.ini"
+done
+for router in router-a router-b router-c; do start "$router" greengage-router "$router.ini"; done
+for zone in 1 2 3; do await "http://127.0.$zone.1:7800/healthz" "router in zone $zone"; done
+
+step "publishing $demo/config"
+bin/greengagectl publish -server "$operators" "$demo/config" || fail "publish"
+for zone in 1 2 3; do await "http://127.0.$zone.1:7800/readyz" "router in zone $zone"; done
+
+step "a streamed prompt through router-a, then the same through router-b"
+for ip in 127.0.1.1 127.0.2.1; do
+  prompt "$ip" demo-agent-key 8 >"$logs/stream" || fail "prompt through $ip"
+  grep -q '^data: \[DONE\]' "$logs/stream" || fail "stream through $ip is not whole: $(cat "$logs/stream")"
+  head -n 1 "$logs/stream"
+  grep -o '"usage":.*' "$logs/stream"
+done
+
+step "a charge through router-b, and its repeat through router-c"
+charge 127.0.2.1 charge-1 "$logs/header-1" >"$logs/charge-1" || fail "charge"
+charge 127.0.3.1 charge-1 "$logs/header-2" >"$logs/charge-2" || fail "repeated charge"
+for answer in "$logs/charge-1" "$logs/charge-2"; do
+  cat "$answer"
+  echo
+done
+cmp -s "$logs/charge-1" "$logs/charge-2" || fail "the repeat got another answer than the first call"
+grep -qi '^X-Greengage-Replayed: true' "$logs/header-2" || fail "the repeat was not answered from the first call"
+
+step "withdrawing a key during a running stream"
+prompt 127.0.3.1 demo-pilot-key 4000 >"$logs/withdrawn" &
+stream=$!
+deadline=$((SECONDS + readiness_seconds))
+until grep -q '^data:' "$logs/withdrawn"; do
+  [ "$SECONDS" -lt "$deadline" ] || fail "the stream did not start"
+  sleep 0.1
+done
+mkdir "$logs/edit"
+sed 's/state: active/state: withdrawn/' >"$logs/edit/key.yaml" <<EOF
+kind: Key
+name: pilot-1
+spec:
+  customer: pilots
+  sha256: $(printf demo-pilot-key | sha256sum | cut -d' ' -f1)
+  state: active
+EOF
+began=$(now_ms)
+bin/greengagectl publish -server "$operators" "$logs/edit" || fail "withdrawal"
+wait "$stream" || fail "the stream broke without an answer"
+took=$(($(now_ms) - began))
+grep -q 'event: error' "$logs/withdrawn" || fail "the stream went on to its end"
+tail -n 3 "$logs/withdrawn"
+echo "the stream of the withdrawn key stopped ${took} ms after the withdrawal was sent"
+[ "$took" -lt "$withdrawal_limit_ms" ] || fail "the withdrawal took too long"
+status=$(curl -s -o /dev/null -w '%{http_code}' -H 'Authorization: Bearer demo-pilot-key' -d '{"model":"harbour-7b","prompt":"x"}' http://127.0.1.1:7500/v1/completions)
+[ "$status" = 401 ] || fail "a withdrawn key was answered with $status"
+
+step "status"
+bin/greengagectl status -server "$operators" || fail "status"
+
+step "stopping all, newest first"
+for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
+  kill -TERM "${pids[i]}"
+done
+for i in "${!pids[@]}"; do
+  wait "${pids[i]}" || fail "${names[i]} did not stop gracefully"
+done
+pids=()
+echo "all processes stopped gracefully"
