--- /dev/null
+++ b/internal/admission/adapters.go
@@ -0,0 +1,121 @@
+package admission
+
+import (
+	"sync"
+
+	"github.com/greengagegate/greengagegate/internal/object"
+	"github.com/greengagegate/greengagegate/lease"
+	"github.com/greengagegate/greengagegate/membership"
+	"github.com/greengagegate/greengagegate/quota"
+)
+
+// limits implements quota.Config over the configuration in force.
+type limits struct {
+	source object.Source
+
+	mu        sync.Mutex
+	set       *object.Set
+	customers []quota.CustomerID
+	byID      map[quota.CustomerID]quota.Limit
+}
+
+// current returns the set in force, or nil, and keeps the limits in step with it.
+func (l *limits) current() *object.Set {
+	set := l.source.Current()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if set == l.set || set == nil {
+		return set
+	}
+	l.set = set
+	l.customers = make([]quota.CustomerID, 0, len(set.Customers))
+	l.byID = make(map[quota.CustomerID]quota.Limit, len(set.Customers))
+	for name, customer := range set.Customers {
+		id := quota.IDOf(name)
+		l.customers = append(l.customers, id)
+		l.byID[id] = quota.Limit{Rate: customer.Rate, Burst: customer.Burst}
+	}
+	return set
+}
+
+// Limit implements quota.Config.
+func (l *limits) Limit(customer quota.CustomerID) (quota.Limit, bool) {
+	l.current()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit, ok := l.byID[customer]
+	return limit, ok
+}
+
+// Revision implements quota.Config.
+func (l *limits) Revision() uint64 {
+	if set := l.current(); set != nil {
+		return set.Revision
+	}
+	return 0
+}
+
+// Customers implements quota.Config.
+func (l *limits) Customers() []quota.CustomerID {
+	l.current()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.customers
+}
+
+// Slots implements quota.Config. It is zero until a configuration has arrived.
+func (l *limits) Slots() int {
+	set := l.current()
+	if set == nil {
+		return 0
+	}
+	return max(1, set.Fleet.EntrySlots)
+}
+
+// Fresh implements quota.Config.
+func (l *limits) Fresh() bool { return l.source.Fresh() }
+
+// directory implements quota.Directory over membership and the slots.
+type directory struct {
+	view  membership.View
+	slots *lease.Slots
+}
+
+// Routers implements quota.Directory.
+func (d *directory) Routers() []quota.Router {
+	var routers []quota.Router
+	for _, member := range d.view.Members() {
+		if member.Role == membership.RoleRouter && member.State == membership.StateAlive {
+			routers = append(routers, quota.Router{Address: member.Address, Region: member.Region})
+		}
+	}
+	return routers
+}
+
+// Holder implements quota.Directory.
+func (d *directory) Holder(slot int) string { return d.slots.Holder(slot) }
+
+// Slots implements quota.Directory.
+func (d *directory) Slots() []quota.SlotRecord {
+	var records []quota.SlotRecord
+	for _, record := range d.slots.Known() {
+		records = append(records, quota.SlotRecord{
+			SlotEpoch: quota.SlotEpoch{Index: record.Index, Epoch: record.Epoch},
+			Holder:    record.Address,
+		})
+	}
+	return records
+}
+
+// Held implements quota.Directory.
+func (d *directory) Held() []quota.HeldSlot {
+	var held []quota.HeldSlot
+	for _, tenure := range d.slots.Held() {
+		held = append(held, quota.HeldSlot{
+			SlotEpoch: quota.SlotEpoch{Index: tenure.Index, Epoch: tenure.Epoch},
+			Since:     tenure.Since,
+			Unused:    tenure.Unused,
+		})
+	}
+	return held
+}
--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -10,22 +10,27 @@
 	"github.com/greengagegate/greengagegate/internal/object"
 )
 
-// Code says why a request was refused.
-type Code string
-
 // The codes of refusals. None of the refused requests has run.
 const (
 	// CodeRateLimited asks the caller to come back after RetryAfter.
-	CodeRateLimited Code = "rate_limited"
+	CodeRateLimited = "rate_limited"
 	// CodeAboveBurst means that the request can never be admitted: it costs more than the customer's burst.
-	CodeAboveBurst Code = "cost_above_burst"
+	CodeAboveBurst = "cost_above_burst"
 	// CodeCanceled means that the caller left while the request waited.
-	CodeCanceled Code = "canceled"
+	CodeCanceled = "canceled"
+	// CodeNoLimit means that the configuration in force has no such customer.
+	CodeNoLimit = "no_limit"
+	// CodeNoPool means that no router that grants tokens could be reached.
+	CodeNoPool = "no_pool"
+	// CodeStopping means that this router has not begun to admit, or is stopping.
+	CodeStopping = "admission_stopped"
 )
 
 // Refusal is the error of a request that was not admitted and has not run.
 type Refusal struct {
-	Code       Code
+	// Code is one of the codes above.
+	Code string
+	// RetryAfter is zero when the request can never be admitted.
 	RetryAfter time.Duration
 	Message    string
 }
--- a/internal/admission/manager.go
+++ b/internal/admission/manager.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
-	"sync"
+	"errors"
 	"time"
 
+	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/object"
+	"github.com/greengagegate/greengagegate/internal/quotalink"
 	"github.com/greengagegate/greengagegate/internal/wire"
+	"github.com/greengagegate/greengagegate/lease"
 	"github.com/greengagegate/greengagegate/membership"
+	"github.com/greengagegate/greengagegate/quota"
 	"github.com/greengagegate/greengagegate/store"
 	"github.com/rs/zerolog"
 )
@@ -29,70 +33,107 @@
 // Manager is the Controller of a router.
 type Manager struct {
 	options Options
-
-	mu     sync.Mutex
-	levels map[string]*localBucket
-}
-
-// localBucket is this router's fixed part of a customer's limit.
-type localBucket struct {
-	tokens float64
-	at     time.Time
+	limits  *limits
+	slots   *lease.Slots
+	server  *quotalink.Server
+	quota   *quota.Manager
+	cancel  context.CancelFunc
 }
 
 // New returns a manager that admits nothing until Start.
 func New(options Options) *Manager {
-	return &Manager{options: options, levels: make(map[string]*localBucket)}
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &Manager{options: options, limits: &limits{source: options.Source}, cancel: cancel}
+	m.slots = lease.NewSlots(lease.Options{
+		Store:   options.Store,
+		Lister:  options.Lister,
+		Address: options.Address,
+		Count:   m.limits.Slots,
+		Alive:   m.alive,
+		Peers:   m.peerSlots,
+		Log:     options.Log,
+	})
+	m.quota = quota.New(quota.Options{
+		Address:   options.Address,
+		Region:    options.Region,
+		Transport: quotalink.NewTransport(ctx, options.Pool),
+		Directory: &directory{view: options.View, slots: m.slots},
+		Config:    m.limits,
+		Log:       options.Log,
+	})
+	m.server = quotalink.NewServer(m.quota.Handle)
+	return m
 }
 
 // Register adds the handlers of the inner protocol. It is called before the server serves.
-func (m *Manager) Register(*wire.Server) {}
+func (m *Manager) Register(server *wire.Server) { m.server.Register(server) }
 
 // Start begins to take part in lending. It does not wait for the store or for peers.
-func (m *Manager) Start(context.Context) error { return nil }
+func (m *Manager) Start(context.Context) error {
+	m.slots.Start()
+	m.quota.Start()
+	return nil
+}
 
-// Stop returns what was lent and admits nothing more. It blocks until the peers
-// have answered or ctx ends.
-func (m *Manager) Stop(context.Context) error { return nil }
+// Stop refuses further requests, returns what was lent, and leaves this
+// router's shares with a peer. It blocks until the peers have answered or ctx ends.
+func (m *Manager) Stop(ctx context.Context) error {
+	m.quota.Stop(ctx)
+	m.slots.Stop()
+	m.server.Close()
+	m.cancel()
+	return nil
+}
 
-// Admit implements Controller with a fixed part of the limit for each entry slot.
-func (m *Manager) Admit(_ context.Context, customer *object.Customer, tokens int64) (Ticket, error) {
-	if float64(tokens) > customer.Burst {
-		return nil, &Refusal{Code: CodeAboveBurst, Message: "the request costs more than the customer's burst"}
+// Admit implements Controller.
+func (m *Manager) Admit(ctx context.Context, customer *object.Customer, tokens int64) (Ticket, error) {
+	name := customer.Name
+	ticket, err := m.quota.Admit(ctx, quota.IDOf(name), tokens)
+	if err != nil {
+		metrics.Counter("admission.refused", "customer", name).Inc(1)
+		return nil, refusalOf(err)
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	bucket, part := m.refill(customer)
-	if bucket.tokens < float64(tokens) {
-		missing := (float64(tokens) - bucket.tokens) / (customer.Rate * part)
-		return nil, &Refusal{
-			Code:       CodeRateLimited,
-			RetryAfter: time.Duration(missing * float64(time.Second)),
-			Message:    "the customer's rate is used up",
-		}
+	metrics.Counter("admission.admitted", "customer", name).Inc(1)
+	metrics.Counter("admission.admitted_tokens", "customer", name).Inc(tokens)
+	if ticket.Waited > 0 {
+		metrics.Histogram("admission.wait_us", "customer", name).Update(ticket.Waited.Microseconds())
 	}
-	bucket.tokens -= float64(tokens)
-	return fixedTicket{}, nil
+	return ticket, nil
 }
 
-func (m *Manager) refill(customer *object.Customer) (*localBucket, float64) {
-	part := 1.0
-	if set := m.options.Source.Current(); set != nil && set.Fleet.EntrySlots > 0 {
-		part = 1 / float64(set.Fleet.EntrySlots)
-	}
-	now := time.Now()
-	bucket := m.levels[customer.Name]
-	if bucket == nil {
-		bucket = &localBucket{at: now}
-		m.levels[customer.Name] = bucket
+// refusalOf converts a refusal of package quota.
+func refusalOf(err error) *Refusal {
+	var refusal *quota.Refusal
+	if !errors.As(err, &refusal) {
+		return &Refusal{Code: CodeRateLimited, RetryAfter: time.Second, Message: err.Error()}
 	}
-	bucket.tokens += now.Sub(bucket.at).Seconds() * customer.Rate * part
-	bucket.tokens = min(bucket.tokens, customer.Burst*part)
-	bucket.at = now
-	return bucket, part
+	return &Refusal{Code: codes[refusal.Reason], RetryAfter: refusal.RetryAfter, Message: refusal.Message}
 }
 
-type fixedTicket struct{}
+var codes = map[quota.Reason]string{
+	quota.ReasonShort:      CodeRateLimited,
+	quota.ReasonAboveBurst: CodeAboveBurst,
+	quota.ReasonNoLimit:    CodeNoLimit,
+	quota.ReasonNoPool:     CodeNoPool,
+	quota.ReasonCanceled:   CodeCanceled,
+	quota.ReasonStopped:    CodeStopping,
+}
 
-// Settle implements Ticket. A fixed part takes nothing back.
-func (fixedTicket) Settle(int64) {}
+// alive reports whether membership sees a process at an address.
+func (m *Manager) alive(address string) bool {
+	for _, member := range m.options.View.Members() {
+		if member.Address == address && member.State == membership.StateAlive {
+			return true
+		}
+	}
+	return false
+}
+
+// peerSlots returns what other routers know of the slots.
+func (m *Manager) peerSlots(ctx context.Context) []lease.Record {
+	var records []lease.Record
+	for _, slot := range m.quota.PeerSlots(ctx) {
+		records = append(records, lease.Record{Index: slot.Index, Address: slot.Holder, Epoch: slot.Epoch})
+	}
+	return records
+}
--- /dev/null
+++ b/internal/quotalink/convert.go
@@ -0,0 +1,128 @@
+package quotalink
+
+import (
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
+	"github.com/greengagegate/greengagegate/quota"
+)
+
+// EncodeRequest converts a request to its wire form.
+func EncodeRequest(number uint64, r *quota.Request) *wirepb.QuotaRequest {
+	out := &wirepb.QuotaRequest{Number: number, Tier: wirepb.QuotaTier(r.Tier), Deposit: encodeDeposit(r.Deposit)}
+	for i := range r.Asks {
+		out.Asks = append(out.Asks, encodeAsk(&r.Asks[i]))
+	}
+	return out
+}
+
+// DecodeRequest converts a request from its wire form.
+func DecodeRequest(in *wirepb.QuotaRequest, borrower uint64) *quota.Request {
+	r := &quota.Request{Tier: quota.Tier(in.Tier), Borrower: borrower, Deposit: decodeDeposit(in.Deposit)}
+	for _, ask := range in.Asks {
+		r.Asks = append(r.Asks, decodeAsk(ask))
+	}
+	return r
+}
+
+func encodeAsk(a *quota.Ask) *wirepb.QuotaAsk {
+	return &wirepb.QuotaAsk{
+		Customer: uint64(a.Customer), Seq: a.Seq, Want: a.Want, Extra: a.Extra, Holding: a.Holding,
+		Returned: a.Returned, Refund: a.Refund, RefundSince: encodeInstant(a.RefundSince),
+	}
+}
+
+func decodeAsk(a *wirepb.QuotaAsk) quota.Ask {
+	return quota.Ask{
+		Customer: quota.CustomerID(a.Customer), Seq: a.Seq, Want: a.Want, Extra: a.Extra, Holding: a.Holding,
+		Returned: a.Returned, Refund: a.Refund, RefundSince: decodeInstant(a.RefundSince),
+	}
+}
+
+func encodeInstant(i quota.Instant) *wirepb.QuotaInstant {
+	if i.Life == 0 {
+		return nil
+	}
+	return &wirepb.QuotaInstant{Life: i.Life, Micros: i.Micros}
+}
+
+func decodeInstant(i *wirepb.QuotaInstant) quota.Instant {
+	return quota.Instant{Life: i.GetLife(), Micros: i.GetMicros()}
+}
+
+// EncodeReply converts a reply to its wire form.
+func EncodeReply(number uint64, r *quota.Reply) *wirepb.QuotaReply {
+	out := &wirepb.QuotaReply{
+		Number: number, Clock: encodeInstant(r.Clock), Deposit: encodeDeposit(r.Deposit), AgeUs: r.Age.Microseconds(),
+	}
+	for _, a := range r.Answers {
+		out.Answers = append(out.Answers, &wirepb.QuotaAnswer{
+			Granted: a.Granted, Renewed: a.Renewed, Left: a.Left, WaitUs: a.Wait.Microseconds(),
+		})
+	}
+	for _, s := range r.Slots {
+		out.Slots = append(out.Slots, encodeSlot(s))
+	}
+	return out
+}
+
+// DecodeReply converts a reply from its wire form.
+func DecodeReply(in *wirepb.QuotaReply) *quota.Reply {
+	r := &quota.Reply{
+		Clock: decodeInstant(in.Clock), Deposit: decodeDeposit(in.Deposit),
+		Age: time.Duration(in.AgeUs) * time.Microsecond,
+	}
+	for _, a := range in.Answers {
+		r.Answers = append(r.Answers, quota.Answer{
+			Granted: a.Granted, Renewed: a.Renewed, Left: a.Left, Wait: time.Duration(a.WaitUs) * time.Microsecond,
+		})
+	}
+	for _, s := range in.Slots {
+		r.Slots = append(r.Slots, decodeSlot(s))
+	}
+	return r
+}
+
+func encodeSlot(s quota.SlotRecord) *wirepb.QuotaSlot {
+	return &wirepb.QuotaSlot{Index: int32(s.Index), Epoch: s.Epoch, Holder: s.Holder}
+}
+
+func decodeSlot(s *wirepb.QuotaSlot) quota.SlotRecord {
+	return quota.SlotRecord{SlotEpoch: quota.SlotEpoch{Index: int(s.Index), Epoch: s.Epoch}, Holder: s.Holder}
+}
+
+func encodeDeposit(d *quota.Deposit) *wirepb.QuotaDeposit {
+	if d == nil {
+		return nil
+	}
+	out := &wirepb.QuotaDeposit{Holder: d.Holder}
+	for _, s := range d.Slots {
+		out.Slots = append(out.Slots, &wirepb.QuotaSlot{Index: int32(s.Index), Epoch: s.Epoch})
+	}
+	for _, s := range d.Shares {
+		share := &wirepb.QuotaShare{Customer: uint64(s.Customer), Level: s.Level}
+		for _, l := range s.Loans {
+			share.Loans = append(share.Loans, &wirepb.QuotaLoan{Borrower: l.Borrower, Seq: l.Seq, Tokens: l.Tokens})
+		}
+		out.Shares = append(out.Shares, share)
+	}
+	return out
+}
+
+func decodeDeposit(in *wirepb.QuotaDeposit) *quota.Deposit {
+	if in == nil {
+		return nil
+	}
+	d := &quota.Deposit{Holder: in.Holder}
+	for _, s := range in.Slots {
+		d.Slots = append(d.Slots, quota.SlotEpoch{Index: int(s.Index), Epoch: s.Epoch})
+	}
+	for _, s := range in.Shares {
+		share := quota.ShareState{Customer: quota.CustomerID(s.Customer), Level: s.Level}
+		for _, l := range s.Loans {
+			share.Loans = append(share.Loans, quota.Loan{Borrower: l.Borrower, Seq: l.Seq, Tokens: l.Tokens})
+		}
+		d.Shares = append(d.Shares, share)
+	}
+	return d
+}
--- /dev/null
+++ b/lease/slots.go
@@ -0,0 +1,481 @@
+// Package lease keeps claims that processes hold through the platform's store.
+//
+// Slots hands out a small number of numbered slots to hosts. A slot does not
+// lapse with time, so that an outage of the store ends no tenure; it moves only
+// when the platform's list of hosts has dropped its holder for a while. Lease is
+// a lease with a term for work that may lapse.
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/greengagegate/greengagegate/store"
+	"github.com/rs/zerolog"
+)
+
+const (
+	slotPrefix = "slots/entry/"
+	layoutKey  = "slots/layout"
+
+	// steadyInterval, searchInterval and idleInterval space the reads of the
+	// slots: with nothing to look for, while a slot may be had, and before the
+	// number of slots is known.
+	steadyInterval = 30 * time.Second
+	searchInterval = time.Second
+	idleInterval   = 50 * time.Millisecond
+	tickInterval   = time.Second
+	storeTimeout   = 2 * time.Second
+
+	// DefaultReclaimAfter is how long the platform must have dropped a host
+	// before its slots are taken.
+	DefaultReclaimAfter = 60 * time.Second
+	// DefaultExtraAfter is how long a slot stays free before a process that has one takes it too.
+	DefaultExtraAfter = 20 * time.Second
+)
+
+// Record is a slot as the store has it.
+type Record struct {
+	Index int `json:"-"`
+	// Address is the host address of the holder, an IP number and port.
+	Address string `json:"address"`
+	// Life names the life of the holding process.
+	Life uint64 `json:"life"`
+	// Epoch grows by one with each tenure.
+	Epoch uint64 `json:"epoch"`
+
+	version int64
+}
+
+// Tenure is a slot that this process holds.
+type Tenure struct {
+	Index int
+	Epoch uint64
+	// Since is when it was taken, on this process's clock.
+	Since time.Time
+	// Unused says that nobody ever held the slot before.
+	Unused bool
+}
+
+// Options configures Slots. Store, Lister, Address and Count are required.
+type Options struct {
+	Store   store.Store
+	Lister  store.HostLister
+	Address string
+	// Count returns the number of slots; zero while it is not known.
+	Count func() int
+	// Alive reports whether a process at an address is known to be alive. Its slots are left alone.
+	Alive func(address string) bool
+	// Peers returns what other processes know of the slots. It is asked while the store is away.
+	Peers func(ctx context.Context) []Record
+	Log   zerolog.Logger
+	// Now reads the monotonic clock; time.Now when nil.
+	Now          func() time.Time
+	ReclaimAfter time.Duration
+	ExtraAfter   time.Duration
+}
+
+// Slots takes and keeps slots for this process. It is safe for concurrent use.
+type Slots struct {
+	options Options
+	life    uint64
+
+	mu      sync.Mutex
+	known   map[int]Record
+	held    map[int]Tenure
+	dropped map[string]time.Time
+	free    map[int]time.Time
+	// tickedAt is when the process last showed that it runs.
+	tickedAt time.Time
+	// unsure is set after a pause, until the store has confirmed the tenures.
+	unsure bool
+
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+}
+
+// NewSlots returns a Slots that holds nothing before Start.
+func NewSlots(options Options) *Slots {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.ReclaimAfter <= 0 {
+		options.ReclaimAfter = DefaultReclaimAfter
+	}
+	if options.ExtraAfter <= 0 {
+		options.ExtraAfter = DefaultExtraAfter
+	}
+	return &Slots{
+		options: options,
+		life:    rand.Uint64() | 1,
+		known:   make(map[int]Record),
+		held:    make(map[int]Tenure),
+		dropped: make(map[string]time.Time),
+		free:    make(map[int]time.Time),
+	}
+}
+
+// Start begins to look for slots. It does not block.
+func (s *Slots) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel = cancel
+	s.tick()
+	s.tasks.Go(func() { s.run(ctx) })
+	s.tasks.Go(func() { s.runTicks(ctx) })
+}
+
+// Stop ends the work. The slots stay with this address, for its next life.
+func (s *Slots) Stop() {
+	s.cancel()
+	s.tasks.Wait()
+}
+
+func (s *Slots) runTicks(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.tick()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// tick notes that the process runs, and a pause that lasted too long.
+func (s *Slots) tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Now()
+	s.notePause(now)
+	s.tickedAt = now
+}
+
+// notePause marks the tenures as unsure when the process has not run for so long
+// that others may have taken its slots; s.mu is held.
+func (s *Slots) notePause(now time.Time) {
+	if !s.tickedAt.IsZero() && now.Sub(s.tickedAt) > s.options.ReclaimAfter/2 {
+		s.unsure = true
+	}
+}
+
+// Held returns the tenures that may be used now: none after a pause that others
+// may have taken for the end of this host, until the store confirms them.
+func (s *Slots) Held() []Tenure {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notePause(s.options.Now())
+	if s.unsure {
+		return nil
+	}
+	held := make([]Tenure, 0, len(s.held))
+	for _, tenure := range s.held {
+		held = append(held, tenure)
+	}
+	return held
+}
+
+// Known returns the holders of slots as last seen.
+func (s *Slots) Known() []Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	records := make([]Record, 0, len(s.known))
+	for _, record := range s.known {
+		records = append(records, record)
+	}
+	return records
+}
+
+// Holder returns the address of the holder of a slot as last seen, or "".
+func (s *Slots) Holder(index int) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known[index].Address
+}
+
+func (s *Slots) run(ctx context.Context) {
+	for {
+		interval := s.round(ctx)
+		interval += time.Duration(rand.Int64N(int64(interval / 4)))
+		select {
+		case <-time.After(interval):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// round reads the slots and takes what it may. It returns when to look again.
+func (s *Slots) round(ctx context.Context) time.Duration {
+	count := s.options.Count()
+	if count == 0 {
+		return idleInterval
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if err := s.refresh(ctx); err != nil {
+		s.options.Log.Warn().Err(err).Msg("lease: slots not read")
+		s.resume(ctx)
+		return searchInterval
+	}
+	s.takeOwn(ctx)
+	if s.hasFree(count) {
+		s.takeFree(ctx, count)
+	}
+	if s.hasSilent() {
+		s.reclaim(ctx, count)
+	}
+	if len(s.Held()) == 0 || s.hasFree(count) || s.hasSilent() {
+		return searchInterval
+	}
+	return steadyInterval
+}
+
+// refresh reads all slots, and gives up tenures that the store gives to others.
+func (s *Slots) refresh(ctx context.Context) error {
+	objects, _, err := s.options.Store.List(ctx, slotPrefix)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, object := range objects {
+		record, err := parse(object)
+		if err != nil {
+			s.options.Log.Error().Err(err).Str("key", object.Key).Msg("lease: slot is unreadable")
+			continue
+		}
+		s.known[record.Index] = record
+		s.confirm(record)
+	}
+	s.unsure = false
+	return nil
+}
+
+// confirm compares a record with this process's tenures; s.mu is held.
+func (s *Slots) confirm(record Record) {
+	tenure, held := s.held[record.Index]
+	if record.Life == s.life && !held {
+		s.held[record.Index] = Tenure{Index: record.Index, Epoch: record.Epoch, Since: s.options.Now(), Unused: false}
+		return
+	}
+	resumed := held && record.Address == s.options.Address && record.Epoch < tenure.Epoch
+	if held && record.Life != s.life && !resumed {
+		delete(s.held, record.Index)
+		s.options.Log.Warn().Int("slot", record.Index).Str("peer", record.Address).Msg("lease: slot was taken")
+	}
+}
+
+func parse(object store.Object) (Record, error) {
+	var record Record
+	index, err := strconv.Atoi(strings.TrimPrefix(object.Key, slotPrefix))
+	if err != nil {
+		return record, err
+	}
+	if err := json.Unmarshal(object.Value, &record); err != nil {
+		return record, err
+	}
+	record.Index = index
+	record.version = object.Version
+	return record, nil
+}
+
+// takeOwn starts a new tenure of each slot that belongs to this address's former life.
+func (s *Slots) takeOwn(ctx context.Context) {
+	for _, record := range s.Known() {
+		if record.Address == s.options.Address && record.Life != s.life {
+			s.take(ctx, record, false)
+		}
+	}
+}
+
+// takeFree takes one slot that nobody ever held.
+func (s *Slots) takeFree(ctx context.Context, count int) {
+	start := int(hash(s.options.Address) % uint64(count))
+	for i := range count {
+		index := (start + i) % count
+		if !s.mayTakeFree(index) {
+			continue
+		}
+		unused := s.original(ctx, count)
+		if s.take(ctx, Record{Index: index, version: store.VersionAbsent}, unused) {
+			return
+		}
+	}
+}
+
+// mayTakeFree reports whether a slot has no holder and this process may take it:
+// at once if it has none, later if it has one already.
+func (s *Slots) mayTakeFree(index int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, known := s.known[index]; known {
+		delete(s.free, index)
+		return false
+	}
+	now := s.options.Now()
+	if s.free[index].IsZero() {
+		s.free[index] = now
+	}
+	return len(s.held) == 0 || now.Sub(s.free[index]) >= s.options.ExtraAfter
+}
+
+// original reports whether the number of slots is the one that the fleet began
+// with. Only then can a slot without a record never have been part of a share.
+func (s *Slots) original(ctx context.Context, count int) bool {
+	value := []byte(strconv.Itoa(count))
+	_, err := s.options.Store.Put(ctx, layoutKey, value, store.VersionAbsent)
+	if err == nil {
+		return true
+	}
+	object, err := s.options.Store.Get(ctx, layoutKey)
+	return err == nil && string(object.Value) == string(value)
+}
+
+// take begins a tenure by conditional update. It reports whether the slot is held.
+func (s *Slots) take(ctx context.Context, former Record, unused bool) bool {
+	record := Record{Index: former.Index, Address: s.options.Address, Life: s.life, Epoch: former.Epoch + 1}
+	value, err := json.Marshal(record)
+	if err != nil {
+		return false
+	}
+	version, err := s.options.Store.Put(ctx, slotPrefix+strconv.Itoa(record.Index), value, former.version)
+	if err != nil && !errors.Is(err, store.ErrConflict) {
+		s.options.Log.Warn().Err(err).Int("slot", record.Index).Msg("lease: slot not taken")
+	}
+	if err != nil {
+		return false
+	}
+	record.version = version
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.known[record.Index] = record
+	if tenure, held := s.held[record.Index]; !held || tenure.Epoch != record.Epoch {
+		s.held[record.Index] = Tenure{Index: record.Index, Epoch: record.Epoch, Since: s.options.Now(), Unused: unused}
+	}
+	s.options.Log.Info().Int("slot", record.Index).Uint64("epoch", record.Epoch).Msg("lease: slot taken")
+	return true
+}
+
+// resume takes up, while the store is away, the slots that peers know to belong
+// to this address. The store confirms or ends the tenures when it is back.
+func (s *Slots) resume(ctx context.Context) {
+	if s.options.Peers == nil || len(s.Held()) > 0 {
+		return
+	}
+	records := s.options.Peers(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	latest := make(map[int]Record)
+	for _, record := range records {
+		if record.Epoch > latest[record.Index].Epoch {
+			latest[record.Index] = record
+		}
+	}
+	for index, record := range latest {
+		if record.Epoch > s.known[index].Epoch {
+			s.known[index] = record
+		}
+		_, held := s.held[index]
+		if record.Address == s.options.Address && !held && !s.unsure {
+			s.held[index] = Tenure{Index: index, Epoch: record.Epoch + 1, Since: s.options.Now()}
+			s.options.Log.Warn().Int("slot", index).Msg("lease: slot resumed without the store")
+		}
+	}
+}
+
+// reclaim takes one slot whose holder the platform has dropped for long enough.
+func (s *Slots) reclaim(ctx context.Context, count int) {
+	hosts, err := s.options.Lister.Hosts(ctx)
+	if err != nil {
+		return
+	}
+	for _, record := range s.lost(hosts, count) {
+		if s.take(ctx, record, false) {
+			return
+		}
+	}
+}
+
+// lost returns the slots of hosts that have been missing from the platform's
+// list for long enough, without interruption.
+func (s *Slots) lost(hosts []store.Host, count int) []Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.options.Now()
+	wait := s.options.ReclaimAfter
+	if len(s.held) > 0 {
+		wait += s.options.ExtraAfter
+	}
+	var lost []Record
+	for index, record := range s.known {
+		listed := slices.ContainsFunc(hosts, func(h store.Host) bool { return sameHost(h.Address, record.Address) })
+		if listed || s.alive(record.Address) || index >= count || record.Life == s.life {
+			delete(s.dropped, record.Address)
+			continue
+		}
+		if s.dropped[record.Address].IsZero() {
+			s.dropped[record.Address] = now
+		}
+		if now.Sub(s.dropped[record.Address]) >= wait {
+			lost = append(lost, record)
+		}
+	}
+	return lost
+}
+
+// hasFree reports whether a slot has no holder.
+func (s *Slots) hasFree(count int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for index := range count {
+		if _, known := s.known[index]; !known {
+			return true
+		}
+	}
+	return false
+}
+
+// hasSilent reports whether some holder is not known to be alive.
+func (s *Slots) hasSilent() bool {
+	for _, record := range s.Known() {
+		if record.Life != s.life && !s.alive(record.Address) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Slots) alive(address string) bool {
+	return s.options.Alive != nil && s.options.Alive(address)
+}
+
+// sameHost compares two addresses without their ports.
+func sameHost(a, b string) bool {
+	return hostOf(a) == hostOf(b)
+}
+
+func hostOf(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return host
+}
+
+func hash(text string) uint64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, text)
+	return h.Sum64()
+}
--- /dev/null
+++ b/quota/custody.go
@@ -0,0 +1,225 @@
+package quota
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// custodyTerm is how long a deposit is kept.
+	custodyTerm = 2 * time.Minute
+	// custodyCallTimeout bounds a deposit or a claim.
+	custodyCallTimeout = time.Second
+)
+
+// custody keeps the deposits of stopped holders until their next life claims them.
+type custody struct {
+	now func() time.Time
+
+	mu       sync.Mutex
+	deposits map[string]keptDeposit
+}
+
+type keptDeposit struct {
+	deposit *Deposit
+	at      time.Time
+}
+
+func newCustody(o *Options) *custody {
+	return &custody{now: o.Now, deposits: make(map[string]keptDeposit)}
+}
+
+// keep stores a deposit.
+func (c *custody) keep(request *Request) *Reply {
+	if request.Deposit == nil {
+		return new(Reply)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.now()
+	for holder, kept := range c.deposits {
+		if now.Sub(kept.at) > custodyTerm {
+			delete(c.deposits, holder)
+		}
+	}
+	c.deposits[request.Deposit.Holder] = keptDeposit{request.Deposit, now}
+	return new(Reply)
+}
+
+// tenures adds the tenures named by deposits to the slots that are known.
+func (c *custody) tenures(slots []SlotRecord) []SlotRecord {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for holder, kept := range c.deposits {
+		for _, slot := range kept.deposit.Slots {
+			slots = append(slots, SlotRecord{SlotEpoch: slot, Holder: holder})
+		}
+	}
+	return slots
+}
+
+// claim hands a deposit out, once.
+func (c *custody) claim(request *Request) *Reply {
+	if request.Deposit == nil {
+		return new(Reply)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept, ok := c.deposits[request.Deposit.Holder]
+	if !ok {
+		return new(Reply)
+	}
+	delete(c.deposits, request.Deposit.Holder)
+	return &Reply{Deposit: kept.deposit, Age: c.now().Sub(kept.at)}
+}
+
+// deposit leaves the shares with another router. Without one, their tokens are lost.
+func (m *Manager) deposit(ctx context.Context) {
+	deposit := m.lender.close()
+	if deposit == nil {
+		return
+	}
+	deposit.Holder = m.options.Address
+	for _, router := range m.options.Directory.Routers() {
+		if router.Address == m.options.Address || router.Region != m.options.Region {
+			continue
+		}
+		if _, err := m.callCustody(ctx, router.Address, &Request{Tier: TierCustody, Deposit: deposit}); err == nil {
+			return
+		}
+	}
+	m.options.Log.Warn().Msg("quota: no router keeps the shares, their tokens are lost")
+}
+
+func (m *Manager) callCustody(ctx context.Context, address string, request *Request) (*Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, custodyCallTimeout)
+	defer cancel()
+	return m.options.Transport.Call(ctx, address, request)
+}
+
+// recover claims the deposit of this address's former life while it can still matter.
+func (m *Manager) recover(ctx context.Context) {
+	if m.options.Config.Revision() == 0 || !m.lender.wantsDeposit() {
+		return
+	}
+	claim := &Request{Tier: TierClaim, Deposit: &Deposit{Holder: m.options.Address}}
+	var calls sync.WaitGroup
+	for _, router := range m.options.Directory.Routers() {
+		if router.Address == m.options.Address || router.Region != m.options.Region {
+			continue
+		}
+		calls.Go(func() {
+			reply, err := m.callCustody(ctx, router.Address, claim)
+			if err == nil && reply.Deposit != nil {
+				m.lender.adopt(reply.Deposit, reply.Age)
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// close ends lending and returns the state of the shares, or nil without slots.
+func (l *lender) close() *Deposit {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	held := l.directory.Held()
+	l.closed = true
+	if len(held) == 0 {
+		return nil
+	}
+	now := l.now()
+	deposit := new(Deposit)
+	for _, slot := range held {
+		deposit.Slots = append(deposit.Slots, slot.SlotEpoch)
+	}
+	for customer := range l.shares {
+		s := l.share(now, customer, held)
+		state := ShareState{Customer: customer, Level: s.level, Loans: s.loans.loans(now)}
+		deposit.Shares = append(deposit.Shares, state)
+	}
+	return deposit
+}
+
+// loans lists what the borrowers may have unspent.
+func (l *ledger) loans(now time.Time) []Loan {
+	l.total(now)
+	var loans []Loan
+	for borrower, h := range l.holders {
+		if h.outstanding > 0 {
+			loans = append(loans, Loan{Borrower: borrower, Seq: h.lastSeq, Tokens: h.outstanding})
+		}
+	}
+	return loans
+}
+
+// wantsDeposit reports whether a former life's loans are still unknown.
+func (l *lender) wantsDeposit() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	for _, slot := range l.directory.Held() {
+		if l.unknown(slot, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// unknown reports whether a former holder of a slot may have loans out that
+// this process does not know.
+func (l *lender) unknown(slot HeldSlot, now time.Time) bool {
+	if slot.Unused || !now.Before(slot.Since.Add(l.term)) {
+		return false
+	}
+	return l.adopted[slot.Index] != slot.Epoch
+}
+
+// adopt takes over a deposit of the tenures that came right before the present
+// ones. The tokens gained meanwhile are added, less an allowance for drift.
+func (l *lender) adopt(deposit *Deposit, age time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	held := l.directory.Held()
+	if l.closed || !l.follows(deposit, held, now) {
+		return
+	}
+	for _, slot := range held {
+		l.adopted[slot.Index] = slot.Epoch
+	}
+	for i := range deposit.Shares {
+		l.adoptShare(now, &deposit.Shares[i], held, age)
+	}
+}
+
+func (l *lender) adoptShare(now time.Time, state *ShareState, held []HeldSlot, age time.Duration) {
+	if _, ok := l.config.Limit(state.Customer); !ok {
+		return
+	}
+	s := l.share(now, state.Customer, held)
+	for _, loan := range state.Loans {
+		s.loans.issue(loan.Borrower, loan.Tokens, now.Add(l.term))
+		h := s.loans.holder(loan.Borrower)
+		h.lastSeq = max(h.lastSeq, loan.Seq)
+	}
+	gained := ownTerm(age).Seconds() * s.limit.Rate
+	s.level = max(0, min(s.level+state.Level+gained, s.room(now)))
+	s.deficits.record(now, s.deficit(now))
+}
+
+// follows reports whether the held slots are those of a deposit, each in the
+// tenure after it, and none has been adopted or had its full term.
+func (l *lender) follows(deposit *Deposit, held []HeldSlot, now time.Time) bool {
+	if len(held) != len(deposit.Slots) {
+		return false
+	}
+	for _, slot := range held {
+		former := SlotEpoch{Index: slot.Index, Epoch: slot.Epoch - 1}
+		if !slices.Contains(deposit.Slots, former) || !l.unknown(slot, now) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/quota/draw.go
@@ -0,0 +1,291 @@
+package quota
+
+import (
+	"context"
+	"math"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// nearAhead and farAhead are the demand for which a pool borrows ahead in
+	// its own region and in others.
+	nearAhead = time.Second
+	farAhead  = 5 * time.Second
+	// sweepInterval spaces the asks to lenders that together seem to have too little.
+	sweepInterval = 100 * time.Millisecond
+	// refundFraction of the burst makes a refund worth a message of its own.
+	refundFraction = 0.02
+)
+
+// candidate is a lender that may have tokens.
+type candidate struct {
+	address  string
+	lot      *lot
+	estimate float64
+	far      bool
+}
+
+// draft is an ask on its way to a lender.
+type draft struct {
+	address string
+	stock   *stock
+	lot     *lot
+	ask     Ask
+}
+
+// draw borrows until the stock has want tokens, in one round. It reports whether
+// another round may help.
+func (p *pool) draw(ctx context.Context, s *stock, want float64) bool {
+	s.mu.Lock()
+	now := p.options.Now()
+	s.expire(now)
+	s.trim(now, p.options.GrantTerm)
+	if s.free >= want {
+		s.mu.Unlock()
+		return false
+	}
+	if drawing := s.drawing; drawing != nil {
+		s.mu.Unlock()
+		select {
+		case <-drawing:
+			return true
+		case <-ctx.Done():
+			return false
+		}
+	}
+	drafts := p.plan(s, now, want)
+	if len(drafts) == 0 {
+		s.mu.Unlock()
+		return false
+	}
+	s.drawing = make(chan struct{})
+	s.mu.Unlock()
+	p.send(ctx, drafts)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.drawing)
+	s.drawing = nil
+	return s.free < want
+}
+
+// plan chooses the lenders of a round: one that likely has enough, or else as
+// many as it takes; lenders in other regions come last and lend more at once.
+// When all together seem to have too little, they are asked only now and then.
+func (p *pool) plan(s *stock, now time.Time, want float64) []draft {
+	candidates := p.candidates(s, now)
+	missing := want - s.free
+	if best := single(candidates, missing); best != nil {
+		return []draft{p.draft(s, now, *best, missing)}
+	}
+	short := total(candidates) < missing
+	if short && now.Sub(s.sweptAt) < sweepInterval {
+		return nil
+	}
+	if short {
+		s.sweptAt = now
+	}
+	var drafts []draft
+	for _, c := range candidates {
+		if missing <= 0 && !short {
+			break
+		}
+		part := max(1, missing)
+		if !short {
+			part = min(missing, c.estimate)
+		}
+		drafts = append(drafts, p.draft(s, now, c, part))
+		missing -= c.estimate
+	}
+	return drafts
+}
+
+// draft prepares the ask to one lender for missing tokens.
+func (p *pool) draft(s *stock, now time.Time, c candidate, missing float64) draft {
+	ask := s.ask(c.lot, now, p.options.GrantTerm, p.seq.Add(1), 0)
+	ask.Want = int64(math.Ceil(missing))
+	ahead := nearAhead
+	if c.far {
+		ahead = farAhead
+	}
+	ask.Extra = int64(s.demand.expect(ahead))
+	return draft{c.address, s, c.lot, ask}
+}
+
+// total is what all candidates together likely have.
+func total(candidates []candidate) float64 {
+	var sum float64
+	for _, c := range candidates {
+		sum += c.estimate
+	}
+	return sum
+}
+
+// single returns the first near lender that likely has enough.
+func single(candidates []candidate, missing float64) *candidate {
+	for i := range candidates {
+		if !candidates[i].far && candidates[i].estimate >= missing {
+			return &candidates[i]
+		}
+	}
+	return nil
+}
+
+// candidates returns the lenders that may have tokens: this process, then the
+// own region, then others, each with the most promising first.
+func (p *pool) candidates(s *stock, now time.Time) []candidate {
+	regions := make(map[string]string)
+	for _, router := range p.options.Directory.Routers() {
+		regions[router.Address] = router.Region
+	}
+	regions[p.options.Address] = p.options.Region
+	slots := SlotsOf(s.customer.Group(), p.options.Config.Slots())
+	parts := make(map[string]float64)
+	for _, slot := range slots {
+		parts[p.options.Directory.Holder(slot)] += 1 / float64(len(slots))
+	}
+	var found []candidate
+	for address, part := range parts {
+		region, live := regions[address]
+		if !live {
+			continue
+		}
+		lot := s.lot(address)
+		estimate := lot.estimate(now, s.limit, part)
+		if now.Before(lot.retryAfter) {
+			continue
+		}
+		found = append(found, candidate{address, lot, estimate, region != p.options.Region})
+	}
+	slices.SortFunc(found, func(a, b candidate) int { return p.compare(a, b) })
+	return found
+}
+
+func (p *pool) compare(a, b candidate) int {
+	if a.far != b.far {
+		return order(b.far)
+	}
+	if (a.address == p.options.Address) != (b.address == p.options.Address) {
+		return order(a.address == p.options.Address)
+	}
+	if a.estimate != b.estimate {
+		return order(a.estimate > b.estimate)
+	}
+	return order(a.address < b.address)
+}
+
+func order(first bool) int {
+	if first {
+		return -1
+	}
+	return 1
+}
+
+// send carries drafts to their lenders, one request each, and takes in the answers.
+func (p *pool) send(ctx context.Context, drafts []draft) {
+	ctx = context.WithoutCancel(ctx)
+	byLender := make(map[string][]draft)
+	for _, d := range drafts {
+		byLender[d.address] = append(byLender[d.address], d)
+	}
+	var calls sync.WaitGroup
+	for address, group := range byLender {
+		calls.Go(func() { p.sendTo(ctx, address, group) })
+	}
+	calls.Wait()
+}
+
+func (p *pool) sendTo(ctx context.Context, address string, drafts []draft) {
+	request := &Request{Tier: TierLoan}
+	for _, d := range drafts {
+		request.Asks = append(request.Asks, d.ask)
+	}
+	sent := p.options.Now()
+	reply, err := p.call(ctx, address, request)
+	answered := err == nil && len(reply.Answers) == len(drafts)
+	for i, d := range drafts {
+		d.stock.mu.Lock()
+		now := p.options.Now()
+		if answered {
+			d.stock.apply(d.lot, sent, now, p.options.LoanTerm, reply.Answers[i], reply.Clock)
+		} else {
+			d.lot.retryAfter = now.Add(lenderRetryInterval)
+		}
+		d.stock.mu.Unlock()
+	}
+}
+
+// settle returns the free tokens of idle customers, or of all, and renews the
+// loans of the others.
+func (p *pool) settle(ctx context.Context, all bool) {
+	p.mu.Lock()
+	stocks := make([]*stock, 0, len(p.stocks))
+	for _, s := range p.stocks {
+		stocks = append(stocks, s)
+	}
+	p.mu.Unlock()
+	var drafts []draft
+	var busy []*stock
+	for _, s := range stocks {
+		if prepared := p.prepare(s, all); len(prepared) > 0 {
+			drafts = append(drafts, prepared...)
+			busy = append(busy, s)
+		}
+	}
+	if len(drafts) == 0 {
+		return
+	}
+	p.send(ctx, drafts)
+	for _, s := range busy {
+		s.mu.Lock()
+		close(s.drawing)
+		s.drawing = nil
+		s.mu.Unlock()
+	}
+}
+
+// prepare drafts the periodic asks of one stock and marks it as drawing if there are any.
+func (p *pool) prepare(s *stock, all bool) []draft {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := p.options.Now()
+	s.expire(now)
+	s.trim(now, p.options.GrantTerm)
+	if s.drawing != nil {
+		return nil
+	}
+	idle := all || now.Sub(s.usedAt) >= idleAfter
+	var drafts []draft
+	for address, lot := range s.lots {
+		if now.Before(lot.retryAfter) || !p.due(s, lot, now, idle) {
+			continue
+		}
+		giveBack := 0.0
+		if idle {
+			giveBack = s.free
+		}
+		ask := s.ask(lot, now, p.options.GrantTerm, p.seq.Add(1), giveBack)
+		drafts = append(drafts, draft{address, s, lot, ask})
+	}
+	if len(drafts) > 0 {
+		s.drawing = make(chan struct{})
+	}
+	return drafts
+}
+
+// due reports whether a lot has tokens to return, a loan to renew, or a refund
+// worth a message. Tokens that were spent are first counted against the lot.
+func (p *pool) due(s *stock, l *lot, now time.Time, idle bool) bool {
+	ending := l.expires.Sub(now) < p.options.GrantTerm+2*flushInterval
+	if idle || ending {
+		l.held = math.Ceil(s.needed(l, now, p.options.GrantTerm))
+	}
+	if s.refund.tokens >= refundFraction*s.limit.Burst && l.anchor.peer.Life != 0 {
+		return true
+	}
+	if idle {
+		return s.free >= 1 && l.held >= 1
+	}
+	return ending && l.held >= 1
+}
--- /dev/null
+++ b/quota/fleet_test.go
@@ -0,0 +1,403 @@
+package quota_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/quotalink"
+	"github.com/greengagegate/greengagegate/quota"
+	"google.golang.org/protobuf/proto"
+)
+
+// frameBytes is what yamux and the frame's length add to a message.
+const frameBytes = 12 + 1
+
+var errLost = errors.New("message lost")
+
+// limits is a configuration that tests may change.
+type limits struct {
+	mu       sync.Mutex
+	revision uint64
+	slots    int
+	byID     map[quota.CustomerID]quota.Limit
+	ids      []quota.CustomerID
+}
+
+func (l *limits) set(id quota.CustomerID, limit quota.Limit) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.byID[id]; !ok {
+		l.ids = append(l.ids, id)
+	}
+	l.byID[id] = limit
+	l.revision++
+}
+
+func (l *limits) Limit(id quota.CustomerID) (quota.Limit, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit, ok := l.byID[id]
+	return limit, ok
+}
+
+func (l *limits) Revision() uint64              { l.mu.Lock(); defer l.mu.Unlock(); return l.revision }
+func (l *limits) Customers() []quota.CustomerID { l.mu.Lock(); defer l.mu.Unlock(); return l.ids }
+func (l *limits) Slots() int                    { l.mu.Lock(); defer l.mu.Unlock(); return l.slots }
+func (l *limits) Fresh() bool                   { return true }
+
+// member is one in-process router.
+type member struct {
+	fleet   *fleet
+	address string
+	region  string
+	slots   []quota.HeldSlot
+	manager *quota.Manager
+	speed   float64
+	config  *limits
+
+	// The following are guarded by fleet.mu.
+	down        bool
+	pausedUntil time.Time
+	sentBytes   int64
+	sentCalls   int64
+}
+
+// fleet connects members through a network with faults.
+type fleet struct {
+	mu      sync.Mutex
+	members map[string]*member
+	order   []string
+	// seen is what membership shows; it lags behind the truth.
+	seen      []quota.Router
+	cut       map[[2]string]bool
+	latency   time.Duration
+	farDelay  time.Duration
+	loss, dup float64
+	random    *rand.Rand
+	start     time.Time
+	config    *limits
+}
+
+func newFleet(seed uint64, size, slots int, regions ...string) *fleet {
+	f := &fleet{
+		members: make(map[string]*member),
+		cut:     make(map[[2]string]bool),
+		latency: 500 * time.Microsecond,
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		start:   time.Now(),
+		config:  &limits{slots: slots, byID: make(map[quota.CustomerID]quota.Limit)},
+	}
+	if len(regions) == 0 {
+		regions = []string{"r1"}
+	}
+	for i := range size {
+		m := &member{fleet: f, address: fmt.Sprintf("m%d", i), region: regions[i%len(regions)], speed: 1, config: f.config}
+		f.members[m.address] = m
+		f.order = append(f.order, m.address)
+	}
+	for i := range slots {
+		m := f.members[f.order[i%size]]
+		m.slots = append(m.slots, quota.HeldSlot{SlotEpoch: quota.SlotEpoch{Index: i, Epoch: 1}, Since: m.now(), Unused: true})
+	}
+	return f
+}
+
+func (f *fleet) run() {
+	f.seeAll()
+	for _, address := range f.order {
+		f.members[address].boot()
+	}
+}
+
+func (f *fleet) at(i int) *member { return f.members[f.order[i]] }
+
+func (f *fleet) stopAll() {
+	for _, address := range f.order {
+		m := f.members[address]
+		if !m.isDown() {
+			m.manager.Stop(context.Background())
+		}
+	}
+}
+
+// seeAll brings membership up to date.
+func (f *fleet) seeAll() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seen = nil
+	for _, address := range f.order {
+		if m := f.members[address]; !m.down {
+			f.seen = append(f.seen, quota.Router{Address: address, Region: m.region})
+		}
+	}
+}
+
+func (f *fleet) setCut(a, b string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[[2]string{a, b}] = cut
+	f.cut[[2]string{b, a}] = cut
+}
+
+// now is the member's clock, which may run fast or slow.
+func (m *member) now() time.Time {
+	return m.fleet.start.Add(time.Duration(float64(time.Since(m.fleet.start)) * m.speed))
+}
+
+func (m *member) isDown() bool {
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	return m.down
+}
+
+func (m *member) boot() {
+	m.manager = quota.New(quota.Options{
+		Address: m.address, Region: m.region, Transport: m, Directory: m, Config: m.config, Now: m.now,
+		LayoutDelay: 10 * time.Second,
+	})
+	m.manager.Start()
+	m.fleet.mu.Lock()
+	m.down = false
+	m.fleet.mu.Unlock()
+}
+
+// crash ends the process without a farewell.
+func (m *member) crash() {
+	m.fleet.mu.Lock()
+	m.down = true
+	m.fleet.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	m.manager.Stop(ctx)
+}
+
+// stop ends the process gracefully.
+func (m *member) stop() {
+	m.manager.Stop(context.Background())
+	m.fleet.mu.Lock()
+	m.down = true
+	m.fleet.mu.Unlock()
+}
+
+// restart begins the next life at the same address.
+func (m *member) restart() {
+	m.fleet.mu.Lock()
+	for i := range m.slots {
+		m.slots[i].Epoch++
+		m.slots[i].Since = m.now()
+		m.slots[i].Unused = false
+	}
+	m.fleet.mu.Unlock()
+	m.boot()
+}
+
+func (m *member) pause(d time.Duration) {
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	m.pausedUntil = time.Now().Add(d)
+}
+
+// awake blocks while the member is paused.
+func (m *member) awake() {
+	m.fleet.mu.Lock()
+	d := time.Until(m.pausedUntil)
+	m.fleet.mu.Unlock()
+	if d > 0 {
+		time.Sleep(d)
+	}
+}
+
+// Routers implements quota.Directory.
+func (m *member) Routers() []quota.Router {
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	return m.fleet.seen
+}
+
+// Holder implements quota.Directory.
+func (m *member) Holder(slot int) string {
+	if slot >= m.config.Slots() {
+		return ""
+	}
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	for _, address := range m.fleet.order {
+		for _, held := range m.fleet.members[address].slots {
+			if held.Index == slot {
+				return address
+			}
+		}
+	}
+	return ""
+}
+
+// Held implements quota.Directory.
+func (m *member) Held() []quota.HeldSlot {
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	return append([]quota.HeldSlot(nil), m.slots...)
+}
+
+// Slots implements quota.Directory.
+func (m *member) Slots() []quota.SlotRecord { return nil }
+
+// Call implements quota.Transport over the fleet's network.
+func (m *member) Call(ctx context.Context, address string, request *quota.Request) (*quota.Reply, error) {
+	m.awake()
+	f := m.fleet
+	f.mu.Lock()
+	peer := f.members[address]
+	lost := f.random.Float64() < f.loss
+	twice := f.random.Float64() < f.dup
+	answerLost := f.random.Float64() < f.loss
+	delay := f.latency
+	if peer.region != m.region {
+		delay += f.farDelay
+	}
+	refused := peer.down || m.down
+	m.sentCalls++
+	m.sentBytes += int64(frameBytes + proto.Size(quotalink.EncodeRequest(uint64(m.sentCalls), request)))
+	lost = lost || f.cut[[2]string{m.address, address}]
+	f.mu.Unlock()
+	if refused {
+		return nil, errLost
+	}
+	if !sleep(ctx, delay) || lost {
+		<-ctx.Done()
+		return nil, errLost
+	}
+	copied := *request
+	if twice {
+		late := time.Duration(f.delay() * float64(time.Second))
+		go func() {
+			time.Sleep(late)
+			again := copied
+			peer.handle(&again)
+		}()
+	}
+	answered := make(chan *quota.Reply, 1)
+	go func() { answered <- peer.handle(&copied) }()
+	select {
+	case reply := <-answered:
+		m.awake()
+		if reply == nil || answerLost || !sleep(ctx, delay) {
+			<-ctx.Done()
+			return nil, errLost
+		}
+		return reply, nil
+	case <-ctx.Done():
+		return nil, errLost
+	}
+}
+
+func (f *fleet) delay() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return 2 * f.random.Float64()
+}
+
+func (m *member) handle(request *quota.Request) *quota.Reply {
+	m.awake()
+	if m.isDown() {
+		return nil
+	}
+	reply := m.manager.Handle(context.Background(), request)
+	m.awake()
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	m.sentBytes += int64(frameBytes + proto.Size(quotalink.EncodeReply(uint64(m.sentCalls), reply)))
+	return reply
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// bucket is one exact token bucket.
+type bucket struct {
+	limit quota.Limit
+	level float64
+	at    time.Time
+}
+
+func newBucket(limit quota.Limit) *bucket {
+	return &bucket{limit: limit, level: limit.Burst, at: time.Now()}
+}
+
+func (b *bucket) advance(now time.Time) {
+	b.level = min(b.limit.Burst, b.level+now.Sub(b.at).Seconds()*b.limit.Rate)
+	b.at = now
+}
+
+func (b *bucket) admit(now time.Time, tokens float64) bool {
+	b.advance(now)
+	if b.level < tokens {
+		return false
+	}
+	b.level -= tokens
+	return true
+}
+
+// judge follows one customer's requests. The exact bucket of what was admitted
+// never goes below zero exactly if every window keeps to rate*w + burst.
+type judge struct {
+	mu       sync.Mutex
+	t        testing.TB
+	admitted *bucket
+	shadow   *bucket
+	// lowest is the lowest level of the admitted bucket.
+	lowest                                float64
+	requests, refused, wrong, wrongMerged int
+	waited                                time.Duration
+}
+
+func newJudge(t testing.TB, limit quota.Limit) *judge {
+	return &judge{t: t, admitted: newBucket(limit), shadow: newBucket(limit), lowest: limit.Burst}
+}
+
+// admit sends one request through a member and judges the outcome.
+func (j *judge) admit(m *member, id quota.CustomerID, tokens int64) *quota.Ticket {
+	j.mu.Lock()
+	j.requests++
+	exact := j.shadow.admit(time.Now(), float64(tokens))
+	j.mu.Unlock()
+	ticket, err := m.manager.Admit(context.Background(), id, tokens)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	now := time.Now()
+	j.admitted.advance(now)
+	if err != nil {
+		j.refused++
+		if exact {
+			j.wrong++
+		}
+		if j.admitted.level >= float64(tokens) {
+			j.wrongMerged++
+		}
+		return nil
+	}
+	j.admitted.level -= float64(tokens)
+	j.lowest = min(j.lowest, j.admitted.level)
+	j.waited += ticket.Waited
+	return ticket
+}
+
+// verify fails the test if any window was above the limit.
+func (j *judge) verify() {
+	j.t.Helper()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.lowest < -1 {
+		j.t.Errorf("over-admission of %.0f tokens at rate %.0f, burst %.0f", -j.lowest, j.admitted.limit.Rate, j.admitted.limit.Burst)
+	}
+}
--- /dev/null
+++ b/quota/lender.go
@@ -0,0 +1,176 @@
+package quota
+
+import (
+	"sync"
+	"time"
+)
+
+// lender holds this process's shares and lends from them.
+type lender struct {
+	config    Config
+	directory Directory
+	now       func() time.Time
+	term      time.Duration
+	clock     *instantClock
+
+	mu       sync.Mutex
+	layouts  layouts
+	shares   map[CustomerID]*share
+	revision uint64
+	// filled and adopted hold the tenures of slots whose shares have been filled
+	// at first use, or whose former life's deposit has been taken over.
+	filled  map[int]uint64
+	adopted map[int]uint64
+	closed  bool
+}
+
+func newLender(o *Options, clock *instantClock) *lender {
+	return &lender{
+		config:    o.Config,
+		directory: o.Directory,
+		now:       o.Now,
+		term:      o.LoanTerm,
+		clock:     clock,
+		layouts:   layouts{delay: o.LayoutDelay},
+		shares:    make(map[CustomerID]*share),
+		filled:    make(map[int]uint64),
+		adopted:   make(map[int]uint64),
+	}
+}
+
+// sync takes in changes of the configuration and of the held slots. It is called
+// periodically, so that shares grow also while nobody asks for them.
+func (l *lender) sync() {
+	customers := l.config.Customers()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	held := l.directory.Held()
+	l.fill(now, held, customers)
+	if revision := l.config.Revision(); revision != l.revision || len(l.shares) != len(customers) {
+		l.revision = revision
+		for _, customer := range customers {
+			l.share(now, customer, held)
+		}
+		l.forget(customers)
+	}
+}
+
+// fill starts the shares of slots that nobody held before at their burst.
+func (l *lender) fill(now time.Time, held []HeldSlot, customers []CustomerID) {
+	if len(customers) == 0 {
+		return
+	}
+	for _, slot := range held {
+		if l.filled[slot.Index] == slot.Epoch {
+			continue
+		}
+		l.filled[slot.Index] = slot.Epoch
+		if !slot.Unused {
+			continue
+		}
+		for _, customer := range customers {
+			l.fillShare(now, customer, slot, held)
+		}
+	}
+}
+
+func (l *lender) fillShare(now time.Time, customer CustomerID, slot HeldSlot, held []HeldSlot) {
+	limit, ok := l.config.Limit(customer)
+	if !ok {
+		return
+	}
+	s := l.share(now, customer, held)
+	part := l.layouts.part(now, customer.Group(), slot.Index)
+	s.level = max(0, min(s.level+part*limit.Burst, s.room(now)))
+}
+
+// forget drops the shares of customers that are gone.
+func (l *lender) forget(customers []CustomerID) {
+	if len(l.shares) <= len(customers) {
+		return
+	}
+	for customer := range l.shares {
+		if _, ok := l.config.Limit(customer); !ok {
+			delete(l.shares, customer)
+		}
+	}
+}
+
+// share returns a customer's share, advanced to now; l.mu is held.
+func (l *lender) share(now time.Time, customer CustomerID, held []HeldSlot) *share {
+	s := l.shares[customer]
+	if s == nil {
+		s = newShare(now)
+		l.shares[customer] = s
+	}
+	l.layouts.set(now, l.config.Slots())
+	limit, _ := l.config.Limit(customer)
+	var part, unknown float64
+	for _, slot := range held {
+		p := l.layouts.part(now, customer.Group(), slot.Index)
+		part += p
+		if l.unknown(slot, now) {
+			unknown += p
+		}
+	}
+	s.advance(now, Limit{Rate: part * limit.Rate, Burst: part * limit.Burst}, unknown*limit.Burst)
+	return s
+}
+
+// handle answers the asks of a pool.
+func (l *lender) handle(request *Request) *Reply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	reply := &Reply{Clock: l.clock.read()}
+	if l.closed || !l.config.Fresh() {
+		return reply
+	}
+	now := l.now()
+	held := l.directory.Held()
+	for i := range request.Asks {
+		ask := &request.Asks[i]
+		s := l.share(now, ask.Customer, held)
+		since := l.clock.time(ask.RefundSince)
+		reply.Answers = append(reply.Answers, s.lend(now, request.Borrower, ask, since, l.term))
+	}
+	return reply
+}
+
+// instantClock converts between times and instants of this life.
+type instantClock struct {
+	life  uint32
+	start time.Time
+	now   func() time.Time
+}
+
+func (c *instantClock) read() Instant { return c.instant(c.now()) }
+
+func (c *instantClock) instant(at time.Time) Instant {
+	return Instant{Life: c.life, Micros: at.Sub(c.start).Microseconds()}
+}
+
+// time returns the time of an instant, or zero if it is not from this life.
+func (c *instantClock) time(i Instant) time.Time {
+	if i.Life == 0 || i.Life != c.life {
+		return time.Time{}
+	}
+	return c.start.Add(time.Duration(i.Micros) * time.Microsecond)
+}
+
+// anchor relates a peer's clock to this process's.
+type anchor struct {
+	at   time.Time
+	peer Instant
+}
+
+// instant returns a reading of the peer's clock that is not later than at. The
+// reply that gave the anchor was received after the peer read its clock.
+func (a anchor) instant(at time.Time) Instant {
+	if a.peer.Life == 0 {
+		return Instant{}
+	}
+	elapsed := at.Sub(a.at)
+	drift := time.Duration(float64(elapsed.Abs()) * driftAllowance)
+	return Instant{Life: a.peer.Life, Micros: a.peer.Micros + (elapsed - drift).Microseconds()}
+}
--- /dev/null
+++ b/quota/lot.go
@@ -0,0 +1,87 @@
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// lenderRetryInterval is how long a lender that did not answer is left alone.
+const lenderRetryInterval = 2 * time.Second
+
+// lot is what one lender believes that the pool has unspent.
+type lot struct {
+	held    float64
+	expires time.Time
+	// left is what the lender had left at the time of its last answer.
+	left       float64
+	leftAt     time.Time
+	retryAfter time.Time
+	anchor     anchor
+}
+
+// lot returns the lot of a lender.
+func (s *stock) lot(address string) *lot {
+	found := s.lots[address]
+	if found == nil {
+		found = new(lot)
+		s.lots[address] = found
+	}
+	return found
+}
+
+// expire empties the lots whose term is over.
+func (s *stock) expire(now time.Time) {
+	for _, lot := range s.lots {
+		if !now.Before(lot.expires) {
+			lot.held = 0
+		}
+	}
+}
+
+// needed is the part of a lot that free tokens and grants still need, given
+// that other lots back them as far as they can. The rest has been spent.
+func (s *stock) needed(l *lot, now time.Time, grantTerm time.Duration) float64 {
+	others := s.usableBut(l, now, grantTerm)
+	return max(0, min(l.held, s.free+s.grants.total(now)-others))
+}
+
+// ask prepares an ask to the lender of a lot. The tokens that were spent are
+// counted against this lender, and up to giveBack free ones are returned.
+func (s *stock) ask(l *lot, now time.Time, grantTerm time.Duration, seq uint64, giveBack float64) Ask {
+	s.expire(now)
+	backed := s.needed(l, now, grantTerm)
+	returned := math.Floor(max(0, min(giveBack, s.free, backed)))
+	s.free -= returned
+	l.held = math.Ceil(backed - returned)
+	ask := Ask{Customer: s.customer, Seq: seq, Holding: int64(l.held), Returned: int64(returned)}
+	if since := l.anchor.instant(s.refund.since); s.refund.tokens >= 1 && since.Life != 0 {
+		ask.Refund = int64(s.refund.take().tokens)
+		ask.RefundSince = since
+	}
+	return ask
+}
+
+// apply takes in a lender's answer to an ask that was sent at a time.
+func (s *stock) apply(l *lot, sent, now time.Time, term time.Duration, answer Answer, clock Instant) {
+	if !answer.Renewed {
+		l.held = 0
+	}
+	l.held += float64(answer.Granted)
+	s.free += float64(answer.Granted)
+	if answer.Renewed || answer.Granted > 0 {
+		l.expires = sent.Add(ownTerm(term))
+	}
+	l.left = float64(answer.Left)
+	l.leftAt = now
+	l.retryAfter = time.Time{}
+	l.anchor = anchor{at: now, peer: clock}
+}
+
+// estimate is what a lender with a part of the limit likely has left.
+func (l *lot) estimate(now time.Time, limit Limit, part float64) float64 {
+	if l.leftAt.IsZero() {
+		return part * limit.Burst
+	}
+	gained := now.Sub(l.leftAt).Seconds() * limit.Rate * part
+	return min(l.left+gained, part*limit.Burst)
+}
--- /dev/null
+++ b/quota/manager.go
@@ -0,0 +1,186 @@
+package quota
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+const (
+	syncInterval  = 250 * time.Millisecond
+	flushInterval = 250 * time.Millisecond
+	// grantCallTimeout bounds an ask to a pool. It is longer than loanCallTimeout,
+	// which bounds the pool's own asks meanwhile.
+	grantCallTimeout = 600 * time.Millisecond
+	loanCallTimeout  = 250 * time.Millisecond
+)
+
+// Options configures a Manager. Transport, Directory and Config are required.
+type Options struct {
+	// Address is this process's inner address.
+	Address string
+	// Region is the region whose routers ask this process's pools.
+	Region    string
+	Transport Transport
+	Directory Directory
+	Config    Config
+	Log       zerolog.Logger
+	// Now reads the process's monotonic clock; time.Now when nil.
+	Now func() time.Time
+
+	LoanTerm    time.Duration
+	GrantTerm   time.Duration
+	MaxWait     time.Duration
+	LayoutDelay time.Duration
+}
+
+func (o *Options) setDefaults() {
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	setDefault(&o.LoanTerm, DefaultLoanTerm)
+	setDefault(&o.GrantTerm, DefaultGrantTerm)
+	setDefault(&o.MaxWait, DefaultMaxWait)
+	setDefault(&o.LayoutDelay, DefaultLayoutDelay)
+	o.GrantTerm = min(o.GrantTerm, o.LoanTerm/2)
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d <= 0 {
+		*d = value
+	}
+}
+
+// Manager takes part in the limits as holder of shares, as pool and as router.
+// It is safe for concurrent use.
+type Manager struct {
+	options Options
+	// borrower identifies this life of the process.
+	borrower uint64
+	lender   *lender
+	pool     *pool
+	limiter  *limiter
+	custody  *custody
+
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+}
+
+// New returns a manager. It admits nothing before Start.
+func New(options Options) *Manager {
+	options.setDefaults()
+	m := &Manager{options: options, borrower: rand.Uint64() | 1}
+	clock := &instantClock{life: rand.Uint32() | 1, start: options.Now(), now: options.Now}
+	m.lender = newLender(&m.options, clock)
+	m.pool = newPool(&m.options, clock, m.call)
+	m.limiter = newLimiter(&m.options, m.call)
+	m.custody = newCustody(&m.options)
+	return m
+}
+
+// Borrower identifies this life of the process to its peers.
+func (m *Manager) Borrower() uint64 { return m.borrower }
+
+// Start begins the periodic work. It does not block.
+func (m *Manager) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	m.limiter.start(ctx)
+	m.tasks.Go(func() { m.every(ctx, syncInterval, m.sync) })
+	m.tasks.Go(func() { m.every(ctx, flushInterval, m.pool.flush) })
+	m.tasks.Go(func() { m.every(ctx, flushInterval, m.limiter.flush) })
+}
+
+func (m *Manager) every(ctx context.Context, interval time.Duration, task func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		task(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// sync takes in changes of the configuration and recovers deposited shares.
+func (m *Manager) sync(ctx context.Context) {
+	m.recover(ctx)
+	m.lender.sync()
+}
+
+// Stop admits nothing more, returns grants and loans, and deposits the shares
+// with a peer. It blocks until the peers have answered or ctx ends.
+func (m *Manager) Stop(ctx context.Context) {
+	m.limiter.stop(ctx)
+	m.pool.stop(ctx)
+	m.cancel()
+	m.tasks.Wait()
+	m.deposit(ctx)
+}
+
+// Admit reserves tokens of a customer. It blocks for a bounded time; its error
+// is a *Refusal.
+func (m *Manager) Admit(ctx context.Context, customer CustomerID, tokens int64) (*Ticket, error) {
+	return m.limiter.admit(ctx, customer, tokens)
+}
+
+// Handle answers a peer's request. It blocks while a pool borrows what it lacks.
+func (m *Manager) Handle(ctx context.Context, request *Request) *Reply {
+	switch request.Tier {
+	case TierLoan:
+		return m.lender.handle(request)
+	case TierGrant:
+		return m.pool.handle(ctx, request)
+	case TierCustody:
+		return m.custody.keep(request)
+	case TierClaim:
+		return m.custody.claim(request)
+	case TierSlots:
+		return &Reply{Slots: m.custody.tenures(m.options.Directory.Slots())}
+	default:
+		return new(Reply)
+	}
+}
+
+// PeerSlots asks the live routers of the region for the holders of slots that they know.
+func (m *Manager) PeerSlots(ctx context.Context) []SlotRecord {
+	var mu sync.Mutex
+	var found []SlotRecord
+	var calls sync.WaitGroup
+	for _, router := range m.options.Directory.Routers() {
+		if router.Address == m.options.Address || router.Region != m.options.Region {
+			continue
+		}
+		calls.Go(func() {
+			reply, err := m.callCustody(ctx, router.Address, &Request{Tier: TierSlots})
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			found = append(found, reply.Slots...)
+		})
+	}
+	calls.Wait()
+	return found
+}
+
+// call sends a request to a peer, or handles it here when the peer is this process.
+func (m *Manager) call(ctx context.Context, address string, request *Request) (*Reply, error) {
+	request.Borrower = m.borrower
+	if address == m.options.Address {
+		return m.Handle(ctx, request), nil
+	}
+	timeout := loanCallTimeout
+	if request.Tier == TierGrant {
+		timeout = grantCallTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return m.options.Transport.Call(ctx, address, request)
+}
--- /dev/null
+++ b/quota/pool.go
@@ -0,0 +1,212 @@
+package quota
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/invariant"
+)
+
+const (
+	// stockMemory is how long a pool remembers a customer that nobody asks for.
+	stockMemory = 10 * time.Second
+	// idleAfter is how long a customer's tokens stay in the pool after the last ask.
+	idleAfter = time.Second
+	// maxDraws bounds the rounds of borrowing for one ask.
+	maxDraws = 3
+	// stopRounds and stopPause let asks in flight end before the last tokens are returned.
+	stopRounds = 3
+	stopPause  = 50 * time.Millisecond
+	// minWaitHint and maxWaitHint bound the time after which a router is told to ask again.
+	minWaitHint = 25 * time.Millisecond
+	maxWaitHint = time.Minute
+)
+
+type callFunc func(ctx context.Context, address string, request *Request) (*Reply, error)
+
+// pool grants to routers what it borrows from shares.
+type pool struct {
+	options *Options
+	clock   *instantClock
+	call    callFunc
+	// seq grows with each ask to any lender.
+	seq atomic.Uint64
+
+	mu      sync.Mutex
+	stocks  map[CustomerID]*stock
+	stopped bool
+}
+
+// stock is what a pool has of one customer. Tokens of different lenders are
+// alike; lots say how many of them each lender may count on being unspent.
+type stock struct {
+	mu       sync.Mutex
+	customer CustomerID
+	limit    Limit
+	free     float64
+	grants   ledger
+	lots     map[string]*lot
+	demand   demand
+	refund   refund
+	// drawing is open while asks to lenders are in flight.
+	drawing chan struct{}
+	// sweptAt is when all lenders were last asked for too much.
+	sweptAt time.Time
+	usedAt  time.Time
+}
+
+func newPool(o *Options, clock *instantClock, call callFunc) *pool {
+	return &pool{options: o, clock: clock, call: call, stocks: make(map[CustomerID]*stock)}
+}
+
+func (p *pool) handle(ctx context.Context, request *Request) *Reply {
+	reply := &Reply{Clock: p.clock.read()}
+	for i := range request.Asks {
+		s := p.stock(request.Asks[i].Customer)
+		if s == nil {
+			return reply
+		}
+		reply.Answers = append(reply.Answers, p.grant(ctx, s, request.Borrower, &request.Asks[i]))
+	}
+	return reply
+}
+
+// stock returns the stock of a customer, or nil when the pool is closed or the
+// customer unknown.
+func (p *pool) stock(customer CustomerID) *stock {
+	limit, ok := p.options.Config.Limit(customer)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stopped || !ok {
+		return nil
+	}
+	s := p.stocks[customer]
+	if s == nil {
+		s = &stock{customer: customer, lots: make(map[string]*lot)}
+		p.stocks[customer] = s
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = limit
+	s.usedAt = p.options.Now()
+	return s
+}
+
+// grant answers a router's ask, and borrows first when there is too little.
+func (p *pool) grant(ctx context.Context, s *stock, borrower uint64, ask *Ask) Answer {
+	s.mu.Lock()
+	now := p.options.Now()
+	returned, known, fresh := s.grants.report(now, borrower, ask)
+	if !fresh {
+		s.mu.Unlock()
+		return Answer{}
+	}
+	s.free += returned
+	s.demand.add(now, float64(ask.Want))
+	s.takeRefund(p.clock, ask)
+	s.mu.Unlock()
+	for range maxDraws {
+		if !p.draw(ctx, s, float64(ask.Want)) {
+			break
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now = p.options.Now()
+	s.trim(now, p.options.GrantTerm)
+	answer := Answer{Renewed: known && s.grants.total(now) <= s.usable(now, p.options.GrantTerm)}
+	if s.free >= float64(ask.Want) {
+		answer.Granted = portion(s.free, ask.Want, ask.Extra)
+	} else {
+		answer.Wait = p.waitFor(s, now, float64(ask.Want))
+	}
+	s.free -= float64(answer.Granted)
+	answer.Left = int64(s.free)
+	if answer.Granted > 0 || answer.Renewed {
+		s.grants.issue(borrower, float64(answer.Granted), now.Add(p.options.GrantTerm))
+	}
+	s.check(now, p.options.GrantTerm)
+	return answer
+}
+
+// takeRefund keeps a router's refund until the next ask to a lender.
+func (s *stock) takeRefund(clock *instantClock, ask *Ask) {
+	since := clock.time(ask.RefundSince)
+	if ask.Refund > 0 && !since.IsZero() {
+		s.refund.add(float64(ask.Refund), since)
+	}
+}
+
+// usable is the sum of the lots that outlast a grant given now.
+func (s *stock) usable(now time.Time, grantTerm time.Duration) float64 {
+	return s.usableBut(nil, now, grantTerm)
+}
+
+// usableBut is usable without one lot.
+func (s *stock) usableBut(but *lot, now time.Time, grantTerm time.Duration) float64 {
+	var sum float64
+	for _, lot := range s.lots {
+		if lot != but && lot.expires.Sub(now) >= grantTerm {
+			sum += lot.held
+		}
+	}
+	return sum
+}
+
+// trim drops free tokens that no lot backs.
+func (s *stock) trim(now time.Time, grantTerm time.Duration) {
+	s.free = max(0, min(s.free, s.usable(now, grantTerm)-s.grants.total(now)))
+}
+
+func (s *stock) check(now time.Time, grantTerm time.Duration) {
+	invariant.Check(s.free >= 0, "quota.pool_negative", "free %f", s.free)
+	invariant.Check(s.free <= slack || s.free+s.grants.total(now) <= s.usable(now, grantTerm)+slack,
+		"quota.pool_above_loans", "free %f, granted %f, lent %f", s.free, s.grants.total(now), s.usable(now, grantTerm))
+}
+
+// waitFor estimates from the customer's rate when tokens will be there.
+func (p *pool) waitFor(s *stock, now time.Time, want float64) time.Duration {
+	if s.limit.Rate <= 0 {
+		return maxWaitHint
+	}
+	missing := want - s.free - total(p.candidates(s, now))
+	wait := time.Duration(missing / s.limit.Rate * float64(time.Second))
+	return min(max(wait, minWaitHint), maxWaitHint)
+}
+
+// stop refuses further asks and returns all free tokens.
+func (p *pool) stop(ctx context.Context) {
+	p.mu.Lock()
+	p.stopped = true
+	p.mu.Unlock()
+	for range stopRounds {
+		p.settle(ctx, true)
+		select {
+		case <-time.After(stopPause):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// flush returns the tokens of idle customers, renews those in use, and forgets
+// customers that have been idle for long.
+func (p *pool) flush(ctx context.Context) {
+	p.settle(ctx, false)
+	p.forget()
+}
+
+func (p *pool) forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.options.Now()
+	for customer, s := range p.stocks {
+		s.mu.Lock()
+		if s.drawing == nil && now.Sub(s.usedAt) > stockMemory {
+			delete(p.stocks, customer)
+		}
+		s.mu.Unlock()
+	}
+}
