Bound what may be lent, and test limits under all faults at once

Change: a return is cut to the room that loans leave; at most 80% of a share's burst is out on loan, so a restarted holder gains at once; tokens for waiting requests are brief.

--- a/quota/custody.go
+++ b/quota/custody.go
@@ -147,8 +147,8 @@
 	l.total(now)
 	var loans []Loan
 	for borrower, h := range l.holders {
-		if h.outstanding > 0 {
-			loans = append(loans, Loan{Borrower: borrower, Seq: h.lastSeq, Tokens: h.outstanding})
+		if h.outstanding+h.brief > 0 {
+			loans = append(loans, Loan{Borrower: borrower, Seq: h.lastSeq, Tokens: h.outstanding + h.brief})
 		}
 	}
 	return loans
@@ -200,7 +200,7 @@
 	}
 	s := l.share(now, state.Customer, held)
 	for _, loan := range state.Loans {
-		s.loans.issue(loan.Borrower, loan.Tokens, now.Add(l.term))
+		s.loans.issue(now, loan.Borrower, loan.Tokens, l.term)
 		h := s.loans.holder(loan.Borrower)
 		h.lastSeq = max(h.lastSeq, loan.Seq)
 	}
--- a/quota/fetch.go
+++ b/quota/fetch.go
@@ -23,7 +23,7 @@
 			a.limiter.shun(pool)
 			pause = a.unanswered()
 		} else {
-			pause = a.answered(sent, reply)
+			pause = a.answered(sent, ask, reply)
 		}
 		if pause > 0 {
 			time.Sleep(pause)
@@ -36,7 +36,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.limiter.options.Now()
-	a.serve(now)
+	a.serve(now, a.expires)
 	if len(a.waiters) == 0 || a.limiter.ctx.Err() != nil {
 		a.fetching = false
 		return Ask{}, "", false
@@ -61,6 +61,7 @@
 	}
 	a.pool = pool
 	a.balance = 0
+	a.covered = 0
 	a.expires = time.Time{}
 	a.anchor = anchor{}
 	a.period++
@@ -74,6 +75,7 @@
 	}
 	a.period++
 	a.balance = math.Floor(a.balance)
+	a.covered = a.balance
 	ask := Ask{Customer: a.customer, Seq: a.limiter.seq.Add(1), Holding: int64(a.balance)}
 	if since := a.anchor.instant(a.refund.since); a.refund.tokens >= 1 && since.Life != 0 {
 		ask.Refund = int64(a.refund.take().tokens)
@@ -83,13 +85,14 @@
 }
 
 // answered takes in a pool's answer and returns how long to pause before the next ask.
-func (a *account) answered(sent time.Time, reply *Reply) time.Duration {
+func (a *account) answered(sent time.Time, ask Ask, reply *Reply) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.limiter.options.Now()
 	answer := reply.Answers[0]
-	a.take(sent, now, answer, reply.Clock)
-	a.serve(now)
+	a.take(sent, now, ask, answer, reply.Clock)
+	a.serve(now, sent.Add(ownTerm(spendTerm)))
+	a.balance = min(a.balance, a.covered)
 	if answer.Granted > 0 || len(a.waiters) == 0 {
 		return 0
 	}
@@ -115,25 +118,30 @@
 	}
 }
 
-// take adds granted tokens to the balance.
-func (a *account) take(sent, now time.Time, answer Answer, clock Instant) {
+// take adds granted tokens to the balance. Those that were wanted at once are
+// good for the requests that wait now, if the answer came soon enough.
+func (a *account) take(sent, now time.Time, ask Ask, answer Answer, clock Instant) {
+	a.anchor = anchor{at: now, peer: clock}
 	if !answer.Renewed {
-		// What was held keeps its former term, which is not later than that of
-		// the grant; giving it up keeps one term for the whole balance.
+		// One term holds for the whole balance, so a holding that was not renewed is given up.
 		a.balance = 0
+		a.covered = 0
 	}
-	a.balance += float64(answer.Granted)
-	if answer.Renewed || answer.Granted > 0 {
-		a.expires = sent.Add(ownTerm(a.limiter.options.GrantTerm))
+	if !answer.Renewed && answer.Granted == 0 {
+		return
 	}
-	a.anchor = anchor{at: now, peer: clock}
+	wanted := min(answer.Granted, ask.Want)
+	a.covered += float64(answer.Granted - wanted)
+	a.balance += float64(answer.Granted - wanted)
+	a.expires = sent.Add(ownTerm(a.limiter.options.GrantTerm))
+	a.balance += float64(wanted)
 }
 
-// serve admits waiters in their order while the balance lasts.
-func (a *account) serve(now time.Time) {
+// serve admits waiters in their order while the balance, good until expires, lasts.
+func (a *account) serve(now, expires time.Time) {
 	for len(a.waiters) > 0 {
 		head := a.waiters[0]
-		ticket := a.spend(now, head.tokens, head.since)
+		ticket := a.spend(now, expires, head.tokens, head.since)
 		if ticket == nil {
 			return
 		}
@@ -229,6 +237,7 @@
 		ask := a.report(now)
 		ask.Holding, ask.Returned = 0, ask.Holding
 		a.balance = 0
+		a.covered = 0
 		if requests[a.pool] == nil {
 			requests[a.pool] = &Request{Tier: TierGrant}
 		}
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -62,6 +62,7 @@
 
 	// The following are guarded by fleet.mu.
 	down        bool
+	bouncing    bool
 	pausedUntil time.Time
 	sentBytes   int64
 	sentCalls   int64
@@ -116,7 +117,9 @@
 
 func (f *fleet) at(i int) *member { return f.members[f.order[i]] }
 
+// stopAll ends all members and waits for messages under way.
 func (f *fleet) stopAll() {
+	defer time.Sleep(10 * time.Second)
 	for _, address := range f.order {
 		m := f.members[address]
 		if !m.isDown() {
@@ -155,6 +158,23 @@
 	return m.down
 }
 
+// claimBounce marks the member as being restarted, unless it is already.
+func (m *member) claimBounce() bool {
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	if m.bouncing {
+		return false
+	}
+	m.bouncing = true
+	return true
+}
+
+func (m *member) releaseBounce() {
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	m.bouncing = false
+}
+
 func (m *member) boot() {
 	m.manager = quota.New(quota.Options{
 		Address: m.address, Region: m.region, Transport: m, Directory: m, Config: m.config, Now: m.now,
@@ -353,10 +373,12 @@
 type judge struct {
 	mu       sync.Mutex
 	t        testing.TB
+	changing bool
 	admitted *bucket
 	shadow   *bucket
 	// lowest is the lowest level of the admitted bucket.
 	lowest                                float64
+	reasons                               [8]int
 	requests, refused, wrong, wrongMerged int
 	waited                                time.Duration
 }
@@ -377,7 +399,15 @@
 	now := time.Now()
 	j.admitted.advance(now)
 	if err != nil {
+		var refusal *quota.Refusal
+		errors.As(err, &refusal)
+		if refusal.Reason == quota.ReasonStopped {
+			// The balancer would not have chosen a router that is stopping.
+			j.requests--
+			return nil
+		}
 		j.refused++
+		j.reasons[refusal.Reason]++
 		if exact {
 			j.wrong++
 		}
@@ -392,6 +422,32 @@
 	return ticket
 }
 
+// change begins a change of the limit by a factor and returns the new one, or nil
+// while another change is under way. Until settle, the larger of both is in force.
+func (j *judge) change(factor float64) *quota.Limit {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.changing {
+		return nil
+	}
+	j.changing = true
+	old := j.admitted.limit
+	changed := quota.Limit{Rate: old.Rate * factor, Burst: old.Burst * factor}
+	j.admitted.advance(time.Now())
+	j.admitted.limit = quota.Limit{Rate: max(old.Rate, changed.Rate), Burst: max(old.Burst, changed.Burst)}
+	j.admitted.level += j.admitted.limit.Burst - old.Burst
+	return &changed
+}
+
+// settle ends a change.
+func (j *judge) settle(limit quota.Limit) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.changing = false
+	j.admitted.advance(time.Now())
+	j.admitted.limit = limit
+}
+
 // verify fails the test if any window was above the limit.
 func (j *judge) verify() {
 	j.t.Helper()
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -9,8 +9,11 @@
 type holder struct {
 	outstanding float64
 	expires     time.Time
-	lastSeq     uint64
-	seen        time.Time
+	// brief is what the borrower must spend at once.
+	brief        float64
+	briefExpires time.Time
+	lastSeq      uint64
+	seen         time.Time
 }
 
 // ledger is the issuer's account of what its borrowers may still spend.
@@ -36,13 +39,11 @@
 func (l *ledger) total(now time.Time) float64 {
 	var sum float64
 	for borrower, h := range l.holders {
-		if !now.Before(h.expires) {
-			h.outstanding = 0
-		}
-		if h.outstanding == 0 && now.Sub(h.seen) > holderMemory {
+		h.expire(now)
+		if h.outstanding+h.brief == 0 && now.Sub(h.seen) > holderMemory {
 			delete(l.holders, borrower)
 		}
-		sum += h.outstanding
+		sum += h.outstanding + h.brief
 	}
 	return sum
 }
@@ -57,22 +58,38 @@
 	}
 	h.lastSeq = ask.Seq
 	h.seen = now
-	if !now.Before(h.expires) {
-		h.outstanding = 0
-	}
+	h.expire(now)
+	unspent := h.outstanding + h.brief
 	holding := max(0, float64(ask.Holding))
 	known = holding <= h.outstanding
-	kept := min(holding, h.outstanding)
-	returned = min(max(0, float64(ask.Returned)), h.outstanding-kept)
-	h.outstanding = kept
+	h.outstanding = min(holding, h.outstanding)
+	h.brief = 0
+	returned = min(max(0, float64(ask.Returned)), unspent-h.outstanding)
 	return returned, known, true
 }
 
+// expire forgets the tokens whose term is over.
+func (h *holder) expire(now time.Time) {
+	if !now.Before(h.expires) {
+		h.outstanding = 0
+	}
+	if !now.Before(h.briefExpires) {
+		h.brief = 0
+	}
+}
+
 // issue adds tokens to a borrower's account and starts its term anew.
-func (l *ledger) issue(borrower uint64, tokens float64, expires time.Time) {
+func (l *ledger) issue(now time.Time, borrower uint64, tokens float64, term time.Duration) {
 	h := l.holder(borrower)
 	h.outstanding += tokens
-	if expires.After(h.expires) {
-		h.expires = expires
-	}
+	h.expires = now.Add(term)
+	h.seen = now
+}
+
+// issueBrief adds tokens that the borrower spends at once or not at all.
+func (l *ledger) issueBrief(now time.Time, borrower uint64, tokens float64) {
+	h := l.holder(borrower)
+	h.brief += tokens
+	h.briefExpires = now.Add(spendTerm)
+	h.seen = now
 }
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -114,7 +114,7 @@
 			unknown += p
 		}
 	}
-	s.advance(now, Limit{Rate: part * limit.Rate, Burst: part * limit.Burst}, unknown*limit.Burst)
+	s.advance(now, Limit{Rate: part * limit.Rate, Burst: part * limit.Burst}, unknown*MaxLent*limit.Burst)
 	return s
 }
 
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -59,6 +59,9 @@
 
 	mu      sync.Mutex
 	balance float64
+	// covered is what the pool counts as unspent until the grant expires. The
+	// balance is above it only while waiting requests are being served.
+	covered float64
 	// expires is the end of the grant on this process's clock.
 	expires time.Time
 	pool    string
@@ -115,8 +118,8 @@
 	if !ok {
 		return nil, &Refusal{Reason: ReasonNoLimit, Message: "the customer has no limit"}
 	}
-	if float64(tokens) > limit.Burst {
-		return nil, &Refusal{Reason: ReasonAboveBurst, Message: "the request costs more than the customer's burst"}
+	if float64(tokens) > MaxLent*limit.Burst {
+		return nil, &Refusal{Reason: ReasonAboveBurst, Message: "the request costs more than the customer's burst allows"}
 	}
 	a := l.account(customer)
 	if a == nil {
@@ -159,7 +162,7 @@
 	}
 	a.demand.add(now, tokens)
 	if len(a.waiters) == 0 {
-		if ticket := a.spend(now, tokens, now); ticket != nil {
+		if ticket := a.spend(now, a.expires, tokens, now); ticket != nil {
 			return ticket, nil, nil
 		}
 	}
@@ -193,11 +196,11 @@
 // valid reports whether the balance may be spent.
 func (a *account) valid(now time.Time) bool { return now.Before(a.expires) }
 
-// spend takes tokens from the balance, or returns nil. The clock is read once
-// more after the tokens are taken, so that a pause between the check and the
-// spending is noticed.
-func (a *account) spend(now time.Time, tokens float64, since time.Time) *Ticket {
-	if !a.valid(now) {
+// spend takes tokens that are good until expires from the balance, or returns
+// nil. The clock is read once more before the tokens are taken, so that a pause
+// since the first reading is noticed.
+func (a *account) spend(now, expires time.Time, tokens float64, since time.Time) *Ticket {
+	if !now.Before(expires) {
 		a.balance = 0
 		return nil
 	}
@@ -205,7 +208,7 @@
 		return nil
 	}
 	after := a.limiter.options.Now()
-	if !a.valid(after) {
+	if !after.Before(expires) {
 		a.balance = 0
 		return nil
 	}
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -125,7 +125,9 @@
 	s.free -= float64(answer.Granted)
 	answer.Left = int64(s.free)
 	if answer.Granted > 0 || answer.Renewed {
-		s.grants.issue(borrower, float64(answer.Granted), now.Add(p.options.GrantTerm))
+		wanted := min(answer.Granted, ask.Want)
+		s.grants.issueBrief(now, borrower, float64(wanted))
+		s.grants.issue(now, borrower, float64(answer.Granted-wanted), p.options.GrantTerm)
 	}
 	s.check(now, p.options.GrantTerm)
 	return answer
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -30,10 +30,20 @@
 	// MaxShares is the largest number of slots among which a customer's limit is divided.
 	MaxShares = 5
 
+	// MaxLent is the part of a share's burst that may be out on loan at once. The
+	// rest is what a restarted holder, which does not know its former life's
+	// loans, may gain and lend during their term. A single request may cost no
+	// more than this part of the burst.
+	MaxLent = 0.8
+
 	// DefaultLoanTerm is how long a pool may hold tokens of a share.
-	DefaultLoanTerm = 3 * time.Second
-	// DefaultGrantTerm is how long a router may hold tokens of a pool.
-	DefaultGrantTerm = time.Second
+	DefaultLoanTerm = 2 * time.Second
+	// DefaultGrantTerm is how long a router may hold tokens of a pool that it
+	// asked for ahead of requests.
+	DefaultGrantTerm = 800 * time.Millisecond
+	// spendTerm is how soon a router must spend the tokens that it wanted for a
+	// waiting request.
+	spendTerm = 250 * time.Millisecond
 	// DefaultMaxWait is how long a request waits for tokens.
 	DefaultMaxWait = 500 * time.Millisecond
 	// DefaultLayoutDelay is how long a changed number of slots waits before any share grows.
--- a/quota/share.go
+++ b/quota/share.go
@@ -55,12 +55,13 @@
 	if !fresh {
 		return Answer{}
 	}
-	s.level += returned
+	s.level = max(0, min(s.level+returned, s.room(now)))
 	s.deficits.record(now, s.deficit(now))
 	s.refund(now, float64(ask.Refund), refundSince)
-	granted := portion(s.level, ask.Want, ask.Extra)
+	lendable := min(s.level, MaxLent*s.limit.Burst-s.loans.total(now))
+	granted := portion(lendable, ask.Want, ask.Extra)
 	s.level -= float64(granted)
-	s.loans.issue(borrower, float64(granted), now.Add(term))
+	s.loans.issue(now, borrower, float64(granted), term)
 	s.deficits.record(now, s.deficit(now))
 	invariant.Check(s.level >= 0, "quota.share_negative", "level %f", s.level)
 	invariant.Check(s.level+s.loans.total(now)+s.unknown <= s.limit.Burst+slack || s.level == 0,
--- a/quota/ticket.go
+++ b/quota/ticket.go
@@ -67,7 +67,11 @@
 	}
 	now := a.limiter.options.Now()
 	if t.period == a.period && a.valid(now) {
-		a.balance += unused
+		recovered := max(0, min(unused, a.covered-a.balance))
+		a.balance += recovered
+		unused -= recovered
+	}
+	if unused == 0 {
 		return
 	}
 	a.refund.add(unused, t.at)
