--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -123,7 +123,7 @@
 	for _, address := range f.order {
 		m := f.members[address]
 		if !m.isDown() {
-			m.manager.Stop(context.Background())
+			m.life().Stop(context.Background())
 		}
 	}
 }
@@ -176,14 +176,22 @@
 }
 
 func (m *member) boot() {
-	m.manager = quota.New(quota.Options{
+	manager := quota.New(quota.Options{
 		Address: m.address, Region: m.region, Transport: m, Directory: m, Config: m.config, Now: m.now,
 		LayoutDelay: 10 * time.Second,
 	})
-	m.manager.Start()
+	manager.Start()
 	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	m.manager = manager
 	m.down = false
-	m.fleet.mu.Unlock()
+}
+
+// life returns the manager of the member's present life.
+func (m *member) life() *quota.Manager {
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	return m.manager
 }
 
 // crash ends the process without a farewell.
@@ -193,12 +201,12 @@
 	m.fleet.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	m.manager.Stop(ctx)
+	m.life().Stop(ctx)
 }
 
 // stop ends the process gracefully.
 func (m *member) stop() {
-	m.manager.Stop(context.Background())
+	m.life().Stop(context.Background())
 	m.fleet.mu.Lock()
 	m.down = true
 	m.fleet.mu.Unlock()
@@ -326,7 +334,7 @@
 	if m.isDown() {
 		return nil
 	}
-	reply := m.manager.Handle(context.Background(), request)
+	reply := m.life().Handle(context.Background(), request)
 	m.awake()
 	m.fleet.mu.Lock()
 	defer m.fleet.mu.Unlock()
@@ -393,7 +401,7 @@
 	j.requests++
 	exact := j.shadow.admit(time.Now(), float64(tokens))
 	j.mu.Unlock()
-	ticket, err := m.manager.Admit(context.Background(), id, tokens)
+	ticket, err := m.life().Admit(context.Background(), id, tokens)
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	now := time.Now()
