Try more homes for busy prefixes; keep three

Cause: a prefix with a third of a large pool's traffic keeps three homes busy. Change tried: homes gained while busy, drawn at random among up to 24; and a spill to 1-8 further homes instead of the whole prompt's. Neither is kept; the trial keeps the shape with a hot prefix. Conclusion: spreading over the whole prompt's key and imports do it; dropped.

--- a/placement/prefix/trial_test.go
+++ b/placement/prefix/trial_test.go
@@ -31,11 +31,13 @@
 	engines, rules, family        int
 	documents, docMin, docMax     int
 	resent, window, rate, shuffle float64
+	zipf                          float64
 }
 
 var shapes = []shape{
-	{"limon", 20, 4, 0, 60, 4, 8, 0.3, 10, 30, 20},
-	{"letak", 10, 6, 3, 40, 4, 10, 0.5, 20, 11, 30},
+	{"limon", 20, 4, 0, 60, 4, 8, 0.3, 10, 30, 20, 1.1},
+	{"letak", 10, 6, 3, 40, 4, 10, 0.5, 20, 11, 30, 1.1},
+	{"hot", 60, 4, 0, 60, 4, 8, 0.3, 10, 90, 20, 2.0},
 }
 
 var shares = []float64{.48, .25, .14, .08, .05}
@@ -140,7 +142,7 @@
 	if n := len(s.recent[c]); n > 0 && s.rnd.Float64() < s.resent {
 		return c, s.recent[c][s.rnd.IntN(n)].hashes
 	}
-	doc := draw(s.rnd, s.documents, func(i int) float64 { return math.Pow(float64(i+1), -1.1) })
+	doc := draw(s.rnd, s.documents, func(i int) float64 { return math.Pow(float64(i+1), -s.zipf) })
 	doc = rand.New(rand.NewPCG(uint64(s.now/s.shuffle), uint64(c))).Perm(s.documents)[doc]
 	span := s.docMax - s.docMin + 1
 	levels := [][2]uint64{{uint64(s.rules), 0}, {uint64(s.docMin + doc%span), uint64(doc)}, {uint64(1 + s.rnd.IntN(3)), s.rnd.Uint64()}}
