Run the KV store's copies and the roll-out in the agent

Cause: both were written but not part of the program. Change: internal/app builds and registers them.

--- a/internal/app/agent.go
+++ b/internal/app/agent.go
@@ -9,7 +9,9 @@
 	"github.com/greengagegate/greengagegate/internal/agent/enginestate"
 	"github.com/greengagegate/greengagegate/internal/agent/fairqueue"
 	"github.com/greengagegate/greengagegate/internal/agent/prober"
+	"github.com/greengagegate/greengagegate/internal/agent/rollout"
 	"github.com/greengagegate/greengagegate/internal/agent/runner"
+	"github.com/greengagegate/greengagegate/internal/agent/transfer"
 	"github.com/greengagegate/greengagegate/internal/engine"
 	"github.com/greengagegate/greengagegate/internal/engine/httpengine"
 	"github.com/greengagegate/greengagegate/internal/node"
@@ -41,7 +43,9 @@
 			cacheindex.New,
 			func() *fairqueue.Queue { return fairqueue.New(fairqueue.DefaultOptions(initialBatchLimit)) },
 			newEngineState,
+			newTransfers,
 			newRunner,
+			newRollout,
 		),
 		fx.Invoke(registerEngine, drainEngineAgent),
 	)
@@ -53,13 +57,42 @@
 	return poller
 }
 
-func newRunner(s *AgentSettings, driver engine.Driver, index *cacheindex.Index, queue *fairqueue.Queue, log zerolog.Logger) *runner.Runner {
-	return runner.New(runner.Options{Driver: driver, Queue: queue, Index: index, Name: s.Upstream.Name, Log: log})
+func newTransfers(lifecycle fx.Lifecycle, driver engine.Driver, state *enginestate.Poller, log zerolog.Logger) *transfer.Manager {
+	blockTokens := func() int64 { return state.Status().BlockTokens }
+	manager := transfer.New(transfer.Options{Driver: driver, BlockTokens: blockTokens, Log: log})
+	appendBackground(lifecycle, manager.Run)
+	return manager
+}
+
+func newRunner(s *AgentSettings, driver engine.Driver, index *cacheindex.Index, queue *fairqueue.Queue, transfers *transfer.Manager, log zerolog.Logger) *runner.Runner {
+	return runner.New(runner.Options{
+		Driver:    driver,
+		Queue:     queue,
+		Index:     index,
+		Transfers: transfers,
+		Name:      s.Upstream.Name,
+		Log:       log,
+	})
+}
+
+func newRollout(lifecycle fx.Lifecycle, s *AgentSettings, driver engine.Driver, state *enginestate.Poller, source object.Source, view membership.View, n *node.Node, log zerolog.Logger) *rollout.Manager {
+	manager := rollout.New(rollout.Options{
+		Driver:   driver,
+		Source:   source,
+		Status:   state,
+		View:     view,
+		Pool:     n.Pool,
+		Upstream: s.Upstream.Name,
+		Log:      log,
+	})
+	appendBackground(lifecycle, manager.Run)
+	return manager
 }
 
 // registerEngine connects the handlers of prompts.
-func registerEngine(n *node.Node, r *runner.Runner, state *enginestate.Poller, index *cacheindex.Index, queue *fairqueue.Queue) {
-	answers := prober.New(prober.Options{Index: index, Queue: queue, Status: state})
+func registerEngine(n *node.Node, r *runner.Runner, state *enginestate.Poller, index *cacheindex.Index, queue *fairqueue.Queue, transfers *transfer.Manager, loads *rollout.Manager) {
+	answers := prober.New(prober.Options{Index: index, Queue: queue, Status: state, Transfers: transfers})
+	n.Server.Handle(wirepb.Kind_KIND_ORDER, loads.Handle)
 	n.Server.Handle(wirepb.Kind_KIND_PROBE, answers.Handle)
 	n.Server.Handle(wirepb.Kind_KIND_RUN, r.Handle)
 }
--- a/internal/app/common.go
+++ b/internal/app/common.go
@@ -166,3 +166,22 @@
 	case <-ctx.Done():
 	}
 }
+
+// appendBackground runs work from start to stop of the application.
+func appendBackground(lifecycle fx.Lifecycle, work func(ctx context.Context)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	start := func(context.Context) error {
+		go func() {
+			defer close(done)
+			work(ctx)
+		}()
+		return nil
+	}
+	stop := func(context.Context) error {
+		cancel()
+		<-done
+		return nil
+	}
+	appendHook(lifecycle, start, stop)
+}
