--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -20,7 +20,7 @@
 	writeTimeout       = 5 * time.Second
 	streamWindowBytes  = 1 << 20
 	acceptBacklog      = 1024
-	streamCloseTimeout = 30 * time.Second
+	streamCloseTimeout = 5 * time.Second
 )
 
 // ErrVersion reports a peer that speaks another protocol version.
