--- a/internal/app/common.go
+++ b/internal/app/common.go
@@ -46,25 +46,6 @@
 	lifecycle.Append(fx.Hook{OnStart: start, OnStop: stop})
 }
 
-// appendTask runs a part's loop in the background during the life of the program.
-func appendTask(lifecycle fx.Lifecycle, run func(context.Context)) {
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	start := func(context.Context) error {
-		go func() {
-			defer close(done)
-			run(ctx)
-		}()
-		return nil
-	}
-	stop := func(context.Context) error {
-		cancel()
-		<-done
-		return nil
-	}
-	appendHook(lifecycle, start, stop)
-}
-
 func newNode(lifecycle fx.Lifecycle, c *Common, log zerolog.Logger) (*node.Node, error) {
 	n, err := node.New(c.Identity, c.Inner, c.InnerTLS, log)
 	if err != nil {
@@ -150,7 +131,7 @@
 
 // reportRevision passes the configuration's revision to membership.
 func reportRevision(lifecycle fx.Lifecycle, source object.Source, members *membership.Manager) {
-	appendTask(lifecycle, func(ctx context.Context) { reportRevisions(ctx, source, members) })
+	appendBackground(lifecycle, func(ctx context.Context) { reportRevisions(ctx, source, members) })
 }
 
 func reportRevisions(ctx context.Context, source object.Source, members *membership.Manager) {
