--- a/once/fleet_test.go
+++ b/once/fleet_test.go
@@ -174,7 +174,7 @@
 // owner returns the process that owns the request's shard.
 func (f *fleet) owner(request Request) string {
 	f.t.Helper()
-	number := shardOf(request.ID(), f.shards)
+	number := ShardOf(request.ID(), f.shards)
 	for _, peer := range f.peers() {
 		for _, owned := range f.manager(peer.Process).Owned() {
 			if owned == number {
--- a/once/manager.go
+++ b/once/manager.go
@@ -69,6 +69,9 @@
 	DropAfter time.Duration
 	// MaxKeys bounds the keys that one shard remembers.
 	MaxKeys int
+	// Healthy reports whether executions can succeed here; nil means always. While
+	// it is false, shards are handed to other peers.
+	Healthy func() bool
 	Log     zerolog.Logger
 }
 
@@ -142,7 +145,7 @@
 	if len(shards) == 0 {
 		return Result{}, &Error{Reason: ReasonUnavailable, RetryAfter: retryUnavailable}
 	}
-	s := shards[shardOf(request.ID(), len(shards))]
+	s := shards[ShardOf(request.ID(), len(shards))]
 	for range maxResolves {
 		result, err := s.do(ctx, request, run)
 		if !errors.Is(err, errNotServing) {
@@ -180,7 +183,7 @@
 	m.mu.Lock()
 	shards, stopping := m.shards, m.stopping
 	m.mu.Unlock()
-	if stopping || number < 0 || number >= len(shards) {
+	if stopping || !m.healthy() || number < 0 || number >= len(shards) {
 		return false
 	}
 	if !closed {
@@ -203,6 +206,10 @@
 	return owned
 }
 
+func (m *Manager) healthy() bool {
+	return m.options.Healthy == nil || m.options.Healthy()
+}
+
 func (s *shard) isOwned() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/once/once.go
+++ b/once/once.go
@@ -85,8 +85,9 @@
 	return Digest(hash.Sum(nil)[:digestBytes])
 }
 
-// shardOf maps a key to one of a number of shards.
-func shardOf(id ID, shards int) int {
+// ShardOf maps a key to one of a number of shards. Callers outside of the pool
+// use it as a hint only; the pool's own number is fixed in the store.
+func ShardOf(id ID, shards int) int {
 	return int(binary.LittleEndian.Uint64(id[:8]) % uint64(shards))
 }
 
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -187,7 +187,7 @@
 func sameShard(f *fleet, of Request, name string) Request {
 	for {
 		request := charge(name)
-		if shardOf(request.ID(), f.shards) == shardOf(of.ID(), f.shards) {
+		if ShardOf(request.ID(), f.shards) == ShardOf(of.ID(), f.shards) {
 			return request
 		}
 		name += "."
--- a/once/ownership.go
+++ b/once/ownership.go
@@ -31,11 +31,12 @@
 }
 
 func (m *Manager) preferred(shard int) (Peer, bool) {
-	ranked := rank(m.options.Peers(), m.options.Pool, shard)
-	if len(ranked) == 0 {
-		return Peer{}, false
+	for _, peer := range rank(m.options.Peers(), m.options.Pool, shard) {
+		if peer.Process != m.options.Self.Process || m.healthy() {
+			return peer, true
+		}
 	}
-	return ranked[0], true
+	return Peer{}, false
 }
 
 // ownershipLoop takes the shards that prefer this process and may be taken, and
