Arbitrate keyed calls by shard owners, through the agents and the routers

A repeat of a charge through another router has to find the arbiter of its key. Agents redirect routers to the shard's owner, which makes the call on its own service.

--- a/internal/agent/calls/calls.go
+++ b/internal/agent/calls/calls.go
@@ -1,23 +1,36 @@
 // Package calls is the agent's handler of calls to its plain service. A call
-// that is not idempotent is sent to the service at most once.
+// that is not idempotent is sent to the service at most once; one with an
+// idempotency key at most once for all requests with the key.
 package calls
 
 import (
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"sync/atomic"
+	"time"
 
+	"github.com/greengagegate/greengagegate/internal/fault"
 	"github.com/greengagegate/greengagegate/internal/object"
 	"github.com/greengagegate/greengagegate/internal/refusal"
+	"github.com/greengagegate/greengagegate/internal/retry"
 	"github.com/greengagegate/greengagegate/internal/service"
 	"github.com/greengagegate/greengagegate/internal/wire"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 	"github.com/greengagegate/greengagegate/membership"
+	"github.com/greengagegate/greengagegate/once"
 	"github.com/greengagegate/greengagegate/store"
 	"github.com/rs/zerolog"
 )
 
+const (
+	// sendTimeout bounds a call that goes on after its caller has left.
+	sendTimeout = 60 * time.Second
+
+	drainPollInterval = 20 * time.Millisecond
+)
+
 // Options configure a Manager.
 type Options struct {
 	// Driver makes the calls.
@@ -42,24 +55,49 @@
 // Manager serves calls. Handle may run on many goroutines at once.
 type Manager struct {
 	options  Options
+	breaker  retry.Breaker
 	draining atomic.Bool
+	active   atomic.Int64
+	keyed    atomic.Pointer[once.Manager]
+
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
 }
 
 // New returns a manager that is not started.
 func New(options Options) *Manager {
-	return &Manager{options: options}
+	return &Manager{options: options, cancel: func() {}}
 }
 
-// Start begins to own shards of idempotency keys. It does not block.
+// Start begins to own shards of idempotency keys as soon as the upstream is in
+// the configuration. It does not block.
 func (m *Manager) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	m.tasks.Go(func() { m.startKeyed(ctx) })
 	return nil
 }
 
 // Stop refuses new calls and hands the shards over. It blocks until calls in
 // flight have ended or ctx ends.
-func (m *Manager) Stop(context.Context) error {
+func (m *Manager) Stop(ctx context.Context) error {
+	m.cancel()
+	m.tasks.Wait()
+	var err error
+	if keyed := m.keyed.Load(); keyed != nil {
+		err = keyed.Stop(ctx)
+	}
 	m.draining.Store(true)
-	return nil
+	for m.active.Load() > 0 {
+		timer := time.NewTimer(drainPollInterval)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return errors.Join(err, fault.Wrap(ctx.Err(), "finish calls", m.options.Upstream))
+		}
+	}
+	return err
 }
 
 // Handle serves KIND_CALL: it receives a CallRequest and sends a CallReply.
@@ -68,24 +106,39 @@
 	if err := stream.Recv(request); err != nil {
 		return
 	}
-	reply := m.call(ctx, request)
-	if err := stream.Send(reply); err != nil {
+	m.active.Add(1)
+	defer m.active.Add(-1)
+	if err := stream.Send(m.call(ctx, request)); err != nil {
 		m.options.Log.Debug().Err(err).Msg("calls: reply not sent")
 	}
 }
 
-// HandleOnce serves KIND_ONCE: messages of other agents about shards.
-func (m *Manager) HandleOnce(context.Context, wire.Request, *wire.Stream) {}
-
 func (m *Manager) call(ctx context.Context, request *wirepb.CallRequest) *wirepb.CallReply {
+	if !request.Idempotent && request.IdempotencyKey != "" {
+		return m.callOnce(ctx, request)
+	}
 	if m.draining.Load() {
 		return refused(refusal.Draining, wirepb.RunState_RUN_NOT_RUN, "the agent is stopping", m.options.Upstream)
 	}
+	if !request.Idempotent {
+		// The outcome must get known even when the router leaves.
+		detached, cancel := context.WithTimeout(context.WithoutCancel(ctx), sendTimeout)
+		defer cancel()
+		ctx = detached
+	}
 	return m.send(ctx, request)
 }
 
 // send makes the call on the service, once.
 func (m *Manager) send(ctx context.Context, request *wirepb.CallRequest) *wirepb.CallReply {
+	if ctx.Err() != nil {
+		return refused(refusal.DeadlineExceeded, wirepb.RunState_RUN_NOT_RUN, "the time was over before the call was sent", m.options.Upstream)
+	}
+	if ok, wait := m.breaker.Allow(); !ok {
+		reply := refused(refusal.CircuitOpen, wirepb.RunState_RUN_NOT_RUN, "the service is given time to recover", m.options.Upstream)
+		refusal.After(reply.Refusal, wait)
+		return reply
+	}
 	answer, err := m.options.Driver.Do(ctx, service.Call{
 		RequestID: request.RequestId,
 		Method:    request.Method,
@@ -93,6 +146,7 @@
 		Header:    header(request.Headers),
 		Body:      request.Body,
 	})
+	m.judge(ctx, err)
 	switch {
 	case err == nil:
 		return &wirepb.CallReply{Status: int32(answer.Status), Headers: lines(answer.Header), Body: answer.Body}
@@ -103,6 +157,18 @@
 	}
 }
 
+// judge tells the breaker what an attempt says of the service.
+func (m *Manager) judge(ctx context.Context, err error) {
+	switch {
+	case err == nil:
+		m.breaker.Success()
+	case ctx.Err() != nil:
+		m.breaker.Abandon()
+	default:
+		m.breaker.Failure()
+	}
+}
+
 func refused(code refusal.Code, run wirepb.RunState, message, peer string) *wirepb.CallReply {
 	return &wirepb.CallReply{Refusal: refusal.New(code, run, message, "call", peer)}
 }
@@ -124,3 +190,12 @@
 	}
 	return out
 }
+
+// Halt ends the manager's tasks without a hand-over, as a crash does.
+func (m *Manager) Halt() {
+	m.cancel()
+	m.tasks.Wait()
+	if keyed := m.keyed.Load(); keyed != nil {
+		keyed.Halt()
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/fault"
@@ -78,20 +79,20 @@
 	}
 	request.Header.Set(RequestIDHeader, call.RequestID)
 
-	var connected bool
+	var connected atomic.Bool
 	transport := &http.Transport{
 		DisableKeepAlives: true,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := h.dialer.DialContext(ctx, network, address)
 			if err == nil {
-				connected = true
+				connected.Store(true)
 			}
 			return conn, err
 		},
 	}
 	defer transport.CloseIdleConnections()
 	response, err := transport.RoundTrip(request)
-	if err != nil && !connected {
+	if err != nil && !connected.Load() {
 		return Answer{}, fault.Wrap(errors.Join(ErrNotSent, err), "dial service", h.base)
 	}
 	if err != nil {
--- a/once/manager.go
+++ b/once/manager.go
@@ -135,6 +135,15 @@
 	return err
 }
 
+// Halt ends the manager's tasks and keeps the shards, as a crash does.
+func (m *Manager) Halt() {
+	m.mu.Lock()
+	m.stopping = true
+	m.mu.Unlock()
+	m.cancel()
+	m.tasks.Wait()
+}
+
 // Do runs a request at most once for its key and returns the answer, or that of
 // the first request with the key. It blocks until there is an answer or ctx ends.
 // The execution itself is not bound to ctx. Errors are *Error.
