Measure idle processor time and the machine's own cost of a message

Cause: the first overhead runs blamed idle work on requests, and left open how much of a token event's cost is the machine's. Change: an idle phase is subtracted; the cost of one small message over loopback is measured beside it; failures are listed by code; a key that stopped at once is told from one that was not withdrawn.

--- a/internal/load/disturb/callers.go
+++ b/internal/load/disturb/callers.go
@@ -63,11 +63,13 @@
 	all.Wait()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	longest := 0.0
 	for _, user := range users {
 		m.report.RevokeUses += user.uses
 		late := float64(user.last.Sub(accepted).Microseconds()) / 1000
-		m.report.RevokeMs = max(m.report.RevokeMs, late)
+		longest = max(longest, late)
 	}
+	m.report.RevokeMs = &longest
 	return err
 }
 
--- a/internal/load/disturb/disturb.go
+++ b/internal/load/disturb/disturb.go
@@ -86,8 +86,8 @@
 	// PoisonSent counts the sendings of the poison request, PoisonCodes the answers.
 	PoisonSent  int            `json:"poison_sent,omitempty"`
 	PoisonCodes map[string]int `json:"poison_codes,omitempty"`
-	// RevokeMs is how long a withdrawn key worked after its withdrawal was accepted.
-	RevokeMs float64 `json:"revoke_ms,omitempty"`
+	// RevokeMs is how long a withdrawn key worked after its withdrawal was accepted, 0 when not at all.
+	RevokeMs *float64 `json:"revoke_ms,omitempty"`
 	// RevokeUses counts the uses of the key before.
 	RevokeUses int `json:"revoke_uses,omitempty"`
 	// Errors are failures that could not be brought about.
--- a/internal/load/fleet/fleet.go
+++ b/internal/load/fleet/fleet.go
@@ -254,6 +254,9 @@
 	return m.waitFor(ctx, m.ReadyAddresses()[index], "/readyz", readyTimeout)
 }
 
+// Processes returns the number of routers and agents.
+func (m *Manager) Processes() int { return len(m.routers) + len(m.agents) }
+
 // ProcessorTime returns what routers and agents have used.
 func (m *Manager) ProcessorTime() (routers, agents time.Duration) {
 	for _, p := range m.routers {
--- a/internal/load/overhead/overhead.go
+++ b/internal/load/overhead/overhead.go
@@ -31,6 +31,7 @@
 	amplyRated = 1e9
 
 	warmup     = 2 * time.Second
+	idleTime   = 4 * time.Second
 	startDelay = 500 * time.Millisecond
 	directSeed = 77
 )
@@ -56,7 +57,12 @@
 	// agents between streams of few and of many token events.
 	CPUPerTokenEvent float64 `json:"cpu_us_per_token_event"`
 	CPUPerRequest    float64 `json:"cpu_us_per_request"`
-	Failures         int     `json:"failures"`
+	// IdleCPUPercent is what a router or agent uses without requests, in percent of a core.
+	IdleCPUPercent float64 `json:"idle_cpu_percent_per_process"`
+	// LoopbackCost is what this machine takes for one small message between two
+	// connected sockets, for comparison.
+	LoopbackCost float64        `json:"cpu_us_per_loopback_message"`
+	Failures     map[string]int `json:"failures,omitempty"`
 }
 
 // Measure starts a fleet of the scenario's size without delays between zones and measures it.
@@ -97,6 +103,20 @@
 	scenario scenario.Scenario
 	fleet    *fleet.Manager
 	secret   func(int) string
+	// idleCores is the number of cores that all processes together use when idle.
+	idleCores float64
+}
+
+// measureIdle measures what the processes use without requests.
+func (m *measurement) measureIdle(ctx context.Context) error {
+	before := m.processorTime()
+	select {
+	case <-time.After(idleTime):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	m.idleCores = (m.processorTime() - before).Seconds() / idleTime.Seconds()
+	return nil
 }
 
 // phase is one part of the measurement, with one length of answers.
@@ -104,11 +124,18 @@
 	routed, direct []time.Duration
 	requests       int
 	events         int
-	failures       int
-	processor      time.Duration
+	failures       map[string]int
+	processor      time.Duration // without what the processes use when idle
 }
 
 func (m *measurement) run(ctx context.Context) (Figures, error) {
+	if err := m.measureIdle(ctx); err != nil {
+		return Figures{}, err
+	}
+	loopback, err := loopbackCost()
+	if err != nil {
+		return Figures{}, err
+	}
 	short, err := m.phase(ctx, shortOutput)
 	if err != nil {
 		return Figures{}, err
@@ -121,7 +148,12 @@
 		RequestsPerSecond: requestsPerSecond,
 		Direct:            judge.QuantilesOf(append(short.direct, long.direct...)),
 		Routed:            judge.QuantilesOf(append(short.routed, long.routed...)),
-		Failures:          short.failures + long.failures,
+		IdleCPUPercent:    100 * m.idleCores / float64(m.fleet.Processes()),
+		LoopbackCost:      loopback,
+		Failures:          short.failures,
+	}
+	for code, count := range long.failures {
+		f.Failures[code] += count
 	}
 	f.AddedP50 = f.Routed.P50 - f.Direct.P50
 	f.AddedP99 = f.Routed.P99 - f.Direct.P99
@@ -145,19 +177,20 @@
 		Plan: plan, Secret: m.secret, Callers: m.fleet.CallerAddresses(), Admin: m.fleet.ReadyAddresses(),
 	})
 	started := time.Now().Add(startDelay)
-	before := m.processorTime()
-	var p phase
+	before, began := m.processorTime(), time.Now()
+	p := phase{failures: make(map[string]int)}
 	var all sync.WaitGroup
 	all.Go(func() { callers.Run(ctx, started) })
 	all.Go(func() { p.direct = m.direct(ctx, plan, started.Add(warmup)) })
 	all.Wait()
-	p.processor = m.processorTime() - before
+	idle := time.Duration(m.idleCores * float64(time.Since(began)))
+	p.processor = m.processorTime() - before - idle
 	results, _ := callers.Results()
 	for _, r := range results {
 		p.requests++
 		p.events += r.Events
 		if r.Outcome != client.Complete || r.WrongText {
-			p.failures++
+			p.failures[string(r.Outcome)+" "+r.Code]++
 		} else if r.Prompt.At >= warmup {
 			p.routed = append(p.routed, r.FirstByte-r.Sent)
 		}
