--- /dev/null
+++ b/snapshot/repository_test.go
@@ -0,0 +1,140 @@
+package snapshot
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/greengagegate/greengagegate/store"
+	"github.com/greengagegate/greengagegate/store/memstore"
+)
+
+// commitOne reads the head and commits one record on top of it.
+func commitOne(ctx context.Context, r *Repository, key, value string) (*Snapshot, error) {
+	state, err := r.Head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	base, err := r.Load(ctx, state, nil)
+	if err != nil {
+		return nil, err
+	}
+	next := base.Apply(base.Revision()+1, []Change{{Key: key, Value: []byte(value)}})
+	_, err = r.Commit(ctx, state, base, next, Entry{Nonce: NewNonce(), Author: "test"})
+	return next, err
+}
+
+func TestCommitAndLoad(t *testing.T) {
+	ctx := t.Context()
+	backing := memstore.New()
+	r := NewRepository(backing, "config/")
+	var last *Snapshot
+	for i := range 3 * HistoryLimit {
+		next, err := commitOne(ctx, r, fmt.Sprintf("k%d", i%10), fmt.Sprint(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		last = next
+	}
+	state, err := r.Head(ctx)
+	if err != nil || state.Revision() != 3*HistoryLimit || len(state.History()) != HistoryLimit {
+		t.Fatalf("revision %d, %d in history, %v", state.Revision(), len(state.History()), err)
+	}
+	loaded, err := r.Load(ctx, state, nil)
+	if err != nil || loaded.Hash() != last.Hash() {
+		t.Fatalf("loaded another snapshot: %v", err)
+	}
+	buckets, _, _ := backing.List(ctx, "config/bucket/")
+	if limit := 10 + retainRevisions; len(buckets) > limit {
+		t.Fatalf("%d buckets are kept, want at most %d", len(buckets), limit)
+	}
+}
+
+func TestCommitOnAnOlderStateIsRefused(t *testing.T) {
+	ctx := t.Context()
+	r := NewRepository(memstore.New(), "config/")
+	old, _ := r.Head(ctx)
+	if _, err := commitOne(ctx, r, "a", "1"); err != nil {
+		t.Fatal(err)
+	}
+	empty := new(Snapshot)
+	next := empty.Apply(1, []Change{{Key: "b", Value: []byte("2")}})
+	if _, err := r.Commit(ctx, old, empty, next, Entry{Nonce: NewNonce()}); !errors.Is(err, ErrMoved) {
+		t.Fatalf("got %v, want ErrMoved", err)
+	}
+	if _, err := r.Commit(ctx, old, empty, empty.Apply(2, nil), Entry{}); err == nil {
+		t.Fatal("a revision that does not follow was accepted")
+	}
+}
+
+func TestLostAnswerBelowAnotherPublication(t *testing.T) {
+	ctx := t.Context()
+	backing := memstore.New()
+	r := NewRepository(backing, "config/")
+	if _, err := commitOne(ctx, r, "a", "1"); err != nil {
+		t.Fatal(err)
+	}
+	lossy := &overtaken{Store: backing, key: r.HeadKey(), overtake: func() {
+		if _, err := commitOne(ctx, r, "b", "2"); err != nil {
+			t.Error(err)
+		}
+	}}
+	if _, err := commitOne(ctx, NewRepository(lossy, "config/"), "c", "3"); err != nil {
+		t.Fatalf("the commit took effect: %v", err)
+	}
+	state, _ := r.Head(ctx)
+	if state.Revision() != 3 {
+		t.Fatalf("revision %d", state.Revision())
+	}
+}
+
+// overtaken loses the answer of a write of key and lets another writer follow.
+type overtaken struct {
+	store.Store
+	key      string
+	overtake func()
+}
+
+func (o *overtaken) Put(ctx context.Context, key string, value []byte, expected int64) (int64, error) {
+	version, err := o.Store.Put(ctx, key, value, expected)
+	if key != o.key || o.overtake == nil {
+		return version, err
+	}
+	overtake := o.overtake
+	o.overtake = nil
+	overtake()
+	return 0, store.ErrUnknownOutcome
+}
+
+func TestCorruptBucketIsRefused(t *testing.T) {
+	ctx := t.Context()
+	backing := memstore.New()
+	r := NewRepository(backing, "config/")
+	if _, err := commitOne(ctx, r, "a", "1"); err != nil {
+		t.Fatal(err)
+	}
+	buckets, _, _ := backing.List(ctx, "config/bucket/")
+	if _, err := backing.Put(ctx, buckets[0].Key, []byte(`[{"key":"a","value":"MQo="}]`), buckets[0].Version); err != nil {
+		t.Fatal(err)
+	}
+	state, _ := r.Head(ctx)
+	if _, err := r.Load(ctx, state, nil); !errors.Is(err, ErrCorrupt) {
+		t.Fatalf("got %v, want ErrCorrupt", err)
+	}
+}
+
+func TestBucketAboveTheStoresLimit(t *testing.T) {
+	r := NewRepository(memstore.New(), "config/")
+	if _, err := commitOne(t.Context(), r, "a", strings.Repeat("x", store.MaxValueBytes)); !errors.Is(err, ErrTooLarge) {
+		t.Fatalf("got %v, want ErrTooLarge", err)
+	}
+}
+
+func FuzzParseHead(f *testing.F) {
+	f.Add([]byte(`{"revision":1,"buckets":[{"o":"a","h":"00"}]}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = ParseHead(store.Object{Value: data, Version: 1})
+	})
+}
--- /dev/null
+++ b/snapshot/snapshot_test.go
@@ -0,0 +1,83 @@
+package snapshot
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func drawChanges(t *rapid.T) []Change {
+	drawChange := rapid.Custom(func(t *rapid.T) Change {
+		key := fmt.Sprintf("k%d", rapid.IntRange(0, 200).Draw(t, "key"))
+		if rapid.Bool().Draw(t, "deleted") {
+			return Change{Key: key, Deleted: true}
+		}
+		return Change{Key: key, Value: []byte(rapid.StringN(0, 5, 20).Draw(t, "value"))}
+	})
+	return rapid.SliceOfN(drawChange, 0, 50).Draw(t, "changes")
+}
+
+// contents returns the records as a plain map, by way of Records.
+func contents(s *Snapshot) map[string]string {
+	all := make(map[string]string)
+	for _, record := range s.Records() {
+		all[record.Key] = string(record.Value)
+	}
+	return all
+}
+
+func TestApplyAndDiffAgreeWithAMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		model := make(map[string]string)
+		s := new(Snapshot)
+		for revision := range uint64(3) {
+			changes := drawChanges(t)
+			for _, change := range changes {
+				delete(model, change.Key)
+				if !change.Deleted {
+					model[change.Key] = string(change.Value)
+				}
+			}
+			next := s.Apply(revision+1, changes)
+			if got := contents(next); fmt.Sprint(got) != fmt.Sprint(model) {
+				t.Fatalf("got %v, want %v", got, model)
+			}
+			if replayed := s.Apply(revision+1, s.Diff(next)); replayed.Hash() != next.Hash() {
+				t.Fatal("the difference does not lead to the same hash")
+			}
+			for key, value := range model {
+				if got, ok := next.Get(key); !ok || string(got) != value {
+					t.Fatalf("Get(%q) = %q, %t", key, got, ok)
+				}
+			}
+			s = next
+		}
+	})
+}
+
+func TestHashDependsOnRevisionAndRecords(t *testing.T) {
+	base := new(Snapshot).Apply(1, []Change{{Key: "a", Value: []byte("1")}})
+	others := map[string]*Snapshot{
+		"revision":       base.Apply(2, nil),
+		"value":          base.Apply(1, []Change{{Key: "a", Value: []byte("2")}}),
+		"further record": base.Apply(1, []Change{{Key: "b", Value: []byte("1")}}),
+		"shifted bytes":  new(Snapshot).Apply(1, []Change{{Key: "a1", Value: nil}}),
+	}
+	for name, other := range others {
+		if other.Hash() == base.Hash() {
+			t.Errorf("%s: equal hashes", name)
+		}
+	}
+}
+
+func TestReplaceRefusesForeignRecords(t *testing.T) {
+	index := BucketOf("a")
+	s := new(Snapshot)
+	if _, err := s.Replace(1, map[int][]Record{(index + 1) % BucketCount: {{Key: "a"}}}); err == nil {
+		t.Error("a record in the wrong bucket was accepted")
+	}
+	if _, err := s.Replace(1, map[int][]Record{BucketCount: nil}); err == nil {
+		t.Error("a bucket that does not exist was accepted")
+	}
+}
