--- a/internal/configsync/evidence.go
+++ b/internal/configsync/evidence.go
@@ -20,6 +20,10 @@
 	agreementFraction = 4
 )
 
+// abstention is how long after its start a witness makes no statement: an
+// announcement that it has confirmed before and forgotten is superseded by then.
+const abstention = fenceAfter + fenceCheckInterval
+
 // never is the moment of evidence that does not exist.
 const never = time.Duration(-1 << 62)
 
@@ -127,12 +131,14 @@
 	return oldest, len(e.pending) > 0
 }
 
-// state makes this process's own statement, if it is a witness.
+// state makes this process's own statement, if it is a witness, no publication
+// is under way, and the store has been heard of since the abstention was over.
 func (e *evidence) state(address string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	i, ok := e.witnesses[address]
-	if !ok || len(e.pending) > 0 {
+	heard := time.Duration(e.store.Load())
+	if !ok || len(e.pending) > 0 || heard < abstention {
 		return
 	}
 	e.stated[i] = e.now()
--- a/internal/configsync/fence.go
+++ b/internal/configsync/fence.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	fenceCheckInterval = 5 * time.Second
+	fenceCheckInterval = 2 * time.Second
 	fenceAuthor        = "greengagegate"
 	fenceNote          = "supersedes a publication that was announced and neither made nor abandoned"
 )
@@ -45,7 +45,7 @@
 	}
 	next := base.Apply(base.Revision()+1, nil)
 	entry := snapshot.Entry{Nonce: snapshot.NewNonce(), Author: fenceAuthor, Note: fenceNote, At: time.Now().UTC()}
-	_, err = m.repository.Commit(ctx, state, base, next, entry)
+	_, err = m.repository.Commit(ctx, state, base, next, entry, nil)
 	if errors.Is(err, snapshot.ErrMoved) {
 		return m.readStore(ctx)
 	}
--- a/internal/configsync/storeloop.go
+++ b/internal/configsync/storeloop.go
@@ -14,7 +14,7 @@
 	// readFraction is the part of StaleAfter after which a watcher reads the head again.
 	readFraction = 3
 	// fenceAfter is how long a publication under way is waited for.
-	fenceAfter = 30 * time.Second
+	fenceAfter = 8 * time.Second
 )
 
 // loadFromStore reads the newest snapshot until a first set is in force.
--- a/internal/publish/publisher.go
+++ b/internal/publish/publisher.go
@@ -124,33 +124,38 @@
 	}
 }
 
-// commit announces and commits one attempt. It returns nil when another writer
-// came first.
+// errNotAnnounced reports that too few witnesses confirm.
+var errNotAnnounced = errors.New("publication not announced")
+
+// commit stores, announces and commits one attempt. It returns nil when another
+// writer came first.
 func (p *Publisher) commit(ctx context.Context, try *attempt) *Result {
-	announced := p.manager.Announce(ctx, try.base, try.nonce)
-	if p.manager.Revision() != try.base.Revision() {
-		p.manager.Abandon(try.base, try.nonce)
-		return nil
-	}
-	result := Result{Revision: try.base.Revision(), Confirmed: announced.Confirmed, Witnesses: announced.Witnesses}
-	if !announced.Enough() && !try.request.Force {
-		p.manager.Abandon(try.base, try.nonce)
-		result.Outcome = OutcomeNotRun
-		result.Reason = fmt.Sprintf("%d of %d witnesses confirm, %d are needed: "+
-			"processes that are cut off could miss the change; force overrides this",
-			announced.Confirmed, announced.Witnesses, announced.Needed)
-		return &result
-	}
 	entry := snapshot.Entry{
 		Nonce: try.nonce, Author: try.request.Author, Note: try.request.Note, At: time.Now().UTC(),
 	}
-	_, err := p.repository.Commit(ctx, try.state, try.base, try.next, entry)
+	result := Result{Revision: try.base.Revision(), Nonce: try.nonce}
+	announce := func() error { return p.announce(ctx, try, &result) }
+	_, err := p.repository.Commit(ctx, try.state, try.base, try.next, entry, announce)
 	return p.settle(try, result, err)
 }
 
+// announce tells the witnesses, and returns an error unless enough confirm.
+func (p *Publisher) announce(ctx context.Context, try *attempt, result *Result) error {
+	announced := p.manager.Announce(ctx, try.base, try.nonce)
+	if p.manager.Revision() != try.base.Revision() {
+		return snapshot.ErrMoved
+	}
+	result.Confirmed, result.Witnesses = announced.Confirmed, announced.Witnesses
+	if announced.Enough() || try.request.Force {
+		return nil
+	}
+	return fmt.Errorf("%w: %d of %d witnesses confirm, %d are needed: "+
+		"processes that are cut off could miss the change; force overrides this",
+		errNotAnnounced, announced.Confirmed, announced.Witnesses, announced.Needed)
+}
+
 // settle turns the error of a commit into a result, nil when another writer came first.
 func (p *Publisher) settle(try *attempt, result Result, err error) *Result {
-	result.Nonce = try.nonce
 	switch {
 	case err == nil:
 		result.Outcome = OutcomeAccepted
@@ -163,7 +168,7 @@
 	case errors.Is(err, snapshot.ErrMoved):
 		p.manager.Abandon(try.base, try.nonce)
 		return nil
-	case errors.Is(err, store.ErrUnavailable), errors.Is(err, snapshot.ErrTooLarge):
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, snapshot.ErrTooLarge), errors.Is(err, errNotAnnounced):
 		p.manager.Abandon(try.base, try.nonce)
 		result.Outcome = OutcomeNotRun
 	default:
--- a/snapshot/commit.go
+++ b/snapshot/commit.go
@@ -19,7 +19,10 @@
 // by reading the head for the nonce; only while the head still has the version
 // that the write was conditional on is that same write repeated, so at most one
 // of the two can take effect.
-func (r *Repository) Commit(ctx context.Context, from State, base, next *Snapshot, entry Entry) (State, error) {
+//
+// ready, when not nil, is called once the buckets are stored, right before the
+// head is written; its error ends the commit with nothing changed, and is returned.
+func (r *Repository) Commit(ctx context.Context, from State, base, next *Snapshot, entry Entry, ready func() error) (State, error) {
 	if next.revision != from.head.Revision+1 {
 		return State{}, fmt.Errorf("revision %d does not follow %d", next.revision, from.head.Revision)
 	}
@@ -39,6 +42,11 @@
 	if err != nil {
 		return State{}, err
 	}
+	if ready != nil {
+		if err := ready(); err != nil {
+			return State{}, err
+		}
+	}
 	version, err := r.putHead(ctx, value, from.version, entry)
 	if err != nil {
 		return State{}, err
