Export what routers ask about, in paced chunks, and hold for imports by their worth

The queue learnt the engine's rate with the wait for imports in it, and the router demoted upstreams for being as late as all others. Change: probes count as interest in blocks; exports go two blocks at a time with a pause of five times what a chunk took; a request holds its place for 0.6 of the time that computing the blocks would take; the rate is learnt from the engine's start to its first token; an upstream is demoted by its lateness beyond twice the fleet's.

--- a/internal/agent/fairqueue/backlog.go
+++ b/internal/agent/fairqueue/backlog.go
@@ -46,16 +46,27 @@
 
 // atEngine returns the prompt tokens at the engine that are not computed yet.
 func (q *Queue) atEngine() int64 {
-	if len(q.prefills) == 0 {
-		return 0
-	}
 	var tokens int64
 	for _, grant := range q.prefills {
-		tokens += grant.ticket.PrefillTokens
+		tokens += grant.remaining(q.rate)
+	}
+	return tokens
+}
+
+// remaining estimates the prompt tokens of a request that are not computed yet.
+func (g *Grant) remaining(rate float64) int64 {
+	if g.began.IsZero() {
+		return g.ticket.PrefillTokens
 	}
-	head := q.prefills[0].ticket.PrefillTokens
-	done := int64(time.Since(q.headSince).Seconds() * q.rate)
-	return tokens - min(done, head)
+	done := int64(time.Since(g.began).Seconds() * rate)
+	return max(0, g.ticket.PrefillTokens-done)
+}
+
+// Rate returns the observed speed of computing prompts in tokens a second.
+func (q *Queue) Rate() float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.rate
 }
 
 // SetRate takes the engine's own figure as the starting point.
--- a/internal/agent/fairqueue/fairqueue.go
+++ b/internal/agent/fairqueue/fairqueue.go
@@ -97,9 +97,7 @@
 	suspects      int
 	// prefills are the started requests without a first token, in order of start.
 	prefills []*Grant
-	// headSince is when the engine can have begun with the first of prefills.
-	headSince time.Time
-	rate      float64
+	rate     float64
 }
 
 // customer is the queue's account of one customer.
@@ -272,9 +270,6 @@
 	if e.ticket.Suspect {
 		q.suspects++
 	}
-	if len(q.prefills) == 0 {
-		q.headSince = time.Now()
-	}
 	q.prefills = append(q.prefills, grant)
 	e.ready <- grant
 }
--- a/internal/agent/fairqueue/fairqueue_test.go
+++ b/internal/agent/fairqueue/fairqueue_test.go
@@ -50,6 +50,7 @@
 		t.Errorf("acquire: %v", err)
 		return
 	}
+	grant.Begin(ticket.PrefillTokens)
 	time.Sleep(time.Duration(ticket.PrefillTokens) * time.Millisecond)
 	grant.FirstToken()
 	grant.Release(Service(ticket.PrefillTokens, ticket.DecodeTokens))
--- a/internal/agent/fairqueue/grant.go
+++ b/internal/agent/fairqueue/grant.go
@@ -1,19 +1,36 @@
 package fairqueue
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Grant is a request's place at the engine.
 type Grant struct {
 	queue  *Queue
 	ticket Ticket
 	done   bool
+	// began is when the engine began to compute the prompt; zero before.
+	began time.Time
 }
 
-// SetPrefill corrects the number of tokens to compute, once the engine or an
-// import has told it.
+// SetPrefill corrects the number of tokens to compute, as after an import.
 func (g *Grant) SetPrefill(tokens int64) {
 	g.queue.mu.Lock()
 	defer g.queue.mu.Unlock()
+	g.setPrefill(tokens)
+}
+
+// Begin says that the engine has begun to compute the prompt, and how many
+// tokens that are.
+func (g *Grant) Begin(tokens int64) {
+	g.queue.mu.Lock()
+	defer g.queue.mu.Unlock()
+	g.setPrefill(tokens)
+	g.began = time.Now()
+}
+
+func (g *Grant) setPrefill(tokens int64) {
 	account := g.queue.customers[g.ticket.Customer]
 	if g.done || account == nil {
 		return
@@ -56,18 +73,12 @@
 // endPrefill takes g out of the requests without a first token. A completed one
 // tells the engine's rate.
 func (q *Queue) endPrefill(g *Grant, completed bool) {
-	for i, other := range q.prefills {
-		if other != g {
-			continue
-		}
-		now := time.Now()
-		if i == 0 {
-			if completed {
-				q.learnRate(g.ticket.PrefillTokens, now.Sub(q.headSince))
-			}
-			q.headSince = now
-		}
-		q.prefills = append(q.prefills[:i], q.prefills[i+1:]...)
+	i := slices.Index(q.prefills, g)
+	if i < 0 {
 		return
 	}
+	if completed && !g.began.IsZero() {
+		q.learnRate(g.ticket.PrefillTokens, time.Since(g.began))
+	}
+	q.prefills = slices.Delete(q.prefills, i, i+1)
 }
--- a/internal/agent/prober/prober.go
+++ b/internal/agent/prober/prober.go
@@ -36,6 +36,8 @@
 
 // Transfers tells what the KV store could add to a cache.
 type Transfers interface {
+	// Wanted says that a router asked about a prompt.
+	Wanted(hashes []uint64)
 	// Importable returns how many leading blocks of hashes the KV store holds, 0
 	// when unknown, and the speed at which those after the cached ones would come,
 	// in tokens a second. It blocks briefly.
@@ -109,7 +111,11 @@
 }
 
 func (p *Prober) addImport(ctx context.Context, reply *wirepb.ProbeReply, request *wirepb.ProbeRequest, cached int, status Status) {
-	if p.options.Transfers == nil || cached >= len(request.BlockHashes) {
+	if p.options.Transfers == nil {
+		return
+	}
+	p.options.Transfers.Wanted(request.BlockHashes)
+	if cached >= len(request.BlockHashes) {
 		return
 	}
 	salt := placement.Root(request.Customer, request.Model, request.Weights)
--- a/internal/agent/prober/prober_test.go
+++ b/internal/agent/prober/prober_test.go
@@ -15,6 +15,8 @@
 
 type shelf int
 
+func (shelf) Wanted([]uint64) {}
+
 func (s shelf) Importable(context.Context, uint64, []uint64, int) (int, float64) {
 	return int(s), 1_000
 }
--- a/internal/agent/runner/prepare.go
+++ b/internal/agent/runner/prepare.go
@@ -8,9 +8,13 @@
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 )
 
-// maxImportHold bounds how long a request keeps its place at the engine for a
-// copy that has not arrived.
-const maxImportHold = 300 * time.Millisecond
+const (
+	// holdRatio is how long a request keeps its place at the engine for a copy that
+	// has not arrived, as a part of the time to compute the blocks instead.
+	holdRatio = 0.6
+	// minHold is the least such time.
+	minHold = 50 * time.Millisecond
+)
 
 // Transfers copies blocks between the engine and the KV store.
 type Transfers interface {
@@ -58,13 +62,16 @@
 	return p
 }
 
-// await waits for the copy, for a bounded time.
-func (p *prefix) await(ctx context.Context) {
+// await waits for the copy while that is better than to compute the blocks at
+// the rate, in tokens a second.
+func (p *prefix) await(ctx context.Context, blockTokens int64, rate float64) {
 	if p.copied == nil {
 		return
 	}
 	defer p.cancel()
-	timer := time.NewTimer(maxImportHold)
+	compute := float64(int64(p.cached-p.held)*blockTokens) / rate
+	hold := max(minHold, time.Duration(holdRatio*compute*float64(time.Second)))
+	timer := time.NewTimer(hold)
 	defer timer.Stop()
 	select {
 	case p.held = <-p.copied:
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -101,8 +101,12 @@
 	if len(request.BlockHashes) == 0 {
 		return request.PromptTokens
 	}
-	blockTokens := request.PromptTokens / int64(len(request.BlockHashes))
-	return max(0, request.PromptTokens-int64(blocks)*blockTokens)
+	return max(0, request.PromptTokens-int64(blocks)*blockTokens(request))
+}
+
+// blockTokens estimates the size of a block.
+func blockTokens(request *wirepb.RunRequest) int64 {
+	return request.PromptTokens / int64(max(1, len(request.BlockHashes)))
 }
 
 func queueCode(err error) refusal.Code {
@@ -148,7 +152,7 @@
 
 func (x *running) start(ctx context.Context) error {
 	options := x.runner.options
-	x.prefix.await(ctx)
+	x.prefix.await(ctx, blockTokens(x.request), options.Queue.Rate())
 	x.grant.SetPrefill(uncached(x.request, x.prefix.cached))
 	run, err := options.Driver.Run(ctx, engineRequest(x.request))
 	if err != nil {
@@ -180,7 +184,7 @@
 	switch event.Type {
 	case engine.EventStart:
 		x.prefill = event.PromptTokens - event.CachedTokens
-		x.grant.SetPrefill(x.prefill)
+		x.grant.Begin(x.prefill)
 		x.prefix.incarnation = event.Incarnation
 		x.prefix.held = x.cachedBlocks(event.CachedTokens)
 		x.runner.options.Index.Started(event.Incarnation, x.request.BlockHashes)
--- a/internal/agent/transfer/transfer.go
+++ b/internal/agent/transfer/transfer.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -24,6 +25,13 @@
 	// maxExportWait is the wait for the store above which nothing is exported.
 	maxExportWait = 60 * time.Millisecond
 	exportQueue   = 8
+	// exportChunk is the number of blocks exported at once, so that imports need
+	// not wait long behind them.
+	exportChunk = 2
+	// exportPause is the pause after a chunk, as a multiple of the time it took. It
+	// bounds what all agents together put on the store: the longer it takes, the
+	// less often each of them comes.
+	exportPause = 5
 )
 
 var (
@@ -33,6 +41,9 @@
 	exportsSkipped = metrics.Counter("agent.exports_skipped")
 )
 
+// errEvicted reports that the engine no longer holds what was to be exported.
+var errEvicted = errors.New("blocks were evicted")
+
 // Options are a Manager's parts.
 type Options struct {
 	Driver engine.Driver
@@ -111,13 +122,20 @@
 	m.speed.observe(float64(int64(blocks)*m.options.BlockTokens()), took, time.Now())
 }
 
+// Wanted says that a router asked about a prompt.
+func (m *Manager) Wanted(hashes []uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.wants.note(hashes, time.Now())
+}
+
 // Served says that the engine has computed a prompt. Its leading blocks that
-// were wanted before within a short time are copied to the KV store later, when
-// the store is not busy.
+// were asked for twice within a short time are copied to the KV store later,
+// when the store is not busy.
 func (m *Manager) Served(salt uint64, hashes []uint64) {
 	m.mu.Lock()
 	now := time.Now()
-	again := m.wants.note(hashes, now)
+	again := m.wants.again(hashes, now)
 	busy := m.speed.waitNow(now) > maxExportWait
 	known := m.wants.exported(hashes[:again], now)
 	m.mu.Unlock()
@@ -147,27 +165,41 @@
 	}
 }
 
+// export copies a prefix in chunks and gives up when the store has become busy.
 func (m *Manager) export(ctx context.Context, e export) {
-	ctx, cancel := context.WithTimeout(ctx, exportTimeout)
-	defer cancel()
 	stored, err := m.options.Driver.Stored(ctx, e.salt, e.hashes)
+	for err == nil && stored < len(e.hashes) && ctx.Err() == nil {
+		end := min(len(e.hashes), stored+exportChunk)
+		stored, err = m.exportChunk(ctx, e.salt, e.hashes[:end], stored)
+	}
 	if err != nil {
+		m.options.Log.Debug().Err(err).Msg("transfer: export ended early")
 		return
 	}
-	if stored < len(e.hashes) {
-		began := time.Now()
-		done, err := m.options.Driver.Export(ctx, e.salt, e.hashes)
-		if err != nil {
-			m.options.Log.Debug().Err(err).Msg("transfer: export failed")
-			return
-		}
-		if copied := done.Blocks - stored; copied > 0 {
-			exported.Inc(int64(copied))
-			m.observe(copied, time.Since(began))
-		}
-		stored = min(done.Blocks, len(e.hashes))
-	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.wants.markExported(e.hashes[:stored], time.Now())
+	m.wants.markExported(e.hashes[:min(stored, len(e.hashes))], time.Now())
+}
+
+// exportChunk copies the blocks after the stored ones and pauses. It returns the
+// number of leading blocks that the store then holds.
+func (m *Manager) exportChunk(ctx context.Context, salt uint64, hashes []uint64, stored int) (int, error) {
+	began := time.Now()
+	copyCtx, cancel := context.WithTimeout(ctx, exportTimeout)
+	defer cancel()
+	done, err := m.options.Driver.Export(copyCtx, salt, hashes)
+	if err != nil {
+		return stored, err
+	}
+	if done.Blocks <= stored {
+		return stored, errEvicted
+	}
+	took := time.Since(began)
+	exported.Inc(int64(done.Blocks - stored))
+	m.observe(done.Blocks-stored, took)
+	select {
+	case <-ctx.Done():
+	case <-time.After(exportPause * took):
+	}
+	return done.Blocks, nil
 }
--- a/internal/agent/transfer/wants.go
+++ b/internal/agent/transfer/wants.go
@@ -13,10 +13,16 @@
 // wants remembers when blocks were last wanted and last known to be in the
 // store, in bounded tables in which newer blocks overwrite older ones.
 type wants struct {
-	wanted []seen
+	wanted []want
 	stored []seen
 }
 
+// want is a block and the last two times at which it was asked for.
+type want struct {
+	hash         uint64
+	last, before time.Time
+}
+
 // seen is a block and a time.
 type seen struct {
 	hash uint64
@@ -24,21 +30,29 @@
 }
 
 func newWants() wants {
-	return wants{wanted: make([]seen, wantSlots), stored: make([]seen, wantSlots)}
+	return wants{wanted: make([]want, wantSlots), stored: make([]seen, wantSlots)}
+}
+
+// note marks blocks as asked for.
+func (w *wants) note(hashes []uint64, now time.Time) {
+	for _, hash := range hashes {
+		slot := &w.wanted[hash%wantSlots]
+		if slot.hash != hash {
+			*slot = want{hash: hash}
+		}
+		slot.before, slot.last = slot.last, now
+	}
 }
 
-// note marks blocks as wanted and returns how many leading ones were wanted
-// before within wantWindow.
-func (w *wants) note(hashes []uint64, now time.Time) int {
-	again := 0
+// again returns how many leading blocks were asked for at least twice within wantWindow.
+func (w *wants) again(hashes []uint64, now time.Time) int {
 	for i, hash := range hashes {
 		slot := &w.wanted[hash%wantSlots]
-		if again == i && slot.hash == hash && now.Sub(slot.at) <= wantWindow {
-			again++
+		if slot.hash != hash || slot.before.IsZero() || now.Sub(slot.before) > wantWindow {
+			return i
 		}
-		*slot = seen{hash: hash, at: now}
 	}
-	return again
+	return len(hashes)
 }
 
 // exported reports whether all blocks are known to be in the store.
--- a/internal/picker/watch.go
+++ b/internal/picker/watch.go
@@ -33,20 +33,27 @@
 }
 
 const (
-	avoidFull     = 100 * time.Millisecond
-	avoidFailed   = 500 * time.Millisecond
-	maxAvoid      = 4 * time.Second
-	maxPenalty    = 5 * time.Second
-	penaltyGain   = 0.25
-	penaltyLife   = 3 * time.Second
-	penaltyIgnore = 30 * time.Millisecond
+	avoidFull   = 100 * time.Millisecond
+	avoidFailed = 500 * time.Millisecond
+	maxAvoid    = 4 * time.Second
+	maxPenalty  = 5 * time.Second
+	penaltyGain = 0.25
+	penaltyLife = 3 * time.Second
+	// fleetGain smooths the lateness of all upstreams together.
+	fleetGain = 0.02
+	// An upstream is demoted by its lateness beyond toleratedRatio times the
+	// fleet's and tolerated on top.
+	toleratedRatio = 2
+	tolerated      = 100 * time.Millisecond
 )
 
 // watch remembers how upstreams did against what they said.
 type watch struct {
 	mu      sync.Mutex
 	records map[string]*record
-	now     func() time.Time
+	// late is the smoothed lateness of first tokens over all upstreams.
+	late time.Duration
+	now  func() time.Time
 }
 
 // record is the router's own view of one upstream.
@@ -74,7 +81,7 @@
 	switch outcome.Kind {
 	case OutcomeFirstToken:
 		r.failures = 0
-		r.observe(now, outcome.FirstToken-outcome.Expected)
+		w.observe(r, now, outcome.FirstToken-outcome.Expected)
 		countError(outcome)
 	case OutcomeFull:
 		r.avoidUntil = now.Add(avoidFull)
@@ -93,8 +100,9 @@
 }
 
 // observe smooths lateness; what is early counts as on time.
-func (r *record) observe(now time.Time, late time.Duration) {
+func (w *watch) observe(r *record, now time.Time, late time.Duration) {
 	late = min(max(0, late), maxPenalty)
+	w.late += time.Duration(fleetGain * float64(late-w.late))
 	r.late = r.faded(now)
 	r.late += time.Duration(penaltyGain * float64(late-r.late))
 	r.lateAt = now
@@ -109,7 +117,7 @@
 	return time.Duration(float64(r.late) * math.Exp2(-float64(now.Sub(r.lateAt))/float64(penaltyLife)))
 }
 
-// verdict returns the penalty on an upstream, and whether to leave it out for now.
+// verdict returns the penalty on an upstream that is later than the others, and whether to leave it out for now.
 func (w *watch) verdict(upstream string) (penalty time.Duration, avoided bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -118,9 +126,6 @@
 		return 0, false
 	}
 	now := w.now()
-	penalty = r.faded(now)
-	if penalty < penaltyIgnore {
-		penalty = 0
-	}
+	penalty = max(0, r.faded(now)-toleratedRatio*w.late-tolerated)
 	return penalty, now.Before(r.avoidUntil)
 }
