Resume prompts elsewhere, and keep requests that crash engines away from them

A stream whose engine or agent is lost goes on at the next candidate from its offset; candidates are picked anew while the deadline and the retry budgets allow. The agent tells a crash from a lost stream; requests in flight at a crash are suspect and run alone, a second crash before the first token convicts. Routers refuse convicted contents before admission and spread them.

--- /dev/null
+++ b/internal/agent/runner/crash.go
@@ -0,0 +1,61 @@
+package runner
+
+import (
+	"context"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/refusal"
+	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
+)
+
+// crashCheckTimeout bounds the question whether the engine still lives.
+const crashCheckTimeout = 300 * time.Millisecond
+
+// Suspects is told of contents that were in flight at crashes of the engine.
+type Suspects interface {
+	// Suspect notes a content that was in flight at a crash.
+	Suspect(digest uint64)
+	// Convict notes a content that crashed upstreams and returns for how long it is refused.
+	Convict(digest uint64) time.Duration
+}
+
+// lost explains a run that broke off. When the engine crashed, the request
+// becomes suspect; one that ran alone as a suspect and brought the engine down
+// before its first token is convicted.
+func (x *running) lost(ctx context.Context, err error) *wirepb.RunEvent {
+	event := x.runner.refuse(refusal.UpstreamLost, wirepb.RunState_RUN_UNKNOWN, err.Error())
+	if ctx.Err() != nil || !x.runner.crashed(ctx, x.prefix.incarnation) {
+		return event
+	}
+	told := event.GetRefusal()
+	told.Suspect = true
+	if x.request.Suspect && x.generated == 0 {
+		x.convict(told)
+		return event
+	}
+	if x.runner.options.Suspects != nil {
+		x.runner.options.Suspects.Suspect(x.request.Digest)
+	}
+	return event
+}
+
+func (x *running) convict(told *wirepb.Refusal) {
+	told.Code = string(refusal.Poisonous)
+	told.Message = "the request was in flight at two crashes of upstreams"
+	if x.runner.options.Suspects == nil {
+		return
+	}
+	refusal.After(told, x.runner.options.Suspects.Convict(x.request.Digest))
+}
+
+// crashed reports whether the engine is down, or another incarnation than the
+// one that the run began on.
+func (r *Runner) crashed(ctx context.Context, incarnation uint64) bool {
+	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	defer cancel()
+	load, err := r.options.Driver.Load(ctx)
+	if err != nil {
+		return true
+	}
+	return incarnation != 0 && load.Incarnation != incarnation
+}
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -25,6 +25,8 @@
 	Index  *cacheindex.Index
 	// Transfers is nil without a KV store.
 	Transfers Transfers
+	// Suspects is told of requests that were in flight at a crash; it may be nil.
+	Suspects Suspects
 	// Name is the upstream's name, told in refusals.
 	Name string
 	Log  zerolog.Logger
@@ -155,25 +157,29 @@
 	x.prefix.await(ctx, blockTokens(x.request), options.Queue.Rate())
 	x.grant.SetPrefill(uncached(x.request, x.prefix.cached))
 	run, err := options.Driver.Run(ctx, engineRequest(x.request))
+	if err != nil && startCode(err) != refusal.UpstreamLost {
+		return x.stream.Send(x.runner.refuse(startCode(err), wirepb.RunState_RUN_NOT_RUN, err.Error()))
+	}
 	if err != nil {
-		return x.stream.Send(x.runner.refuse(startCode(err), startState(err), err.Error()))
+		return x.stream.Send(x.lost(ctx, err))
 	}
 	defer func() { _ = run.Close() }()
-	return x.forward(run)
+	return x.forward(ctx, run)
 }
 
 // forward passes the engine's events on until the end.
-func (x *running) forward(run engine.Run) error {
+func (x *running) forward(ctx context.Context, run engine.Run) error {
+	out := newSender(x.stream)
 	for {
 		event, err := run.Next()
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
-			return x.stream.Send(x.runner.refuse(refusal.UpstreamLost, wirepb.RunState_RUN_UNKNOWN, err.Error()))
+			return errors.Join(out.flush(), x.stream.Send(x.lost(ctx, err)))
 		}
 		x.observe(event)
-		if err := x.stream.Send(toWire(event)); err != nil {
+		if err := out.send(event, hasMore(run)); err != nil {
 			return err
 		}
 	}
@@ -231,14 +237,6 @@
 	}
 }
 
-// startState says whether a run whose start failed may have begun.
-func startState(err error) wirepb.RunState {
-	if startCode(err) == refusal.UpstreamLost {
-		return wirepb.RunState_RUN_UNKNOWN
-	}
-	return wirepb.RunState_RUN_NOT_RUN
-}
-
 func startCode(err error) refusal.Code {
 	switch {
 	case errors.Is(err, engine.ErrBusy):
@@ -249,29 +247,3 @@
 		return refusal.UpstreamLost
 	}
 }
-
-func toWire(event engine.RunEvent) *wirepb.RunEvent {
-	switch event.Type {
-	case engine.EventStart:
-		return &wirepb.RunEvent{Event: &wirepb.RunEvent_Started{Started: &wirepb.RunStarted{
-			PromptTokens: event.PromptTokens,
-			CachedTokens: event.CachedTokens,
-			Incarnation:  event.Incarnation,
-		}}}
-	case engine.EventTokens:
-		return &wirepb.RunEvent{Event: &wirepb.RunEvent_Tokens{Tokens: &wirepb.RunTokens{
-			Offset: event.Offset,
-			Count:  event.Count,
-			Text:   []byte(event.Text),
-		}}}
-	default:
-		return &wirepb.RunEvent{Event: &wirepb.RunEvent_End{End: &wirepb.RunEnd{
-			FinishReason: event.FinishReason,
-			Usage: &wirepb.Usage{
-				PromptTokens:     event.PromptTokens,
-				CachedTokens:     event.CachedTokens,
-				CompletionTokens: event.CompletionTokens,
-			},
-		}}}
-	}
-}
--- a/internal/app/agent.go
+++ b/internal/app/agent.go
@@ -16,6 +16,7 @@
 	"github.com/greengagegate/greengagegate/internal/engine/httpengine"
 	"github.com/greengagegate/greengagegate/internal/node"
 	"github.com/greengagegate/greengagegate/internal/object"
+	"github.com/greengagegate/greengagegate/internal/quarantine"
 	"github.com/greengagegate/greengagegate/internal/service"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 	"github.com/greengagegate/greengagegate/membership"
@@ -44,6 +45,7 @@
 			func() *fairqueue.Queue { return fairqueue.New(fairqueue.DefaultOptions(initialBatchLimit)) },
 			newEngineState,
 			newTransfers,
+			newQuarantine,
 			newRunner,
 			newRollout,
 		),
@@ -64,12 +66,13 @@
 	return manager
 }
 
-func newRunner(s *AgentSettings, driver engine.Driver, index *cacheindex.Index, queue *fairqueue.Queue, transfers *transfer.Manager, log zerolog.Logger) *runner.Runner {
+func newRunner(s *AgentSettings, driver engine.Driver, index *cacheindex.Index, queue *fairqueue.Queue, transfers *transfer.Manager, known *quarantine.Manager, log zerolog.Logger) *runner.Runner {
 	return runner.New(runner.Options{
 		Driver:    driver,
 		Queue:     queue,
 		Index:     index,
 		Transfers: transfers,
+		Suspects:  known,
 		Name:      s.Upstream.Name,
 		Log:       log,
 	})
--- a/internal/app/router.go
+++ b/internal/app/router.go
@@ -14,7 +14,9 @@
 	"github.com/greengagegate/greengagegate/internal/object"
 	"github.com/greengagegate/greengagegate/internal/picker"
 	"github.com/greengagegate/greengagegate/internal/publish"
+	"github.com/greengagegate/greengagegate/internal/quarantine"
 	"github.com/greengagegate/greengagegate/internal/router"
+	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 	"github.com/greengagegate/greengagegate/membership"
 	"github.com/greengagegate/greengagegate/store"
 	"github.com/rs/zerolog"
@@ -29,7 +31,7 @@
 	return fx.Options(
 		common(&s.Common, membership.RoleRouter),
 		fx.Supply(s),
-		fx.Provide(newAdmission, newPicker, newPrompter, newCaller, newServer),
+		fx.Provide(newAdmission, newPicker, newQuarantine, newPrompter, newCaller, newServer),
 		fx.Invoke(serveOperators, serveCallers),
 	)
 }
@@ -62,8 +64,16 @@
 	})
 }
 
-func newPrompter(n *node.Node, p picker.Picker, log zerolog.Logger) *dispatch.Prompter {
-	return dispatch.NewPrompter(dispatch.Options{Pool: n.Pool, Report: p.Report, Log: log})
+func newPrompter(n *node.Node, p picker.Picker, known *quarantine.Manager, log zerolog.Logger) *dispatch.Prompter {
+	return dispatch.NewPrompter(dispatch.Options{Pool: n.Pool, Report: p.Report, Quarantine: known, Log: log})
+}
+
+// newQuarantine keeps the requests that crash upstreams away from them.
+func newQuarantine(lifecycle fx.Lifecycle, n *node.Node, view membership.View, source object.Source, st store.Store, log zerolog.Logger) *quarantine.Manager {
+	manager := quarantine.New(quarantine.Options{Pool: n.Pool, View: view, Source: source, Store: st, Log: log})
+	n.Server.Handle(wirepb.Kind_KIND_QUARANTINE, manager.Handle)
+	appendHook(lifecycle, manager.Start, manager.Stop)
+	return manager
 }
 
 func newCaller(n *node.Node, view membership.View, log zerolog.Logger) *dispatch.Caller {
--- a/internal/dispatch/prompt.go
+++ b/internal/dispatch/prompt.go
@@ -3,15 +3,29 @@
 import (
 	"context"
 	"errors"
-	"io"
+	"time"
 
 	"github.com/greengagegate/greengagegate/internal/fault"
+	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/picker"
+	"github.com/greengagegate/greengagegate/internal/quarantine"
+	"github.com/greengagegate/greengagegate/internal/refusal"
+	"github.com/greengagegate/greengagegate/internal/retry"
 	"github.com/greengagegate/greengagegate/internal/wire"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 	"github.com/rs/zerolog"
 )
 
+const (
+	// maxPlacements bounds how often one prompt is placed anew.
+	maxPlacements = 7
+	// maxCrashes is the number of crashes after which a prompt is given up.
+	maxCrashes = 3
+
+	placeRetryBase  = 30 * time.Millisecond
+	placeRetryLimit = time.Second
+)
+
 // Sink receives a prompt's answer. A method's error, such as that of a caller
 // who left, ends the run.
 type Sink interface {
@@ -27,57 +41,147 @@
 // Error implements error.
 func (f *Failure) Error() string { return f.Refusal.Code + ": " + f.Refusal.Message }
 
+// Placement is where a prompt may run, and the request for the agents there.
+type Placement struct {
+	Candidates []picker.Candidate
+	Request    *wirepb.RunRequest
+}
+
+// Placer places a prompt anew, after all candidates have failed.
+type Placer func(ctx context.Context) (Placement, error)
+
 // Options holds what a Prompter works with.
 type Options struct {
 	Pool *wire.Pool
 	Log  zerolog.Logger
 	// Report tells the picker what came of a candidate.
 	Report func(upstream string, outcome picker.Outcome)
+	// Quarantine knows the contents that crash upstreams; it may be nil.
+	Quarantine *quarantine.Manager
 }
 
 // Prompter runs prompts on candidates.
 type Prompter struct {
-	options Options
+	options   Options
+	customers *retry.Budgets
+	upstreams *retry.Budgets
 }
 
 // NewPrompter returns a prompter.
 func NewPrompter(options Options) *Prompter {
-	return &Prompter{options: options}
+	return &Prompter{
+		options:   options,
+		customers: retry.NewBudgets("customer"),
+		upstreams: retry.NewBudgets("upstream"),
+	}
 }
 
-// attempt is the state of one prompt over its candidates.
-type attempt struct {
-	request *wirepb.RunRequest
-	sink    Sink
-	usage   *wirepb.RunEnd
-	last    *wirepb.Refusal
+// Refused returns the final answer for a content that is not run any more, or nil.
+func (p *Prompter) Refused(digest uint64) *Failure {
+	state, left := p.lookup(digest)
+	if state != quarantine.StateConvicted {
+		return nil
+	}
+	told := refusal.New(refusal.Quarantined, wirepb.RunState_RUN_NOT_RUN, "the request's content crashed upstreams", "run prompt", "")
+	return &Failure{Refusal: refusal.After(told, left)}
 }
 
-// errSink marks an error of the caller's side, after which nothing is retried.
-var errSink = errors.New("caller left")
-
-// Run sends the prompt to the candidates in order until one completes it. It
-// returns *Failure when none did.
-func (p *Prompter) Run(ctx context.Context, candidates []picker.Candidate, request *wirepb.RunRequest, sink Sink) (*wirepb.RunEnd, error) {
-	a := &attempt{request: request, sink: sink}
-	for _, candidate := range candidates {
-		err := p.runOn(ctx, candidate, a)
-		if err == nil {
-			return a.usage, nil
+// Run sends the prompt to the candidates in order until one completes it, and
+// resumes it elsewhere when a stream is lost. It returns *Failure when the prompt
+// can't go on.
+func (p *Prompter) Run(ctx context.Context, first Placement, again Placer, sink Sink) (*wirepb.RunEnd, error) {
+	p.customers.Deposit(first.Request.Customer)
+	a := &attempt{request: first.Request, sink: sink}
+	placed := first
+	for round := 0; ; round++ {
+		for _, candidate := range placed.Candidates {
+			err := p.tryCandidate(ctx, candidate, a)
+			if err == nil {
+				return a.usage, nil
+			}
+			if errors.Is(err, errSink) || ctx.Err() != nil {
+				return nil, fault.Wrap(err, "answer caller", "")
+			}
+			if a.final {
+				return nil, &Failure{Refusal: a.refusal()}
+			}
+		}
+		if round+1 == maxPlacements || !p.mayPlaceAgain(ctx, a, round) {
+			return nil, &Failure{Refusal: a.refusal()}
+		}
+		next, err := again(ctx)
+		if err != nil && !errors.Is(err, picker.ErrNoUpstream) {
+			return nil, fault.Wrap(err, "place again", "")
 		}
-		if errors.Is(err, errSink) || ctx.Err() != nil {
-			return nil, fault.Wrap(err, "answer caller", "")
+		placed = next
+		if err != nil || !a.adopt(next.Request) {
+			placed.Candidates = nil
 		}
-		p.options.Log.Debug().Err(err).Str("request", request.RequestId).Msg("dispatch: candidate failed")
 	}
-	return nil, &Failure{Refusal: a.refusal()}
 }
 
-func (a *attempt) refusal() *wirepb.Refusal {
-	if a.last != nil {
-		return a.last
+// mayPlaceAgain pauses before another round. A request that was perhaps run
+// spends from its customer's budget; a stream that has begun must go on.
+func (p *Prompter) mayPlaceAgain(ctx context.Context, a *attempt, round int) bool {
+	spends := a.request.ResumeOffset == 0 && a.refusal().Run != wirepb.RunState_RUN_NOT_RUN
+	if spends && !p.customers.Withdraw(a.request.Customer) {
+		return false
+	}
+	return pauseFor(ctx, retry.Pause(round, placeRetryBase, placeRetryLimit)) == nil
+}
+
+// tryCandidate runs the prompt on one candidate as what is known of its content allows.
+func (p *Prompter) tryCandidate(ctx context.Context, candidate picker.Candidate, a *attempt) error {
+	if refused := p.Refused(a.request.Digest); refused != nil {
+		a.give(refused.Refusal)
+		return refused
+	}
+	name := candidate.Upstream.Name
+	if a.tried > 0 && a.request.ResumeOffset == 0 && !p.upstreams.Withdraw(name) {
+		a.note(refusal.New(refusal.RetryBudget, wirepb.RunState_RUN_NOT_RUN, "too many retries on the upstream", "run prompt", name))
+		return errBudget
+	}
+	p.upstreams.Deposit(name)
+	a.tried++
+	state, _ := p.lookup(a.request.Digest)
+	a.request.Suspect = a.request.Suspect || state == quarantine.StateSuspect
+	err := p.runOn(ctx, candidate, a)
+	if err != nil {
+		p.options.Log.Debug().Err(err).Str("request", a.request.RequestId).Msg("dispatch: candidate failed")
+	}
+	p.learn(a, err)
+	return err
+}
+
+func (p *Prompter) lookup(digest uint64) (quarantine.State, time.Duration) {
+	if p.options.Quarantine == nil {
+		return quarantine.StateClear, 0
+	}
+	return p.options.Quarantine.Lookup(digest)
+}
+
+// learn spreads what a run showed of its content.
+func (p *Prompter) learn(a *attempt, err error) {
+	known := p.options.Quarantine
+	if err == nil && a.request.Suspect && known != nil {
+		known.Clear(a.request.Digest)
+	}
+	if err == nil || !a.crashed {
+		return
+	}
+	a.crashed = false
+	a.crashes++
+	metrics.Counter("dispatch.crashes").Inc(1)
+	if known == nil {
+		return
 	}
-	return &wirepb.Refusal{Code: "no_upstream", Message: "no upstream can serve the request", Run: wirepb.RunState_RUN_NOT_RUN}
+	if refusal.Code(a.last.Code) == refusal.Poisonous || a.crashes >= maxCrashes {
+		a.last.Code = string(refusal.Poisonous)
+		refusal.After(a.last, known.Convict(a.request.Digest))
+		a.final = true
+		return
+	}
+	known.Suspect(a.request.Digest)
 }
 
 func (p *Prompter) runOn(ctx context.Context, candidate picker.Candidate, a *attempt) error {
@@ -86,23 +190,23 @@
 	stream, err := p.options.Pool.Open(ctx, address, wirepb.Kind_KIND_RUN, a.request.RequestId)
 	if err != nil {
 		seen.failed()
-		a.note(&wirepb.Refusal{Code: "agent_unreachable", Message: err.Error(), Run: wirepb.RunState_RUN_NOT_RUN})
+		a.note(refusal.New(refusal.AgentUnreachable, wirepb.RunState_RUN_NOT_RUN, err.Error(), "run prompt", address))
 		return err
 	}
 	defer func() { _ = stream.Close() }()
 	a.request.ExpectedIncarnation = candidate.Incarnation
 	a.request.AllowImport = candidate.Import
 	if err := stream.Send(a.request); err != nil {
-		a.note(lostRefusal(err))
+		a.note(lostRefusal(err, address))
 		return err
 	}
+	event := new(wirepb.RunEvent)
 	for {
-		event := new(wirepb.RunEvent)
 		if err := stream.Recv(event); err != nil {
 			if ctx.Err() == nil {
 				seen.failed()
 			}
-			a.note(lostRefusal(err))
+			a.note(lostRefusal(err, address))
 			return err
 		}
 		seen.see(event)
@@ -113,42 +217,6 @@
 	}
 }
 
-func lostRefusal(err error) *wirepb.Refusal {
-	return &wirepb.Refusal{Code: "agent_lost", Message: err.Error(), Run: wirepb.RunState_RUN_UNKNOWN}
-}
-
-// note keeps the refusal that is told when no candidate is left. Once a run may
-// have begun, a later "not run" is no longer true of the whole request.
-func (a *attempt) note(refusal *wirepb.Refusal) {
-	if a.last != nil && a.last.Run != wirepb.RunState_RUN_NOT_RUN {
-		refusal.Run = a.last.Run
-	}
-	a.last = refusal
-}
-
-func (a *attempt) apply(event *wirepb.RunEvent) (done bool, err error) {
-	switch e := event.Event.(type) {
-	case *wirepb.RunEvent_Tokens:
-		return false, a.tokens(e.Tokens)
-	case *wirepb.RunEvent_End:
-		a.usage = e.End
-		return true, nil
-	case *wirepb.RunEvent_Refusal:
-		a.note(e.Refusal)
-		return false, fault.New(e.Refusal.Message, e.Refusal.Step, e.Refusal.Peer)
-	default:
-		return false, nil
-	}
-}
-
-func (a *attempt) tokens(tokens *wirepb.RunTokens) error {
-	if tokens.Offset != a.request.ResumeOffset {
-		return fault.Wrap(io.ErrUnexpectedEOF, "check offset", "")
-	}
-	if err := a.sink.Tokens(tokens.Text, tokens.Count); err != nil {
-		return errors.Join(errSink, err)
-	}
-	a.request.ResumeOffset += tokens.Count
-	a.request.Generated = append(a.request.Generated, tokens.Text...)
-	return nil
+func lostRefusal(err error, address string) *wirepb.Refusal {
+	return refusal.New(refusal.AgentLost, wirepb.RunState_RUN_UNKNOWN, err.Error(), "run prompt", address)
 }
--- a/internal/dispatch/report_test.go
+++ b/internal/dispatch/report_test.go
@@ -65,7 +65,7 @@
 			t.Errorf("first token %+v", o)
 		}
 	}})
-	if _, err := p.Run(t.Context(), candidates, &wirepb.RunRequest{}, discard{}); err != nil {
+	if _, err := p.Run(t.Context(), Placement{candidates, &wirepb.RunRequest{MaxTokens: 1}}, nil, discard{}); err != nil {
 		t.Fatal(err)
 	}
 	want := fmt.Sprintf("[full %d 0 0 lost %d 0 0 good %d 4000 2000]", picker.OutcomeFull, picker.OutcomeFailed, picker.OutcomeFirstToken)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -70,6 +70,12 @@
 	Close() error
 }
 
+// Buffered is implemented by runs that know whether a further event has arrived.
+type Buffered interface {
+	// Buffered reports whether Next returns without waiting.
+	Buffered() bool
+}
+
 // Load is the engine's report of itself.
 type Load struct {
 	Incarnation  uint64   `json:"incarnation"`
--- a/internal/engine/httpengine/run.go
+++ b/internal/engine/httpengine/run.go
@@ -58,6 +58,12 @@
 	return line[:len(line)-1], nil
 }
 
+// Buffered implements engine.Buffered.
+func (r *run) Buffered() bool {
+	waiting, err := r.reader.Peek(r.reader.Buffered())
+	return err == nil && !r.ended && bytes.IndexByte(waiting, '\n') >= 0
+}
+
 func (r *run) fail(err error) error {
 	r.release()
 	return fault.Wrap(err, "read run", r.peer)
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -15,7 +15,7 @@
 	depositPerRequest = 0.2
 	// minRetriesPerSecond is earned without requests.
 	minRetriesPerSecond = 1.0
-	maxBalance          = 10.0
+	maxBalance          = 30.0
 	maxNames            = 16384
 )
 
--- a/internal/router/prompts.go
+++ b/internal/router/prompts.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/gin-gonic/gin"
+	"github.com/greengagegate/greengagegate/internal/dispatch"
 	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/object"
 	"github.com/greengagegate/greengagegate/internal/picker"
@@ -182,6 +183,9 @@
 
 // runPrompt admits, places and runs a prompt.
 func (s *Server) runPrompt(ctx context.Context, set *object.Set, p *prompt, answer answer, id string) *apiError {
+	if refused := s.options.Prompter.Refused(p.digest()); refused != nil {
+		return fromRefusal(refused.Refusal)
+	}
 	ticket, err := s.admit(ctx, p.customer, p.tokens+p.request.MaxTokens)
 	if err != nil {
 		return s.promptError(ctx, err, "admit", answer)
@@ -192,7 +196,12 @@
 	if err != nil {
 		return s.promptError(ctx, err, "place", answer)
 	}
-	end, err := s.options.Prompter.Run(ctx, candidates, p.forAgent(id), answer)
+	again := func(ctx context.Context) (dispatch.Placement, error) {
+		candidates, err := s.place(ctx, set, p, id)
+		return dispatch.Placement{Candidates: candidates, Request: p.forAgent(id)}, err
+	}
+	first := dispatch.Placement{Candidates: candidates, Request: p.forAgent(id)}
+	end, err := s.options.Prompter.Run(ctx, first, again, answer)
 	used = spentTokens(p, end, answer)
 	if err != nil {
 		return s.promptError(ctx, err, "run", answer)
