--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -10,12 +10,16 @@
 	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 	"github.com/greengagegate/greengagegate/snapshot"
+	"google.golang.org/protobuf/proto"
 )
 
 const (
 	// startPeers is the number of peers asked at once at the start.
 	startPeers    = 4
 	startInterval = 100 * time.Millisecond
+	// pushLimitBytes is the largest delta that is pushed; of a larger one the
+	// neighbours are told, and each fetches it once.
+	pushLimitBytes = 16 << 10
 )
 
 var errHash = errors.New("result does not match its hash")
@@ -30,7 +34,7 @@
 	}
 	m.evidence.state(m.options.View.Self().Address)
 	if request.Revision > m.Revision() && address != "" {
-		m.run(func(ctx context.Context) { _ = m.pull(ctx, address) })
+		m.fetch(address)
 	}
 	reply := new(wirepb.ConfigReply)
 	if request.Prepare != "" {
@@ -46,6 +50,20 @@
 	return reply
 }
 
+// fetch pulls from a peer that told of a higher revision, unless a fetch is
+// under way; should that one fail, the next comparison repairs it.
+func (m *Manager) fetch(address string) {
+	if !m.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	m.run(func(ctx context.Context) {
+		defer m.fetching.Store(false)
+		if err := m.pull(ctx, address); err != nil {
+			m.log.Debug().Err(err).Msg("config: fetch failed")
+		}
+	})
+}
+
 // answerPrepare notes or forgets an announced publication.
 func (m *Manager) answerPrepare(request *wirepb.ConfigExchange) bool {
 	if request.Abandon {
@@ -165,6 +183,9 @@
 	request := &wirepb.ConfigExchange{
 		Revision: change.to, Hash: change.toHash[:], Delta: encodeDelta(change),
 	}
+	if proto.Size(request) > pushLimitBytes {
+		request.Delta = nil
+	}
 	var peers sync.WaitGroup
 	for _, peer := range m.neighbours() {
 		if peer == source {
--- a/internal/configsync/manager.go
+++ b/internal/configsync/manager.go
@@ -70,7 +70,8 @@
 	transport  Transport
 	evidence   *evidence
 
-	current atomic.Pointer[configuration]
+	current  atomic.Pointer[configuration]
+	fetching atomic.Bool
 
 	mu      sync.Mutex
 	changed chan struct{}
--- /dev/null
+++ b/internal/configsync/wire_test.go
@@ -0,0 +1,142 @@
+package configsync
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/object"
+	"github.com/greengagegate/greengagegate/internal/wire"
+	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
+	"github.com/greengagegate/greengagegate/membership"
+	"github.com/greengagegate/greengagegate/snapshot"
+	"github.com/greengagegate/greengagegate/store/memstore"
+	"github.com/rs/zerolog"
+)
+
+// table is a fixed membership.View.
+type table struct {
+	self    membership.Member
+	members []membership.Member
+}
+
+func (t table) Self() membership.Member      { return t.self }
+func (t table) Members() []membership.Member { return t.members }
+func (t table) Changed() <-chan struct{}     { return nil }
+
+func demoSnapshot(t testing.TB) *snapshot.Snapshot {
+	t.Helper()
+	documents, mistakes := object.ReadFiles("../../examples/demo/config")
+	if len(mistakes) > 0 {
+		t.Fatal(mistakes)
+	}
+	var changes []snapshot.Change
+	for _, d := range documents {
+		changes = append(changes, snapshot.Change{Key: d.Key(), Value: d.Spec})
+	}
+	return new(snapshot.Snapshot).Apply(1, changes)
+}
+
+// serve starts a manager that peers reach over the inner protocol.
+func serve(t *testing.T, s *memstore.Store, listener net.Listener, view table) *Manager {
+	t.Helper()
+	own := &wirepb.Hello{Process: view.self.Process, Address: view.self.Address}
+	pool := wire.NewPool(own, wire.NewDialer(""))
+	m := New(Options{Store: s, Pool: pool, View: view, Log: zerolog.Nop(), Seed: 1})
+	server := wire.NewServer(own, zerolog.Nop())
+	m.Register(server)
+	go func() { _ = server.Serve(listener) }()
+	_ = m.Start(t.Context())
+	t.Cleanup(func() {
+		_ = m.Stop(context.Background())
+		pool.Close()
+		_ = listener.Close()
+	})
+	return m
+}
+
+func TestPeersOverTheInnerProtocol(t *testing.T) {
+	var listeners []net.Listener
+	var members []membership.Member
+	for _, name := range []string{"a", "b"} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, listener)
+		members = append(members, membership.Member{Process: name, Address: listener.Addr().String(), Zone: "z"})
+	}
+	down := memstore.New()
+	down.SetFaults(memstore.Faults{Down: true})
+	a := serve(t, memstore.New(), listeners[0], table{members[0], members})
+	b := serve(t, down, listeners[1], table{members[1], members})
+	first := demoSnapshot(t)
+	if err := a.Adopt(first, ""); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	if err := b.Loaded(ctx); err != nil || b.Snapshot().Hash() != first.Hash() {
+		t.Fatalf("b has no copy: %v", err)
+	}
+	changed := b.Changed()
+	second := first.Apply(2, []snapshot.Change{{Key: "Customer/pilots", Value: []byte(`{"burst":5000,"rate":10}`)}})
+	if err := a.Adopt(second, ""); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-changed:
+	case <-ctx.Done():
+		t.Fatal("the change did not reach b")
+	}
+	if b.Snapshot().Hash() != second.Hash() || b.Current().Customers["pilots"].Rate != 10 {
+		t.Fatal("b applied something else")
+	}
+}
+
+func TestNeighboursConnectAll(t *testing.T) {
+	for _, size := range []int{2, 3, 10, 350} {
+		var members []membership.Member
+		for i := range size {
+			name := string(rune('a'+i%26)) + "-" + time.Duration(i).String()
+			members = append(members, membership.Member{Process: name, Address: name})
+		}
+		reached := map[string]bool{members[0].Address: true}
+		frontier := []membership.Member{members[0]}
+		most := 0
+		for len(frontier) > 0 {
+			m := New(Options{Store: memstore.New(), Transport: NewTransport(nil), View: table{frontier[0], members}, Log: zerolog.Nop()})
+			frontier = frontier[1:]
+			peers := m.neighbours()
+			most = max(most, len(peers))
+			for _, peer := range peers {
+				if !reached[peer] {
+					reached[peer] = true
+					frontier = append(frontier, membership.Member{Process: peer, Address: peer})
+				}
+			}
+		}
+		if len(reached) != size || most > fingers(size)+1 {
+			t.Errorf("%d members: %d reached, up to %d neighbours", size, len(reached), most)
+		}
+	}
+}
+
+func TestWrongHashIsRefused(t *testing.T) {
+	m := New(Options{Store: memstore.New(), Transport: NewTransport(nil), View: table{}, Log: zerolog.Nop()})
+	first := demoSnapshot(t)
+	if err := m.Adopt(first, ""); err != nil {
+		t.Fatal(err)
+	}
+	change := &wirepb.ConfigDelta{From: 1, To: 2, ToHash: make([]byte, 32), Changes: []*wirepb.ConfigChange{
+		{Key: "Key/pilot-1", Deleted: true},
+	}}
+	if err := m.applyDelta(change, "peer"); err == nil || m.Revision() != 1 {
+		t.Fatalf("revision %d, %v", m.Revision(), err)
+	}
+	broken := first.Apply(2, []snapshot.Change{{Key: "Customer/pilots", Deleted: true}})
+	if err := m.Adopt(broken, "peer"); err == nil || m.Revision() != 1 {
+		t.Fatalf("a set with mistakes was put in force: %v", err)
+	}
+}
