--- a/internal/agent/cacheindex/slopes_test.go
+++ b/internal/agent/cacheindex/slopes_test.go
@@ -1,33 +1,18 @@
 package cacheindex
 
 import (
-	"encoding/json"
 	"flag"
 	"math/rand/v2"
 	"os"
 	"runtime"
-	"syscall"
 	"testing"
-	"time"
 
 	"github.com/greengagegate/greengagegate/internal/engine"
+	"github.com/greengagegate/greengagegate/internal/slope"
 )
 
 var slopes = flag.Bool("slopes", false, "print what the index costs at several sizes as JSON lines")
 
-// slope is one line of the capacity figures.
-type slope struct {
-	Name        string  `json:"name"`
-	Size        int     `json:"size"`
-	BytesPerS   float64 `json:"bytes_per_s"`
-	CPUUsPerS   float64 `json:"cpu_us_per_s"`
-	HeapBytes   uint64  `json:"heap_bytes"`
-	PerBlock    float64 `json:"heap_bytes_per_block"`
-	UsPerEvent  float64 `json:"cpu_us_per_event"`
-	EventsPerS  int     `json:"events_per_s"`
-	HashesEvent int     `json:"hashes_per_event"`
-}
-
 func heap() uint64 {
 	runtime.GC()
 	runtime.GC()
@@ -36,12 +21,6 @@
 	return stats.HeapAlloc
 }
 
-func cpuTime() time.Duration {
-	var usage syscall.Rusage
-	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
 func filled(blocks int) (*Index, []uint64) {
 	rnd := rand.New(rand.NewPCG(1, 1))
 	hashes := make([]uint64, blocks)
@@ -72,30 +51,34 @@
 		t.Skip("needs -slopes")
 	}
 	for _, blocks := range []int{10_000, 50_000, 170_000} {
-		if err := json.NewEncoder(os.Stdout).Encode(measure(blocks)); err != nil {
+		if err := slope.Print(os.Stdout, measure(blocks)); err != nil {
 			t.Fatal(err)
 		}
 	}
 }
 
-func measure(blocks int) slope {
+// measure returns the cost of an index that takes 2,000 events a second.
+func measure(blocks int) slope.Point {
 	const events, perSecond = 400_000, 2_000
-	before := heap()
+	empty := heap()
 	x, hashes := filled(blocks)
-	used := heap() - before - uint64(8*blocks)
+	used := heap() - empty - uint64(8*blocks)
 	sequence := uint64(blocks)
-	began := cpuTime()
+	before := slope.Read()
 	for i := range events / 2 {
 		hash := hashes[i%blocks]
-		x.tables[hash>>(64-shardBits)].set(hash, 0)
+		x.table(hash).set(hash, 0)
 		sequence += 2
 		x.Apply(event(sequence-1, engine.CacheEvicted, hash))
 		x.Apply(event(sequence, engine.CacheStored, hash))
 	}
-	perEvent := float64((cpuTime() - began).Microseconds()) / events
-	return slope{
-		Name: "cache index", Size: blocks, HeapBytes: used, PerBlock: float64(used) / float64(blocks),
-		UsPerEvent: perEvent, EventsPerS: perSecond, CPUUsPerS: perEvent * perSecond, HashesEvent: 1,
+	perEvent := float64((slope.Read().CPU - before.CPU).Microseconds()) / events
+	return slope.Point{
+		Name:               "placement.cache_index",
+		Size:               float64(blocks),
+		Unit:               "blocks, at 2,000 events a second",
+		CPUMicrosPerSecond: perEvent * perSecond,
+		HeapBytes:          float64(used),
 	}
 }
 
