--- a/placement/prefix/prefix.go
+++ b/placement/prefix/prefix.go
@@ -16,7 +16,6 @@
 	Depth int
 	// Homes is how many upstreams are asked for the leading blocks.
 	Homes int
-	First int
 	// MaxAsked is the most upstreams that are asked for one request.
 	MaxAsked int
 	// BusyAfter is the expected wait above which further upstreams are asked.
@@ -29,14 +28,11 @@
 		Costs:     placement.Costs{Recompute: 2, Import: true},
 		Depth:     8,
 		Homes:     3,
-		First:     3,
 		MaxAsked:  4,
 		BusyAfter: 20 * time.Millisecond,
 	}
 }
 
-var Need int64 = 70
-
 // Policy chooses among candidates by rendezvous hashing.
 type Policy struct {
 	options Options
@@ -52,9 +48,9 @@
 	order := make([]int, 0, 2*o.MaxAsked)
 	order = placement.Rank(upstreams, placement.Key(request, o.Depth), o.Homes, order)
 	order = placement.Rank(upstreams, placement.Key(request, len(request.Hashes)), 2*o.MaxAsked-o.Homes, order)
-	answers := prober.Probe(ctx, request, order, o.First)
+	answers := prober.Probe(ctx, request, order, o.Homes)
 	choices := o.Costs.Order(upstreams, request, answers)
-	if len(choices) > 0 && !p.busy(answers, choices[0]) && (o.First == o.Homes || choices[0].CachedTokens >= Need*request.PromptTokens/100) {
+	if len(choices) > 0 && !p.busy(answers, choices[0]) {
 		return choices
 	}
 	asked := len(answers)
--- a/placement/prefix/trial_test.go
+++ b/placement/prefix/trial_test.go
@@ -218,12 +218,9 @@
 			{"hash", hash.New(hash.DefaultDepth)},
 			{"probe-all", probeall.New(prefix.DefaultOptions().Costs)},
 			{"prefix", with(func(*prefix.Options) {})},
-			{"prefix, staged", with(func(o *prefix.Options) { o.First = 2 })},
-			{"prefix, staged 4h", with(func(o *prefix.Options) { o.First = 2; o.Homes = 4 })},
-			{"prefix, staged 1", with(func(o *prefix.Options) { o.First = 1 })},
 			{"prefix, no import", with(func(o *prefix.Options) { o.Costs.Import = false })},
 			{"prefix, recompute 1", with(func(o *prefix.Options) { o.Costs.Recompute = 1 })},
-			{"prefix, 2 homes", with(func(o *prefix.Options) { o.Homes = 2; o.First = 2 })},
+			{"prefix, 2 homes", with(func(o *prefix.Options) { o.Homes = 2 })},
 			{"prefix, depth 12", with(func(o *prefix.Options) { o.Depth = 12 })},
 		} {
 			t.Logf("%s %-20s %s", sh.name, entry.name, run(sh, entry.policy, *trialSeconds))
