--- a/internal/load/report/markdown.go
+++ b/internal/load/report/markdown.go
@@ -65,7 +65,7 @@
 	b.WriteString("| | p50 ms | p95 ms | p99 ms |\n|---|---|---|---|\n")
 	fmt.Fprintf(b, "| straight to an engine | %.2f | %.2f | %.2f |\n", o.Direct.P50, o.Direct.P95, o.Direct.P99)
 	fmt.Fprintf(b, "| through router and agent | %.2f | %.2f | %.2f |\n", o.Routed.P50, o.Routed.P95, o.Routed.P99)
-	fmt.Fprintf(b, "\nRouters and agents used %.1f us for each token event and %.0f us for each request; an idle one used %.2f%% of a core.\nOne small message over loopback costs this machine %.1f us, and a token event takes three. Requests that failed: %v.\n",
+	fmt.Fprintf(b, "\nRouters and agents used %.1f us for each token event and %.0f us for each request; an idle one used %.2f%% of a core.\nOne small message over loopback costs this machine %.1f us; router and agent take part in three for each token event. Requests that failed: %v.\n",
 		o.CPUPerTokenEvent, o.CPUPerRequest, o.IdleCPUPercent, o.LoopbackCost, o.Failures)
 }
 
