--- a/internal/agent/fairqueue/fairqueue.go
+++ b/internal/agent/fairqueue/fairqueue.go
@@ -9,9 +9,11 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
+	"github.com/greengagegate/greengagegate/internal/invariant"
 	"github.com/greengagegate/greengagegate/internal/metrics"
 )
 
@@ -83,6 +85,9 @@
 	return t.Weight
 }
 
+// maxIdleAccounts is the number of customers' accounts above which idle ones are dropped.
+const maxIdleAccounts = 256
+
 // Queue orders the requests of one engine. It is safe for concurrent use.
 type Queue struct {
 	mu        sync.Mutex
@@ -178,11 +183,7 @@
 		return nil, ErrFull
 	}
 	e := &entry{ticket: ticket, start: q.startTag(ticket.Customer), ready: make(chan *Grant, 1)}
-	account := q.customers[ticket.Customer]
-	if account == nil {
-		account = new(customer)
-		q.customers[ticket.Customer] = account
-	}
+	account := q.account(ticket.Customer)
 	account.active++
 	account.finish = e.start + ticket.cost()/ticket.weight()
 	q.insert(e)
@@ -190,6 +191,20 @@
 	return e, nil
 }
 
+// account returns a customer's account, and drops old ones when there are many.
+func (q *Queue) account(name string) *customer {
+	account := q.customers[name]
+	if account != nil {
+		return account
+	}
+	if len(q.customers) >= maxIdleAccounts {
+		maps.DeleteFunc(q.customers, func(_ string, c *customer) bool { return c.active == 0 && c.finish <= q.virtual })
+	}
+	account = new(customer)
+	q.customers[name] = account
+	return account
+}
+
 // startTag is the virtual time at which a customer's next request is due.
 func (q *Queue) startTag(name string) float64 {
 	if account := q.customers[name]; account != nil {
@@ -242,9 +257,6 @@
 	account := q.customers[ticket.Customer]
 	account.finish += (actual - ticket.cost()) / ticket.weight()
 	account.active--
-	if account.active == 0 && account.finish <= q.virtual {
-		delete(q.customers, ticket.Customer)
-	}
 }
 
 // dispatch starts waiting requests while the engine has room.
@@ -271,6 +283,8 @@
 		q.suspects++
 	}
 	q.prefills = append(q.prefills, grant)
+	invariant.Check(q.running <= q.options.Concurrency, "engine-concurrency-bounded", "%d of %d", q.running, q.options.Concurrency)
+	invariant.Check(q.suspects == 0 || q.running == 1, "suspects-run-alone", "%d suspects, %d running", q.suspects, q.running)
 	e.ready <- grant
 }
 
