Print a run's main figures; guard processor times by a lock

Cause: a run with -json printed nothing, and a router's restart raced with the reading of processor times. Change: a short summary on standard output; a lock around a process's lives.

--- a/cmd/greengage-load/main.go
+++ b/cmd/greengage-load/main.go
@@ -147,9 +147,28 @@
 	if entry.Requests == 0 {
 		return err
 	}
+	if a.json != "" {
+		printSummary(entry)
+	}
 	return errors.Join(err, a.write(entry))
 }
 
+// printSummary prints the figures that a run is most often made for.
+func printSummary(e run.Entry) {
+	fmt.Printf("%s %s, seed %d: %d prompts, hit rate %.3f, ttft p50 %.0f ms, p95 %.0f ms, p99 %.0f ms\n",
+		e.Scenario, e.Policy, e.Seed, e.Requests, e.PrefixHitRate, e.TTFT50, e.TTFT95, e.TTFT99)
+	fmt.Printf("recomputed %d of %d needed tokens, worst customer %s p95 %.0f ms\n",
+		e.Recomputed, e.Needed, e.WorstCustomer, e.WorstTTFT95)
+	fmt.Printf("over-admission: %.0f tokens, wrongful refusals: %d, failed: %d, truncated: %d, wrong answers: %d\n",
+		e.OverAdmission, e.Wrongful, e.Failed, e.Truncated, e.WrongAnswers)
+	fmt.Printf("charges: %d, doubled: %d, false not-run: %d, false ran: %d, unknown: %d\n",
+		e.Charges.Sent, e.Doubled, e.FalseNotRun, e.FalseRan, e.Unknown)
+	fmt.Printf("engines lost to poison: %d, innocents refused: %d\n", e.EnginesLost, e.InnocentRefused)
+	if e.RevokeMs != nil {
+		fmt.Printf("withdrawn key worked for %.0f ms\n", *e.RevokeMs)
+	}
+}
+
 func (a *arguments) measureSuite(ctx context.Context, o run.Options) error {
 	mode, err := suite.Modes(a.suite)
 	if err != nil {
--- a/internal/load/fleet/fleet.go
+++ b/internal/load/fleet/fleet.go
@@ -260,10 +260,10 @@
 // ProcessorTime returns what routers and agents have used.
 func (m *Manager) ProcessorTime() (routers, agents time.Duration) {
 	for _, p := range m.routers {
-		routers += p.spent + p.processorTime()
+		routers += p.processorTime()
 	}
 	for _, p := range m.agents {
-		agents += p.spent + p.processorTime()
+		agents += p.processorTime()
 	}
 	return routers, agents
 }
--- a/internal/load/fleet/process.go
+++ b/internal/load/fleet/process.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -27,11 +28,13 @@
 	settings string
 	logPath  string
 
-	command  *exec.Cmd
 	done     chan struct{}
 	stopping atomic.Bool
 	failed   chan<- error
-	spent    time.Duration // processor time of earlier lives
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	spent   time.Duration // processor time of earlier lives
 }
 
 // start starts the program. An end that was not asked for is sent to p.failed.
@@ -41,15 +44,18 @@
 		return err
 	}
 	defer func() { _ = log.Close() }()
-	p.command = exec.Command(p.program, "-config", p.settings)
-	p.command.Stderr = log
-	p.command.Stdout = log
-	if err := p.command.Start(); err != nil {
+	command := exec.Command(p.program, "-config", p.settings)
+	command.Stderr = log
+	command.Stdout = log
+	if err := command.Start(); err != nil {
 		return fault.Wrap(err, "start process", p.name)
 	}
+	p.mu.Lock()
+	p.command = command
+	p.mu.Unlock()
 	p.done = make(chan struct{})
 	p.stopping.Store(false)
-	go p.wait(p.command, p.done)
+	go p.wait(command, p.done)
 	return nil
 }
 
@@ -69,11 +75,11 @@
 // stop asks the process to stop and waits. After the timeout it is killed,
 // which is an error.
 func (p *process) stop(timeout time.Duration) error {
-	if p.command == nil || p.done == nil {
+	if p.done == nil {
 		return nil
 	}
 	p.stopping.Store(true)
-	p.spent += p.processorTime()
+	p.endLife()
 	_ = p.command.Process.Signal(syscall.SIGTERM)
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
@@ -94,12 +100,27 @@
 	return nil
 }
 
-// processorTime returns the processor time of the present life, 0 when it has ended.
+// endLife adds the present life's processor time to that of the earlier ones.
+func (p *process) endLife() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.spent += lifeTime(p.command.Process.Pid)
+}
+
+// processorTime returns the processor time of all lives, without what a process
+// that is stopping uses from then on.
 func (p *process) processorTime() time.Duration {
-	if p.command == nil || p.command.Process == nil {
-		return 0
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil || p.stopping.Load() {
+		return p.spent
 	}
-	data, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(p.command.Process.Pid), "stat"))
+	return p.spent + lifeTime(p.command.Process.Pid)
+}
+
+// lifeTime returns the processor time of a running process, 0 when there is none.
+func lifeTime(pid int) time.Duration {
+	data, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "stat"))
 	if err != nil {
 		return 0
 	}
