Hand shares on through several restarts, and forget refusals soon

Change: refusals without an ask last 250 ms at most; a blocked lender is left alone for 100 ms; a stopping keeper hands deposits on, and claims come every 50 ms.

--- a/internal/quotalink/convert.go
+++ b/internal/quotalink/convert.go
@@ -53,7 +53,7 @@
 // EncodeReply converts a reply to its wire form.
 func EncodeReply(number uint64, r *quota.Reply) *wirepb.QuotaReply {
 	out := &wirepb.QuotaReply{
-		Number: number, Clock: encodeInstant(r.Clock), Deposit: encodeDeposit(r.Deposit), AgeUs: r.Age.Microseconds(),
+		Number: number, Clock: encodeInstant(r.Clock), Deposit: encodeDeposit(r.Deposit),
 	}
 	for _, a := range r.Answers {
 		out.Answers = append(out.Answers, &wirepb.QuotaAnswer{
@@ -70,7 +70,6 @@
 func DecodeReply(in *wirepb.QuotaReply) *quota.Reply {
 	r := &quota.Reply{
 		Clock: decodeInstant(in.Clock), Deposit: decodeDeposit(in.Deposit),
-		Age: time.Duration(in.AgeUs) * time.Microsecond,
 	}
 	for _, a := range in.Answers {
 		r.Answers = append(r.Answers, quota.Answer{
@@ -95,7 +94,7 @@
 	if d == nil {
 		return nil
 	}
-	out := &wirepb.QuotaDeposit{Holder: d.Holder}
+	out := &wirepb.QuotaDeposit{Holder: d.Holder, AgeUs: d.Age.Microseconds()}
 	for _, s := range d.Slots {
 		out.Slots = append(out.Slots, &wirepb.QuotaSlot{Index: int32(s.Index), Epoch: s.Epoch})
 	}
@@ -113,7 +112,7 @@
 	if in == nil {
 		return nil
 	}
-	d := &quota.Deposit{Holder: in.Holder}
+	d := &quota.Deposit{Holder: in.Holder, Age: time.Duration(in.AgeUs) * time.Microsecond}
 	for _, s := range in.Slots {
 		d.Slots = append(d.Slots, quota.SlotEpoch{Index: int(s.Index), Epoch: s.Epoch})
 	}
--- a/quota/custody.go
+++ b/quota/custody.go
@@ -33,19 +33,20 @@
 
 // keep stores a deposit.
 func (c *custody) keep(request *Request) *Reply {
-	if request.Deposit == nil {
-		return new(Reply)
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if request.Deposit == nil || c.deposits == nil {
+		// A reply without answers says that nothing was kept.
+		return new(Reply)
+	}
 	now := c.now()
 	for holder, kept := range c.deposits {
 		if now.Sub(kept.at) > custodyTerm {
 			delete(c.deposits, holder)
 		}
 	}
-	c.deposits[request.Deposit.Holder] = keptDeposit{request.Deposit, now}
-	return new(Reply)
+	c.deposits[request.Deposit.Holder] = keptDeposit{request.Deposit, now.Add(-request.Deposit.Age)}
+	return &Reply{Answers: []Answer{{}}}
 }
 
 // tenures adds the tenures named by deposits to the slots that are known.
@@ -72,21 +73,50 @@
 		return new(Reply)
 	}
 	delete(c.deposits, request.Deposit.Holder)
-	return &Reply{Deposit: kept.deposit, Age: c.now().Sub(kept.at)}
+	return &Reply{Deposit: kept.aged(c.now())}
 }
 
-// deposit leaves the shares with another router. Without one, their tokens are lost.
+// aged returns the deposit as it is sent at a time.
+func (k keptDeposit) aged(now time.Time) *Deposit {
+	deposit := *k.deposit
+	deposit.Age = now.Sub(k.at)
+	return &deposit
+}
+
+// close hands all deposits out, to be kept by another.
+func (c *custody) close() []*Deposit {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var all []*Deposit
+	for _, kept := range c.deposits {
+		all = append(all, kept.aged(c.now()))
+	}
+	c.deposits = nil
+	return all
+}
+
+// deposit leaves the shares, and what was deposited here, with another router.
+// Without one, their tokens are lost.
 func (m *Manager) deposit(ctx context.Context) {
-	deposit := m.lender.close()
-	if deposit == nil {
-		return
+	deposits := m.custody.close()
+	if own := m.lender.close(); own != nil {
+		own.Holder = m.options.Address
+		deposits = append(deposits, own)
 	}
-	deposit.Holder = m.options.Address
+	for _, deposit := range deposits {
+		m.depositOne(ctx, deposit)
+	}
+}
+
+// depositOne leaves a deposit with the first router that takes it.
+func (m *Manager) depositOne(ctx context.Context, deposit *Deposit) {
 	for _, router := range m.options.Directory.Routers() {
-		if router.Address == m.options.Address || router.Region != m.options.Region {
+		own := router.Address == m.options.Address || router.Address == deposit.Holder
+		if own || router.Region != m.options.Region {
 			continue
 		}
-		if _, err := m.callCustody(ctx, router.Address, &Request{Tier: TierCustody, Deposit: deposit}); err == nil {
+		reply, err := m.callCustody(ctx, router.Address, &Request{Tier: TierCustody, Deposit: deposit})
+		if err == nil && len(reply.Answers) > 0 {
 			return
 		}
 	}
@@ -113,7 +143,7 @@
 		calls.Go(func() {
 			reply, err := m.callCustody(ctx, router.Address, claim)
 			if err == nil && reply.Deposit != nil {
-				m.lender.adopt(reply.Deposit, reply.Age)
+				m.lender.adopt(reply.Deposit)
 			}
 		})
 	}
@@ -178,7 +208,7 @@
 
 // adopt takes over a deposit of the tenures that came right before the present
 // ones. The tokens gained meanwhile are added, less an allowance for drift.
-func (l *lender) adopt(deposit *Deposit, age time.Duration) {
+func (l *lender) adopt(deposit *Deposit) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
@@ -190,7 +220,7 @@
 		l.adopted[slot.Index] = slot.Epoch
 	}
 	for i := range deposit.Shares {
-		l.adoptShare(now, &deposit.Shares[i], held, age)
+		l.adoptShare(now, &deposit.Shares[i], held, deposit.Age)
 	}
 }
 
--- a/quota/draw.go
+++ b/quota/draw.go
@@ -152,7 +152,7 @@
 			continue
 		}
 		lot := s.lot(address)
-		estimate := lot.estimate(now, s.limit, part)
+		estimate := lot.estimate(now, s.limit, part, s.needed(lot, now, p.options.GrantTerm))
 		if now.Before(lot.retryAfter) {
 			continue
 		}
@@ -208,7 +208,7 @@
 		d.stock.mu.Lock()
 		now := p.options.Now()
 		if answered {
-			d.stock.apply(d.lot, sent, now, p.options.LoanTerm, reply.Answers[i], reply.Clock)
+			d.stock.apply(d.lot, d.ask, sent, now, p.options.LoanTerm, reply.Answers[i], reply.Clock)
 		} else {
 			d.lot.retryAfter = now.Add(lenderRetryInterval)
 		}
--- a/quota/fetch.go
+++ b/quota/fetch.go
@@ -97,8 +97,7 @@
 		return 0
 	}
 	head := a.waiters[0]
-	a.shortUntil = now.Add(answer.Wait)
-	a.shortTokens = head.tokens
+	a.noteShort(now, head.tokens, answer.Wait)
 	if now.Add(answer.Wait).Sub(head.since) <= a.limiter.options.MaxWait {
 		return max(answer.Wait, minWaitHint)
 	}
@@ -106,6 +105,15 @@
 	return 0
 }
 
+// noteShort remembers that tokens are missing, so that requests that would wait
+// too long need no ask of their own.
+func (a *account) noteShort(now time.Time, tokens float64, wait time.Duration) {
+	a.shortTokens = tokens
+	a.availableAt = now.Add(wait)
+	hopeless := max(0, wait-a.limiter.options.MaxWait)
+	a.refuseUntil = now.Add(min(hopeless, maxRefuse))
+}
+
 // refuseShort refuses the waiters, from the first on, that the wait would keep too long.
 func (a *account) refuseShort(now time.Time, wait time.Duration) {
 	for len(a.waiters) > 0 {
--- a/quota/limiter.go
+++ b/quota/limiter.go
@@ -21,6 +21,8 @@
 	accountMemory = 30 * time.Second
 	// grantAhead is the demand for which a router asks ahead.
 	grantAhead = 250 * time.Millisecond
+	// maxRefuse bounds how long requests are refused on the word of one answer.
+	maxRefuse = 250 * time.Millisecond
 	// retryMargin is added to the time after which a refused caller may come back.
 	retryMargin = 100 * time.Millisecond
 )
@@ -74,9 +76,11 @@
 	demand   demand
 	waiters  []*waiter
 	fetching bool
-	// shortUntil is the time before which no request of shortTokens can be admitted.
-	shortUntil  time.Time
+	// Requests of shortTokens or more are refused until refuseUntil without
+	// asking. The pool expects that many tokens at availableAt.
 	shortTokens float64
+	refuseUntil time.Time
+	availableAt time.Time
 	stopped     bool
 	usedAt      time.Time
 }
@@ -166,9 +170,9 @@
 			return ticket, nil, nil
 		}
 	}
-	short := tokens >= a.shortTokens && now.Add(a.limiter.options.MaxWait).Before(a.shortUntil)
+	short := tokens >= a.shortTokens && now.Before(a.refuseUntil)
 	if short || len(a.waiters) >= maxWaiters {
-		return nil, nil, shortOf(a.shortUntil.Sub(now))
+		return nil, nil, shortOf(a.availableAt.Sub(now))
 	}
 	w := &waiter{tokens: tokens, since: now, result: make(chan result, 1)}
 	a.waiters = append(a.waiters, w)
--- a/quota/lot.go
+++ b/quota/lot.go
@@ -16,7 +16,10 @@
 	left       float64
 	leftAt     time.Time
 	retryAfter time.Time
-	anchor     anchor
+	// blockedUntil is set when a lender had tokens that it may not lend, since
+	// too many are out on loan.
+	blockedUntil time.Time
+	anchor       anchor
 }
 
 // lot returns the lot of a lender.
@@ -62,7 +65,7 @@
 }
 
 // apply takes in a lender's answer to an ask that was sent at a time.
-func (s *stock) apply(l *lot, sent, now time.Time, term time.Duration, answer Answer, clock Instant) {
+func (s *stock) apply(l *lot, ask Ask, sent, now time.Time, term time.Duration, answer Answer, clock Instant) {
 	if !answer.Renewed {
 		l.held = 0
 	}
@@ -74,14 +77,22 @@
 	l.left = float64(answer.Left)
 	l.leftAt = now
 	l.retryAfter = time.Time{}
+	if answer.Granted < ask.Want && answer.Left >= 1 {
+		l.blockedUntil = now.Add(sweepInterval)
+	}
 	l.anchor = anchor{at: now, peer: clock}
 }
 
-// estimate is what a lender with a part of the limit likely has left.
-func (l *lot) estimate(now time.Time, limit Limit, part float64) float64 {
+// estimate is what a lender with a part of the limit can likely lend. Of what
+// the pool has on loan from it, needed has not been spent.
+func (l *lot) estimate(now time.Time, limit Limit, part, needed float64) float64 {
+	if now.Before(l.blockedUntil) {
+		return 0
+	}
+	lendable := max(0, MaxLent*part*limit.Burst-needed)
 	if l.leftAt.IsZero() {
-		return part * limit.Burst
+		return lendable
 	}
 	gained := now.Sub(l.leftAt).Seconds() * limit.Rate * part
-	return min(l.left+gained, part*limit.Burst)
+	return min(l.left+gained, lendable)
 }
--- a/quota/manager.go
+++ b/quota/manager.go
@@ -12,6 +12,8 @@
 const (
 	syncInterval  = 250 * time.Millisecond
 	flushInterval = 250 * time.Millisecond
+	// recoverInterval spaces the claims of a restarted holder.
+	recoverInterval = 50 * time.Millisecond
 	// grantCallTimeout bounds an ask to a pool. It is longer than loanCallTimeout,
 	// which bounds the pool's own asks meanwhile.
 	grantCallTimeout = 600 * time.Millisecond
@@ -89,7 +91,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel = cancel
 	m.limiter.start(ctx)
-	m.tasks.Go(func() { m.every(ctx, syncInterval, m.sync) })
+	m.tasks.Go(func() { m.every(ctx, syncInterval, func(context.Context) { m.lender.sync() }) })
+	m.tasks.Go(func() { m.every(ctx, recoverInterval, m.recover) })
 	m.tasks.Go(func() { m.every(ctx, flushInterval, m.pool.flush) })
 	m.tasks.Go(func() { m.every(ctx, flushInterval, m.limiter.flush) })
 }
@@ -107,12 +110,6 @@
 	}
 }
 
-// sync takes in changes of the configuration and recovers deposited shares.
-func (m *Manager) sync(ctx context.Context) {
-	m.recover(ctx)
-	m.lender.sync()
-}
-
 // Stop admits nothing more, returns grants and loans, and deposits the shares
 // with a peer. It blocks until the peers have answered or ctx ends.
 func (m *Manager) Stop(ctx context.Context) {
--- a/quota/message.go
+++ b/quota/message.go
@@ -94,6 +94,8 @@
 type Deposit struct {
 	// Holder is the address of the holder.
 	Holder string
+	// Age is the time since the holder stopped, at the time of sending.
+	Age time.Duration
 	// Slots are the tenures that ended.
 	Slots  []SlotEpoch
 	Shares []ShareState
@@ -116,9 +118,8 @@
 	Answers []Answer
 	// Clock is the peer's time while it answered.
 	Clock Instant
-	// Deposit answers a claim, Age after it was made.
+	// Deposit answers a claim.
 	Deposit *Deposit
-	Age     time.Duration
 	// Slots answers an ask for the holders of slots.
 	Slots []SlotRecord
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -64,3 +64,24 @@
 		})
 	}
 }
+
+func TestLargeRequestIsGatheredFromAllShares(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 3, 3)
+		limit := quota.Limit{Rate: 10, Burst: 10_000}
+		f.config.set(harbour, limit)
+		f.run()
+		defer f.stopAll()
+		time.Sleep(time.Second)
+		j := newJudge(t, limit)
+		for _, tokens := range []int64{7900, 500, 500, 500} {
+			if j.admit(f.at(0), harbour, tokens) == nil {
+				t.Errorf("%d tokens were refused", tokens)
+			}
+		}
+		if j.admit(f.at(0), harbour, 1000) != nil {
+			t.Error("more than the burst was admitted")
+		}
+		j.verify()
+	})
+}
