--- a/internal/configsync/configuration.go
+++ b/internal/configsync/configuration.go
@@ -7,9 +7,10 @@
 	"github.com/greengagegate/greengagegate/snapshot"
 )
 
-// configure decodes and checks a snapshot.
-func configure(s *snapshot.Snapshot) (*configuration, error) {
-	set, err := object.FromSnapshot(s)
+// configure decodes and checks a snapshot, sharing what it has in common with
+// the former configuration.
+func configure(former *configuration, s *snapshot.Snapshot) (*configuration, error) {
+	set, err := object.Update(former.set, former.snapshot, s)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/configsync/evidence.go
+++ b/internal/configsync/evidence.go
@@ -15,9 +15,6 @@
 	ageSteps = 64
 	// ageUnknown stands for a witness without a recent statement.
 	ageUnknown = 255
-	// agreementFraction is the part of StaleAfter without evidence from the
-	// store after which the witnesses' statements are exchanged.
-	agreementFraction = 4
 )
 
 // abstention is how long after its start a witness makes no statement: an
@@ -155,10 +152,9 @@
 	e.agreement.Store(int64(moments[majority(len(moments))-1]))
 }
 
-// seeksAgreement reports whether the store has been silent for so long that the
-// witnesses' statements matter.
-func (e *evidence) seeksAgreement() bool {
-	return e.storeAge() > time.Duration(e.staleAfter.Load())/agreementFraction
+// old reports that evidence of both kinds is so old that it is worth asking more peers.
+func (e *evidence) old() bool {
+	return e.age() > time.Duration(e.staleAfter.Load())*2/3
 }
 
 // message returns the evidence for a reply that names the revision. Ages are rounded up.
@@ -169,9 +165,7 @@
 	if age < staleAfter {
 		message.StoreAgeMsPlus1 = uint64((age+time.Millisecond-1)/time.Millisecond) + 1
 	}
-	if e.seeksAgreement() {
-		message.WitnessAges = e.witnessAges(revision, staleAfter)
-	}
+	message.WitnessAges = e.witnessAges(revision, staleAfter)
 	return message
 }
 
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -200,8 +201,8 @@
 	peers.Wait()
 }
 
-// compareLoop compares revisions with a random neighbour at intervals, and with
-// all neighbours while the store is silent.
+// compareLoop compares revisions at intervals with a random neighbour and with
+// the peer from which evidence comes, and with all neighbours when that grows old.
 func (m *Manager) compareLoop(ctx context.Context) {
 	ticker := time.NewTicker(compareInterval)
 	defer ticker.Stop()
@@ -213,10 +214,10 @@
 		}
 		m.evidence.state(m.options.View.Self().Address)
 		peers := m.neighbours()
-		if !m.evidence.seeksAgreement() {
+		if !m.evidence.old() {
 			peers = m.pick(peers)
 		}
-		m.compare(ctx, peers)
+		m.compare(ctx, union(peers, m.parent()))
 		metrics.Gauge("config.evidence_age_ms").Update(m.evidence.age().Milliseconds())
 	}
 }
@@ -234,12 +235,24 @@
 	all.Wait()
 }
 
+// union returns the addresses of both lists, each once.
+func union(a, b []string) []string {
+	all := append([]string(nil), a...)
+	for _, address := range b {
+		if !slices.Contains(all, address) {
+			all = append(all, address)
+		}
+	}
+	return all
+}
+
 // loadFromPeers asks several peers at once until a set is in force that is
 // known to be the newest. It pauses longer after each attempt.
 func (m *Manager) loadFromPeers(ctx context.Context) {
 	interval := startInterval
 	for !m.Fresh() && ctx.Err() == nil {
 		m.compare(ctx, m.startAddresses())
+		m.askedOnce.Do(func() { close(m.asked) })
 		pause(ctx, m.jitter(interval))
 		interval = min(2*interval, compareInterval)
 	}
--- a/internal/configsync/manager.go
+++ b/internal/configsync/manager.go
@@ -72,6 +72,9 @@
 
 	current  atomic.Pointer[configuration]
 	fetching atomic.Bool
+	// asked is closed when peers have been asked for the first time.
+	asked     chan struct{}
+	askedOnce sync.Once
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -101,6 +104,7 @@
 		transport:  options.Transport,
 		evidence:   newEvidence(),
 		changed:    make(chan struct{}),
+		asked:      make(chan struct{}),
 		random:     rand.New(rand.NewPCG(options.Seed, 0)),
 		ctx:        ctx,
 		cancel:     cancel,
@@ -194,7 +198,7 @@
 		m.checkSame(next)
 		return nil
 	}
-	prepared, err := configure(next)
+	prepared, err := configure(m.current.Load(), next)
 	if err != nil {
 		metrics.Counter("config.rejected").Inc(1)
 		return err
--- a/internal/configsync/neighbours.go
+++ b/internal/configsync/neighbours.go
@@ -8,6 +8,9 @@
 	"github.com/greengagegate/greengagegate/membership"
 )
 
+// treeFanout is the number of peers that hear of evidence from one process.
+const treeFanout = 4
+
 // point is a member's place on a ring of 64-bit numbers.
 type point struct {
 	place   uint64
@@ -102,18 +105,59 @@
 	return chosen
 }
 
-// watches reports whether this process is the one that watches the store for
-// its zone: the zone's live member with the least place.
+// zoneTree returns the live members of a zone in ring order. The first watches
+// the store for the zone; member i hears of evidence from member (i-1)/treeFanout.
+func zoneTree(members []membership.Member, self membership.Member, zone string) []point {
+	var tree []point
+	for _, member := range members {
+		alive := member.State == membership.StateAlive || member.Process == self.Process
+		if member.Zone == zone && alive {
+			tree = append(tree, point{place(member.Process), member.Address})
+		}
+	}
+	sort.Slice(tree, func(i, j int) bool { return tree[i].place < tree[j].place })
+	return tree
+}
+
+// watches reports whether this process watches the store for its zone.
 func (m *Manager) watches() bool {
 	self := m.options.View.Self()
+	tree := zoneTree(m.options.View.Members(), self, self.Zone)
+	return len(tree) == 0 || tree[0].place == place(self.Process)
+}
+
+// parent returns the peer from which this process hears of evidence, or none.
+// For the process that watches for its zone it is the one of the next zone.
+func (m *Manager) parent() []string {
+	self := m.options.View.Self()
+	members := m.options.View.Members()
+	tree := zoneTree(members, self, self.Zone)
 	own := place(self.Process)
-	for _, member := range m.options.View.Members() {
-		if member.Zone != self.Zone || member.State != membership.StateAlive || member.Process == self.Process {
-			continue
-		}
-		if place(member.Process) < own {
-			return false
+	i := sort.Search(len(tree), func(i int) bool { return tree[i].place >= own })
+	if i > 0 && i < len(tree) {
+		return []string{tree[(i-1)/treeFanout].address}
+	}
+	next := nextZone(members, self.Zone)
+	if next == self.Zone {
+		return nil
+	}
+	if tree = zoneTree(members, self, next); len(tree) == 0 {
+		return nil
+	}
+	return []string{tree[0].address}
+}
+
+// nextZone returns the zone that follows in name order, the first after the last.
+func nextZone(members []membership.Member, zone string) string {
+	first, next := zone, ""
+	for _, member := range members {
+		first = min(first, member.Zone)
+		if member.Zone > zone && (next == "" || member.Zone < next) {
+			next = member.Zone
 		}
 	}
-	return true
+	if next == "" {
+		return first
+	}
+	return next
 }
--- a/internal/configsync/storeloop.go
+++ b/internal/configsync/storeloop.go
@@ -11,22 +11,45 @@
 
 const (
 	storeRetryInterval = time.Second
-	// readFraction is the part of StaleAfter after which a watcher reads the head again.
-	readFraction = 3
+	storeRetryLimit    = 5 * time.Second
+	loadTimeout        = 10 * time.Second
+	// watcherReadPercent and otherReadPercent are the parts of StaleAfter after
+	// which a watcher and any other process read the head themselves.
+	watcherReadPercent = 33
+	otherReadPercent   = 90
 	// fenceAfter is how long a publication under way is waited for.
 	fenceAfter = 8 * time.Second
 )
 
-// loadFromStore reads the newest snapshot until a first set is in force.
+// loadFromStore reads the newest snapshot until a first set is in force. It
+// reads the head at once, and the buckets only if the peers that are asked at
+// the same time have not given them: restarted herds spare the store.
 func (m *Manager) loadFromStore(ctx context.Context) {
+	wait := storeRetryInterval
 	for m.Current() == nil && ctx.Err() == nil {
-		if err := m.readStore(ctx); err != nil {
+		if err := m.loadOnce(ctx); err != nil {
 			m.log.Debug().Err(err).Msg("config: store not read")
 		}
-		pause(ctx, m.jitter(storeRetryInterval))
+		pause(ctx, m.jitter(wait))
+		wait = min(2*wait, storeRetryLimit)
 	}
 }
 
+func (m *Manager) loadOnce(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	asked := m.evidence.now()
+	state, err := m.repository.Head(ctx)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-m.asked:
+	case <-ctx.Done():
+	}
+	return m.adoptHead(ctx, state, asked)
+}
+
 // readStore reads the head and puts its snapshot in force. It is evidence that
 // the revision in force is the newest.
 func (m *Manager) readStore(ctx context.Context) error {
@@ -61,8 +84,10 @@
 // watches for its zone, late in the others, which hear of it from peers.
 func (m *Manager) storeLoop(ctx context.Context) {
 	var stopWatch context.CancelFunc
+	wait := storeRetryInterval
 	for ctx.Err() == nil {
-		pause(ctx, m.jitter(storeRetryInterval))
+		pause(ctx, m.jitter(wait))
+		wait = storeRetryInterval
 		if m.Current() == nil {
 			continue
 		}
@@ -77,6 +102,7 @@
 		if m.evidenceDue(watching) {
 			if err := m.readStore(ctx); err != nil {
 				m.log.Debug().Err(err).Msg("config: head not read")
+				wait = storeRetryLimit
 			}
 		}
 	}
@@ -89,9 +115,9 @@
 func (m *Manager) evidenceDue(watching bool) bool {
 	staleAfter := time.Duration(m.evidence.staleAfter.Load())
 	if watching {
-		return m.evidence.storeAge() > staleAfter/readFraction
+		return m.evidence.storeAge() > staleAfter*watcherReadPercent/100
 	}
-	return m.evidence.age() > staleAfter*2/readFraction
+	return m.evidence.age() > staleAfter*otherReadPercent/100
 }
 
 // startWatch follows the head until the returned function is called.
@@ -100,11 +126,17 @@
 	m.run(func(context.Context) {
 		metrics.Gauge("config.watching").Update(1)
 		defer metrics.Gauge("config.watching").Update(0)
+		wait := storeRetryInterval
 		for ctx.Err() == nil {
+			began := m.evidence.now()
 			if err := m.watch(ctx); err != nil {
 				m.log.Debug().Err(err).Msg("config: watch lost")
 			}
-			pause(ctx, m.jitter(storeRetryInterval))
+			wait = min(2*wait, storeRetryLimit)
+			if m.evidence.now()-began > storeRetryLimit {
+				wait = storeRetryInterval
+			}
+			pause(ctx, m.jitter(wait))
 		}
 	})
 	return cancel
--- a/internal/configsync/wire_test.go
+++ b/internal/configsync/wire_test.go
@@ -140,3 +140,39 @@
 		t.Fatalf("a set with mistakes was put in force: %v", err)
 	}
 }
+
+// The chain of parents leads from each member to the one that watches for its zone.
+func TestParentsLeadToTheWatcher(t *testing.T) {
+	var members []membership.Member
+	for i := range 200 {
+		name := "p-" + time.Duration(i).String()
+		members = append(members, membership.Member{Process: name, Address: name, Zone: string(rune('a' + i%3))})
+	}
+	managers := make(map[string]*Manager)
+	for _, self := range members {
+		managers[self.Address] = New(Options{Store: memstore.New(), Transport: NewTransport(nil), View: table{self, members}, Log: zerolog.Nop()})
+	}
+	watchers := 0
+	for _, self := range members {
+		m := managers[self.Address]
+		steps := 0
+		for !m.watches() {
+			m = managers[m.parent()[0]]
+			steps++
+		}
+		if zone := m.options.View.Self().Zone; zone != self.Zone || steps > 4 {
+			t.Fatalf("%s reaches the watcher of zone %s in %d steps", self.Process, zone, steps)
+		}
+		if steps > 0 {
+			continue
+		}
+		watchers++
+		next := managers[m.parent()[0]]
+		if !next.watches() || next.options.View.Self().Zone == self.Zone {
+			t.Fatal("a watcher hears from the watcher of the next zone")
+		}
+	}
+	if watchers != 3 {
+		t.Fatalf("%d watchers for 3 zones", watchers)
+	}
+}
--- a/internal/object/decode.go
+++ b/internal/object/decode.go
@@ -32,6 +32,9 @@
 // decode fills the specification of a document and reports every field that is
 // unknown or of the wrong type. It returns nil for an unknown kind.
 func decode(document Document) (any, Mistakes) {
+	if document.decoded != nil {
+		return document.decoded, nil
+	}
 	target := spec(document.Kind)
 	if target == nil {
 		return nil, Mistakes{document.mistake("kind", fmt.Sprintf("unknown kind %q", document.Kind))}
--- a/internal/object/document.go
+++ b/internal/object/document.go
@@ -22,6 +22,8 @@
 	Kind Kind            `json:"kind"`
 	Name string          `json:"name"`
 	Spec json.RawMessage `json:"spec"`
+	// decoded is the object itself when it is already known.
+	decoded any
 }
 
 // Key names the object uniquely, such as "Customer/pilots".
--- a/internal/object/records.go
+++ b/internal/object/records.go
@@ -6,7 +6,25 @@
 
 // FromSnapshot decodes and checks the records of a snapshot.
 func FromSnapshot(s *snapshot.Snapshot) (*Set, error) {
-	set, mistakes := Check(s.Revision(), Documents(s))
+	return Update(nil, nil, s)
+}
+
+// Update decodes and checks the records of a snapshot. Objects whose records are
+// the same in a former snapshot are shared with its set, which may be nil.
+func Update(former *Set, base, s *snapshot.Snapshot) (*Set, error) {
+	documents := Documents(s)
+	if former != nil {
+		changed := make(map[string]bool)
+		for _, change := range base.Diff(s) {
+			changed[change.Key] = true
+		}
+		for i := range documents {
+			if !changed[documents[i].Key()] {
+				documents[i].decoded = former.object(documents[i].Kind, documents[i].Name)
+			}
+		}
+	}
+	set, mistakes := Check(s.Revision(), documents)
 	if len(mistakes) > 0 {
 		return nil, mistakes
 	}
@@ -23,3 +41,23 @@
 	}
 	return documents
 }
+
+// object returns the object of the kind and name, or nil.
+func (s *Set) object(kind Kind, name string) any {
+	switch kind {
+	case KindCustomer:
+		return s.Customers[name]
+	case KindKey:
+		return s.Keys[name]
+	case KindRoute:
+		return s.Routes[name]
+	case KindUpstream:
+		return s.Upstreams[name]
+	case KindModelVersion:
+		return s.ModelVersions[name]
+	case KindFleet:
+		return &s.Fleet
+	default:
+		return nil
+	}
+}
--- a/snapshot/repository.go
+++ b/snapshot/repository.go
@@ -6,15 +6,20 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/greengagegate/greengagegate/store"
+	"golang.org/x/sync/errgroup"
 )
 
 const (
 	headName     = "head"
 	bucketPrefix = "bucket/"
 
+	// loadParallel is the number of buckets that are read at the same time.
+	loadParallel = 8
+
 	// changedLimit is the number of changed records that a history entry names.
 	changedLimit = 20
 	// retainRevisions is the number of revisions for which replaced buckets are kept.
@@ -99,16 +104,9 @@
 	if base == nil {
 		base = new(Snapshot)
 	}
-	replaced := make(map[int][]Record)
-	for i, ref := range state.head.Buckets {
-		if ref.Hash == base.buckets[i].hash {
-			continue
-		}
-		records, err := r.loadBucket(ctx, ref)
-		if err != nil {
-			return nil, err
-		}
-		replaced[i] = records
+	replaced, err := r.loadBuckets(ctx, state, base)
+	if err != nil {
+		return nil, err
 	}
 	next, err := base.Replace(state.head.Revision, replaced)
 	if err != nil {
@@ -120,6 +118,27 @@
 	return next, nil
 }
 
+// loadBuckets reads the buckets that base lacks, some at a time.
+func (r *Repository) loadBuckets(ctx context.Context, state State, base *Snapshot) (map[int][]Record, error) {
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(loadParallel)
+	var mu sync.Mutex
+	replaced := make(map[int][]Record)
+	for i, ref := range state.head.Buckets {
+		if ref.Hash == base.buckets[i].hash {
+			continue
+		}
+		group.Go(func() error {
+			records, err := r.loadBucket(ctx, ref)
+			mu.Lock()
+			defer mu.Unlock()
+			replaced[i] = records
+			return err
+		})
+	}
+	return replaced, group.Wait()
+}
+
 func (r *Repository) loadBucket(ctx context.Context, ref BucketRef) ([]Record, error) {
 	if ref.Object == "" {
 		return nil, nil
