--- /dev/null
+++ b/internal/app/fleet_test.go
@@ -0,0 +1,236 @@
+package app
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/node"
+	"github.com/greengagegate/greengagegate/internal/object"
+	"github.com/greengagegate/greengagegate/internal/publish"
+	"github.com/greengagegate/greengagegate/internal/standin/enginesim"
+	"github.com/greengagegate/greengagegate/internal/standin/plainsvc"
+	"github.com/greengagegate/greengagegate/internal/standin/platform"
+	"github.com/greengagegate/greengagegate/internal/tlsconf"
+	"github.com/greengagegate/greengagegate/store/memstore"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+)
+
+const (
+	fleetModel  = "harbour-7b"
+	fleetSecret = "demo-agent-key"
+	fleetKey    = "0123456789abcdef-membership"
+	// maxAttempts bounds how often a request is repeated while the fleet starts.
+	maxAttempts = 600
+)
+
+// testFleet is a small fleet of real applications on loopback.
+type testFleet struct {
+	t        *testing.T
+	platform *platform.Manager
+	storeURL string
+	tls      tlsconf.Files
+	seed     string
+	changes  []publish.Change
+}
+
+func newTestFleet(t *testing.T, tls tlsconf.Files) *testFleet {
+	manager := platform.New(platform.Options{})
+	server := httptest.NewServer(manager.Handler())
+	t.Cleanup(server.Close)
+	f := &testFleet{t: t, platform: manager, storeURL: server.URL, tls: tls, seed: freeAddress(t)}
+	documents, mistakes := object.ReadFiles("../../examples/demo/config")
+	if len(mistakes) > 0 {
+		t.Fatal(mistakes)
+	}
+	for _, document := range documents {
+		if document.Kind != object.KindUpstream {
+			f.changes = append(f.changes, publish.Change{Kind: document.Kind, Name: document.Name, Spec: document.Spec})
+		}
+	}
+	return f
+}
+
+// freeAddress returns an address of loopback that was free a moment ago for TCP.
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func (f *testFleet) common(name, gossip string) Common {
+	return Common{
+		Identity:   node.Identity{Name: name, Zone: "a", Region: "r1"},
+		Inner:      node.Inner{Listen: freeAddress(f.t)},
+		InnerTLS:   f.tls,
+		Store:      Store{URL: f.storeURL},
+		Membership: Membership{Listen: gossip, Seeds: []string{f.seed}, Key: fleetKey},
+		Admin:      Admin{Listen: freeAddress(f.t)},
+		Stop:       Stop{DrainDelay: 300 * time.Millisecond, Timeout: time.Minute},
+	}
+}
+
+func (f *testFleet) start(options fx.Option) *fx.App {
+	app := fx.New(fx.NopLogger, fx.StopTimeout(time.Minute), fx.Supply(zerolog.Nop()), options)
+	if err := app.Start(f.t.Context()); err != nil {
+		f.t.Fatal(err)
+	}
+	return app
+}
+
+// router starts a router and returns it with its settings.
+func (f *testFleet) router(name, gossip string) (*fx.App, *RouterSettings) {
+	s := NewRouterSettings()
+	s.Common = f.common(name, gossip)
+	s.Inner.Advertise = s.Inner.Listen
+	s.CallersListen.Listen = freeAddress(f.t)
+	s.Operators.Listen = freeAddress(f.t)
+	return f.start(Router(s)), s
+}
+
+// engine starts an engine stand-in with its agent and adds its Upstream object.
+func (f *testFleet) engine(name string) *fx.App {
+	address := freeAddress(f.t)
+	sim := enginesim.New(enginesim.Options{
+		Name: name, Address: address, Weights: "v1", BlockTokens: 2000, CacheBlocks: 100,
+		BatchLimit: 8, MaxWaiting: 8, PrefillRate: 100_000, DecodeBase: 20 * time.Millisecond, Restart: time.Second,
+	})
+	if err := sim.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(sim.Stop)
+	return f.agent(name, "engine", "models", "http://"+address)
+}
+
+// service starts a plain service with its agent and adds its Upstream object.
+func (f *testFleet) service(name string) (*fx.App, *plainsvc.Manager) {
+	address := freeAddress(f.t)
+	manager := plainsvc.New(plainsvc.Options{Name: name, Address: address, Latency: time.Millisecond, Restart: time.Second})
+	if err := manager.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(manager.Stop)
+	return f.agent(name, "service", "billing", "http://"+address), manager
+}
+
+func (f *testFleet) agent(name, kind, pool, url string) *fx.App {
+	s := NewAgentSettings()
+	s.Common = f.common("agent-"+name, freeAddress(f.t))
+	s.Inner.Advertise = s.Inner.Listen
+	s.Upstream = Upstream{Name: name, Kind: kind, URL: url}
+	spec, err := json.Marshal(object.Upstream{
+		Address: s.Inner.Listen, Zone: "a", Kind: object.UpstreamKind(kind), Pool: pool,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.changes = append(f.changes, publish.Change{Kind: object.KindUpstream, Name: name, Spec: spec})
+	return f.start(Agent(s))
+}
+
+// publish commits the objects through a router and waits until it is ready.
+func (f *testFleet) publish(through *RouterSettings, routers ...*RouterSettings) {
+	body, err := json.Marshal(publish.Request{Author: "test", Changes: f.usableChanges()})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	response, err := http.Post("http://"+through.Operators.Listen+"/operator/v1/publish", "application/json", bytes.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		var result publish.Result
+		_ = json.NewDecoder(response.Body).Decode(&result)
+		f.t.Fatalf("publish: %d %+v", response.StatusCode, result)
+	}
+	for _, router := range append(routers, through) {
+		f.awaitReady(router)
+	}
+}
+
+// usableChanges leaves out the objects that refer to a pool without upstreams.
+func (f *testFleet) usableChanges() []publish.Change {
+	type pooled struct {
+		Pool string `json:"pool"`
+	}
+	pools := map[string]bool{"": true}
+	poolOf := func(change publish.Change) string {
+		var parsed pooled
+		if err := json.Unmarshal(change.Spec, &parsed); err != nil {
+			f.t.Fatal(err)
+		}
+		return parsed.Pool
+	}
+	for _, change := range f.changes {
+		if change.Kind == object.KindUpstream {
+			pools[poolOf(change)] = true
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(f.changes), func(change publish.Change) bool {
+		return !pools[poolOf(change)]
+	})
+}
+
+func (f *testFleet) awaitReady(router *RouterSettings) {
+	for f.t.Context().Err() == nil {
+		response, err := http.Get("http://" + router.Admin.Listen + "/readyz")
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// post sends a request with the fleet's key through a router.
+func (f *testFleet) post(router *RouterSettings, path, body string, header http.Header) *http.Response {
+	url := fmt.Sprintf("http://%s%s", router.CallersListen.Listen, path)
+	for attempt := 1; ; attempt++ {
+		request, err := http.NewRequestWithContext(f.t.Context(), http.MethodPost, url, bytes.NewReader([]byte(body)))
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		for name, values := range header {
+			request.Header[name] = values
+		}
+		request.Header.Set("Authorization", "Bearer "+fleetSecret)
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		// Right after the start an agent may not have told its engine's state yet.
+		notReady := response.StatusCode == http.StatusServiceUnavailable || response.StatusCode == http.StatusTooManyRequests
+		if !notReady || attempt == maxAttempts {
+			return response
+		}
+		_ = response.Body.Close()
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (f *testFleet) storeDown(down bool) {
+	f.platform.SetFaults(memstore.Faults{Down: down})
+}
+
+func stop(t *testing.T, app *fx.App) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	if err := app.Stop(ctx); err != nil {
+		t.Errorf("stop was not graceful: %v", err)
+	}
+}
+
--- a/internal/tlsconf/tlsconf.go
+++ b/internal/tlsconf/tlsconf.go
@@ -14,8 +14,8 @@
 	"github.com/greengagegate/greengagegate/internal/fault"
 )
 
-// checkInterval is how often, at most, the files are looked at.
-const checkInterval = time.Second
+// CheckInterval is how often, at most, the files are looked at.
+const CheckInterval = time.Second
 
 // Files names the PEM files of one end of a connection.
 type Files struct {
@@ -103,7 +103,7 @@
 func (r *Reloader) latest() *material {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if time.Since(r.checked) < checkInterval {
+	if time.Since(r.checked) < CheckInterval {
 		return r.current
 	}
 	r.checked = time.Now()
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -16,8 +16,8 @@
 step() { printf '\n== %s\n' "$*"; }
 
 fail() {
+  tail -q -n 2 "$logs"/*.log >&2 || true
   echo "demo: FAILED: $*" >&2
-  tail -n 5 "$logs"/*.log >&2 || true
   exit 1
 }
 
@@ -28,7 +28,10 @@
 }
 
 kill_all() {
-  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do
+    disown "$pid" 2>/dev/null || true
+    kill -KILL "$pid" 2>/dev/null || true
+  done
   rm -rf "$logs"
 }
 trap kill_all EXIT
