--- a/internal/app/fleet_test.go
+++ b/internal/app/fleet_test.go
@@ -233,4 +233,3 @@
 		t.Errorf("stop was not graceful: %v", err)
 	}
 }
-
