--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -251,8 +251,11 @@
 func (m *Manager) loadFromPeers(ctx context.Context) {
 	interval := startInterval
 	for !m.Fresh() && ctx.Err() == nil {
-		m.compare(ctx, m.startAddresses())
-		m.askedOnce.Do(func() { close(m.asked) })
+		peers := m.startAddresses()
+		m.compare(ctx, peers)
+		if len(peers) > 0 {
+			m.askedOnce.Do(func() { close(m.asked) })
+		}
 		pause(ctx, m.jitter(interval))
 		interval = min(2*interval, compareInterval)
 	}
--- a/internal/configsync/storeloop.go
+++ b/internal/configsync/storeloop.go
@@ -13,6 +13,7 @@
 	storeRetryInterval = time.Second
 	storeRetryLimit    = 5 * time.Second
 	loadTimeout        = 10 * time.Second
+	peersWait          = time.Second
 	// watcherReadPercent and otherReadPercent are the parts of StaleAfter after
 	// which a watcher and any other process read the head themselves.
 	watcherReadPercent = 33
@@ -43,11 +44,19 @@
 	if err != nil {
 		return err
 	}
+	m.awaitPeers(ctx)
+	return m.adoptHead(ctx, state, asked)
+}
+
+// awaitPeers waits a short while until peers have been asked once. They are
+// not known at the very start.
+func (m *Manager) awaitPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, peersWait)
+	defer cancel()
 	select {
 	case <-m.asked:
 	case <-ctx.Done():
 	}
-	return m.adoptHead(ctx, state, asked)
 }
 
 // readStore reads the head and puts its snapshot in force. It is evidence that
--- a/internal/publish/outage_test.go
+++ b/internal/publish/outage_test.go
@@ -209,6 +209,25 @@
 	})
 }
 
+// A herd with live peers reads heads, not the buckets of the whole set.
+func TestHerdRestartSparesTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, routers := demoFleet(t)
+		defer f.stopAll()
+		f.stop(routers...)
+		before := f.store.Counts()
+		f.start(routers...)
+		time.Sleep(time.Second)
+		if fresh := f.freshness(routers); fresh != len(routers) {
+			t.Fatalf("%d routers fresh after a second", fresh)
+		}
+		// Each reads one head to load; the one that watches for its zone reads two more.
+		if reads := f.store.Counts().Reads - before.Reads; reads > int64(4*len(routers)) {
+			t.Fatalf("%d reads of the store by %d routers", reads, len(routers))
+		}
+	})
+}
+
 func TestStalePeerDoesNotRevert(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f, routers := demoFleet(t)
