--- a/internal/publish/publisher.go
+++ b/internal/publish/publisher.go
@@ -16,8 +16,12 @@
 	"github.com/greengagegate/greengagegate/store"
 )
 
-// publishTimeout bounds one request, with all its retries.
-const publishTimeout = 15 * time.Second
+const (
+	// publishTimeout bounds one request, with all its retries.
+	publishTimeout = 15 * time.Second
+	// maxTextBytes bounds the author and the note, which the history keeps.
+	maxTextBytes = 500
+)
 
 // Publisher commits changes of the configuration. Any number of publishers may
 // race, in one process or in many.
@@ -52,6 +56,9 @@
 func (p *Publisher) Publish(ctx context.Context, request Request) Result {
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
+	if len(request.Author) > maxTextBytes || len(request.Note) > maxTextBytes {
+		return notRun(p.manager.Revision(), fmt.Sprintf("author and note have at most %d bytes each", maxTextBytes))
+	}
 	result := p.publish(ctx, request)
 	metrics.Counter("publish.results", "outcome", string(result.Outcome)).Inc(1)
 	return result
--- a/snapshot/commit.go
+++ b/snapshot/commit.go
@@ -30,29 +30,68 @@
 	to.Revision = next.revision
 	to.Hash = next.Hash()
 	if err := r.writeBuckets(ctx, &to, base, next, &entry); err != nil {
+		r.discard(ctx, from.head, to)
 		return State{}, notChanged(err)
 	}
 	describe(&entry, base.Diff(next))
 	entry.Revision = next.revision
-	to.History = append([]Entry{entry}, from.head.History...)
-	if len(to.History) > HistoryLimit {
-		to.History = to.History[:HistoryLimit]
-	}
+	to.History = extend(entry, from.head.History)
+	version, err := r.replaceHead(ctx, from.version, to, entry, ready)
+	switch {
+	case err == nil:
+		r.collect(ctx, to)
+	case !errors.Is(err, ErrUnknown):
+		r.discard(ctx, from.head, to)
+	}
+	return State{head: to, version: version}, err
+}
+
+// replaceHead writes the head once the caller is ready.
+func (r *Repository) replaceHead(ctx context.Context, expected int64, to head, entry Entry, ready func() error) (int64, error) {
 	value, err := json.Marshal(to)
 	if err != nil {
-		return State{}, err
+		return 0, err
 	}
 	if ready != nil {
 		if err := ready(); err != nil {
-			return State{}, err
+			return 0, err
+		}
+	}
+	return r.putHead(ctx, value, expected, entry)
+}
+
+// extend returns the history with the entry in front. Entries whose replaced
+// buckets have been collected do not name them any more.
+func extend(entry Entry, history []Entry) []Entry {
+	extended := append([]Entry{entry}, history...)
+	if len(extended) > HistoryLimit {
+		extended = extended[:HistoryLimit]
+	}
+	for i := range extended {
+		if extended[i].Revision+retainRevisions < entry.Revision {
+			extended[i].Dropped = nil
 		}
 	}
-	version, err := r.putHead(ctx, value, from.version, entry)
+	return extended
+}
+
+// discard deletes the buckets that were written for a head which is not in
+// force and never will be. Failures leave objects behind.
+func (r *Repository) discard(ctx context.Context, from, to head) {
+	for i, ref := range to.Buckets {
+		if ref.Object != "" && ref.Object != from.Buckets[i].Object {
+			r.remove(ctx, ref.Object)
+		}
+	}
+}
+
+// remove deletes an object if it can.
+func (r *Repository) remove(ctx context.Context, name string) {
+	object, err := r.store.Get(ctx, name)
 	if err != nil {
-		return State{}, err
+		return
 	}
-	r.collect(ctx, to)
-	return State{head: to, version: version}, nil
+	_ = r.store.Delete(ctx, name, object.Version)
 }
 
 // notChanged maps a failure before the head was written: no outcome is in doubt.
@@ -115,7 +154,8 @@
 	return BucketRef{Object: name, Hash: b.hash}, err
 }
 
-// putHead writes the head conditionally and settles a lost answer.
+// putHead writes the head conditionally and settles a lost answer. A conflict is
+// settled in the same way, since a driver may have repeated the write.
 func (r *Repository) putHead(ctx context.Context, value []byte, expected int64, entry Entry) (int64, error) {
 	inDoubt := false
 	for {
@@ -123,8 +163,6 @@
 		switch {
 		case err == nil:
 			return version, nil
-		case errors.Is(err, store.ErrConflict) && !inDoubt:
-			return 0, ErrMoved
 		case errors.Is(err, store.ErrUnavailable) && !inDoubt:
 			return 0, err
 		}
@@ -188,11 +226,7 @@
 			continue
 		}
 		for _, name := range entry.Dropped {
-			object, err := r.store.Get(ctx, name)
-			if err != nil {
-				continue
-			}
-			_ = r.store.Delete(ctx, name, object.Version)
+			r.remove(ctx, name)
 		}
 	}
 }
--- a/snapshot/repository_test.go
+++ b/snapshot/repository_test.go
@@ -69,6 +69,53 @@
 	}
 }
 
+func TestRefusedCommitLeavesNothingBehind(t *testing.T) {
+	ctx := t.Context()
+	backing := memstore.New()
+	r := NewRepository(backing, "config/")
+	if _, err := commitOne(ctx, r, "a", "1"); err != nil {
+		t.Fatal(err)
+	}
+	state, _ := r.Head(ctx)
+	base, _ := r.Load(ctx, state, nil)
+	next := base.Apply(2, []Change{{Key: "a", Value: []byte("2")}, {Key: "b", Value: []byte("2")}})
+	refused := errors.New("not ready")
+	if _, err := r.Commit(ctx, state, base, next, Entry{Nonce: NewNonce()}, func() error { return refused }); !errors.Is(err, refused) {
+		t.Fatalf("got %v", err)
+	}
+	objects, _, _ := backing.List(ctx, "config/")
+	if len(objects) != 2 {
+		t.Fatalf("%d objects, want the head and one bucket", len(objects))
+	}
+	if again, err := r.Load(ctx, state, nil); err != nil || again.Hash() != base.Hash() {
+		t.Fatalf("the set in force is damaged: %v", err)
+	}
+}
+
+// A head stays far below the store's limit when every publication changes every bucket.
+func TestHeadStaysSmall(t *testing.T) {
+	ctx := t.Context()
+	r := NewRepository(memstore.New(), "config/")
+	var state State
+	base := new(Snapshot)
+	for revision := range uint64(HistoryLimit + 2) {
+		var changes []Change
+		for i := range 500 {
+			changes = append(changes, Change{Key: fmt.Sprintf("Customer/some-long-name-%d", i), Value: fmt.Append(nil, revision)})
+		}
+		next := base.Apply(revision+1, changes)
+		var err error
+		if state, err = r.Commit(ctx, state, base, next, Entry{Nonce: NewNonce()}, nil); err != nil {
+			t.Fatal(err)
+		}
+		base = next
+	}
+	object, err := r.store.Get(ctx, r.HeadKey())
+	if err != nil || len(object.Value) > store.MaxValueBytes/4 {
+		t.Fatalf("the head has %d bytes, %v", len(object.Value), err)
+	}
+}
+
 func TestLostAnswerBelowAnotherPublication(t *testing.T) {
 	ctx := t.Context()
 	backing := memstore.New()
@@ -108,6 +155,24 @@
 	return 0, store.ErrUnknownOutcome
 }
 
+// A driver that repeats a write whose answer was lost meets its own write.
+func TestConflictWithTheOwnWrite(t *testing.T) {
+	ctx := t.Context()
+	backing := memstore.New()
+	r := NewRepository(repeating{backing}, "config/")
+	if _, err := commitOne(ctx, r, "a", "1"); err != nil {
+		t.Fatalf("the commit took effect: %v", err)
+	}
+}
+
+// repeating makes each write twice and returns the second answer.
+type repeating struct{ store.Store }
+
+func (r repeating) Put(ctx context.Context, key string, value []byte, expected int64) (int64, error) {
+	_, _ = r.Store.Put(ctx, key, value, expected)
+	return r.Store.Put(ctx, key, value, expected)
+}
+
 func TestCorruptBucketIsRefused(t *testing.T) {
 	ctx := t.Context()
 	backing := memstore.New()
