End requests in progress when withdrawals could go unseen; run no queued charge of a withdrawn key

Cause: a router that is cut off refused new keyed requests but went on with running streams, and a call that may not be repeated ran although its key was withdrawn while its body arrived or while it waited for admission. Change: the key watcher also checks freshness, for keyed routes; calls are admitted under the watched context and checked again before they are forwarded. Conclusion: two tests at the router; both fail without the change.

--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -66,7 +66,15 @@
 	customer := billedCustomer(set, route, who)
 	ctx, watched, ended := s.callContext(c, route, who)
 	defer ended()
-	ticket, err := s.admit(ctx, customer, callTokens)
+	ticket, err := s.admit(watched, customer, callTokens)
+	// The key may have been withdrawn while the body arrived or the call waited.
+	if failure := keyFailure(watched, "admit", RunNot); failure != nil {
+		if err == nil {
+			ticket.Settle(0)
+		}
+		s.fail(c, failure)
+		return
+	}
 	if err != nil {
 		s.fail(c, s.callError(ctx, err, "admit"))
 		return
@@ -74,8 +82,8 @@
 	defer ticket.Settle(callTokens)
 	request := callRequest(c, who, customer, route, body)
 	reply, err := s.options.Caller.Call(ctx, set, route, request)
-	if errors.Is(context.Cause(watched), errKeyWithdrawn) {
-		s.fail(c, withheld(reply, err))
+	if failure := keyFailure(watched, "call", outcomeOf(reply, err)); failure != nil {
+		s.fail(c, failure)
 		return
 	}
 	if err != nil {
@@ -95,7 +103,7 @@
 		parent = context.WithoutCancel(parent)
 	}
 	call, cancel := context.WithTimeout(parent, s.options.Limits.CallTimeout)
-	watched, unwatch := s.keys.watch(call, who.key)
+	watched, unwatch := s.keys.watch(call, who.key, route.Open)
 	ended = func() {
 		unwatch()
 		cancel()
@@ -106,17 +114,16 @@
 	return call, watched, ended
 }
 
-// withheld answers a caller whose key was withdrawn during its call.
-func withheld(reply *wirepb.CallReply, err error) *apiError {
-	run := RunUnknown
-	if err == nil && reply.Refusal == nil {
-		run = RunDone
-	} else if err == nil {
-		run = runState(reply.Refusal.Run)
-	}
-	return &apiError{
-		Status: http.StatusUnauthorized, Code: "key_withdrawn",
-		Message: errKeyWithdrawn.Error(), Step: "call", Run: run,
+// outcomeOf says what became of a call whose answer is withheld, since the key
+// was withdrawn meanwhile.
+func outcomeOf(reply *wirepb.CallReply, err error) RunState {
+	switch {
+	case err != nil:
+		return RunUnknown
+	case reply.Refusal == nil:
+		return RunDone
+	default:
+		return runState(reply.Refusal.Run)
 	}
 }
 
--- a/internal/router/prompts.go
+++ b/internal/router/prompts.go
@@ -40,7 +40,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.Request.Context(), s.options.Limits.PromptTimeout)
 	defer cancel()
-	ctx, ended := s.keys.watch(ctx, p.caller.key)
+	ctx, ended := s.keys.watch(ctx, p.caller.key, p.route.Open)
 	defer ended()
 	answer := newAnswer(c, p.request, s.options.Limits.WriteTimeout, arrived, p.customerName())
 	if failure := s.runPrompt(ctx, set, p, answer, requestID(c)); failure != nil {
@@ -231,8 +231,8 @@
 	if answer.started() || step == "run" {
 		run = RunUnknown
 	}
-	if errors.Is(context.Cause(ctx), errKeyWithdrawn) {
-		return &apiError{Status: http.StatusUnauthorized, Code: "key_withdrawn", Message: errKeyWithdrawn.Error(), Step: step, Run: run}
+	if failure := keyFailure(ctx, step, run); failure != nil {
+		return failure
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return &apiError{Status: http.StatusGatewayTimeout, Code: "deadline", Message: "the request took too long", Step: step, Run: run}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -47,7 +47,17 @@
 	return f.changed
 }
 
-func (f *fakeSource) Fresh() bool { return !f.stale }
+func (f *fakeSource) Fresh() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.stale
+}
+
+func (f *fakeSource) setStale() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stale = true
+}
 
 func (f *fakeSource) replace(set *object.Set) {
 	f.mu.Lock()
@@ -225,6 +235,38 @@
 	}
 }
 
+func TestStaleConfigurationEndsRunningRequest(t *testing.T) {
+	source := newFakeSource(testSet(object.KeyActive))
+	blocked := blockingPicker{entered: make(chan struct{})}
+	server := startServer(t, Options{Source: source, Admission: openAdmission{}, Picker: blocked})
+	go func() {
+		<-blocked.entered
+		source.setStale()
+	}()
+	response, reply := post(t, server.URL+"/v1/completions", testSecret, `{"model":"harbour","prompt":"y"}`)
+	if response.StatusCode != http.StatusServiceUnavailable || reply.Error.Code != "config_stale" || reply.Error.Run != RunNot {
+		t.Fatalf("got %d %+v", response.StatusCode, reply.Error)
+	}
+}
+
+// withdrawingAdmission withdraws the key while a request waits for admission.
+type withdrawingAdmission struct{ source *fakeSource }
+
+func (w withdrawingAdmission) Admit(ctx context.Context, _ *object.Customer, _ int64) (admission.Ticket, error) {
+	w.source.replace(testSet(object.KeyWithdrawn))
+	<-ctx.Done()
+	return unlimited{}, nil
+}
+
+func TestQueuedChargeOfAWithdrawnKeyDoesNotRun(t *testing.T) {
+	source := newFakeSource(testSet(object.KeyActive))
+	server := startServer(t, Options{Source: source, Admission: withdrawingAdmission{source}})
+	response, reply := post(t, server.URL+"/charges", testSecret, `{}`)
+	if response.StatusCode != http.StatusUnauthorized || reply.Error.Code != "key_withdrawn" || reply.Error.Run != RunNot {
+		t.Fatalf("got %d %+v", response.StatusCode, reply.Error)
+	}
+}
+
 func TestForwardedHeaderHoldsNoKey(t *testing.T) {
 	who := caller{secret: testSecret}
 	header := http.Header{
