--- a/once/commit.go
+++ b/once/commit.go
@@ -68,8 +68,10 @@
 // commit writes the head once with all pending entries. With closed set it gives
 // the shard up. After an error other than errMoved it may be called again.
 func (s *shard) commit(ctx context.Context, closed bool) error {
-	s.commitMu.Lock()
-	defer s.commitMu.Unlock()
+	if err := s.commitLock.acquire(ctx); err != nil {
+		return err
+	}
+	defer s.commitLock.release()
 	if err := s.m.limiter.Wait(ctx); err != nil {
 		return err
 	}
@@ -168,20 +170,27 @@
 		d.head.Witnesses = peersToWire(j.proposed)
 	}
 	for _, kept := range j.segments[len(d.expired):] {
-		d.head.Segments = append(d.head.Segments, kept.key)
+		d.head.Segments = append(d.head.Segments, kept.name)
 	}
 	return d, j.version, true
 }
 
-// roll moves a long tail to a segment of its own. When that fails the tail stays.
+// roll moves a long tail to a segment of its own, when the budget has a write to
+// spare or the tail is very long. When that fails the tail stays.
 func (s *shard) roll(ctx context.Context) {
 	s.mu.Lock()
-	if !s.owned || !s.journal.tooLong() {
+	tooLong, veryLong := s.owned && s.journal.tooLong(), s.journal.tailBytes > maxTailBytes
+	s.mu.Unlock()
+	if !tooLong || (!s.m.limiter.Allow() && (!veryLong || s.m.limiter.Wait(ctx) != nil)) {
+		return
+	}
+	s.mu.Lock()
+	if !s.owned {
 		s.mu.Unlock()
 		return
 	}
 	s.journal.sequence++
-	key := segmentKey(s.m.options.Pool, s.number, s.epoch, s.journal.sequence)
+	name := segmentName(s.epoch, s.journal.sequence)
 	tail := s.journal.tail
 	s.mu.Unlock()
 	value, err := proto.Marshal(&wirepb.OnceSegment{Entries: tail})
@@ -190,14 +199,14 @@
 	}
 	writeCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	version, err := s.m.options.Store.Put(writeCtx, key, value, store.VersionAbsent)
+	version, err := s.m.options.Store.Put(writeCtx, segmentKey(s.m.options.Pool, s.number, name), value, store.VersionAbsent)
 	if err != nil {
 		s.m.log.Debug().Err(err).Int("shard", s.number).Msg("once: segment not written")
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.journal.segments = append(s.journal.segments, segment{key: key, version: version, newest: time.Now()})
+	s.journal.segments = append(s.journal.segments, segment{name: name, version: version, newest: time.Now()})
 	s.journal.tail = nil
 	s.journal.tailBytes = 0
 }
@@ -229,8 +238,9 @@
 	}
 	deleteCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if err := s.m.options.Store.Delete(deleteCtx, old.key, old.version); err != nil {
-		s.m.log.Debug().Err(err).Str("key", old.key).Msg("once: segment not deleted")
+	key := segmentKey(s.m.options.Pool, s.number, old.name)
+	if err := s.m.options.Store.Delete(deleteCtx, key, old.version); err != nil {
+		s.m.log.Debug().Err(err).Str("key", key).Msg("once: segment not deleted")
 	}
 }
 
--- a/once/entry.go
+++ b/once/entry.go
@@ -36,9 +36,9 @@
 	// kept says that answer holds the answer of an execution.
 	kept   bool
 	answer []byte
-	// granted is closed when the claim may run or the shard was lost.
+	// granted is closed when the claim may run or the shard was lost; nil once it has ended.
 	granted chan struct{}
-	// done is closed with the outcome; nil for entries read from a journal.
+	// done is closed with the outcome; nil once the first request has ended.
 	done chan struct{}
 }
 
--- a/once/fleet_test.go
+++ b/once/fleet_test.go
@@ -41,13 +41,15 @@
 }
 
 // start begins a new incarnation of the process.
-func (f *fleet) start(process string) *Manager {
+func (f *fleet) start(process string) *Manager { return f.startOn(process, f.store) }
+
+func (f *fleet) startOn(process string, st store.Store) *Manager {
 	f.mu.Lock()
 	f.born[process]++
 	self := Peer{Process: process, Address: address(process), Incarnation: f.born[process]}
 	f.mu.Unlock()
 	m := NewManager(Options{
-		Store: f.store, Hosts: f.store, Transport: &link{f}, Pool: testPool, Self: self,
+		Store: st, Hosts: f.store, Transport: &link{f}, Pool: testPool, Self: self,
 		Peers:     f.peers,
 		Shards:    func() int { return f.shards },
 		Horizon:   func() time.Duration { return testHorizon },
--- /dev/null
+++ b/once/history_test.go
@@ -0,0 +1,145 @@
+package once
+
+import (
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// output is what a caller was told, or at the end what the ledger says.
+type output struct {
+	// answer is set when the call was told to have run.
+	answer   string
+	replayed bool
+	state    State
+	// final marks the ledger's count.
+	final      bool
+	executions int
+}
+
+// key states of the model: not executed, executed with an answer nobody has
+// seen, or the answer.
+const (
+	modelFresh = ""
+	modelRan   = "?"
+)
+
+// keyModel says which histories one key may have.
+var keyModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{modelFresh} },
+	Step: func(state, _, out any) []any { return stepKey(state.(string), out.(output)) },
+}
+
+func stepKey(state string, out output) []any {
+	ran := state != modelFresh
+	switch {
+	case out.final && (out.executions == 1) != ran:
+		return nil
+	case out.final:
+		return []any{state}
+	case out.answer != "" && !out.replayed && !ran:
+		return []any{out.answer}
+	case out.answer != "" && !out.replayed:
+		return nil
+	case out.answer != "" && (state == out.answer || state == modelRan):
+		return []any{out.answer}
+	case out.answer != "":
+		return nil
+	case out.state == StateNotRun && ran:
+		return nil
+	case out.state == StateRan && !ran:
+		return nil
+	case out.state == StateUnknown && !ran:
+		return []any{modelFresh, modelRan}
+	default:
+		return []any{state}
+	}
+}
+
+// history records the calls of all keys.
+type history struct {
+	mu    sync.Mutex
+	began time.Time
+	keys  map[string][]porcupine.Operation
+}
+
+func newHistory() *history {
+	return &history{began: time.Now(), keys: make(map[string][]porcupine.Operation)}
+}
+
+// add records a call that was begun at a time and has just ended.
+func (h *history) add(client int, key string, begun time.Time, out output) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.keys[key] = append(h.keys[key], porcupine.Operation{
+		ClientId: client, Input: key, Output: out,
+		Call: int64(begun.Sub(h.began)), Return: int64(time.Since(h.began)),
+	})
+}
+
+// check fails the test for each key whose history the model does not allow.
+func (h *history) check(t *testing.T, executions func(key string) int) {
+	t.Helper()
+	for key, operations := range h.keys {
+		n := executions(key)
+		if n > 1 {
+			t.Errorf("%s was executed %d times", key, n)
+		}
+		end := int64(time.Since(h.began))
+		operations = append(operations, porcupine.Operation{
+			Input: key, Output: output{final: true, executions: n}, Call: end + 1, Return: end + 2,
+		})
+		if !porcupine.CheckOperations(keyModel.ToModel(), operations) {
+			t.Errorf("%s: history is not allowed: %+v", key, operations)
+		}
+	}
+}
+
+// told turns the end of a call into what its caller was told.
+func told(result Result, err error) output {
+	var refused *Error
+	switch {
+	case err == nil:
+		return output{answer: string(result.Answer), replayed: result.Replayed, state: StateRan}
+	case errors.As(err, &refused):
+		return output{state: refused.State()}
+	default:
+		return output{state: StateUnknown}
+	}
+}
+
+func TestModelRejectsWrongHistories(t *testing.T) {
+	fresh := func(answer string) output { return output{answer: answer, state: StateRan} }
+	replay := func(answer string) output { return output{answer: answer, replayed: true, state: StateRan} }
+	unknown := output{state: StateUnknown}
+	notRun := output{state: StateNotRun}
+	final := func(n int) output { return output{final: true, executions: n} }
+	cases := []struct {
+		name    string
+		outputs []output
+		want    bool
+	}{
+		{"first and repeat", []output{fresh("a"), replay("a"), final(1)}, true},
+		{"two executions", []output{fresh("a"), fresh("b"), final(1)}, false},
+		{"another answer", []output{fresh("a"), replay("b"), final(1)}, false},
+		{"unknown, then replayed", []output{unknown, replay("a"), final(1)}, true},
+		{"unknown, then run", []output{unknown, fresh("a"), final(1)}, true},
+		{"unknown and not executed", []output{unknown, final(0)}, true},
+		{"not run and executed", []output{notRun, final(1)}, false},
+		{"not run after an answer", []output{fresh("a"), notRun, final(1)}, false},
+		{"replayed from nothing", []output{replay("a"), final(1)}, false},
+		{"told to have run, not executed", []output{fresh("a"), final(0)}, false},
+	}
+	for _, c := range cases {
+		var operations []porcupine.Operation
+		for i, out := range c.outputs {
+			operations = append(operations, porcupine.Operation{Output: out, Call: int64(2 * i), Return: int64(2*i + 1)})
+		}
+		if got := porcupine.CheckOperations(keyModel.ToModel(), operations); got != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/once/journal.go
+++ b/once/journal.go
@@ -9,7 +9,7 @@
 
 // segment is an immutable part of the journal in the store.
 type segment struct {
-	key     string
+	name    uint64
 	version int64
 	// newest is when the last of its entries was added.
 	newest time.Time
--- a/once/manager.go
+++ b/once/manager.go
@@ -23,7 +23,8 @@
 
 	maxJournaledAnswerBytes = 2 << 10
 	maxKeptAnswerBytes      = 64 << 10
-	rollBytes               = 4 << 10
+	rollBytes               = 2 << 10
+	maxTailBytes            = 32 << 10
 	maxShards               = 4096
 
 	storeTimeout        = time.Second
--- a/once/ownership.go
+++ b/once/ownership.go
@@ -161,8 +161,10 @@
 // takeIfEntitled takes the shard given its record, if it may be taken. An error
 // means that the attempt failed.
 func (s *shard) takeIfEntitled(ctx context.Context, found record) error {
-	s.lookMu.Lock()
-	defer s.lookMu.Unlock()
+	if err := s.lookLock.acquire(ctx); err != nil {
+		return err
+	}
+	defer s.lookLock.release()
 	return s.takeLocked(ctx, found)
 }
 
@@ -188,13 +190,15 @@
 
 // look reads the shard's record and takes the shard if it may be taken.
 func (m *Manager) look(ctx context.Context, s *shard) error {
-	s.lookMu.Lock()
-	defer s.lookMu.Unlock()
+	if err := s.lookLock.acquire(ctx); err != nil {
+		return err
+	}
+	defer s.lookLock.release()
 	return s.lookLocked(ctx, true)
 }
 
 // lookLocked reads the record, and with mayTake set takes the shard if it may be
-// taken; s.lookMu is held.
+// taken; s.lookLock is held.
 func (s *shard) lookLocked(ctx context.Context, mayTake bool) error {
 	key := headKey(s.m.options.Pool, s.number)
 	readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -233,8 +237,10 @@
 	if !ok {
 		return Peer{}, false
 	}
-	s.lookMu.Lock()
-	defer s.lookMu.Unlock()
+	if s.lookLock.acquire(ctx) != nil {
+		return Peer{}, false
+	}
+	defer s.lookLock.release()
 	if owner, ok := s.knownOwner(knownFreshFor); ok {
 		return owner, true
 	}
--- a/once/record.go
+++ b/once/record.go
@@ -22,8 +22,11 @@
 	return fmt.Sprintf("%s%s/segment/%05d/", keyPrefix, pool, shard)
 }
 
-func segmentKey(pool string, shard int, epoch, number uint64) string {
-	return fmt.Sprintf("%s%08d-%08d", segmentPrefix(pool, shard), epoch, number)
+// segmentName is unique among the segments of all owners of a shard.
+func segmentName(epoch, number uint64) uint64 { return epoch<<32 | number }
+
+func segmentKey(pool string, shard int, name uint64) string {
+	return fmt.Sprintf("%s%016x", segmentPrefix(pool, shard), name)
 }
 
 // record is a shard's head as read from the store.
--- a/once/shard.go
+++ b/once/shard.go
@@ -32,18 +32,24 @@
 	doubtUntil time.Time
 	journal    journal
 
-	// commitMu serialises writes of the head.
-	commitMu sync.Mutex
-	kick     chan struct{}
+	// commitLock serialises writes of the head.
+	commitLock lock
+	kick       chan struct{}
 
-	// lookMu serialises reads of the record by requests.
-	lookMu  sync.Mutex
-	known   record
-	knownAt time.Time
+	// lookLock serialises reads of the record and attempts to take the shard.
+	lookLock lock
+	known    record
+	knownAt  time.Time
 }
 
 func newShard(m *Manager, number int) *shard {
-	return &shard{m: m, number: number, kick: make(chan struct{}, 1)}
+	return &shard{
+		m:          m,
+		number:     number,
+		commitLock: newLock(),
+		lookLock:   newLock(),
+		kick:       make(chan struct{}, 1),
+	}
 }
 
 // do runs or replays a request. It returns errNotServing when the shard is not
@@ -56,17 +62,19 @@
 		return Result{}, errNotServing
 	}
 	if found := s.entries[id]; found != nil {
+		done := found.done
 		s.mu.Unlock()
-		return s.repeat(ctx, found, request, run)
+		return s.repeat(ctx, found, done, request, run)
 	}
 	if err := s.admit(); err != nil {
 		s.mu.Unlock()
 		return Result{}, err
 	}
 	claimed := s.claim(id, request.Digest)
+	granted := claimed.granted
 	s.mu.Unlock()
 	select {
-	case <-claimed.granted:
+	case <-granted:
 	case <-ctx.Done():
 	}
 	if err := s.begin(claimed); err != nil {
@@ -130,7 +138,11 @@
 	return s.owned && e.epoch == s.epoch
 }
 
+// isGranted reports whether the claim need not wait any more; the shard's mutex is held.
 func (e *entry) isGranted() bool {
+	if e.granted == nil {
+		return true
+	}
 	select {
 	case <-e.granted:
 		return true
@@ -197,19 +209,23 @@
 func (s *shard) settleClaim(claimed *entry, end phase) {
 	claimed.phase = end
 	close(claimed.done)
+	// An ended entry is kept for long and needs no channels.
+	claimed.done = nil
+	claimed.granted = nil
 	if s.holds(claimed) {
 		s.active--
 	}
 }
 
 // repeat answers a request whose key is known.
-func (s *shard) repeat(ctx context.Context, found *entry, request Request, run func() Outcome) (Result, error) {
+// done is the entry's channel, nil when its first request has ended.
+func (s *shard) repeat(ctx context.Context, found *entry, done <-chan struct{}, request Request, run func() Outcome) (Result, error) {
 	if found.digest != request.Digest {
 		return Result{}, &Error{Reason: ReasonConflict}
 	}
-	if found.done != nil {
+	if done != nil {
 		select {
-		case <-found.done:
+		case <-done:
 		case <-ctx.Done():
 			return Result{}, &Error{Reason: ReasonRunning, RetryAfter: retryRunning}
 		}
--- /dev/null
+++ b/once/slopes_test.go
@@ -0,0 +1,162 @@
+package once
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/slope"
+	"github.com/greengagegate/greengagegate/store"
+	"github.com/rs/zerolog"
+)
+
+var slopes = flag.Bool("slopes", false, "print what keys and claims cost at several sizes as JSON lines")
+
+const (
+	slopeLength  = 4 * time.Second
+	slopeLatency = 3 * time.Millisecond
+)
+
+// countingStore counts calls and bytes, and keeps the shard table only.
+type countingStore struct {
+	store.Store
+	latency time.Duration
+	version atomic.Int64
+	calls   atomic.Int64
+	bytes   atomic.Int64
+	mu      sync.Mutex
+	table   *store.Object
+}
+
+func (c *countingStore) Get(_ context.Context, key string) (store.Object, error) {
+	c.calls.Add(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.table == nil || key != c.table.Key {
+		return store.Object{}, store.ErrNotFound
+	}
+	return *c.table, nil
+}
+
+func (c *countingStore) List(context.Context, string) ([]store.Object, int64, error) {
+	c.calls.Add(1)
+	return nil, c.version.Load(), nil
+}
+
+func (c *countingStore) Delete(context.Context, string, int64) error { c.calls.Add(1); return nil }
+
+func (c *countingStore) Put(_ context.Context, key string, value []byte, _ int64) (int64, error) {
+	c.calls.Add(1)
+	c.bytes.Add(int64(len(key) + len(value)))
+	time.Sleep(c.latency)
+	version := c.version.Add(1)
+	if key == tableKey(testPool) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.table = &store.Object{Key: key, Value: value, Version: version}
+	}
+	return version, nil
+}
+
+func slopeManager(t *testing.T, st *countingStore, commits float64) *Manager {
+	self := Peer{Process: "a1", Address: "10.0.0.1:7000", Incarnation: 1}
+	m := NewManager(Options{
+		Store: st, Pool: testPool, Self: self, CommitsPerSecond: commits, MaxKeys: 1 << 30,
+		Peers:   func() []Peer { return []Peer{self} },
+		Shards:  func() int { return 4 },
+		Horizon: func() time.Duration { return time.Hour },
+		Log:     zerolog.Nop(),
+	})
+	m.Start()
+	t.Cleanup(m.Halt)
+	for len(m.Owned()) < 4 {
+		time.Sleep(20 * time.Millisecond)
+	}
+	return m
+}
+
+func answerOf(i int) Outcome {
+	return Outcome{State: StateRan, Answer: fmt.Appendf(nil, "%0120d", i)}
+}
+
+// offer sends keyed calls at a rate for a while, never waiting for answers.
+func offer(t *testing.T, m *Manager, rate int) {
+	ticker := time.NewTicker(time.Second / time.Duration(rate))
+	defer ticker.Stop()
+	var group sync.WaitGroup
+	for i := range int(slopeLength.Seconds()) * rate {
+		<-ticker.C
+		group.Go(func() {
+			if _, err := m.Do(t.Context(), charge(fmt.Sprint("key-", i)), func() Outcome { return answerOf(i) }); err != nil {
+				t.Errorf("call: %v", err)
+			}
+		})
+	}
+	group.Wait()
+}
+
+func TestSlopes(t *testing.T) {
+	if !*slopes {
+		t.Skip("without -slopes")
+	}
+	for _, rate := range []int{5, 20, 80, 320} {
+		st := &countingStore{latency: slopeLatency}
+		m := slopeManager(t, st, 0)
+		before, calls, bytes := slope.Read(), st.calls.Load(), st.bytes.Load()
+		began := time.Now()
+		offer(t, m, rate)
+		seconds := time.Since(began).Seconds()
+		after := slope.Read()
+		print(t, slope.Point{
+			Name: "once.keyed_calls", Size: float64(rate), Unit: "calls/s",
+			BytesPerSecond:     float64(st.bytes.Load()-bytes) / seconds,
+			CPUMicrosPerSecond: float64((after.CPU - before.CPU).Microseconds()) / seconds,
+			HeapBytes:          float64(after.Heap) - float64(before.Heap),
+		})
+		print(t, slope.Point{
+			Name: "once.store_calls", Size: float64(rate), Unit: "calls/s, bytes_per_s holds store calls per second",
+			BytesPerSecond: float64(st.calls.Load()-calls) / seconds,
+		})
+		m.Halt()
+	}
+	for _, keys := range []int{20_000, 80_000, 320_000} {
+		st := &countingStore{}
+		m := slopeManager(t, st, 1e9)
+		before := slope.Read()
+		fill(t, m, keys)
+		after := slope.Read()
+		print(t, slope.Point{
+			Name: "once.remembered_keys", Size: float64(keys), Unit: "keys with an answer of 120 bytes",
+			HeapBytes: float64(after.Heap) - float64(before.Heap),
+		})
+		m.Halt()
+	}
+}
+
+func print(t *testing.T, p slope.Point) {
+	t.Helper()
+	if err := slope.Print(os.Stdout, p); err != nil {
+		t.Error(err)
+	}
+}
+
+func fill(t *testing.T, m *Manager, keys int) {
+	const callers = 512
+	var next atomic.Int64
+	var group sync.WaitGroup
+	for range callers {
+		group.Go(func() {
+			for i := int(next.Add(1)); i <= keys; i = int(next.Add(1)) {
+				if _, err := m.Do(t.Context(), charge(fmt.Sprint("key-", i)), func() Outcome { return answerOf(i) }); err != nil {
+					t.Errorf("call: %v", err)
+				}
+			}
+		})
+	}
+	group.Wait()
+}
--- a/once/takeover.go
+++ b/once/takeover.go
@@ -43,27 +43,44 @@
 func (s *shard) take(ctx context.Context, found record) error {
 	next := &wirepb.OnceHead{Epoch: 1, Owner: toWire(s.m.options.Self), Sequence: 1}
 	next.Witnesses = peersToWire(s.m.witnesses())
-	var entries []*wirepb.OnceEntry
-	var segments []segment
+	var read inherited
 	if found.head != nil {
 		var err error
-		if segments, entries, err = s.readSegments(ctx, found.head); err != nil {
+		if read, err = s.readSegments(ctx, found.head); err != nil {
 			return err
 		}
 		next.Epoch = found.head.Epoch + 1
 		next.Segments = found.head.Segments
 		next.Entries = found.head.Entries
 		next.Doubtful = s.doubtful(ctx, found.head)
-		entries = append(entries, found.head.Entries...)
+		read.entries = append(read.entries, found.head.Entries...)
 	}
 	version, err := s.writeTaken(ctx, next, found.version)
 	if err != nil {
 		return err
 	}
-	s.start(next, version, segments, entries)
+	s.start(next, version, read)
+	s.removeOrphans(ctx, read.orphans)
 	return nil
 }
 
+// inherited is the journal of a shard's former owners.
+type inherited struct {
+	segments []segment
+	entries  []*wirepb.OnceEntry
+	// orphans are segments that no head names, left from writes that failed.
+	orphans []store.Object
+}
+
+// removeOrphans deletes orphans. A failure leaves them to the next owner.
+func (s *shard) removeOrphans(ctx context.Context, orphans []store.Object) {
+	for _, orphan := range orphans {
+		if err := s.m.options.Store.Delete(ctx, orphan.Key, orphan.Version); err != nil {
+			return
+		}
+	}
+}
+
 // doubtful reports whether calls may have run that the journal does not show.
 func (s *shard) doubtful(ctx context.Context, head *wirepb.OnceHead) bool {
 	if head.Doubtful {
@@ -75,36 +92,38 @@
 	return !s.m.vouched(ctx, peersFromWire(head.Witnesses), Ask{Shard: s.number, Epoch: head.Epoch})
 }
 
-// readSegments returns the segments that head names, and their entries. Others
-// are left from writes that failed, and are deleted.
-func (s *shard) readSegments(ctx context.Context, head *wirepb.OnceHead) ([]segment, []*wirepb.OnceEntry, error) {
+// readSegments returns the segments that head names, and their entries.
+func (s *shard) readSegments(ctx context.Context, head *wirepb.OnceHead) (inherited, error) {
 	prefix := segmentPrefix(s.m.options.Pool, s.number)
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	objects, _, err := s.m.options.Store.List(ctx, prefix)
 	if err != nil {
-		return nil, nil, fault.Wrap(err, "list segments", prefix)
+		return inherited{}, fault.Wrap(err, "list segments", prefix)
 	}
 	byKey := make(map[string]store.Object, len(objects))
 	for _, object := range objects {
 		byKey[object.Key] = object
 	}
-	var segments []segment
-	var entries []*wirepb.OnceEntry
-	for _, key := range head.Segments {
+	var read inherited
+	for _, name := range head.Segments {
+		key := segmentKey(s.m.options.Pool, s.number, name)
 		object, ok := byKey[key]
 		if !ok {
-			return nil, nil, fault.New("segment is missing, the shard has changed", "read segment", key)
+			return inherited{}, fault.New("segment is missing, the shard has changed", "read segment", key)
 		}
 		decoded := new(wirepb.OnceSegment)
 		if err := proto.Unmarshal(object.Value, decoded); err != nil {
-			return nil, nil, fault.Wrap(err, "decode segment", key)
+			return inherited{}, fault.Wrap(err, "decode segment", key)
 		}
-		segments = append(segments, segment{key: key, version: object.Version, newest: time.Now()})
-		entries = append(entries, decoded.Entries...)
+		read.segments = append(read.segments, segment{name: name, version: object.Version, newest: time.Now()})
+		read.entries = append(read.entries, decoded.Entries...)
 		delete(byKey, key)
 	}
-	return segments, entries, nil
+	for _, orphan := range byKey {
+		read.orphans = append(read.orphans, orphan)
+	}
+	return read, nil
 }
 
 // writeTaken writes the first head of an epoch and returns its version.
@@ -139,7 +158,7 @@
 }
 
 // start begins to serve the shard with the journal of its former owners.
-func (s *shard) start(head *wirepb.OnceHead, version int64, segments []segment, entries []*wirepb.OnceEntry) {
+func (s *shard) start(head *wirepb.OnceHead, version int64, read inherited) {
 	now := time.Now()
 	horizon := s.m.options.Horizon()
 	s.mu.Lock()
@@ -158,12 +177,12 @@
 	s.journal = journal{
 		version:   version,
 		sequence:  head.Sequence,
-		segments:  segments,
+		segments:  read.segments,
 		tail:      head.Entries,
 		tailBytes: sizeOf(head.Entries),
 		witnesses: peersFromWire(head.Witnesses),
 	}
-	for _, record := range entries {
+	for _, record := range read.entries {
 		s.load(record)
 	}
 	for id, loaded := range s.entries {
