Draw from full shares first, and shorten loans

Change: shares that are at least 60% full come first; loans run 1 s, grants 0.4 s; spending is reported while a share may be full.

--- /dev/null
+++ b/quota/baseline_test.go
@@ -0,0 +1,112 @@
+package quota_test
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/greengagegate/greengagegate/quota"
+)
+
+// admitter is one way to keep limits, as seen by a load.
+type admitter interface {
+	// admit reports whether a member admits a request now.
+	admit(m *member, id quota.CustomerID, tokens int64) bool
+	// restarted tells that a member has begun a new life.
+	restarted(m *member)
+}
+
+// lending is the program under test.
+type lending struct{}
+
+func (*lending) admit(m *member, id quota.CustomerID, tokens int64) bool {
+	m.awake()
+	ticket, err := m.life().Admit(context.Background(), id, tokens)
+	if err != nil {
+		return false
+	}
+	ticket.Settle(tokens)
+	return true
+}
+
+func (*lending) restarted(*member) {}
+
+// fixedShares gives each member a bucket with an equal part of each limit. A
+// restarted member cannot know what it spent and begins with none.
+type fixedShares struct {
+	mu      sync.Mutex
+	members int
+	config  *limits
+	buckets map[*member]map[quota.CustomerID]*bucket
+}
+
+func (s *fixedShares) bucket(m *member, id quota.CustomerID, level float64) *bucket {
+	if s.buckets[m] == nil {
+		s.buckets[m] = make(map[quota.CustomerID]*bucket)
+	}
+	if s.buckets[m][id] == nil {
+		limit, _ := s.config.Limit(id)
+		parts := float64(s.members)
+		b := newBucket(quota.Limit{Rate: limit.Rate / parts, Burst: limit.Burst / parts})
+		b.level *= level
+		s.buckets[m][id] = b
+	}
+	return s.buckets[m][id]
+}
+
+func (s *fixedShares) admit(m *member, id quota.CustomerID, tokens int64) bool {
+	m.awake()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bucket(m, id, 1).admit(time.Now(), float64(tokens))
+}
+
+func (s *fixedShares) restarted(m *member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.buckets, m)
+	for _, id := range s.config.Customers() {
+		s.bucket(m, id, 0)
+	}
+}
+
+// centralBucket keeps all buckets at one member. A request is refused when that
+// member does not answer, and its new life begins with none.
+type centralBucket struct {
+	mu      sync.Mutex
+	home    *member
+	config  *limits
+	buckets map[quota.CustomerID]*bucket
+}
+
+func (c *centralBucket) admit(m *member, id quota.CustomerID, tokens int64) bool {
+	m.awake()
+	m.fleet.mu.Lock()
+	away := c.home.down || m.fleet.cut[[2]string{m.address, c.home.address}]
+	m.fleet.mu.Unlock()
+	if away {
+		return false
+	}
+	time.Sleep(m.fleet.latency)
+	c.home.awake()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.buckets[id] == nil {
+		limit, _ := c.config.Limit(id)
+		c.buckets[id] = newBucket(limit)
+	}
+	return c.buckets[id].admit(time.Now(), float64(tokens))
+}
+
+func (c *centralBucket) restarted(m *member) {
+	if m != c.home {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, id := range c.config.Customers() {
+		limit, _ := c.config.Limit(id)
+		c.buckets[id] = newBucket(limit)
+		c.buckets[id].level = 0
+	}
+}
--- a/quota/draw.go
+++ b/quota/draw.go
@@ -9,10 +9,16 @@
 )
 
 const (
+	// reportFraction of the burst is spending worth a message to a share that may
+	// be full, if the customer asks at least reportAsks times a second.
+	reportFraction = 0.01
+	reportAsks     = 2
 	// nearAhead and farAhead are the demand for which a pool borrows ahead in
 	// its own region and in others.
-	nearAhead = time.Second
+	nearAhead = 500 * time.Millisecond
 	farAhead  = 5 * time.Second
+	// nearlyFull is the fill from which a share may soon gain nothing.
+	nearlyFull = 0.6
 	// sweepInterval spaces the asks to lenders that together seem to have too little.
 	sweepInterval = 100 * time.Millisecond
 	// refundFraction of the burst makes a refund worth a message of its own.
@@ -24,7 +30,9 @@
 	address  string
 	lot      *lot
 	estimate float64
-	far      bool
+	// fill is the level of the share as a part of the highest it can have.
+	fill float64
+	far  bool
 }
 
 // draft is an ask on its way to a lender.
@@ -132,8 +140,9 @@
 	return nil
 }
 
-// candidates returns the lenders that may have tokens: this process, then the
-// own region, then others, each with the most promising first.
+// candidates returns the lenders that may have tokens, near ones first. A share
+// that is full gains nothing, so full ones come first, then this process, which
+// costs no message, then the fullest.
 func (p *pool) candidates(s *stock, now time.Time) []candidate {
 	regions := make(map[string]string)
 	for _, router := range p.options.Directory.Routers() {
@@ -152,11 +161,11 @@
 			continue
 		}
 		lot := s.lot(address)
-		estimate := lot.estimate(now, s.limit, part, s.needed(lot, now, p.options.GrantTerm))
+		estimate, fill := lot.estimate(now, s.limit, part, s.needed(lot, now, p.options.GrantTerm))
 		if now.Before(lot.retryAfter) {
 			continue
 		}
-		found = append(found, candidate{address, lot, estimate, region != p.options.Region})
+		found = append(found, candidate{address, lot, estimate, fill, region != p.options.Region})
 	}
 	slices.SortFunc(found, func(a, b candidate) int { return p.compare(a, b) })
 	return found
@@ -166,15 +175,21 @@
 	if a.far != b.far {
 		return order(b.far)
 	}
-	if (a.address == p.options.Address) != (b.address == p.options.Address) {
-		return order(a.address == p.options.Address)
+	if full(a) != full(b) {
+		return order(full(a))
 	}
-	if a.estimate != b.estimate {
-		return order(a.estimate > b.estimate)
+	if own := a.address == p.options.Address; !full(a) && own != (b.address == p.options.Address) {
+		return order(own)
+	}
+	if a.fill != b.fill {
+		return order(a.fill > b.fill)
 	}
 	return order(a.address < b.address)
 }
 
+// full reports whether a share may soon gain nothing.
+func full(c candidate) bool { return c.fill >= nearlyFull }
+
 func order(first bool) int {
 	if first {
 		return -1
@@ -258,7 +273,7 @@
 	idle := all || now.Sub(s.usedAt) >= idleAfter
 	var drafts []draft
 	for address, lot := range s.lots {
-		if now.Before(lot.retryAfter) || !p.due(s, lot, now, idle) {
+		if now.Before(lot.retryAfter) || !p.due(s, address, lot, now, idle) {
 			continue
 		}
 		giveBack := 0.0
@@ -274,9 +289,13 @@
 	return drafts
 }
 
-// due reports whether a lot has tokens to return, a loan to renew, or a refund
-// worth a message. Tokens that were spent are first counted against the lot.
-func (p *pool) due(s *stock, l *lot, now time.Time, idle bool) bool {
+// due reports whether a lot has tokens to return, a loan to renew, spending to
+// report, or a refund worth a message. Tokens that were spent are first counted
+// against the lot.
+func (p *pool) due(s *stock, address string, l *lot, now time.Time, idle bool) bool {
+	if p.spendingDue(s, address, l, now) {
+		return true
+	}
 	ending := l.expires.Sub(now) < p.options.GrantTerm+2*flushInterval
 	if idle || ending {
 		l.held = math.Ceil(s.needed(l, now, p.options.GrantTerm))
@@ -289,3 +308,14 @@
 	}
 	return ending && l.held >= 1
 }
+
+// spendingDue reports whether a lender should learn of spending before the next
+// draw. A share counts what was lent as unspent, and gains nothing beyond that
+// when it is nearly full. This process's own share learns at once.
+func (p *pool) spendingDue(s *stock, address string, l *lot, now time.Time) bool {
+	spent := l.held - s.needed(l, now, p.options.GrantTerm)
+	if address == p.options.Address {
+		return spent >= 1
+	}
+	return spent >= reportFraction*s.limit.Burst && s.demand.asks >= reportAsks && l.left >= reportFraction*s.limit.Burst
+}
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -62,6 +62,7 @@
 
 	// The following are guarded by fleet.mu.
 	down        bool
+	draining    bool
 	bouncing    bool
 	pausedUntil time.Time
 	sentBytes   int64
@@ -185,6 +186,7 @@
 	defer m.fleet.mu.Unlock()
 	m.manager = manager
 	m.down = false
+	m.draining = false
 }
 
 // life returns the manager of the member's present life.
@@ -224,6 +226,32 @@
 	m.boot()
 }
 
+// drain keeps requests away for a time before the member stops.
+func (m *member) drain(d time.Duration) {
+	m.fleet.mu.Lock()
+	m.draining = true
+	m.fleet.mu.Unlock()
+	time.Sleep(d)
+}
+
+// takesRequests reports whether the balancer sends requests to the member.
+func (m *member) takesRequests() bool {
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	return !m.down && !m.draining
+}
+
+// balance returns a member that takes requests, as the balancer would choose it.
+func (f *fleet) balance(random *rand.Rand) *member {
+	first := random.IntN(len(f.order))
+	for i := range f.order {
+		if m := f.at((first + i) % len(f.order)); m.takesRequests() {
+			return m
+		}
+	}
+	return f.at(first)
+}
+
 func (m *member) pause(d time.Duration) {
 	m.fleet.mu.Lock()
 	defer m.fleet.mu.Unlock()
@@ -430,6 +458,27 @@
 	return ticket
 }
 
+// judge follows one request whose outcome is decided by admit.
+func (j *judge) judge(tokens int64, admit func() bool) {
+	j.mu.Lock()
+	j.requests++
+	exact := j.shadow.admit(time.Now(), float64(tokens))
+	j.mu.Unlock()
+	ok := admit()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.admitted.advance(time.Now())
+	if ok {
+		j.admitted.level -= float64(tokens)
+		j.lowest = min(j.lowest, j.admitted.level)
+		return
+	}
+	j.refused++
+	if exact {
+		j.wrong++
+	}
+}
+
 // change begins a change of the limit by a factor and returns the new one, or nil
 // while another change is under way. Until settle, the larger of both is in force.
 func (j *judge) change(factor float64) *quota.Limit {
--- a/quota/lot.go
+++ b/quota/lot.go
@@ -83,16 +83,19 @@
 	l.anchor = anchor{at: now, peer: clock}
 }
 
-// estimate is what a lender with a part of the limit can likely lend. Of what
-// the pool has on loan from it, needed has not been spent.
-func (l *lot) estimate(now time.Time, limit Limit, part, needed float64) float64 {
-	if now.Before(l.blockedUntil) {
-		return 0
+// estimate is what a lender with a part of the limit can likely lend, and how
+// full its share likely is. Of what the pool has on loan from it, needed has not
+// been spent.
+func (l *lot) estimate(now time.Time, limit Limit, part, needed float64) (tokens, fill float64) {
+	burst := part * limit.Burst
+	room := max(1, burst-needed)
+	level := room
+	if !l.leftAt.IsZero() {
+		gained := now.Sub(l.leftAt).Seconds() * limit.Rate * part
+		level = min(l.left+gained, room)
 	}
-	lendable := max(0, MaxLent*part*limit.Burst-needed)
-	if l.leftAt.IsZero() {
-		return lendable
+	if now.Before(l.blockedUntil) {
+		return 0, level / room
 	}
-	gained := now.Sub(l.leftAt).Seconds() * limit.Rate * part
-	return min(l.left+gained, lendable)
+	return min(level, max(0, MaxLent*burst-needed)), level / room
 }
--- a/quota/manager.go
+++ b/quota/manager.go
@@ -11,7 +11,7 @@
 
 const (
 	syncInterval  = 250 * time.Millisecond
-	flushInterval = 250 * time.Millisecond
+	flushInterval = 100 * time.Millisecond
 	// recoverInterval spaces the claims of a restarted holder.
 	recoverInterval = 50 * time.Millisecond
 	// grantCallTimeout bounds an ask to a pool. It is longer than loanCallTimeout,
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -13,7 +13,7 @@
 	// stockMemory is how long a pool remembers a customer that nobody asks for.
 	stockMemory = 10 * time.Second
 	// idleAfter is how long a customer's tokens stay in the pool after the last ask.
-	idleAfter = time.Second
+	idleAfter = 300 * time.Millisecond
 	// maxDraws bounds the rounds of borrowing for one ask.
 	maxDraws = 3
 	// stopRounds and stopPause let asks in flight end before the last tokens are returned.
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -37,10 +37,10 @@
 	MaxLent = 0.8
 
 	// DefaultLoanTerm is how long a pool may hold tokens of a share.
-	DefaultLoanTerm = 2 * time.Second
+	DefaultLoanTerm = time.Second
 	// DefaultGrantTerm is how long a router may hold tokens of a pool that it
 	// asked for ahead of requests.
-	DefaultGrantTerm = 800 * time.Millisecond
+	DefaultGrantTerm = 400 * time.Millisecond
 	// spendTerm is how soon a router must spend the tokens that it wanted for a
 	// waiting request.
 	spendTerm = 250 * time.Millisecond
