--- a/internal/agent/enginestate/enginestate.go
+++ b/internal/agent/enginestate/enginestate.go
@@ -87,6 +87,14 @@
 	return status
 }
 
+// Unreachable says that a request could not reach the engine or that the engine
+// crashed. The engine counts as down until the next report.
+func (p *Poller) Unreachable() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failures = max(p.failures, failuresUntilDown)
+}
+
 func (p *Poller) pollLoop(ctx context.Context) {
 	ticker := time.NewTicker(engine.LoadInterval)
 	defer ticker.Stop()
--- a/internal/agent/fairqueue/backlog.go
+++ b/internal/agent/fairqueue/backlog.go
@@ -8,6 +8,8 @@
 	// minRateTokens is the least prompt that the rate is learnt from.
 	minRateTokens = 2_000
 	rateGain      = 0.1
+	// soloWait is the expected time for which a suspect keeps others waiting.
+	soloWait = 2 * time.Second
 )
 
 // Backlog is the work before a request.
@@ -41,6 +43,9 @@
 		b.Tokens += e.ticket.PrefillTokens
 	}
 	b.Wait = time.Duration(float64(b.Tokens) / q.rate * float64(time.Second))
+	if q.suspects > 0 || (len(q.waiting) > 0 && q.waiting[0].ticket.Suspect) {
+		b.Wait += soloWait
+	}
 	return b
 }
 
--- a/internal/agent/runner/crash.go
+++ b/internal/agent/runner/crash.go
@@ -19,21 +19,22 @@
 	Convict(digest uint64) time.Duration
 }
 
-// lost explains a run that broke off. When the engine crashed, the request
-// becomes suspect; one that ran alone as a suspect and brought the engine down
+// lost explains a run that broke off. When the engine crashed, a request without
+// a token becomes suspect; one that ran alone as a suspect and brought the engine down
 // before its first token is convicted.
 func (x *running) lost(ctx context.Context, err error) *wirepb.RunEvent {
 	event := x.runner.refuse(refusal.UpstreamLost, wirepb.RunState_RUN_UNKNOWN, err.Error())
 	if ctx.Err() != nil || !x.runner.crashed(ctx, x.prefix.incarnation) {
 		return event
 	}
+	x.runner.engineDown()
 	told := event.GetRefusal()
 	told.Suspect = true
 	if x.request.Suspect && x.generated == 0 {
 		x.convict(told)
 		return event
 	}
-	if x.runner.options.Suspects != nil {
+	if x.generated == 0 && x.runner.options.Suspects != nil {
 		x.runner.options.Suspects.Suspect(x.request.Digest)
 	}
 	return event
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -27,6 +27,8 @@
 	Transfers Transfers
 	// Suspects is told of requests that were in flight at a crash; it may be nil.
 	Suspects Suspects
+	// Unreachable is called when the engine proves to be down; it may be nil.
+	Unreachable func()
 	// Name is the upstream's name, told in refusals.
 	Name string
 	Log  zerolog.Logger
@@ -157,6 +159,9 @@
 	x.prefix.await(ctx, blockTokens(x.request), options.Queue.Rate())
 	x.grant.SetPrefill(uncached(x.request, x.prefix.cached))
 	run, err := options.Driver.Run(ctx, engineRequest(x.request))
+	if errors.Is(err, engine.ErrUnreachable) {
+		x.runner.engineDown()
+	}
 	if err != nil && startCode(err) != refusal.UpstreamLost {
 		return x.stream.Send(x.runner.refuse(startCode(err), wirepb.RunState_RUN_NOT_RUN, err.Error()))
 	}
@@ -167,6 +172,13 @@
 	return x.forward(ctx, run)
 }
 
+// engineDown keeps new work away from an engine until it reports again.
+func (r *Runner) engineDown() {
+	if r.options.Unreachable != nil {
+		r.options.Unreachable()
+	}
+}
+
 // forward passes the engine's events on until the end.
 func (x *running) forward(ctx context.Context, run engine.Run) error {
 	out := newSender(x.stream)
--- a/internal/app/agent.go
+++ b/internal/app/agent.go
@@ -66,15 +66,16 @@
 	return manager
 }
 
-func newRunner(s *AgentSettings, driver engine.Driver, index *cacheindex.Index, queue *fairqueue.Queue, transfers *transfer.Manager, known *quarantine.Manager, log zerolog.Logger) *runner.Runner {
+func newRunner(s *AgentSettings, driver engine.Driver, index *cacheindex.Index, queue *fairqueue.Queue, transfers *transfer.Manager, state *enginestate.Poller, known *quarantine.Manager, log zerolog.Logger) *runner.Runner {
 	return runner.New(runner.Options{
-		Driver:    driver,
-		Queue:     queue,
-		Index:     index,
-		Transfers: transfers,
-		Suspects:  known,
-		Name:      s.Upstream.Name,
-		Log:       log,
+		Driver:      driver,
+		Queue:       queue,
+		Index:       index,
+		Transfers:   transfers,
+		Suspects:    known,
+		Unreachable: state.Unreachable,
+		Name:        s.Upstream.Name,
+		Log:         log,
 	})
 }
 
--- a/internal/dispatch/prompt.go
+++ b/internal/dispatch/prompt.go
@@ -145,11 +145,12 @@
 	a.tried++
 	state, _ := p.lookup(a.request.Digest)
 	a.request.Suspect = a.request.Suspect || state == quarantine.StateSuspect
+	offset := a.request.ResumeOffset
 	err := p.runOn(ctx, candidate, a)
 	if err != nil {
 		p.options.Log.Debug().Err(err).Str("request", a.request.RequestId).Msg("dispatch: candidate failed")
 	}
-	p.learn(a, err)
+	p.learn(a, err, a.request.ResumeOffset > offset)
 	return err
 }
 
@@ -160,8 +161,11 @@
 	return p.options.Quarantine.Lookup(digest)
 }
 
-// learn spreads what a run showed of its content.
-func (p *Prompter) learn(a *attempt, err error) {
+// learn spreads what a run showed of its content. A request that had given
+// tokens when its upstream crashed becomes suspect with its second crash only:
+// most of those in flight at a crash are such bystanders, and each suspect
+// keeps an engine to itself.
+func (p *Prompter) learn(a *attempt, err error, gaveTokens bool) {
 	known := p.options.Quarantine
 	if err == nil && a.request.Suspect && known != nil {
 		known.Clear(a.request.Digest)
@@ -181,7 +185,9 @@
 		a.final = true
 		return
 	}
-	known.Suspect(a.request.Digest)
+	if !gaveTokens || a.crashes > 1 {
+		known.Suspect(a.request.Digest)
+	}
 }
 
 func (p *Prompter) runOn(ctx context.Context, candidate picker.Candidate, a *attempt) error {
