--- a/internal/load/report/markdown.go
+++ b/internal/load/report/markdown.go
@@ -72,6 +72,10 @@
 func (f *File) writeTargets(b *strings.Builder) {
 	b.WriteString("\n## Targets\n\n| target | value | bound | |\n|---|---|---|---|\n")
 	for _, t := range f.Targets {
+		if !t.Measured {
+			fmt.Fprintf(b, "| %s | - | - | %s |\n", t.Name, t.verdict())
+			continue
+		}
 		fmt.Fprintf(b, "| %s | %.2f | %s | %s |\n", t.Name, t.Value, t.bound(), t.verdict())
 	}
 }
--- a/internal/load/report/plot.go
+++ b/internal/load/report/plot.go
@@ -16,6 +16,7 @@
 	rowHeight  = 3.5 * vg.Inch
 	barWidth   = 12 * vg.Length(1)
 	plotsInRow = 2
+	headroom   = 1.15
 )
 
 // quantileColors are those of p50, p95 and p99.
@@ -97,5 +98,6 @@
 		p.Add(chart)
 	}
 	p.NominalX(labels...)
+	p.Y.Max *= headroom
 	return p, nil
 }
--- a/internal/load/report/report_test.go
+++ b/internal/load/report/report_test.go
@@ -62,7 +62,7 @@
 		}
 	}
 	page := f.Markdown()
-	if !strings.Contains(page, "**not met**") || !strings.Contains(page, "| not run |") {
+	if !strings.Contains(page, "**not met**") || !strings.Contains(page, "| - | - | not run |") {
 		t.Errorf("page hides what was missed or not run:\n%s", page)
 	}
 	path := filepath.Join(t.TempDir(), "plot.svg")
