Measure the time to put a set in force

Cause: operators could not see what a change costs a process. Change: histogram config.apply_us. Conclusion: none beyond the metric.

--- a/internal/configsync/manager.go
+++ b/internal/configsync/manager.go
@@ -198,6 +198,7 @@
 		m.checkSame(next)
 		return nil
 	}
+	began := time.Now()
 	prepared, err := configure(m.current.Load(), next)
 	if err != nil {
 		metrics.Counter("config.rejected").Inc(1)
@@ -209,6 +210,7 @@
 	}
 	metrics.Gauge("config.revision").Update(int64(change.to))
 	metrics.Counter("config.applied").Inc(1)
+	metrics.Histogram("config.apply_us").Update(time.Since(began).Microseconds())
 	m.log.Info().Uint64("revision", change.to).Int("changes", len(change.changes)).
 		Str("source", source).Msg("config: revision applied")
 	m.run(func(ctx context.Context) { m.push(ctx, change, source) })
