Place a prompt again when no upstream answered at first

It is now placed again like one whose candidates failed, and the last refusal says no_upstream, not run.

--- a/internal/dispatch/prompts_test.go
+++ b/internal/dispatch/prompts_test.go
@@ -360,3 +360,19 @@
 		t.Fatalf("got %v", err)
 	}
 }
+
+func TestPromptWithoutCandidatesIsPlacedAgain(t *testing.T) {
+	p := newPond(t, 1, 1)
+	request := &wirepb.RunRequest{RequestId: "r", MaxTokens: promptTokens, Digest: 3}
+	rounds := 0
+	again := func(context.Context) (Placement, error) {
+		rounds++
+		if rounds < 3 {
+			return Placement{}, fmt.Errorf("place: %w", picker.ErrNoUpstream)
+		}
+		return Placement{p.targets, request}, nil
+	}
+	answer := new(text)
+	end, err := p.routers[0].Run(t.Context(), Placement{Request: request}, again, answer)
+	checkWhole(t, answer, end, err)
+}
--- a/internal/router/prompts.go
+++ b/internal/router/prompts.go
@@ -193,7 +193,7 @@
 	var used int64
 	defer func() { ticket.Settle(used) }()
 	candidates, err := s.place(ctx, set, p, id)
-	if err != nil {
+	if err != nil && !errors.Is(err, picker.ErrNoUpstream) {
 		return s.promptError(ctx, err, "place", answer)
 	}
 	again := func(ctx context.Context) (dispatch.Placement, error) {
