--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,22 @@
 # Runs the whole path on loopback and fails when any step does.
 demo: build
 	scripts/demo.sh
+
+# Runs the randomised tests for SOAK each, with a seed of the day's choosing.
+SOAK ?= 10m
+soak:
+	GREENGAGE_SOAK=$(SOAK) go test -count=1 -timeout 0 -run 'Soak|Randomised' ./...
+
+# Fuzzes what comes from outside for FUZZTIME each.
+FUZZTIME ?= 30s
+fuzz:
+	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./internal/router
+	go test -run '^$$' -fuzz FuzzReadFrame -fuzztime $(FUZZTIME) ./internal/wire
+	go test -run '^$$' -fuzz FuzzOpen -fuzztime $(FUZZTIME) ./membership
+	go test -run '^$$' -fuzz FuzzParseHead -fuzztime $(FUZZTIME) ./snapshot
+	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./internal/object
+
+# Measures what each part costs at several sizes and writes measure/slopes.json.
+SLOPED := ./membership ./internal/configsync ./quota ./internal/agent/cacheindex ./internal/agent/prober ./once
+slopes:
+	go run ./internal/capacity/collect -out measure/slopes.json $(SLOPED)
