Parse prompts with sonic, and name the refusal of unplaced prompts

Two prompts that no agent took were answered with the code "failed". Change: bodies are decoded by sonic in its encoding/json-compatible mode; an unplaced prompt is no_upstream with Retry-After.

--- a/internal/router/errors.go
+++ b/internal/router/errors.go
@@ -13,6 +13,7 @@
 	"github.com/greengagegate/greengagegate/internal/admission"
 	"github.com/greengagegate/greengagegate/internal/dispatch"
 	"github.com/greengagegate/greengagegate/internal/metrics"
+	"github.com/greengagegate/greengagegate/internal/picker"
 	"github.com/greengagegate/greengagegate/internal/refusal"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 )
@@ -106,11 +107,21 @@
 	if errors.As(err, &failure) {
 		return fromRefusal(failure.Refusal)
 	}
+	if errors.Is(err, picker.ErrNoUpstream) {
+		return noUpstream(err, step)
+	}
 	return &apiError{
 		Status: http.StatusBadGateway, Code: "failed", Message: err.Error(), Step: step, Run: RunUnknown,
 	}
 }
 
+// noUpstream answers a prompt that no agent was ready to take.
+func noUpstream(err error, step string) *apiError {
+	failure := refuse(http.StatusServiceUnavailable, string(refusal.NoUpstream), step, err.Error())
+	failure.RetryAfter = time.Second
+	return failure
+}
+
 func fromAdmission(limited *admission.Refusal) *apiError {
 	status := http.StatusTooManyRequests
 	if limited.RetryAfter <= 0 {
--- a/internal/router/parse.go
+++ b/internal/router/parse.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -9,9 +8,13 @@
 	"strings"
 	"time"
 
+	"github.com/bytedance/sonic"
 	"github.com/gin-gonic/gin"
 )
 
+// decoder parses bodies by the rules of encoding/json.
+var decoder = sonic.ConfigStd
+
 // promptRequest is a parsed prompt, of either form of the callers' interface.
 type promptRequest struct {
 	Model        string
@@ -28,15 +31,15 @@
 
 type completionBody struct {
 	Model         string          `json:"model"`
-	Prompt        json.RawMessage `json:"prompt"`
+	Prompt        promptText      `json:"prompt"`
 	MaxTokens     *int64          `json:"max_tokens"`
 	Stream        bool            `json:"stream"`
 	StreamOptions streamOptions   `json:"stream_options"`
 }
 
 type chatMessage struct {
-	Role    string          `json:"role"`
-	Content json.RawMessage `json:"content"`
+	Role    string      `json:"role"`
+	Content contentText `json:"content"`
 }
 
 type chatBody struct {
@@ -58,36 +61,60 @@
 
 func parseCompletion(body []byte) (*promptRequest, error) {
 	var parsed completionBody
-	if err := json.Unmarshal(body, &parsed); err != nil {
-		return nil, err
-	}
-	prompt, err := completionPrompt(parsed.Prompt)
-	if err != nil {
+	if err := decoder.Unmarshal(body, &parsed); err != nil {
 		return nil, err
 	}
 	request := &promptRequest{
-		Model: parsed.Model, Prompt: prompt,
+		Model: parsed.Model, Prompt: []byte(parsed.Prompt),
 		Stream: parsed.Stream, IncludeUsage: parsed.StreamOptions.IncludeUsage,
 	}
 	return request, request.setMaxTokens(parsed.MaxTokens)
 }
 
-// completionPrompt accepts a string, or a list that holds one string.
-func completionPrompt(raw json.RawMessage) ([]byte, error) {
-	var text string
-	if err := json.Unmarshal(raw, &text); err == nil {
-		return []byte(text), nil
+// promptText is a string, or a list that holds one string.
+type promptText string
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (p *promptText) UnmarshalJSON(raw []byte) error {
+	if isString(raw) {
+		return decoder.Unmarshal(raw, (*string)(p))
 	}
 	var list []string
-	if err := json.Unmarshal(raw, &list); err != nil || len(list) != 1 {
-		return nil, errors.New("prompt must be one string")
+	if err := decoder.Unmarshal(raw, &list); err != nil || len(list) != 1 {
+		return errors.New("prompt must be one string")
+	}
+	*p = promptText(list[0])
+	return nil
+}
+
+// contentText is a string, or a list of text parts.
+type contentText string
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (t *contentText) UnmarshalJSON(raw []byte) error {
+	if isString(raw) {
+		return decoder.Unmarshal(raw, (*string)(t))
+	}
+	var parts []contentPart
+	if err := decoder.Unmarshal(raw, &parts); err != nil {
+		return errors.New("content must be a string or a list of text parts")
+	}
+	var b strings.Builder
+	for _, part := range parts {
+		if part.Type != "text" {
+			return errors.New("only text parts are supported, got " + part.Type)
+		}
+		b.WriteString(part.Text)
 	}
-	return []byte(list[0]), nil
+	*t = contentText(b.String())
+	return nil
 }
 
+func isString(raw []byte) bool { return len(raw) > 0 && raw[0] == '"' }
+
 func parseChat(body []byte) (*promptRequest, error) {
 	var parsed chatBody
-	if err := json.Unmarshal(body, &parsed); err != nil {
+	if err := decoder.Unmarshal(body, &parsed); err != nil {
 		return nil, err
 	}
 	prompt, err := chatPrompt(parsed.Messages)
@@ -112,37 +139,14 @@
 	}
 	var b strings.Builder
 	for _, message := range messages {
-		text, err := contentText(message.Content)
-		if err != nil {
-			return nil, err
-		}
 		b.WriteString(message.Role)
 		b.WriteByte('\n')
-		b.WriteString(text)
+		b.WriteString(string(message.Content))
 		b.WriteByte('\n')
 	}
 	return []byte(b.String()), nil
 }
 
-func contentText(raw json.RawMessage) (string, error) {
-	var text string
-	if err := json.Unmarshal(raw, &text); err == nil {
-		return text, nil
-	}
-	var parts []contentPart
-	if err := json.Unmarshal(raw, &parts); err != nil {
-		return "", errors.New("content must be a string or a list of text parts")
-	}
-	var b strings.Builder
-	for _, part := range parts {
-		if part.Type != "text" {
-			return "", errors.New("only text parts are supported, got " + part.Type)
-		}
-		b.WriteString(part.Text)
-	}
-	return b.String(), nil
-}
-
 func (p *promptRequest) setMaxTokens(limit *int64) error {
 	if p.Model == "" {
 		return errors.New("model is missing")
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/greengagegate/greengagegate/internal/admission"
 	"github.com/greengagegate/greengagegate/internal/dispatch"
+	"github.com/greengagegate/greengagegate/internal/fault"
 	"github.com/greengagegate/greengagegate/internal/object"
 	"github.com/greengagegate/greengagegate/internal/picker"
 	"github.com/rs/zerolog"
@@ -304,6 +305,13 @@
 	}
 }
 
+func TestPromptThatNoAgentTakesIsNotRun(t *testing.T) {
+	failure := fromError(fault.Wrap(picker.ErrNoUpstream, "place", "models"), "place")
+	if failure.Code != "no_upstream" || failure.Run != RunNot || failure.Status != 503 || failure.RetryAfter == 0 {
+		t.Fatalf("got %+v", failure)
+	}
+}
+
 func TestUnknownCauseIsNotCalledNotRun(t *testing.T) {
 	if failure := fromError(errors.New("odd"), "run"); failure.Run != RunUnknown {
 		t.Fatalf("got %q", failure.Run)
