--- a/internal/router/parse.go
+++ b/internal/router/parse.go
@@ -30,11 +30,11 @@
 }
 
 type completionBody struct {
-	Model         string          `json:"model"`
-	Prompt        promptText      `json:"prompt"`
-	MaxTokens     *int64          `json:"max_tokens"`
-	Stream        bool            `json:"stream"`
-	StreamOptions streamOptions   `json:"stream_options"`
+	Model         string        `json:"model"`
+	Prompt        promptText    `json:"prompt"`
+	MaxTokens     *int64        `json:"max_tokens"`
+	Stream        bool          `json:"stream"`
+	StreamOptions streamOptions `json:"stream_options"`
 }
 
 type chatMessage struct {
