--- /dev/null
+++ b/internal/agent/rollout/fleet_test.go
@@ -0,0 +1,128 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/agent/prober"
+	"github.com/greengagegate/greengagegate/internal/engine"
+	"github.com/greengagegate/greengagegate/internal/engine/httpengine"
+	"github.com/greengagegate/greengagegate/internal/object"
+	"github.com/greengagegate/greengagegate/internal/standin/enginesim"
+	"github.com/greengagegate/greengagegate/internal/wire"
+	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
+	"github.com/rs/zerolog"
+)
+
+// reported is the status that an engine tells at the moment it is asked.
+type reported struct{ driver engine.Driver }
+
+func (r reported) Status() prober.Status {
+	load, err := r.driver.Load(context.Background())
+	return prober.Status{Serving: err == nil, Weights: load.Weights, Incarnation: load.Incarnation}
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
+// startAgents starts engines that ignore fencing numbers, each with an agent.
+func startAgents(t *testing.T, count int, s *source, weights *enginesim.WeightStore) (*object.Set, []*httpengine.Driver) {
+	t.Helper()
+	set := object.NewSet(1)
+	set.Fleet.MaxLoads = weights.AtOnce
+	var drivers []*httpengine.Driver
+	for i := range count {
+		address := listen(t)
+		_ = address.Close()
+		e := enginesim.New(enginesim.Options{
+			Address: address.Addr().String(), Weights: "v1", BatchLimit: 1, CacheBlocks: 1, BlockTokens: 1,
+			IdleEviction: time.Minute, Restart: 20 * time.Millisecond, WeightStore: weights,
+		})
+		if err := e.Start(); err != nil {
+			t.Fatal(err)
+		}
+		driver := httpengine.New("http://" + address.Addr().String())
+		drivers = append(drivers, driver)
+		name, inner := fmt.Sprintf("e%d", i), listen(t)
+		set.Upstreams[name] = &object.Upstream{Name: name, Address: inner.Addr().String(), Kind: object.UpstreamEngine, Pool: "p"}
+		pool := wire.NewPool(&wirepb.Hello{}, wire.NewDialer(""))
+		m := New(Options{Driver: driver, Source: s, Status: reported{driver}, Pool: pool, Upstream: name, Log: zerolog.Nop()})
+		server := wire.NewServer(&wirepb.Hello{}, zerolog.Nop())
+		server.Handle(wirepb.Kind_KIND_ORDER, m.Handle)
+		go func() { _ = server.Serve(inner) }()
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			m.Run(ctx)
+		}()
+		t.Cleanup(func() {
+			cancel()
+			<-done
+			pool.Close()
+			_ = server.Shutdown(ctx)
+			driver.Close()
+			e.Stop()
+		})
+	}
+	return set, drivers
+}
+
+// publish puts a further revision with the versions in force.
+func publish(s *source, base *object.Set, revision uint64, weights ...string) {
+	set := object.NewSet(revision)
+	set.Fleet = base.Fleet
+	set.Upstreams = base.Upstreams
+	for _, w := range weights {
+		set.ModelVersions["m-"+w] = &object.ModelVersion{Name: "m-" + w, Model: "m", Weights: w, Pool: "p"}
+	}
+	set.Index()
+	s.set.Store(set)
+}
+
+// await waits until all engines report the weights, and checks that each always has one of those that serve.
+func await(t *testing.T, drivers []*httpengine.Driver, serving []string, want ...string) {
+	t.Helper()
+	for reached := 0; reached < len(drivers); {
+		reached = 0
+		for i, driver := range drivers {
+			load, err := driver.Load(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !slices.ContainsFunc(load.Weights, func(w string) bool { return slices.Contains(serving, w) }) {
+				t.Fatalf("engine %d has only %v", i, load.Weights)
+			}
+			if slices.Equal(load.Weights, want) {
+				reached++
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func TestFleetChangesWeightsWithFewLoadsAtOnce(t *testing.T) {
+	weights := &enginesim.WeightStore{LoadTime: 50 * time.Millisecond, AtOnce: 2}
+	s := new(source)
+	base, drivers := startAgents(t, 6, s, weights)
+	await(t, drivers, []string{"v1"}, "v1")
+	before := weights.Peak()
+	publish(s, base, 2, "v1", "v2")
+	await(t, drivers, []string{"v1"}, "v1", "v2")
+	publish(s, base, 3, "v2")
+	await(t, drivers, []string{"v2"}, "v2")
+	if peak := max(before, weights.Peak()); peak > weights.AtOnce {
+		t.Fatalf("%d loads at once, at most %d allowed", peak, weights.AtOnce)
+	}
+}
