Keep one stream of probes to each agent

Cause: opening a stream for each probe cost more than the probe, and a router waited for a stuck agent as long as the connection took to fail. Change: internal/picker keeps a stream to each agent that it asked and tells answers apart by number; the agent answers side by side and closes the streams when it drains.

--- a/internal/agent/prober/prober.go
+++ b/internal/agent/prober/prober.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 
 	"github.com/greengagegate/greengagegate/internal/agent/cacheindex"
 	"github.com/greengagegate/greengagegate/internal/agent/fairqueue"
@@ -56,18 +57,66 @@
 // Prober answers probes.
 type Prober struct {
 	options Options
+
+	mu       sync.Mutex
+	streams  map[*wire.Stream]struct{}
+	draining bool
 }
 
 // New returns a Prober.
-func New(options Options) *Prober { return &Prober{options: options} }
+func New(options Options) *Prober {
+	return &Prober{options: options, streams: make(map[*wire.Stream]struct{})}
+}
 
-// Handle serves a stream of wirepb.KIND_PROBE.
+// Handle serves a stream of wirepb.KIND_PROBE until the router closes it or
+// Drain is called. Probes are answered side by side.
 func (p *Prober) Handle(ctx context.Context, _ wire.Request, stream *wire.Stream) {
-	request := new(wirepb.ProbeRequest)
-	if err := stream.Recv(request); err != nil {
+	if !p.add(stream) {
 		return
 	}
-	_ = stream.Send(p.Answer(ctx, request))
+	defer p.remove(stream)
+	var sending sync.Mutex
+	var answers sync.WaitGroup
+	defer answers.Wait()
+	for {
+		request := new(wirepb.ProbeRequest)
+		if err := stream.Recv(request); err != nil {
+			return
+		}
+		answers.Go(func() {
+			reply := p.Answer(ctx, request)
+			sending.Lock()
+			defer sending.Unlock()
+			_ = stream.Send(reply)
+		})
+	}
+}
+
+// Drain closes the streams of probes, so that a stop need not wait for them, and
+// takes no more.
+func (p *Prober) Drain() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.draining = true
+	for stream := range p.streams {
+		_ = stream.Close()
+	}
+}
+
+func (p *Prober) add(stream *wire.Stream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.draining {
+		return false
+	}
+	p.streams[stream] = struct{}{}
+	return true
+}
+
+func (p *Prober) remove(stream *wire.Stream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.streams, stream)
 }
 
 // Answer returns the reply to a probe.
@@ -79,6 +128,7 @@
 		Draining:       status.Draining,
 		ConfigRevision: status.Revision,
 		LoadedWeights:  status.Weights,
+		Sequence:       request.Sequence,
 	}
 	if !status.Serving || !slices.Contains(status.Weights, request.Weights) {
 		reply.Unavailable = true
--- a/internal/agent/prober/prober_test.go
+++ b/internal/agent/prober/prober_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"errors"
+	"io"
+	"net"
 	"testing"
 
 	"github.com/greengagegate/greengagegate/internal/agent/cacheindex"
 	"github.com/greengagegate/greengagegate/internal/agent/fairqueue"
+	"github.com/greengagegate/greengagegate/internal/wire"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
+	"github.com/rs/zerolog"
 )
 
 type fixed Status
@@ -52,3 +57,49 @@
 		}
 	}
 }
+
+func TestDrainEndsStreamsOfProbes(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	p := New(Options{
+		Index:  cacheindex.New(),
+		Queue:  fairqueue.New(fairqueue.DefaultOptions(32)),
+		Status: fixed(Status{Serving: true}),
+	})
+	server := wire.NewServer(&wirepb.Hello{}, zerolog.Nop())
+	server.Handle(wirepb.Kind_KIND_PROBE, p.Handle)
+	go func() { _ = server.Serve(listener) }()
+	pool := wire.NewPool(&wirepb.Hello{}, wire.NewDialer(""))
+	defer pool.Close()
+	stream, err := pool.Open(t.Context(), listener.Addr().String(), wirepb.Kind_KIND_PROBE, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	replies := make(map[uint64]bool)
+	for sequence := range uint64(5) {
+		if err := stream.Send(&wirepb.ProbeRequest{Sequence: sequence}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 5 {
+		reply := new(wirepb.ProbeReply)
+		if err := stream.Recv(reply); err != nil {
+			t.Fatal(err)
+		}
+		replies[reply.Sequence] = true
+	}
+	if len(replies) != 5 {
+		t.Fatalf("replies %v", replies)
+	}
+	p.Drain()
+	if err := stream.Recv(new(wirepb.ProbeReply)); !errors.Is(err, io.EOF) {
+		t.Fatalf("got %v after drain", err)
+	}
+	_ = stream.Close()
+	if err := server.Shutdown(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/app/agent.go
+++ b/internal/app/agent.go
@@ -48,6 +48,7 @@
 			newQuarantine,
 			newRunner,
 			newRollout,
+			newProber,
 		),
 		fx.Invoke(registerEngine, drainEngineAgent),
 	)
@@ -93,9 +94,12 @@
 	return manager
 }
 
+func newProber(state *enginestate.Poller, index *cacheindex.Index, queue *fairqueue.Queue, transfers *transfer.Manager) *prober.Prober {
+	return prober.New(prober.Options{Index: index, Queue: queue, Status: state, Transfers: transfers})
+}
+
 // registerEngine connects the handlers of prompts.
-func registerEngine(n *node.Node, r *runner.Runner, state *enginestate.Poller, index *cacheindex.Index, queue *fairqueue.Queue, transfers *transfer.Manager, loads *rollout.Manager) {
-	answers := prober.New(prober.Options{Index: index, Queue: queue, Status: state, Transfers: transfers})
+func registerEngine(n *node.Node, r *runner.Runner, answers *prober.Prober, loads *rollout.Manager) {
 	n.Server.Handle(wirepb.Kind_KIND_ORDER, loads.Handle)
 	n.Server.Handle(wirepb.Kind_KIND_PROBE, answers.Handle)
 	n.Server.Handle(wirepb.Kind_KIND_RUN, r.Handle)
@@ -103,7 +107,7 @@
 
 // drainEngineAgent makes the stop of an engine's agent graceful: new work is
 // turned away, then the streams in flight finish.
-func drainEngineAgent(lifecycle fx.Lifecycle, s *AgentSettings, n *node.Node, members *membership.Manager, state *enginestate.Poller, r *runner.Runner, ready *admin.Readiness) {
+func drainEngineAgent(lifecycle fx.Lifecycle, s *AgentSettings, n *node.Node, members *membership.Manager, state *enginestate.Poller, answers *prober.Prober, r *runner.Runner, ready *admin.Readiness) {
 	start := func(context.Context) error {
 		ready.Set(true)
 		return nil
@@ -114,6 +118,7 @@
 		state.Drain()
 		pause(ctx, s.Stop.DrainDelay)
 		r.Drain()
+		answers.Drain()
 		return n.Server.Shutdown(ctx)
 	}
 	appendHook(lifecycle, start, stop)
--- a/internal/picker/asker.go
+++ b/internal/picker/asker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/metrics"
@@ -30,11 +31,9 @@
 
 // Probe implements placement.Prober.
 func (a *asker) Probe(ctx context.Context, _ placement.Request, order []int, width int) []placement.Answer {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
 	message := a.message()
 	results := make(chan placement.Answer, len(order))
-	asked, pending := 0, 0
+	asked, pending, useful := 0, 0, 0
 	ask := func() {
 		go a.ask(ctx, message, order[asked], results)
 		asked++
@@ -46,7 +45,8 @@
 	answers := make([]placement.Answer, 0, len(order))
 	hedge := time.NewTimer(hedgeAfter)
 	defer hedge.Stop()
-	useful := 0
+	limit := time.NewTimer(probeTimeout)
+	defer limit.Stop()
 	for pending > 0 {
 		select {
 		case answer := <-results:
@@ -64,6 +64,10 @@
 			for n := pending; n > 0 && asked < len(order); n-- {
 				ask()
 			}
+		case <-limit.C:
+			return answers
+		case <-ctx.Done():
+			return answers
 		}
 	}
 	return answers
@@ -80,7 +84,7 @@
 	}
 }
 
-// ask probes one agent and always delivers one answer.
+// ask probes one agent and always delivers one answer. It may outlast Probe.
 func (a *asker) ask(ctx context.Context, message *wirepb.ProbeRequest, upstream int, results chan<- placement.Answer) {
 	answer := placement.Answer{Upstream: upstream}
 	defer func() { results <- answer }()
@@ -91,9 +95,14 @@
 		return
 	}
 	probesSent.Inc(1)
-	reply, err := a.exchange(ctx, object.Address, message)
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	reply, err := a.manager.lines.ask(ctx, object.Address, message)
 	if err != nil {
 		probesSilent.Inc(1)
+		if !errors.Is(err, context.Canceled) {
+			a.manager.watch.report(object.Name, Outcome{Kind: OutcomeSilent})
+		}
 		return
 	}
 	a.manager.versions.note(object.Name, reply.LoadedWeights)
@@ -108,19 +117,3 @@
 	answer.Running = int(reply.Running)
 	answer.Penalty = penalty
 }
-
-func (a *asker) exchange(ctx context.Context, address string, message *wirepb.ProbeRequest) (*wirepb.ProbeReply, error) {
-	stream, err := a.manager.options.Pool.Open(ctx, address, wirepb.Kind_KIND_PROBE, a.prompt.RequestID)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = stream.Close() }()
-	if err := stream.Send(message); err != nil {
-		return nil, err
-	}
-	reply := new(wirepb.ProbeReply)
-	if err := stream.Recv(reply); err != nil {
-		return nil, err
-	}
-	return reply, nil
-}
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -91,6 +91,7 @@
 	policy   placement.Policy
 	watch    *watch
 	versions *versions
+	lines    *lines
 	fleet    atomic.Pointer[fleet]
 	took     func(time.Duration)
 }
@@ -107,6 +108,7 @@
 		policy:   policy,
 		watch:    newWatch(),
 		versions: newVersions(),
+		lines:    newLines(options.Pool),
 		took:     func(d time.Duration) { histogram.Update(d.Microseconds()) },
 	}, nil
 }
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -25,16 +25,19 @@
 		}
 		server := wire.NewServer(&wirepb.Hello{}, zerolog.Nop())
 		server.Handle(wirepb.Kind_KIND_PROBE, func(ctx context.Context, _ wire.Request, stream *wire.Stream) {
-			request := new(wirepb.ProbeRequest)
-			if stream.Recv(request) != nil {
-				return
+			for {
+				request := new(wirepb.ProbeRequest)
+				if stream.Recv(request) != nil {
+					return
+				}
+				reply := answer(i)
+				if reply == nil {
+					<-ctx.Done()
+					return
+				}
+				reply.Sequence = request.Sequence
+				_ = stream.Send(reply)
 			}
-			reply := answer(i)
-			if reply == nil {
-				<-ctx.Done()
-				return
-			}
-			_ = stream.Send(reply)
 		})
 		go func() { _ = server.Serve(listener) }()
 		t.Cleanup(func() {
@@ -120,6 +123,48 @@
 	}
 }
 
+func TestSilentAgentIsLeftOutForAWhile(t *testing.T) {
+	set := agents(t, 2, func(agent int) *wirepb.ProbeReply {
+		if agent == 0 {
+			return nil
+		}
+		return &wirepb.ProbeReply{}
+	})
+	m := newPicker(t, PolicyProbeAll)
+	for avoided := false; !avoided; _, avoided = m.watch.verdict("engine-0") {
+		if _, err := m.Pick(t.Context(), set, prompt(1)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, avoided := m.watch.verdict("engine-1"); avoided {
+		t.Fatal("answering agent left out")
+	}
+}
+
+func TestLineIsOpenedAgainAfterTheAgentClosedIt(t *testing.T) {
+	set := agents(t, 1, func(int) *wirepb.ProbeReply { return &wirepb.ProbeReply{CachedTokens: 5} })
+	m := newPicker(t, PolicyProbeAll)
+	l := m.lines.line(set.Upstreams["engine-0"].Address)
+	for range 3 {
+		reply, err := m.lines.ask(t.Context(), l.address, &wirepb.ProbeRequest{})
+		if err != nil || reply.CachedTokens != 5 {
+			t.Fatalf("got %v, %v", reply, err)
+		}
+		l.mu.Lock()
+		stream := l.stream
+		l.mu.Unlock()
+		_ = stream.Close()
+		for ended := false; !ended; {
+			l.mu.Lock()
+			ended = l.stream == nil
+			l.mu.Unlock()
+		}
+	}
+	if len(l.pending) != 0 {
+		t.Fatalf("%d probes left waiting", len(l.pending))
+	}
+}
+
 func TestLeavingUpstreamsGetNoWork(t *testing.T) {
 	set := agents(t, 3, func(int) *wirepb.ProbeReply { return &wirepb.ProbeReply{} })
 	set.Upstreams["engine-0"].Leaving = true
--- a/internal/picker/watch.go
+++ b/internal/picker/watch.go
@@ -19,6 +19,8 @@
 	OutcomeFull
 	// OutcomeFailed is a request that failed through the upstream's fault.
 	OutcomeFailed
+	// OutcomeSilent is a probe without an answer in time.
+	OutcomeSilent
 )
 
 // Outcome is what a router saw of one request at an upstream.
@@ -85,7 +87,7 @@
 		countError(outcome)
 	case OutcomeFull:
 		r.avoidUntil = now.Add(avoidFull)
-	case OutcomeFailed:
+	case OutcomeFailed, OutcomeSilent:
 		r.failures++
 		backoff := float64(avoidFailed) * math.Pow(2, float64(min(r.failures, 8)-1))
 		r.avoidUntil = now.Add(min(maxAvoid, time.Duration(backoff)))
