Keep calls that crash plain services away from them, join tokens that arrive together

A call whose answer is lost makes its content suspect: it is made alone, and a second loss convicts it, as for prompts. Tokens that have arrived together reach the caller in one write.

--- a/internal/agent/calls/calls.go
+++ b/internal/agent/calls/calls.go
@@ -22,12 +22,19 @@
 	"github.com/greengagegate/greengagegate/once"
 	"github.com/greengagegate/greengagegate/store"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
 )
 
 const (
 	// sendTimeout bounds a call that goes on after its caller has left.
 	sendTimeout = 60 * time.Second
 
+	// allPlaces is the number of calls that may be at the service at once.
+	allPlaces = 4096
+
+	// aloneTimeout bounds the wait of a suspect for the other calls to end.
+	aloneTimeout = time.Second
+
 	drainPollInterval = 20 * time.Millisecond
 )
 
@@ -56,6 +63,7 @@
 type Manager struct {
 	options  Options
 	breaker  retry.Breaker
+	places   *semaphore.Weighted
 	draining atomic.Bool
 	active   atomic.Int64
 	keyed    atomic.Pointer[once.Manager]
@@ -66,7 +74,7 @@
 
 // New returns a manager that is not started.
 func New(options Options) *Manager {
-	return &Manager{options: options, cancel: func() {}}
+	return &Manager{options: options, places: semaphore.NewWeighted(allPlaces), cancel: func() {}}
 }
 
 // Start begins to own shards of idempotency keys as soon as the upstream is in
@@ -134,6 +142,11 @@
 	if ctx.Err() != nil {
 		return refused(refusal.DeadlineExceeded, wirepb.RunState_RUN_NOT_RUN, "the time was over before the call was sent", m.options.Upstream)
 	}
+	release, err := m.enter(ctx, request)
+	if err != nil {
+		return refused(refusal.QueueFull, wirepb.RunState_RUN_NOT_RUN, "the service was busy for too long", m.options.Upstream)
+	}
+	defer release()
 	if ok, wait := m.breaker.Allow(); !ok {
 		reply := refused(refusal.CircuitOpen, wirepb.RunState_RUN_NOT_RUN, "the service is given time to recover", m.options.Upstream)
 		refusal.After(reply.Refusal, wait)
@@ -153,8 +166,37 @@
 	case errors.Is(err, service.ErrNotSent):
 		return refused(refusal.UpstreamUnreachable, wirepb.RunState_RUN_NOT_RUN, err.Error(), m.options.Upstream)
 	default:
-		return refused(refusal.UpstreamLost, wirepb.RunState_RUN_UNKNOWN, err.Error(), m.options.Upstream)
+		return m.lost(ctx, request, err)
+	}
+}
+
+// enter waits for a place at the service. A suspect waits until it is alone there.
+func (m *Manager) enter(ctx context.Context, request *wirepb.CallRequest) (release func(), err error) {
+	weight := int64(1)
+	if request.Suspect {
+		weight = allPlaces
+		alone, cancel := context.WithTimeout(ctx, aloneTimeout)
+		defer cancel()
+		ctx = alone
+	}
+	if err := m.places.Acquire(ctx, weight); err != nil {
+		return nil, err
+	}
+	return func() { m.places.Release(weight) }, nil
+}
+
+// lost explains a call whose answer was lost. The request becomes suspect of
+// having crashed the service; one that was suspect and alone is given up.
+func (m *Manager) lost(ctx context.Context, request *wirepb.CallRequest, err error) *wirepb.CallReply {
+	reply := refused(refusal.UpstreamLost, wirepb.RunState_RUN_UNKNOWN, err.Error(), m.options.Upstream)
+	if ctx.Err() != nil {
+		return reply
+	}
+	reply.Refusal.Suspect = true
+	if request.Suspect {
+		reply.Refusal.Code = string(refusal.Poisonous)
 	}
+	return reply
 }
 
 // judge tells the breaker what an attempt says of the service.
--- a/internal/app/router.go
+++ b/internal/app/router.go
@@ -76,8 +76,8 @@
 	return manager
 }
 
-func newCaller(n *node.Node, view membership.View, log zerolog.Logger) *dispatch.Caller {
-	return dispatch.NewCaller(dispatch.CallerOptions{Pool: n.Pool, View: view, Log: log})
+func newCaller(n *node.Node, view membership.View, known *quarantine.Manager, log zerolog.Logger) *dispatch.Caller {
+	return dispatch.NewCaller(dispatch.CallerOptions{Pool: n.Pool, View: view, Quarantine: known, Log: log})
 }
 
 func newServer(s *RouterSettings, source object.Source, limits admission.Controller, p picker.Picker, prompter *dispatch.Prompter, caller *dispatch.Caller, log zerolog.Logger) *router.Server {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -9,6 +9,9 @@
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 )
 
+// maxDeliveryBytes bounds the text that is delivered at once.
+const maxDeliveryBytes = 4 << 10
+
 var (
 	// errSink marks an error of the caller's side, after which nothing is retried.
 	errSink = errors.New("caller left")
@@ -25,8 +28,11 @@
 type attempt struct {
 	request *wirepb.RunRequest
 	sink    Sink
-	usage   *wirepb.RunEnd
-	last    *wirepb.Refusal
+	// text and count are tokens received and not yet delivered.
+	text  []byte
+	count int64
+	usage *wirepb.RunEnd
+	last  *wirepb.Refusal
 	// tried counts the candidates that were sent the prompt.
 	tried int
 	// crashes counts crashes of upstreams that ran the prompt.
@@ -72,10 +78,16 @@
 	a.final = true
 }
 
-func (a *attempt) apply(event *wirepb.RunEvent) (done bool, err error) {
+// apply takes in an event. With more set another event has begun to arrive, and
+// tokens may wait to be delivered with it.
+func (a *attempt) apply(event *wirepb.RunEvent, more bool) (done bool, err error) {
+	if tokens := event.GetTokens(); tokens != nil {
+		return false, a.tokens(tokens, more)
+	}
+	if err := a.deliver(); err != nil {
+		return false, err
+	}
 	switch e := event.Event.(type) {
-	case *wirepb.RunEvent_Tokens:
-		return false, a.tokens(e.Tokens)
 	case *wirepb.RunEvent_End:
 		return true, a.end(e.End)
 	case *wirepb.RunEvent_Refusal:
@@ -87,16 +99,31 @@
 	}
 }
 
-func (a *attempt) tokens(tokens *wirepb.RunTokens) error {
-	if tokens.Offset != a.request.ResumeOffset {
+func (a *attempt) tokens(tokens *wirepb.RunTokens, more bool) error {
+	if tokens.Offset != a.request.ResumeOffset+a.count {
 		a.note(refusal.New(refusal.UpstreamLost, wirepb.RunState_RUN_UNKNOWN, errOffset.Error(), "check offset", ""))
-		return fault.Wrap(errOffset, "check offset", "")
+		return errors.Join(a.deliver(), fault.Wrap(errOffset, "check offset", ""))
+	}
+	a.text = append(a.text, tokens.Text...)
+	a.count += tokens.Count
+	if more && len(a.text) < maxDeliveryBytes {
+		return nil
+	}
+	return a.deliver()
+}
+
+// deliver passes the received tokens to the caller.
+func (a *attempt) deliver() error {
+	if a.count == 0 && len(a.text) == 0 {
+		return nil
 	}
-	if err := a.sink.Tokens(tokens.Text, tokens.Count); err != nil {
+	if err := a.sink.Tokens(a.text, a.count); err != nil {
 		return errors.Join(errSink, err)
 	}
-	a.request.ResumeOffset += tokens.Count
-	a.request.Generated = append(a.request.Generated, tokens.Text...)
+	a.request.ResumeOffset += a.count
+	a.request.Generated = append(a.request.Generated, a.text...)
+	a.text = a.text[:0]
+	a.count = 0
 	return nil
 }
 
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/object"
+	"github.com/greengagegate/greengagegate/internal/quarantine"
 	"github.com/greengagegate/greengagegate/internal/refusal"
 	"github.com/greengagegate/greengagegate/internal/retry"
 	"github.com/greengagegate/greengagegate/internal/wire"
@@ -28,6 +29,8 @@
 	Pool *wire.Pool
 	View membership.View
 	Log  zerolog.Logger
+	// Quarantine knows the contents that crash upstreams; it may be nil.
+	Quarantine *quarantine.Manager
 }
 
 // Caller makes calls on pools of plain services through their agents.
@@ -57,8 +60,22 @@
 // further agent only while no agent can have passed it on.
 func (c *Caller) Call(ctx context.Context, set *object.Set, route *object.Route, request *wirepb.CallRequest) (*wirepb.CallReply, error) {
 	c.customers.Deposit(request.Customer)
+	digest := callDigest(request)
+	if refused := c.screen(request, digest); refused != nil {
+		return refused, nil
+	}
+	reply := c.call(ctx, set, route, request, digest)
+	if reply.Refusal == nil && request.Suspect && c.options.Quarantine != nil {
+		c.options.Quarantine.Clear(digest)
+	}
+	return reply, nil
+}
+
+func (c *Caller) call(ctx context.Context, set *object.Set, route *object.Route, request *wirepb.CallRequest, digest uint64) *wirepb.CallReply {
 	if !request.Idempotent && request.IdempotencyKey != "" {
-		return c.callOnce(ctx, set, route, request), nil
+		reply := c.callOnce(ctx, set, route, request)
+		c.learnOf(reply, digest)
+		return reply
 	}
 	reply := refusedCall(refusal.NoUpstream, wirepb.RunState_RUN_NOT_RUN, "no upstream can take the call", route.Pool)
 	for number, upstream := range c.order(set, route) {
@@ -67,11 +84,12 @@
 		}
 		reply = later(reply, c.attempt(ctx, upstream.Address, request))
 		c.upstreams.Deposit(upstream.Name)
-		if !retryable(request, reply) {
+		if c.learnOf(reply, digest) || !retryable(request, reply) {
 			break
 		}
+		request.Suspect = request.Suspect || reply.Refusal.Suspect
 	}
-	return reply, nil
+	return reply
 }
 
 // mayRetry spends the budgets and pauses before a numbered retry.
--- a/internal/dispatch/failures_test.go
+++ b/internal/dispatch/failures_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/greengagegate/greengagegate/internal/agent/calls"
 	"github.com/greengagegate/greengagegate/internal/object"
+	"github.com/greengagegate/greengagegate/internal/quarantine"
+	"github.com/greengagegate/greengagegate/internal/refusal"
 	"github.com/greengagegate/greengagegate/internal/service"
 	"github.com/greengagegate/greengagegate/internal/wire"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
@@ -40,6 +42,7 @@
 	set   *object.Set
 
 	requests atomic.Int64
+	poisoned atomic.Int64
 
 	mu       sync.Mutex
 	agents   map[string]*agentProcess
@@ -175,6 +178,10 @@
 }
 
 func (d *ledgerDriver) Do(_ context.Context, call service.Call) (service.Answer, error) {
+	if string(call.Body) == poisonText {
+		d.w.poisoned.Add(1)
+		return service.Answer{}, service.ErrOutcomeUnknown
+	}
 	key := call.Header.Get("Idempotency-Key")
 	d.w.reach(beforeSending, d.a.name)
 	if d.crashed(beforeSending) {
@@ -403,3 +410,24 @@
 		t.Fatalf("got %v", reply)
 	}
 }
+
+func TestPoisonCallIsConvicted(t *testing.T) {
+	w := newWorld(t)
+	known := quarantine.New(quarantine.Options{View: view{w: w}, Source: source{w.set}, Log: zerolog.Nop()})
+	caller := w.router()
+	caller.options.Quarantine = known
+	route := &object.Route{Name: "verdicts", Path: "/verdicts", Pool: "billing", Idempotent: true}
+	codes := make(map[string]int)
+	for range 20 {
+		request := &wirepb.CallRequest{Customer: "limon", Method: "GET", Path: "/verdicts", Body: []byte(poisonText), Idempotent: true}
+		reply, _ := caller.Call(t.Context(), w.set, route, request)
+		codes[reply.GetRefusal().GetCode()]++
+	}
+	if n := w.poisoned.Load(); n != 2 || codes[string(refusal.Quarantined)] != 19 || codes[string(refusal.Poisonous)] != 1 {
+		t.Fatalf("crashed %d services, answers %v", n, codes)
+	}
+	other := &wirepb.CallRequest{Customer: "limon", Method: "GET", Path: "/verdicts", Body: []byte("harmless"), Idempotent: true}
+	if reply, _ := caller.Call(t.Context(), w.set, route, other); reply.Refusal != nil {
+		t.Fatalf("another content got %v", reply.Refusal)
+	}
+}
--- a/internal/dispatch/prompt.go
+++ b/internal/dispatch/prompt.go
@@ -213,10 +213,10 @@
 				seen.failed()
 			}
 			a.note(lostRefusal(err, address))
-			return err
+			return errors.Join(a.deliver(), err)
 		}
 		seen.see(event)
-		done, err := a.apply(event)
+		done, err := a.apply(event, stream.Buffered())
 		if done || err != nil {
 			return err
 		}
