Tell wrongful refusals of customers within their rate apart; keep a refusal's reason

Cause: a customer far beyond its rate gets refusals that an exact bucket would have given to other requests, which hid those that matter; and codes alone do not say why. Change: a second count, and the first detail of each code.

--- a/cmd/greengage-load/main.go
+++ b/cmd/greengage-load/main.go
@@ -159,8 +159,8 @@
 		e.Scenario, e.Policy, e.Seed, e.Requests, e.PrefixHitRate, e.TTFT50, e.TTFT95, e.TTFT99)
 	fmt.Printf("recomputed %d of %d needed tokens, worst customer %s p95 %.0f ms\n",
 		e.Recomputed, e.Needed, e.WorstCustomer, e.WorstTTFT95)
-	fmt.Printf("over-admission: %.0f tokens, wrongful refusals: %d, failed: %d, truncated: %d, wrong answers: %d\n",
-		e.OverAdmission, e.Wrongful, e.Failed, e.Truncated, e.WrongAnswers)
+	fmt.Printf("over-admission: %.0f tokens, wrongful refusals: %d (of customers within their rate: %d), failed: %d, truncated: %d, wrong answers: %d\n",
+		e.OverAdmission, e.Wrongful, e.WrongfulWithin, e.Failed, e.Truncated, e.WrongAnswers)
 	fmt.Printf("charges: %d, doubled: %d, false not-run: %d, false ran: %d, unknown: %d\n",
 		e.Charges.Sent, e.Doubled, e.FalseNotRun, e.FalseRan, e.Unknown)
 	fmt.Printf("engines lost to poison: %d, innocents refused: %d\n", e.EnginesLost, e.InnocentRefused)
--- a/internal/load/judge/judge.go
+++ b/internal/load/judge/judge.go
@@ -26,18 +26,21 @@
 
 // Figures is what is measured of one run.
 type Figures struct {
-	Requests        int     `json:"requests"`
-	PrefixHitRate   float64 `json:"prefix_hit_rate"`
-	TTFT50          float64 `json:"ttft_p50_ms"`
-	TTFT95          float64 `json:"ttft_p95_ms"`
-	TTFT99          float64 `json:"ttft_p99_ms"`
-	Recomputed      int64   `json:"recomputed_tokens"`
-	Needed          int64   `json:"needed_tokens"`
-	WorstCustomer   string  `json:"worst_customer"`
-	WorstTTFT95     float64 `json:"worst_customer_ttft_p95_ms"`
-	MedianTTFT95    float64 `json:"median_customer_ttft_p95_ms"`
-	Refused         int     `json:"refused"`
-	Wrongful        int     `json:"wrongful_refusals"`
+	Requests      int     `json:"requests"`
+	PrefixHitRate float64 `json:"prefix_hit_rate"`
+	TTFT50        float64 `json:"ttft_p50_ms"`
+	TTFT95        float64 `json:"ttft_p95_ms"`
+	TTFT99        float64 `json:"ttft_p99_ms"`
+	Recomputed    int64   `json:"recomputed_tokens"`
+	Needed        int64   `json:"needed_tokens"`
+	WorstCustomer string  `json:"worst_customer"`
+	WorstTTFT95   float64 `json:"worst_customer_ttft_p95_ms"`
+	MedianTTFT95  float64 `json:"median_customer_ttft_p95_ms"`
+	Refused       int     `json:"refused"`
+	Wrongful      int     `json:"wrongful_refusals"`
+	// WrongfulWithin counts those of customers within their rate: a customer far
+	// beyond it is refused other requests than an exact bucket would.
+	WrongfulWithin  int     `json:"wrongful_refusals_within_rate"`
 	Failed          int     `json:"failed"`
 	Truncated       int     `json:"truncated_streams"`
 	WrongAnswers    int     `json:"wrong_answers"`
@@ -52,15 +55,17 @@
 	StoreWatches  int64   `json:"store_watches"`
 	CrashP95Ratio float64 `json:"crash_p95_ratio,omitempty"`
 	// Codes counts the refusals and failures by code.
-	Codes     map[string]int       `json:"codes,omitempty"`
-	Customers map[string]Quantiles `json:"customers"`
+	Codes map[string]int `json:"codes,omitempty"`
+	// CodeDetails has the step and message of the first of each.
+	CodeDetails map[string]string    `json:"code_details,omitempty"`
+	Customers   map[string]Quantiles `json:"customers"`
 }
 
 // Judge computes the figures of a run. Requests that arrived during the warm-up
 // do not count, but for over-admission and charges.
 func Judge(in Input) Figures {
 	measured := in.measured()
-	f := Figures{Requests: len(measured), Codes: make(map[string]int), Customers: make(map[string]Quantiles)}
+	f := Figures{Requests: len(measured), Codes: make(map[string]int), CodeDetails: make(map[string]string), Customers: make(map[string]Quantiles)}
 	all := QuantilesOf(times(measured))
 	f.TTFT50, f.TTFT95, f.TTFT99 = all.P50, all.P95, all.P99
 	f.Needed = neededTokens(in.Plan, in.Prompts)
@@ -90,7 +95,11 @@
 			f.WrongAnswers++
 		}
 		if r.Outcome != client.Complete {
-			f.Codes[string(r.Outcome)+" "+r.Code]++
+			key := string(r.Outcome) + " " + r.Code
+			if f.Codes[key] == 0 {
+				f.CodeDetails[key] = r.Detail
+			}
+			f.Codes[key]++
 		}
 		switch r.Outcome {
 		case client.Refused:
@@ -140,13 +149,15 @@
 	var p95s []float64
 	for customer := range plan.Scenario.Shares {
 		var own []time.Duration
-		beyond := 0
+		beyond, wrongful := 0, 0
 		for _, r := range results {
 			if r.Prompt.Customer != customer {
 				continue
 			}
 			if !within[r.Prompt.ID] {
 				beyond++
+			} else if r.Outcome == client.Refused {
+				wrongful++
 			}
 			if r.Outcome == client.Complete {
 				own = append(own, r.TTFT())
@@ -159,6 +170,7 @@
 		if len(own) == 0 || float64(beyond) > tolerableRefusals*float64(len(own)) {
 			continue
 		}
+		f.WrongfulWithin += wrongful
 		p95 := f.Customers[name].P95
 		p95s = append(p95s, p95)
 		if p95 > f.WorstTTFT95 {
--- a/internal/load/overhead/overhead.go
+++ b/internal/load/overhead/overhead.go
@@ -191,6 +191,7 @@
 		p.requests++
 		p.tokens += r.Tokens
 		if r.Outcome != client.Complete || r.WrongText {
+			m.options.Log.Warn().Str("code", r.Code).Str("detail", r.Detail).Msg("load: request failed")
 			p.failures[string(r.Outcome)+" "+r.Code]++
 		} else if r.Prompt.At >= warmup {
 			p.routed = append(p.routed, r.FirstByte-r.Sent)
