--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -34,8 +34,6 @@
 	DeadlineExceeded Code = "deadline_exceeded"
 	// RetryBudget says that the budget for retries is spent.
 	RetryBudget Code = "retry_budget"
-	// BadRequest says that the request was malformed.
-	BadRequest Code = "bad_request"
 	// NotOwner is passed between processes only: another agent owns the key's shard.
 	NotOwner Code = "not_owner"
 	// KeyConflict says that the idempotency key came earlier with another content.
@@ -62,7 +60,6 @@
 	DeadlineExceeded:    http.StatusGatewayTimeout,
 	AgentLost:           http.StatusBadGateway,
 	UpstreamLost:        http.StatusBadGateway,
-	BadRequest:          http.StatusBadRequest,
 	KeyConflict:         http.StatusUnprocessableEntity,
 	KeyRunning:          http.StatusConflict,
 	KeyOutcomeUnknown:   http.StatusConflict,
--- a/once/fleet_test.go
+++ b/once/fleet_test.go
@@ -18,6 +18,7 @@
 	testPool    = "billing"
 	testHorizon = 60 * time.Second
 	testDrop    = 5 * time.Second
+	maxRaises   = 9
 )
 
 // fleet is a few managers on one store.
@@ -29,14 +30,16 @@
 	mu       sync.Mutex
 	managers map[string]*Manager
 	born     map[string]uint64
-	ledger   map[ID]int
-	answers  int
+	// raises are added to incarnations within a life, as membership does.
+	raises  map[string]uint64
+	ledger  map[ID]int
+	answers int
 }
 
 func newFleet(t *testing.T, shards int) *fleet {
 	return &fleet{
 		t: t, store: memstore.New(), shards: shards,
-		managers: make(map[string]*Manager), born: make(map[string]uint64), ledger: make(map[ID]int),
+		managers: make(map[string]*Manager), born: make(map[string]uint64), raises: make(map[string]uint64), ledger: make(map[ID]int),
 	}
 }
 
@@ -45,7 +48,8 @@
 
 func (f *fleet) startOn(process string, st store.Store) *Manager {
 	f.mu.Lock()
-	f.born[process]++
+	f.born[process] += maxRaises + 1
+	f.raises[process] = 0
 	self := Peer{Process: process, Address: address(process), Incarnation: f.born[process]}
 	f.mu.Unlock()
 	m := NewManager(Options{
@@ -98,7 +102,10 @@
 	defer f.mu.Unlock()
 	var peers []Peer
 	for _, m := range f.managers {
-		peers = append(peers, m.options.Self)
+		peer := m.options.Self
+		f.raises[peer.Process] = min(maxRaises, f.raises[peer.Process]+1)
+		peer.Incarnation += f.raises[peer.Process]
+		peers = append(peers, peer)
 	}
 	sort.Slice(peers, func(i, j int) bool { return peers[i].Process < peers[j].Process })
 	return peers
--- a/once/manager.go
+++ b/once/manager.go
@@ -165,7 +165,7 @@
 		if !ok {
 			break
 		}
-		if owner != m.options.Self {
+		if owner.Process != m.options.Self.Process {
 			return Result{}, &Error{Reason: ReasonNotOwner, Owner: owner}
 		}
 	}
@@ -173,8 +173,10 @@
 }
 
 // HandleMark serves Transport.Mark of another owner, addressed to an incarnation.
+// A process's incarnation may grow within its life, and is higher in each later
+// life, so that a lower one is that of a life whose memory is lost.
 func (m *Manager) HandleMark(incarnation uint64, mark Mark) error {
-	if incarnation != m.options.Self.Incarnation {
+	if incarnation < m.options.Self.Incarnation {
 		return ErrWitness
 	}
 	return m.witness.mark(mark)
@@ -182,7 +184,7 @@
 
 // HandleAsk serves Transport.Ask of a successor, addressed to an incarnation.
 func (m *Manager) HandleAsk(incarnation uint64, ask Ask) (marked bool, err error) {
-	if incarnation != m.options.Self.Incarnation {
+	if incarnation < m.options.Self.Incarnation {
 		return false, ErrWitness
 	}
 	return m.witness.ask(ask), nil
--- a/once/once.go
+++ b/once/once.go
@@ -107,8 +107,9 @@
 
 // Peer is a process that owns shards, or may.
 type Peer struct {
-	Process     string
-	Address     string
+	Process string
+	Address string
+	// Incarnation is higher in each life of the process. It may grow within a life.
 	Incarnation uint64
 }
 
--- a/once/ownership.go
+++ b/once/ownership.go
@@ -254,7 +254,7 @@
 	if err != nil {
 		return Peer{}, false
 	}
-	return preferred, preferred != m.options.Self
+	return preferred, preferred.Process != m.options.Self.Process
 }
 
 // awaitRelease waits for a hand-over under way.
--- a/once/unjournaled.go
+++ b/once/unjournaled.go
@@ -104,7 +104,7 @@
 
 // vouches asks one witness, which may be the process itself.
 func (m *Manager) vouches(ctx context.Context, w Peer, ask Ask) bool {
-	if w == m.options.Self {
+	if self := m.options.Self; w.Process == self.Process && w.Incarnation >= self.Incarnation {
 		return !m.witness.ask(ask)
 	}
 	marked, err := m.options.Transport.Ask(ctx, w, ask)
