Send a frame's session header and body in one packet

Cause: the multiplexer writes the header and the body of each frame apart: two system calls, two packets and two wake-ups of the reader for each token. Change: the connection below a session holds the header of a data frame until its body comes.

--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -79,7 +79,7 @@
 		s.log.Debug().Err(err).Str("peer", address).Msg("wire: hello failed")
 		return
 	}
-	mux, err := yamux.Server(conn, yamuxConfig())
+	mux, err := yamux.Server(&coalescingConn{Conn: conn}, yamuxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -78,7 +78,7 @@
 		_ = conn.Close()
 		return nil, fault.Wrap(err, "hello", peer)
 	}
-	mux, err := yamux.Client(conn, yamuxConfig())
+	mux, err := yamux.Client(&coalescingConn{Conn: conn}, yamuxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, fault.Wrap(err, "open session", peer)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -16,7 +16,7 @@
 func hello(name string) *wirepb.Hello { return &wirepb.Hello{Process: name} }
 
 // startServer serves handler for KIND_RUN and returns the server and its address.
-func startServer(t *testing.T, handler Handler) (*Server, string) {
+func startServer(t testing.TB, handler Handler) (*Server, string) {
 	server := NewServer(hello("server"), zerolog.Nop())
 	server.Handle(wirepb.Kind_KIND_RUN, handler)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
