--- a/internal/wire/bench_test.go
+++ b/internal/wire/bench_test.go
@@ -42,4 +42,3 @@
 	// Each iteration moves two frames.
 	b.ReportMetric(float64(spent.Microseconds())/float64(2*b.N), "cpu-us/frame")
 }
-
