--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/greengagegate/greengagegate/internal/fault"
 	"github.com/greengagegate/greengagegate/internal/invariant"
@@ -12,6 +13,9 @@
 // maxDeliveryBytes bounds the text that is delivered at once.
 const maxDeliveryBytes = 4 << 10
 
+// noUpstreamRetry is when to ask again after no upstream could be found.
+const noUpstreamRetry = time.Second
+
 var (
 	// errSink marks an error of the caller's side, after which nothing is retried.
 	errSink = errors.New("caller left")
@@ -60,7 +64,8 @@
 	if a.last != nil {
 		return a.last
 	}
-	return refusal.New(refusal.NoUpstream, wirepb.RunState_RUN_NOT_RUN, "no upstream can serve the request", "run prompt", "")
+	told := refusal.New(refusal.NoUpstream, wirepb.RunState_RUN_NOT_RUN, "no upstream can serve the request", "run prompt", "")
+	return refusal.After(told, noUpstreamRetry)
 }
 
 // note keeps the refusal that is told when no candidate is left. Once a run may
--- a/internal/dispatch/prompts_test.go
+++ b/internal/dispatch/prompts_test.go
@@ -376,3 +376,17 @@
 	end, err := p.routers[0].Run(t.Context(), Placement{Request: request}, again, answer)
 	checkWhole(t, answer, end, err)
 }
+
+func TestRetryBudgetEndsThePrompt(t *testing.T) {
+	p := newPond(t, 1, 1)
+	for p.routers[0].upstreams.Withdraw("e0") {
+	}
+	request := &wirepb.RunRequest{RequestId: "r", MaxTokens: promptTokens}
+	never := func(context.Context) (Placement, error) { return Placement{}, picker.ErrNoUpstream }
+	gone := picker.Candidate{Upstream: &object.Upstream{Name: "e0", Address: "127.0.0.1:1"}}
+	_, err := p.routers[0].Run(t.Context(), Placement{[]picker.Candidate{gone, p.targets[0]}, request}, never, new(text))
+	var failure *Failure
+	if !errors.As(err, &failure) || failure.Refusal.Code != string(refusal.RetryBudget) || failure.Refusal.Run != wirepb.RunState_RUN_NOT_RUN {
+		t.Fatalf("got %v", err)
+	}
+}
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -349,3 +349,50 @@
 		}
 	}
 }
+
+func TestLargeAnswerIsNotKeptByASuccessor(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		large := make([]byte, maxJournaledAnswerBytes+1)
+		run := func() Outcome { return Outcome{State: StateRan, Answer: large} }
+		if _, err := f.callWith(charge("k"), callLimit, run); err != nil {
+			t.Fatal(err)
+		}
+		if !mustRun(t, f, charge("k")).Replayed {
+			t.Fatal("the owner itself lost the answer")
+		}
+		time.Sleep(2 * outcomeDelay)
+		owner := f.owner(charge("k"))
+		f.crash(owner)
+		f.start(owner)
+		f.settle()
+		_, err := f.call(charge("k"), callLimit)
+		if reason(t, err) != ReasonAnswerLost {
+			t.Fatalf("got %v", err)
+		}
+	})
+}
+
+func TestFullShardRefusesNewKeys(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		mustRun(t, f, charge("k"))
+		f.manager(f.owner(charge("k"))).options.MaxKeys = 1
+		if _, err := f.call(sameShard(f, charge("k"), "other"), callLimit); reason(t, err) != ReasonFull {
+			t.Fatalf("got %v", err)
+		}
+		mustRun(t, f, charge("k"))
+	})
+}
+
+func TestClaimIsGivenUpInTime(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		f.store.SetFaults(memstore.Faults{Down: true})
+		if _, err := f.call(charge("k"), defaultUnjournaledAfter/2); reason(t, err) != ReasonNotRun {
+			t.Fatalf("got %v", err)
+		}
+		f.store.SetFaults(memstore.Faults{})
+		time.Sleep(time.Second)
+		if mustRun(t, f, charge("k")).Replayed {
+			t.Fatal("a claim that was given up was replayed")
+		}
+	})
+}
