Add the fault kill: agents and routers that die without notice

Cause: restarts were graceful only. Change: every 6 s an agent of an engine, of a service, or a router is killed and started again; streams whose connection broke are counted apart.

--- a/cmd/greengage-load/main.go
+++ b/cmd/greengage-load/main.go
@@ -43,7 +43,7 @@
 	flags.DurationVar(&a.duration, "duration", 40*time.Second, "measured time")
 	flags.DurationVar(&a.warmup, "warmup", 10*time.Second, "time before it that is not measured")
 	flags.BoolVar(&a.surge, "surge", false, "first customer at a multiple of its rate from second 20 to 40")
-	flags.StringVar(&a.faults, "faults", "", "comma-separated: crash, quarter, outage, restart, revoke, shift, poison")
+	flags.StringVar(&a.faults, "faults", "", "comma-separated: crash, quarter, outage, restart, kill, revoke, shift, poison")
 	flags.StringVar(&a.importing, "import", "auto", "copy blocks from the KV store: on, off, or auto by policy")
 	flags.StringVar(&a.json, "json", "", "file for the figures of the run; standard output when empty")
 	flags.StringVar(&a.suite, "suite", "", "measure everything: quick, normal or full")
@@ -159,8 +159,8 @@
 		e.Scenario, e.Policy, e.Seed, e.Requests, e.PrefixHitRate, e.TTFT50, e.TTFT95, e.TTFT99)
 	fmt.Printf("recomputed %d of %d needed tokens, worst customer %s p95 %.0f ms\n",
 		e.Recomputed, e.Needed, e.WorstCustomer, e.WorstTTFT95)
-	fmt.Printf("over-admission: %.0f tokens, wrongful refusals: %d (of customers within their rate: %d), failed: %d, truncated: %d, wrong answers: %d\n",
-		e.OverAdmission, e.Wrongful, e.WrongfulWithin, e.Failed, e.Truncated, e.WrongAnswers)
+	fmt.Printf("over-admission: %.0f tokens, wrongful refusals: %d (of customers within their rate: %d), failed: %d, truncated: %d (connection broke: %d), wrong answers: %d\n",
+		e.OverAdmission, e.Wrongful, e.WrongfulWithin, e.Failed, e.Truncated, e.Broken, e.WrongAnswers)
 	fmt.Printf("charges: %d, doubled: %d, false not-run: %d, false ran: %d, unknown: %d\n",
 		e.Charges.Sent, e.Doubled, e.FalseNotRun, e.FalseRan, e.Unknown)
 	fmt.Printf("engines lost to poison: %d, innocents refused: %d\n", e.EnginesLost, e.InnocentRefused)
--- a/internal/load/disturb/disturb.go
+++ b/internal/load/disturb/disturb.go
@@ -32,6 +32,8 @@
 	Outage Kind = "outage"
 	// Restart restarts a router gracefully every 10 s.
 	Restart Kind = "restart"
+	// Kill ends agents and routers without notice and starts them again.
+	Kill Kind = "kill"
 	// Revoke withdraws a key in use.
 	Revoke Kind = "revoke"
 	// Shift reshuffles all documents' ranks at once.
@@ -41,11 +43,12 @@
 )
 
 // Kinds are all kinds of failures.
-var Kinds = []Kind{Crash, Quarter, Outage, Restart, Revoke, Shift, Poison}
+var Kinds = []Kind{Crash, Quarter, Outage, Restart, Revoke, Shift, Poison, Kill}
 
 const (
 	crashEvery    = 8 * time.Second
 	restartEvery  = 10 * time.Second
+	killEvery     = 6 * time.Second
 	slowLatencyMs = 400
 	lostAnswers   = 5
 	shifts        = 2
@@ -184,6 +187,8 @@
 		return m.outage()
 	case Restart:
 		return m.restarts()
+	case Kill:
+		return m.kills()
 	case Revoke:
 		return []event{{m.within(0.3, 0.6), "revoke", m.revoke}}
 	case Poison:
@@ -264,3 +269,28 @@
 	}
 	return events
 }
+
+// kills alternates between agents of engines, agents of services and routers.
+func (m *Manager) kills() []event {
+	o := m.options.Plan.Options
+	s := m.options.Plan.Scenario
+	var events []event
+	for at := o.Warmup + killEvery/2; at < o.Length(); at += killEvery {
+		engine, service, router := m.random.IntN(s.Engines), m.random.IntN(s.Services), m.random.IntN(s.Zones)
+		switch len(events) % 3 {
+		case 0:
+			events = append(events, event{at, fmt.Sprintf("kill agent of engine %d", engine+1), func(context.Context) error {
+				return m.options.Fleet.KillAgent(engine)
+			}})
+		case 1:
+			events = append(events, event{at, fmt.Sprintf("kill agent of service %d", service+1), func(context.Context) error {
+				return m.options.Fleet.KillAgent(s.Engines + service)
+			}})
+		default:
+			events = append(events, event{at, fmt.Sprintf("kill router %d", router+1), func(context.Context) error {
+				return m.options.Fleet.KillRouter(router)
+			}})
+		}
+	}
+	return events
+}
--- a/internal/load/fleet/fleet.go
+++ b/internal/load/fleet/fleet.go
@@ -254,6 +254,19 @@
 	return m.waitFor(ctx, m.ReadyAddresses()[index], "/readyz", readyTimeout)
 }
 
+// KillRouter ends a router without notice and starts it again at once.
+func (m *Manager) KillRouter(index int) error {
+	m.routers[index].kill()
+	return m.routers[index].start()
+}
+
+// KillAgent ends an agent without notice and starts it again at once. Agents of
+// engines come before those of services.
+func (m *Manager) KillAgent(index int) error {
+	m.agents[index].kill()
+	return m.agents[index].start()
+}
+
 // Processes returns the number of routers and agents.
 func (m *Manager) Processes() int { return len(m.routers) + len(m.agents) }
 
--- a/internal/load/fleet/process.go
+++ b/internal/load/fleet/process.go
@@ -93,6 +93,14 @@
 	}
 }
 
+// kill ends the process without notice and waits.
+func (p *process) kill() {
+	p.stopping.Store(true)
+	p.endLife()
+	_ = p.command.Process.Kill()
+	<-p.done
+}
+
 func (p *process) exitError() error {
 	if code := p.command.ProcessState.ExitCode(); code != 0 {
 		return fault.Wrap(fmt.Errorf("exit code %d, see %s", code, p.logPath), "stop process", p.name)
--- a/internal/load/judge/judge.go
+++ b/internal/load/judge/judge.go
@@ -40,9 +40,11 @@
 	Wrongful      int     `json:"wrongful_refusals"`
 	// WrongfulWithin counts those of customers within their rate: a customer far
 	// beyond it is refused other requests than an exact bucket would.
-	WrongfulWithin  int     `json:"wrongful_refusals_within_rate"`
-	Failed          int     `json:"failed"`
-	Truncated       int     `json:"truncated_streams"`
+	WrongfulWithin int `json:"wrongful_refusals_within_rate"`
+	Failed         int `json:"failed"`
+	Truncated      int `json:"truncated_streams"`
+	// Broken counts those of them whose connection broke, as when a router dies.
+	Broken          int     `json:"broken_connections"`
 	WrongAnswers    int     `json:"wrong_answers"`
 	OverAdmission   float64 `json:"over_admission_tokens"`
 	InnocentRefused int     `json:"innocents_refused"`
@@ -111,6 +113,9 @@
 			f.Failed++
 		case client.Truncated:
 			f.Truncated++
+			if r.Detail != "" {
+				f.Broken++
+			}
 		}
 		if r.Code == codeQuarantined || r.Code == codePoisonous {
 			f.InnocentRefused++
