Let agents remember the slots for routers that restart without the store

Cause: a router resumed its slot while the store was away only when another router told it; when all restart together nobody remembers, and a router that had not seen the last change could name a former holder. The two tests of a single restart relied on the peers' word, which is no longer taken. Their fleets have a witness, and they wait until it knows the slots before the store goes down; what they require of the restarted router is the same.

--- a/internal/admission/manager.go
+++ b/internal/admission/manager.go
@@ -8,6 +8,7 @@
 	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/object"
 	"github.com/greengagegate/greengagegate/internal/quotalink"
+	"github.com/greengagegate/greengagegate/internal/slotlink"
 	"github.com/greengagegate/greengagegate/internal/wire"
 	"github.com/greengagegate/greengagegate/lease"
 	"github.com/greengagegate/greengagegate/membership"
@@ -45,13 +46,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &Manager{options: options, limits: &limits{source: options.Source}, cancel: cancel}
 	m.slots = lease.NewSlots(lease.Options{
-		Store:   options.Store,
-		Lister:  options.Lister,
-		Address: options.Address,
-		Count:   m.limits.Slots,
-		Alive:   m.alive,
-		Peers:   m.peerSlots,
-		Log:     options.Log,
+		Store:     options.Store,
+		Lister:    options.Lister,
+		Address:   options.Address,
+		Count:     m.limits.Slots,
+		Alive:     m.alive,
+		Witnesses: slotlink.NewClient(options.Pool, options.Source),
+		Log:       options.Log,
 	})
 	m.quota = quota.New(quota.Options{
 		Address:   options.Address,
@@ -128,12 +129,3 @@
 	}
 	return false
 }
-
-// peerSlots returns what other routers know of the slots.
-func (m *Manager) peerSlots(ctx context.Context) []lease.Record {
-	var records []lease.Record
-	for _, slot := range m.quota.PeerSlots(ctx) {
-		records = append(records, lease.Record{Index: slot.Index, Address: slot.Holder, Epoch: slot.Epoch})
-	}
-	return records
-}
--- a/internal/app/agent.go
+++ b/internal/app/agent.go
@@ -18,7 +18,9 @@
 	"github.com/greengagegate/greengagegate/internal/object"
 	"github.com/greengagegate/greengagegate/internal/quarantine"
 	"github.com/greengagegate/greengagegate/internal/service"
+	"github.com/greengagegate/greengagegate/internal/slotlink"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
+	"github.com/greengagegate/greengagegate/lease"
 	"github.com/greengagegate/greengagegate/membership"
 	"github.com/greengagegate/greengagegate/store"
 	"github.com/rs/zerolog"
@@ -34,7 +36,13 @@
 	if s.Upstream.Kind == "service" {
 		parts = serviceParts()
 	}
-	return fx.Options(common(&s.Common, membership.RoleAgent), fx.Supply(s), parts)
+	return fx.Options(common(&s.Common, membership.RoleAgent), fx.Supply(s), parts, fx.Invoke(witnessSlots))
+}
+
+// witnessSlots remembers the holders of entry slots for routers that restart
+// while the store is away.
+func witnessSlots(n *node.Node) {
+	n.Server.Handle(wirepb.Kind_KIND_SLOTS, slotlink.Handler(lease.NewWitness()))
 }
 
 func engineParts() fx.Option {
--- a/internal/app/path_test.go
+++ b/internal/app/path_test.go
@@ -117,6 +117,7 @@
 	agent := f.engine("engine-1")
 	f.publish(settings, otherSettings)
 	requirePrompt(t, f, settings)
+	f.awaitWitness(f.addresses["engine-1"], 2)
 	f.storeDown(true)
 	stop(t, app)
 	app, settings = f.router("router-1", f.seed)
--- a/lease/slots.go
+++ b/lease/slots.go
@@ -30,7 +30,7 @@
 
 	// steadyInterval, searchInterval and idleInterval space the reads of the
 	// slots: with nothing to look for, while a slot may be had, and before the
-	// number of slots is known.
+	// number of slots or the witnesses are known.
 	steadyInterval = 30 * time.Second
 	searchInterval = time.Second
 	idleInterval   = 50 * time.Millisecond
@@ -76,9 +76,10 @@
 	Count func() int
 	// Alive reports whether a process at an address is known to be alive. Its slots are left alone.
 	Alive func(address string) bool
-	// Peers returns what other processes know of the slots. It is asked while the store is away.
-	Peers func(ctx context.Context) []Record
-	Log   zerolog.Logger
+	// Witnesses remember the slots while the store is away. Without them a slot is
+	// never resumed then.
+	Witnesses Witnesses
+	Log       zerolog.Logger
 	// Now reads the monotonic clock; time.Now when nil.
 	Now          func() time.Time
 	ReclaimAfter time.Duration
@@ -95,6 +96,13 @@
 	held    map[int]Tenure
 	dropped map[string]time.Time
 	free    map[int]time.Time
+	// reclaimed are the slots that this life has tried to take from other hosts
+	// and does not hold.
+	reclaimed map[int]bool
+	// witnessed are the highest epochs that witnesses have seen.
+	witnessed map[int]uint64
+	// polled is what the witnesses answered after the last round.
+	polled *poll
 	// tickedAt is when the process last showed that it runs.
 	tickedAt time.Time
 	// unsure is set after a pause, until the store has confirmed the tenures.
@@ -115,13 +123,18 @@
 	if options.ExtraAfter <= 0 {
 		options.ExtraAfter = DefaultExtraAfter
 	}
+	if options.Witnesses == nil {
+		options.Witnesses = noWitnesses{}
+	}
 	return &Slots{
-		options: options,
-		life:    rand.Uint64() | 1,
-		known:   make(map[int]Record),
-		held:    make(map[int]Tenure),
-		dropped: make(map[string]time.Time),
-		free:    make(map[int]time.Time),
+		options:   options,
+		life:      rand.Uint64() | 1,
+		known:     make(map[int]Record),
+		held:      make(map[int]Tenure),
+		dropped:   make(map[string]time.Time),
+		free:      make(map[int]time.Time),
+		reclaimed: make(map[int]bool),
+		witnessed: make(map[int]uint64),
 	}
 }
 
@@ -222,24 +235,40 @@
 	if count == 0 {
 		return idleInterval
 	}
+	polled := s.polled
+	if err := s.update(ctx, count, polled); err != nil {
+		s.options.Log.Warn().Err(err).Msg("lease: slots not read")
+		s.resume(ctx, s.askWitnesses(ctx))
+		return searchInterval
+	}
+	if polled != nil {
+		s.inform(ctx, polled)
+	}
+	s.polled = s.askWitnesses(ctx)
+	if polled == nil || polled.set != s.polled.set {
+		return idleInterval
+	}
+	if !polled.settled() || len(s.Held()) == 0 || s.hasFree(count) || s.hasSilent() {
+		return searchInterval
+	}
+	return steadyInterval
+}
+
+// update reads the slots and takes what it may. An error means that the store is away.
+func (s *Slots) update(ctx context.Context, count int, polled *poll) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	if err := s.refresh(ctx); err != nil {
-		s.options.Log.Warn().Err(err).Msg("lease: slots not read")
-		s.resume(ctx)
-		return searchInterval
+		return err
 	}
 	s.takeOwn(ctx)
 	if s.hasFree(count) {
 		s.takeFree(ctx, count)
 	}
-	if s.hasSilent() {
+	if s.hasSilent() && polled != nil && polled.answered() {
 		s.reclaim(ctx, count)
 	}
-	if len(s.Held()) == 0 || s.hasFree(count) || s.hasSilent() {
-		return searchInterval
-	}
-	return steadyInterval
+	return nil
 }
 
 // refresh reads all slots, and gives up tenures that the store gives to others.
@@ -266,8 +295,8 @@
 // confirm compares a record with this process's tenures; s.mu is held.
 func (s *Slots) confirm(record Record) {
 	tenure, held := s.held[record.Index]
-	if record.Life == s.life && !held {
-		s.held[record.Index] = Tenure{Index: record.Index, Epoch: record.Epoch, Since: s.options.Now(), Unused: false}
+	if record.Life == s.life && !held && !s.reclaimed[record.Index] {
+		s.hold(record, false)
 		return
 	}
 	resumed := held && record.Address == s.options.Address && record.Epoch < tenure.Epoch
@@ -345,69 +374,80 @@
 
 // take begins a tenure by conditional update. It reports whether the slot is held.
 func (s *Slots) take(ctx context.Context, former Record, unused bool) bool {
-	record := Record{Index: former.Index, Address: s.options.Address, Life: s.life, Epoch: former.Epoch + 1}
+	record, ok := s.put(ctx, former)
+	if !ok {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hold(record, unused)
+	return true
+}
+
+// hold begins a tenure, unless it has begun; s.mu is held.
+func (s *Slots) hold(record Record, unused bool) {
+	tenure, held := s.held[record.Index]
+	if held && tenure.Epoch == record.Epoch {
+		return
+	}
+	s.held[record.Index] = Tenure{Index: record.Index, Epoch: record.Epoch, Since: s.options.Now(), Unused: unused}
+	s.options.Log.Info().Int("slot", record.Index).Uint64("epoch", record.Epoch).Msg("lease: slot held")
+}
+
+// put writes this process as the next holder, by conditional update.
+func (s *Slots) put(ctx context.Context, former Record) (Record, bool) {
+	record := Record{Index: former.Index, Address: s.options.Address, Life: s.life, Epoch: s.nextEpoch(former)}
 	value, err := json.Marshal(record)
 	if err != nil {
-		return false
+		return record, false
 	}
 	version, err := s.options.Store.Put(ctx, slotPrefix+strconv.Itoa(record.Index), value, former.version)
 	if err != nil && !errors.Is(err, store.ErrConflict) {
 		s.options.Log.Warn().Err(err).Int("slot", record.Index).Msg("lease: slot not taken")
 	}
 	if err != nil {
-		return false
+		return record, false
 	}
 	record.version = version
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.known[record.Index] = record
-	if tenure, held := s.held[record.Index]; !held || tenure.Epoch != record.Epoch {
-		s.held[record.Index] = Tenure{Index: record.Index, Epoch: record.Epoch, Since: s.options.Now(), Unused: unused}
-	}
-	s.options.Log.Info().Int("slot", record.Index).Uint64("epoch", record.Epoch).Msg("lease: slot taken")
-	return true
+	return record, true
 }
 
-// resume takes up, while the store is away, the slots that peers know to belong
-// to this address. The store confirms or ends the tenures when it is back.
-func (s *Slots) resume(ctx context.Context) {
-	if s.options.Peers == nil || len(s.Held()) > 0 {
-		return
-	}
-	records := s.options.Peers(ctx)
+// nextEpoch returns the epoch of the tenure after former. A tenure that was
+// resumed without the store keeps its own.
+func (s *Slots) nextEpoch(former Record) uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	latest := make(map[int]Record)
-	for _, record := range records {
-		if record.Epoch > latest[record.Index].Epoch {
-			latest[record.Index] = record
-		}
-	}
-	for index, record := range latest {
-		if record.Epoch > s.known[index].Epoch {
-			s.known[index] = record
-		}
-		_, held := s.held[index]
-		if record.Address == s.options.Address && !held && !s.unsure {
-			s.held[index] = Tenure{Index: index, Epoch: record.Epoch + 1, Since: s.options.Now()}
-			s.options.Log.Warn().Int("slot", index).Msg("lease: slot resumed without the store")
-		}
+	if tenure, held := s.held[former.Index]; held && tenure.Epoch > former.Epoch {
+		return tenure.Epoch
 	}
+	return max(former.Epoch, s.witnessed[former.Index]) + 1
 }
 
 // reclaim takes one slot whose holder the platform has dropped for long enough.
+// The tenure begins when a majority of the witnesses knows of it.
 func (s *Slots) reclaim(ctx context.Context, count int) {
 	hosts, err := s.options.Lister.Hosts(ctx)
 	if err != nil {
 		return
 	}
 	for _, record := range s.lost(hosts, count) {
-		if s.take(ctx, record, false) {
+		s.markReclaimed(record.Index)
+		if _, ok := s.put(ctx, record); ok {
 			return
 		}
 	}
 }
 
+// markReclaimed keeps a slot from being used before the witnesses know its new holder.
+func (s *Slots) markReclaimed(index int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reclaimed[index] = true
+}
+
 // lost returns the slots of hosts that have been missing from the platform's
 // list for long enough, without interruption.
 func (s *Slots) lost(hosts []store.Host, count int) []Record {
