Bound the hand-over of shards at a stop

A goroutine dump showed once.(*shard).closeRecord in a retry. Ruled out: streams left open (node.Shutdown was not reached). Change: the hand-over has 10 s; then the shards stay with the host, as after a crash. The demonstration stops its stand-ins last, as a platform outlives its users.

--- a/internal/agent/calls/calls.go
+++ b/internal/agent/calls/calls.go
@@ -36,6 +36,8 @@
 	aloneTimeout = time.Second
 
 	drainPollInterval = 20 * time.Millisecond
+	// handOverTimeout bounds the hand-over of shards at a stop.
+	handOverTimeout = 10 * time.Second
 )
 
 // Options configure a Manager.
@@ -91,10 +93,7 @@
 func (m *Manager) Stop(ctx context.Context) error {
 	m.cancel()
 	m.tasks.Wait()
-	var err error
-	if keyed := m.keyed.Load(); keyed != nil {
-		err = keyed.Stop(ctx)
-	}
+	m.handOver(ctx)
 	m.draining.Store(true)
 	for m.active.Load() > 0 {
 		timer := time.NewTimer(drainPollInterval)
@@ -102,10 +101,25 @@
 		case <-timer.C:
 		case <-ctx.Done():
 			timer.Stop()
-			return errors.Join(err, fault.Wrap(ctx.Err(), "finish calls", m.options.Upstream))
+			return fault.Wrap(ctx.Err(), "finish calls", m.options.Upstream)
 		}
 	}
-	return err
+	return nil
+}
+
+// handOver gives the shards to other agents. While the store is away that
+// cannot be done: after a bounded time the shards stay with this host, for the
+// agent's next life, as after a crash.
+func (m *Manager) handOver(ctx context.Context) {
+	keyed := m.keyed.Load()
+	if keyed == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	if err := keyed.Stop(ctx); err != nil {
+		m.options.Log.Warn().Err(err).Msg("calls: shards were not handed over")
+	}
 }
 
 // Handle serves KIND_CALL: it receives a CallRequest and sends a CallReply.
--- a/internal/app/path_test.go
+++ b/internal/app/path_test.go
@@ -174,3 +174,20 @@
 		stop(t, app)
 	}
 }
+
+// TestServiceAgentStopsWhileTheStoreIsDown checks that shards that cannot be
+// handed over do not hold up a stop, and are taken up by the next life.
+func TestServiceAgentStopsWhileTheStoreIsDown(t *testing.T) {
+	f := newTestFleet(t, tlsconf.Files{})
+	routerApp, router := f.router("router-1", f.seed)
+	agent, _ := f.service("billing-1")
+	f.publish(router)
+	response := f.post(router, "/charges", `{"id":"berth-1","account":"v","amount":5}`, http.Header{"Idempotency-Key": {"k-1"}})
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		t.Fatalf("got %s", response.Status)
+	}
+	f.storeDown(true)
+	stop(t, agent)
+	stop(t, routerApp)
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -124,12 +124,17 @@
 step "status"
 bin/greengagectl status -server "$operators" || fail "status"
 
-step "stopping all, newest first"
-for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
-  kill -TERM "${pids[i]}"
-done
-for i in "${!pids[@]}"; do
-  wait "${pids[i]}" || fail "${names[i]} did not stop gracefully"
-done
-pids=()
+# Stops the processes from the last one down to a position in the order of their start.
+stop_down_to() { # position
+  local i
+  for ((i = ${#pids[@]} - 1; i >= $1; i--)); do kill -TERM "${pids[i]}"; done
+  for ((i = ${#pids[@]} - 1; i >= $1; i--)); do
+    wait "${pids[i]}" || fail "${names[i]} did not stop gracefully"
+  done
+  pids=("${pids[@]:0:$1}")
+}
+
+step "stopping routers and agents, then the stand-ins"
+stop_down_to 1
+stop_down_to 0
 echo "all processes stopped gracefully"
