Ask the KV store only about parts that are shared; let operators set the home blocks

Cause: each probe asked the engine about the KV store although only the prompt's own part was missing; the depth of homes was fixed though it depends on prompts. Change: with 8 or more blocks cached, the store is asked only when the next block was asked for before; the router's setting home_blocks.

--- a/internal/agent/transfer/transfer.go
+++ b/internal/agent/transfer/transfer.go
@@ -20,8 +20,11 @@
 	// minImportBlocks is the least number of blocks that is worth a copy.
 	minImportBlocks = 1
 	storedTimeout   = 8 * time.Millisecond
-	importTimeout   = 3 * time.Second
-	exportTimeout   = 5 * time.Second
+	// sharedBlocks is the length from which a cached prefix is taken for the part
+	// of a prompt that others share.
+	sharedBlocks  = 8
+	importTimeout = 3 * time.Second
+	exportTimeout = 5 * time.Second
 	// maxExportWait is the wait for the store above which nothing is exported.
 	maxExportWait = 60 * time.Millisecond
 	exportQueue   = 8
@@ -82,7 +85,7 @@
 // when it does not answer at once, and the speed at which those after the
 // cached ones would come, in tokens a second.
 func (m *Manager) Importable(ctx context.Context, salt uint64, hashes []uint64, cached int) (blocks int, rate float64) {
-	if len(hashes)-cached < minImportBlocks {
+	if len(hashes)-cached < minImportBlocks || m.ownPart(hashes, cached) {
 		return 0, 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, storedTimeout)
@@ -96,6 +99,17 @@
 	return blocks, m.speed.rateFor(float64(int64(blocks-cached)*m.options.BlockTokens()), time.Now())
 }
 
+// ownPart reports whether what is missing is a prompt's own part, which no store
+// holds: the shared part is cached and nobody asked for the next block before.
+func (m *Manager) ownPart(hashes []uint64, cached int) bool {
+	if cached < sharedBlocks {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.wants.fresh(hashes[cached], time.Now())
+}
+
 // Import copies the stored blocks of hashes into the engine's cache and returns
 // how many leading ones it then holds. It blocks for the copy; cached is the
 // number of blocks that need none.
--- a/internal/agent/transfer/transfer_test.go
+++ b/internal/agent/transfer/transfer_test.go
@@ -117,3 +117,22 @@
 		}
 	})
 }
+
+func TestOwnPartOfAPromptIsNotLookedUp(t *testing.T) {
+	hashes := make([]uint64, sharedBlocks+1)
+	for i := range hashes {
+		hashes[i] = uint64(i + 1)
+	}
+	m := newManager(&store{held: hashes})
+	m.Wanted(hashes)
+	if blocks, _ := m.Importable(t.Context(), 1, hashes, sharedBlocks); blocks != 0 {
+		t.Fatal("a block that nobody asked for before was looked up")
+	}
+	if blocks, _ := m.Importable(t.Context(), 1, hashes, sharedBlocks-1); blocks != len(hashes) {
+		t.Fatalf("%d blocks offered for a part that is shared", blocks)
+	}
+	m.Wanted(hashes)
+	if blocks, _ := m.Importable(t.Context(), 1, hashes, sharedBlocks); blocks != len(hashes) {
+		t.Fatalf("%d blocks offered for a prompt sent again", blocks)
+	}
+}
--- a/internal/agent/transfer/wants.go
+++ b/internal/agent/transfer/wants.go
@@ -47,14 +47,19 @@
 // again returns how many leading blocks were asked for at least twice within wantWindow.
 func (w *wants) again(hashes []uint64, now time.Time) int {
 	for i, hash := range hashes {
-		slot := &w.wanted[hash%wantSlots]
-		if slot.hash != hash || slot.before.IsZero() || now.Sub(slot.before) > wantWindow {
+		if w.fresh(hash, now) {
 			return i
 		}
 	}
 	return len(hashes)
 }
 
+// fresh reports whether a block was asked for no more than once within wantWindow.
+func (w *wants) fresh(hash uint64, now time.Time) bool {
+	slot := &w.wanted[hash%wantSlots]
+	return slot.hash != hash || slot.before.IsZero() || now.Sub(slot.before) > wantWindow
+}
+
 // exported reports whether all blocks are known to be in the store.
 func (w *wants) exported(hashes []uint64, now time.Time) bool {
 	for _, hash := range hashes {
--- a/internal/app/router.go
+++ b/internal/app/router.go
@@ -55,12 +55,13 @@
 
 func newPicker(s *RouterSettings, n *node.Node, view membership.View) (picker.Picker, error) {
 	return picker.New(picker.Options{
-		Policy:    s.Placement.Policy,
-		Import:    s.Placement.Import,
-		Pool:      n.Pool,
-		Zone:      s.Identity.Zone,
-		ZoneDelay: s.Placement.ZoneDelay,
-		View:      view,
+		Policy:     s.Placement.Policy,
+		Import:     s.Placement.Import,
+		HomeBlocks: s.Placement.HomeBlocks,
+		Pool:       n.Pool,
+		Zone:       s.Identity.Zone,
+		ZoneDelay:  s.Placement.ZoneDelay,
+		View:       view,
 	})
 }
 
--- a/internal/app/settings.go
+++ b/internal/app/settings.go
@@ -11,6 +11,7 @@
 	"github.com/greengagegate/greengagegate/internal/router"
 	"github.com/greengagegate/greengagegate/internal/settings"
 	"github.com/greengagegate/greengagegate/internal/tlsconf"
+	"github.com/greengagegate/greengagegate/placement/prefix"
 )
 
 // Store holds the settings of the platform's store.
@@ -114,12 +115,18 @@
 	Policy string `ini:"policy"`
 	// Import allows copying cache blocks from the KV store.
 	Import bool `ini:"import"`
+	// HomeBlocks is the number of leading blocks by which a prompt's usual upstreams
+	// are chosen.
+	HomeBlocks int `ini:"home_blocks"`
 	// ZoneDelay is the round trip to another zone.
 	ZoneDelay time.Duration `ini:"zone_delay"`
 }
 
 // Validate implements settings.Validator.
 func (p *Placement) Validate() (string, error) {
+	if p.HomeBlocks < 1 {
+		return "home_blocks", errors.New("must be at least 1")
+	}
 	_, err := picker.New(picker.Options{Policy: p.Policy})
 	return "policy", err
 }
@@ -148,7 +155,7 @@
 	return &RouterSettings{
 		Common:    Common{Stop: defaultStop()},
 		Limits:    router.DefaultLimits(),
-		Placement: Placement{Policy: picker.PolicyPrefix, Import: true, ZoneDelay: time.Millisecond},
+		Placement: Placement{Policy: picker.PolicyPrefix, Import: true, HomeBlocks: prefix.DefaultOptions().Depth, ZoneDelay: time.Millisecond},
 	}
 }
 
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -76,7 +76,10 @@
 	Policy string
 	// Import allows copying blocks from the KV store.
 	Import bool
-	Pool   *wire.Pool
+	// HomeBlocks is the number of leading blocks by which a prompt's usual upstreams
+	// are chosen; 0 takes the default.
+	HomeBlocks int
+	Pool       *wire.Pool
 	// Zone is the router's own.
 	Zone string
 	// ZoneDelay is the round trip to another zone.
@@ -114,19 +117,22 @@
 }
 
 func newPolicy(options Options) (placement.Policy, error) {
-	costs := prefix.DefaultOptions()
-	costs.Costs.Import = options.Import
+	tuned := prefix.DefaultOptions()
+	tuned.Costs.Import = options.Import
+	if options.HomeBlocks > 0 {
+		tuned.Depth = options.HomeBlocks
+	}
 	switch options.Policy {
 	case PolicyRandom:
 		return random.New(), nil
 	case PolicyLeastLoaded:
 		return leastloaded.New(), nil
 	case PolicyHash:
-		return hash.New(hash.DefaultDepth), nil
+		return hash.New(tuned.Depth), nil
 	case PolicyProbeAll:
-		return probeall.New(costs.Costs), nil
+		return probeall.New(tuned.Costs), nil
 	case PolicyPrefix:
-		return prefix.New(costs), nil
+		return prefix.New(tuned), nil
 	default:
 		return nil, fault.New(fmt.Sprintf("unknown policy %q", options.Policy), "set up placement", "")
 	}
