--- a/once/random_test.go
+++ b/once/random_test.go
@@ -322,7 +322,7 @@
 	return counts
 }
 
-func TestRandomFaults(t *testing.T) {
+func TestRandomised(t *testing.T) {
 	soak, _ := time.ParseDuration(os.Getenv(soakEnv))
 	began := time.Now()
 	for i := 0; i < randomRuns || time.Since(began) < soak; i++ {
