--- a/once/edge_test.go
+++ b/once/edge_test.go
@@ -78,3 +78,43 @@
 		synctest.Wait()
 	})
 }
+
+// TestStaleOwnerDoesNotVouchForAKey: a paused owner has not seen yet that its
+// shard has moved and that the successor has run the key.
+func TestStaleOwnerDoesNotVouchForAKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1)
+		g := newGate()
+		order := rank([]Peer{{Process: "a1"}, {Process: "a2"}}, testPool, 0)
+		old := f.startOn(order[0].Process, &pausable{f.store, g})
+		f.settle()
+		f.start(order[1].Process)
+		time.Sleep(2 * time.Second)
+		reopen := g.shut()
+		f.mu.Lock()
+		delete(f.managers, order[0].Process)
+		f.mu.Unlock()
+		f.listHosts()
+		time.Sleep(testDrop + 2*maxLookInterval + testHorizon)
+		request := charge("k")
+		mustRun(t, f, request)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := old.Do(ctx, request, func() Outcome { return f.execute(request) })
+		if told(Result{}, err).state != StateUnknown {
+			t.Fatalf("the old owner: %v", err)
+		}
+		other := request
+		other.Digest = Sum([]byte("pay 6"))
+		go func() { _, _ = old.Do(ctx, other, func() Outcome { return f.execute(other) }) }()
+		synctest.Wait()
+		_, err = old.Do(ctx, request, func() Outcome { return f.execute(request) })
+		if told(Result{}, err).state != StateUnknown {
+			t.Fatalf("the old owner on a conflict: %v", err)
+		}
+		reopen()
+		old.Halt()
+		f.stopAll()
+		synctest.Wait()
+	})
+}
--- a/once/once.go
+++ b/once/once.go
@@ -163,7 +163,7 @@
 	ReasonLost:        {"the outcome of the first call with the key was lost", StateUnknown},
 	ReasonAnswerLost:  {"the call with the key ran, its answer was not kept", StateRan},
 	ReasonInDoubt:     {"a former owner of the key's shard may have run the call", StateUnknown},
-	ReasonFull:        {"the key's shard remembers as many keys as it may", StateNotRun},
+	ReasonFull:        {"the key's shard remembers as many keys as it may", StateUnknown},
 	ReasonNotRun:      {"the call was given up before it was sent", StateNotRun},
 }
 
@@ -174,6 +174,9 @@
 	Owner Peer
 	// RetryAfter is how long to wait before asking again; 0 when waiting does not help.
 	RetryAfter time.Duration
+	// Unproved says that the owner could not prove that it still owns the shard, so
+	// that another may have run the operation.
+	Unproved bool
 	// Cause is the execution's own report, with ReasonNotRun and ReasonLost.
 	Cause []byte
 }
@@ -188,4 +191,9 @@
 }
 
 // State says what is known of the operation.
-func (e *Error) State() State { return reasons[e.Reason].state }
+func (e *Error) State() State {
+	if e.Unproved {
+		return StateUnknown
+	}
+	return reasons[e.Reason].state
+}
--- a/once/shard.go
+++ b/once/shard.go
@@ -62,8 +62,11 @@
 		return Result{}, errNotServing
 	}
 	if found := s.entries[id]; found != nil {
-		done := found.done
+		done, proved := found.done, found.journaled
 		s.mu.Unlock()
+		if found.digest != request.Digest {
+			return Result{}, &Error{Reason: ReasonConflict, Unproved: !proved}
+		}
 		return s.repeat(ctx, found, done, request, run)
 	}
 	if err := s.admit(); err != nil {
@@ -124,8 +127,9 @@
 		return errNotServing
 	}
 	if !claimed.isGranted() {
+		// The journal has not shown yet that no successor has run the key.
 		s.release(claimed, nil)
-		return &Error{Reason: ReasonNotRun, RetryAfter: retryNotRun}
+		return &Error{Reason: ReasonNotRun, RetryAfter: retryNotRun, Unproved: true}
 	}
 	invariant.Check(claimed.phase == phaseClaimed, "once.single_execution", "key %x begins in phase %d", claimed.id, claimed.phase)
 	invariant.Check(claimed.journaled || claimed.unjournaled, "once.claim_before_run", "key %x", claimed.id)
@@ -220,9 +224,6 @@
 // repeat answers a request whose key is known.
 // done is the entry's channel, nil when its first request has ended.
 func (s *shard) repeat(ctx context.Context, found *entry, done <-chan struct{}, request Request, run func() Outcome) (Result, error) {
-	if found.digest != request.Digest {
-		return Result{}, &Error{Reason: ReasonConflict}
-	}
 	if done != nil {
 		select {
 		case <-done:
