Close idle sessions to peers and dial apart from the callers

Cause: a pool kept a session to each peer it ever used. Dialing ran under the first caller's context while it held the peer's lock: when that caller left, the peer counted as unreachable for all others, and a peer that accepts connections but does not answer held every caller for 5 s, whatever their deadline. Change: a session counts its uses under the peer's lock and is closed after two minutes without any; Open reserves its use before the stream is opened, so that closing can't cut it. An attempt to dial has its own time and is shared; each caller waits for it as long as its own context lasts.

--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	dialTimeout    = 2 * time.Second
-	redialInterval = 500 * time.Millisecond
+	dialTimeout        = 2 * time.Second
+	redialInterval     = 500 * time.Millisecond
+	defaultIdleTimeout = 2 * time.Minute
 )
 
 // Dialer opens connections to peers.
@@ -29,27 +30,28 @@
 	}
 }
 
-// Pool keeps one session a peer and opens streams on it.
+// Pool keeps one session a peer and opens streams on it. A session without
+// streams is closed after a while.
 type Pool struct {
 	own  *wirepb.Hello
 	dial Dialer
+	// ctx ends when the pool is closed.
+	ctx    context.Context
+	cancel context.CancelFunc
+	// idleTimeout is how long a session without streams is kept.
+	idleTimeout time.Duration
 
 	mu    sync.Mutex
 	peers map[string]*peer
 }
 
-// peer holds the session to one address. Its mutex is held while dialing, so
-// that concurrent callers share one attempt.
-type peer struct {
-	mu       sync.Mutex
-	session  *session
-	failedAt time.Time
-	failure  error
-}
-
 // NewPool returns a pool that introduces itself with own.
 func NewPool(own *wirepb.Hello, dial Dialer) *Pool {
-	return &Pool{own: own, dial: dial, peers: make(map[string]*peer)}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Pool{
+		own: own, dial: dial, ctx: ctx, cancel: cancel,
+		idleTimeout: defaultIdleTimeout, peers: make(map[string]*peer),
+	}
 }
 
 // Open starts a stream of a kind to the peer at address. It dials when there is
@@ -57,20 +59,20 @@
 // Nothing has reached a handler when Open returns an error.
 func (p *Pool) Open(ctx context.Context, address string, kind wirepb.Kind, requestID string) (*Stream, error) {
 	peer := p.peer(address)
-	session, err := peer.connect(ctx, p, address)
+	session, err := peer.acquire(ctx, p)
 	if err != nil {
 		return nil, err
 	}
-	stream, err := session.open(ctx, kind, requestID)
+	stream, err := peer.open(ctx, session, kind, requestID)
 	if err == nil {
 		return stream, nil
 	}
 	peer.drop(session)
-	session, err = peer.connect(ctx, p, address)
+	session, err = peer.acquire(ctx, p)
 	if err != nil {
 		return nil, err
 	}
-	return session.open(ctx, kind, requestID)
+	return peer.open(ctx, session, kind, requestID)
 }
 
 // Hello returns the Hello of the peer at address, or nil without a session.
@@ -86,15 +88,11 @@
 
 // Close ends every session.
 func (p *Pool) Close() {
+	p.cancel()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, peer := range p.peers {
-		peer.mu.Lock()
-		if peer.session != nil {
-			_ = peer.session.mux.Close()
-			peer.session = nil
-		}
-		peer.mu.Unlock()
+		peer.close()
 	}
 }
 
@@ -103,48 +101,21 @@
 	defer p.mu.Unlock()
 	found, ok := p.peers[address]
 	if !ok {
-		found = new(peer)
+		found = &peer{address: address, idleTimeout: p.idleTimeout}
 		p.peers[address] = found
 	}
 	return found
 }
 
-func (c *peer) connect(ctx context.Context, p *Pool, address string) (*session, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.session != nil && !c.session.mux.IsClosed() {
-		return c.session, nil
-	}
-	if c.failure != nil && time.Since(c.failedAt) < redialInterval {
-		return nil, c.failure
-	}
-	c.session = nil
+// connect opens a session, in bounded time.
+func (p *Pool) connect(address string) (*session, error) {
+	ctx, cancel := context.WithTimeout(p.ctx, dialTimeout)
+	defer cancel()
 	conn, err := p.dial(ctx, address)
 	if err != nil {
-		c.fail(fault.Wrap(err, "dial", address))
-		return nil, c.failure
-	}
-	session, err := newSession(conn, cloneHello(p.own), address)
-	if err != nil {
-		c.fail(err)
-		return nil, err
-	}
-	c.failure = nil
-	c.session = session
-	return session, nil
-}
-
-func (c *peer) fail(err error) {
-	c.failure = err
-	c.failedAt = time.Now()
-}
-
-// drop forgets a session that takes no new streams. Streams in flight on it go
-// on until the peer ends them.
-func (c *peer) drop(s *session) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.session == s {
-		c.session = nil
+		return nil, fault.Wrap(err, "dial", address)
 	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	return newSession(conn, cloneHello(p.own), address)
 }
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -70,6 +70,17 @@
 	mux   *yamux.Session
 	peer  string
 	hello *wirepb.Hello
+
+	// uses counts the streams that are open or being opened. It and idle, the
+	// timer that ends the session without any, are guarded by the peer's mutex.
+	uses int
+	idle *time.Timer
+}
+
+// use notes one more stream.
+func (s *session) use() {
+	s.uses++
+	s.idle.Stop()
 }
 
 func newSession(conn net.Conn, own *wirepb.Hello, peer string) (*session, error) {
--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -18,6 +18,8 @@
 	reader *bufio.Reader
 	peer   string
 	stop   func() bool
+	// onClose tells the pool, on the dialing side.
+	onClose func()
 }
 
 // newStream binds a stream to ctx: when ctx ends, pending reads and writes fail.
@@ -47,7 +49,11 @@
 // Close ends the stream in both directions. The peer's pending Send fails once it notices.
 func (s *Stream) Close() error {
 	s.stop()
-	return s.conn.Close()
+	err := s.conn.Close()
+	if s.onClose != nil {
+		s.onClose()
+	}
+	return err
 }
 
 // openStream sends the Open frame of a new stream.
