--- a/internal/app/common.go
+++ b/internal/app/common.go
@@ -14,7 +14,9 @@
 	"github.com/greengagegate/greengagegate/internal/invariant"
 	"github.com/greengagegate/greengagegate/internal/node"
 	"github.com/greengagegate/greengagegate/internal/object"
+	"github.com/greengagegate/greengagegate/internal/status"
 	"github.com/greengagegate/greengagegate/internal/tlsconf"
+	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 	"github.com/greengagegate/greengagegate/membership"
 	"github.com/greengagegate/greengagegate/store"
 	"github.com/greengagegate/greengagegate/store/httpstore"
@@ -37,7 +39,7 @@
 			func(m *configsync.Manager) object.Source { return m },
 			func() *admin.Readiness { return new(admin.Readiness) },
 		),
-		fx.Invoke(func(log zerolog.Logger) { invariant.SetLogger(log) }, startAdmin, reportRevision),
+		fx.Invoke(func(log zerolog.Logger) { invariant.SetLogger(log) }, startAdmin, reportRevision, serveStatus),
 	)
 }
 
@@ -129,6 +131,11 @@
 	return tlsconf.NewReloader(files)
 }
 
+// serveStatus answers other processes that ask for this one's status.
+func serveStatus(n *node.Node, source object.Source, view membership.View) {
+	n.Server.Handle(wirepb.Kind_KIND_STATUS, status.Handler(source, view))
+}
+
 // reportRevision passes the configuration's revision to membership.
 func reportRevision(lifecycle fx.Lifecycle, source object.Source, members *membership.Manager) {
 	appendBackground(lifecycle, func(ctx context.Context) { reportRevisions(ctx, source, members) })
--- a/internal/app/router.go
+++ b/internal/app/router.go
@@ -16,6 +16,7 @@
 	"github.com/greengagegate/greengagegate/internal/publish"
 	"github.com/greengagegate/greengagegate/internal/quarantine"
 	"github.com/greengagegate/greengagegate/internal/router"
+	"github.com/greengagegate/greengagegate/internal/status"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 	"github.com/greengagegate/greengagegate/membership"
 	"github.com/greengagegate/greengagegate/store"
@@ -94,7 +95,7 @@
 }
 
 // serveOperators serves the operators' API on its own listener.
-func serveOperators(lifecycle fx.Lifecycle, s *RouterSettings, sync *configsync.Manager, view membership.View, log zerolog.Logger) error {
+func serveOperators(lifecycle fx.Lifecycle, s *RouterSettings, n *node.Node, sync *configsync.Manager, view membership.View, log zerolog.Logger) error {
 	security, err := reloader(s.OperatorsTLS)
 	if err != nil {
 		return err
@@ -102,7 +103,7 @@
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
 	engine.Use(gin.Recovery())
-	publish.NewHandler(publish.NewPublisher(sync), sync, view).Register(engine)
+	publish.NewHandler(publish.NewPublisher(sync), sync, view, status.NewClient(n.Pool)).Register(engine)
 	server := &http.Server{Handler: engine, ReadHeaderTimeout: 5 * time.Second}
 	serveHTTP(lifecycle, server, s.Operators.Listen, security, log)
 	return nil
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -14,6 +14,7 @@
 	"github.com/gin-gonic/gin"
 	"github.com/greengagegate/greengagegate/internal/configsync"
 	"github.com/greengagegate/greengagegate/internal/publish"
+	"github.com/greengagegate/greengagegate/internal/status"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 	"github.com/greengagegate/greengagegate/membership"
 	"github.com/greengagegate/greengagegate/store/memstore"
@@ -36,6 +37,10 @@
 	return nil, errors.New("no peers")
 }
 
+func (alone) Ask(context.Context, []string) map[string]status.Answer {
+	return map[string]status.Answer{"": {Process: "router-a", Revision: 7}}
+}
+
 // serve starts an operators' API without agents and returns its URL.
 func serve(t *testing.T) (string, *memstore.Store) {
 	t.Helper()
@@ -43,7 +48,7 @@
 	manager := configsync.New(configsync.Options{Store: backing, Transport: alone{}, View: alone{}, Log: zerolog.Nop(), Seed: 1})
 	gin.SetMode(gin.TestMode)
 	router := gin.New()
-	publish.NewHandler(publish.NewPublisher(manager), manager, alone{}).Register(router)
+	publish.NewHandler(publish.NewPublisher(manager), manager, alone{}, alone{}).Register(router)
 	server := httptest.NewServer(router)
 	t.Cleanup(server.Close)
 	t.Cleanup(func() { _ = manager.Stop(context.Background()) })
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -78,9 +78,10 @@
 	fmt.Fprintf(c.stdout, "%s: revision %d, fresh %t, evidence %d ms old\n",
 		answer.Process, answer.Revision, answer.Fresh, answer.EvidenceAgeMs)
 	table := tabwriter.NewWriter(c.stdout, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(table, "PROCESS\tROLE\tZONE\tADDRESS\tSTATE\tREVISION")
+	fmt.Fprintln(table, "PROCESS\tROLE\tZONE\tADDRESS\tSTATE\tREVISION\tDRAINING\tANSWERED")
 	for _, p := range answer.Processes {
-		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%d\n", p.Process, p.Role, p.Zone, p.Address, p.State, p.Revision)
+		fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%d\t%t\t%t\n",
+			p.Process, p.Role, p.Zone, p.Address, p.State, p.Revision, p.Draining, p.Answered)
 	}
 	_ = table.Flush()
 	return ExitOK
--- a/internal/publish/handler.go
+++ b/internal/publish/handler.go
@@ -7,6 +7,7 @@
 	"github.com/gin-gonic/gin"
 	"github.com/greengagegate/greengagegate/internal/configsync"
 	"github.com/greengagegate/greengagegate/internal/object"
+	"github.com/greengagegate/greengagegate/internal/status"
 	"github.com/greengagegate/greengagegate/membership"
 )
 
@@ -18,11 +19,12 @@
 	publisher *Publisher
 	manager   *configsync.Manager
 	view      membership.View
+	processes status.Asker
 }
 
 // NewHandler returns the handler of a process's operators' API.
-func NewHandler(publisher *Publisher, manager *configsync.Manager, view membership.View) *Handler {
-	return &Handler{publisher: publisher, manager: manager, view: view}
+func NewHandler(publisher *Publisher, manager *configsync.Manager, view membership.View, processes status.Asker) *Handler {
+	return &Handler{publisher: publisher, manager: manager, view: view, processes: processes}
 }
 
 // Register mounts the API below /operator/v1.
@@ -98,12 +100,27 @@
 		EvidenceAgeMs: min(h.manager.EvidenceAge(), time.Hour).Milliseconds(),
 		Processes:     []ProcessStatus{},
 	}
-	for _, member := range h.view.Members() {
-		answer.Processes = append(answer.Processes, processStatus(member))
+	members := h.view.Members()
+	answers := h.processes.Ask(c.Request.Context(), addressesOf(members))
+	for _, member := range members {
+		status := processStatus(member)
+		if own, ok := answers[member.Address]; ok && own.Process == member.Process {
+			status.Answered, status.Revision, status.Draining = true, own.Revision, own.Draining
+		}
+		answer.Processes = append(answer.Processes, status)
 	}
 	c.JSON(http.StatusOK, answer)
 }
 
+func addressesOf(members []membership.Member) []string {
+	addresses := make([]string, 0, len(members))
+	for _, member := range members {
+		addresses = append(addresses, member.Address)
+	}
+	return addresses
+}
+
+// processStatus returns what membership knows of a process.
 func processStatus(member membership.Member) ProcessStatus {
 	states := map[membership.State]string{
 		membership.StateAlive:   "alive",
--- a/internal/publish/types.go
+++ b/internal/publish/types.go
@@ -115,17 +115,21 @@
 	Publications []Publication `json:"publications"`
 }
 
-// ProcessStatus is what one process is known to run by.
+// ProcessStatus is the state of one process.
 type ProcessStatus struct {
-	Process  string `json:"process"`
-	Role     string `json:"role"`
-	Zone     string `json:"zone"`
-	Address  string `json:"address"`
-	State    string `json:"state"`
+	Process string `json:"process"`
+	Role    string `json:"role"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"`
+	State   string `json:"state"`
+	// Answered says that the process itself told Revision and Draining just now.
+	// Otherwise Revision is the one that it last reported to others.
+	Answered bool   `json:"answered"`
 	Revision uint64 `json:"revision"`
+	Draining bool   `json:"draining"`
 }
 
-// Status answers a request for the state of the fleet, as this process knows it.
+// Status answers a request for the state of the fleet.
 type Status struct {
 	Process  string `json:"process"`
 	Revision uint64 `json:"revision"`
