Assert whole streams and convicted poison by a randomised run

Engines crash, runs break off and agents die under twelve callers and two requests that crash engines.

--- a/internal/dispatch/prompts_test.go
+++ b/internal/dispatch/prompts_test.go
@@ -128,6 +128,7 @@
 type pond struct {
 	t       *testing.T
 	engines []*fakeEngine
+	agents  []*proxy
 	targets []picker.Candidate
 	routers []*Prompter
 	known   []*quarantine.Manager
@@ -167,7 +168,11 @@
 		r := runner.New(runner.Options{
 			Driver: e, Queue: fairqueue.New(fairqueue.DefaultOptions(32)), Index: index, Name: name, Log: zerolog.Nop(),
 		})
-		address := serve(t, func(s *wire.Server) { s.Handle(wirepb.Kind_KIND_RUN, r.Handle) })
+		agent := &proxy{address: "127.0.0.1:0", handle: r.Handle}
+		agent.start(t)
+		t.Cleanup(agent.cut)
+		address := agent.address
+		p.agents = append(p.agents, agent)
 		p.engines = append(p.engines, e)
 		p.targets = append(p.targets, picker.Candidate{Upstream: &object.Upstream{Name: name, Address: address}})
 	}
