--- a/internal/dispatch/failures_test.go
+++ b/internal/dispatch/failures_test.go
@@ -362,6 +362,9 @@
 			w.mu.Unlock()
 			again := w.call(t.Context(), w.router(), key)
 			w.check(key, append(replies, again))
+			if name == "upstream" && at == beforeSending && replies[0].reply.Refusal != nil {
+				t.Errorf("a call that was not sent was not tried again: %v", replies[0].reply.Refusal)
+			}
 			if name == "router" && again.reply.Refusal != nil {
 				t.Errorf("%s: a repeat after the router's crash got %s", key, again.reply.Refusal.Code)
 			}
--- a/internal/dispatch/keyed.go
+++ b/internal/dispatch/keyed.go
@@ -44,10 +44,13 @@
 			continue
 		}
 		reply = next
-		if !unarbitrated(reply) {
+		if !unarbitrated(reply) && !freed(reply) {
 			return reply
 		}
 	}
+	if freed(reply) {
+		return reply
+	}
 	reply.Refusal.Run = wirepb.RunState_RUN_UNKNOWN
 	if reply.Refusal.RetryAfterMs == 0 {
 		refusal.After(reply.Refusal, time.Second)
@@ -114,6 +117,20 @@
 	}
 }
 
+// freed reports whether the arbiter says that the call was not sent because its
+// service can't take it now. The key is free again.
+func freed(reply *wirepb.CallReply) bool {
+	if reply.Refusal == nil || reply.Refusal.Run != wirepb.RunState_RUN_NOT_RUN {
+		return false
+	}
+	switch refusal.Code(reply.Refusal.Code) {
+	case refusal.UpstreamUnreachable, refusal.CircuitOpen, refusal.QueueFull:
+		return true
+	default:
+		return false
+	}
+}
+
 // arbiter returns the agent to ask first: the one that answered last, else any.
 func (c *Caller) arbiter(set *object.Set, route *object.Route, name shardName) string {
 	c.mu.Lock()
