Order an unload once while load reports lag

Cause: the engine's reports are a second late, so an unload was ordered again every 250 ms until one showed it. Change: an unload is ordered again only after 5 s or a restart of the engine. Conclusion: found while reading; the test now checks twice.

--- a/internal/agent/rollout/rollout.go
+++ b/internal/agent/rollout/rollout.go
@@ -28,6 +28,8 @@
 	loadAlone = 10 * time.Second
 	// loadRetry is when an accepted load that never showed up is ordered again.
 	loadRetry = 30 * time.Second
+	// unloadRetry is the same for an unload.
+	unloadRetry = 5 * time.Second
 )
 
 var (
@@ -55,12 +57,13 @@
 
 	// The rest belongs to the goroutine of Run.
 	coordinator string
-	load        load
+	load        change
+	unload      change
 	waitedSince time.Time
 }
 
-// load is the load in progress.
-type load struct {
+// change is a load or unload that was ordered.
+type change struct {
 	weights     string
 	incarnation uint64
 	since       time.Time
@@ -146,7 +149,7 @@
 	if loaded {
 		m.options.Log.Info().Str("weights", m.load.weights).Dur("took", time.Since(m.load.since)).Msg("rollout: weights loaded")
 	}
-	m.load = load{}
+	m.load = change{}
 	m.giveBack(ctx)
 }
 
@@ -169,7 +172,7 @@
 	}
 	loadsOrdered.Inc(1)
 	m.waitedSince = time.Time{}
-	m.load = load{weights: version.Weights, incarnation: status.Incarnation, since: time.Now()}
+	m.load = change{weights: version.Weights, incarnation: status.Incarnation, since: time.Now()}
 }
 
 // unloadUnwanted drops weights that no version of the pool names any more.
@@ -178,7 +181,7 @@
 		return
 	}
 	for _, weights := range status.Weights {
-		if slices.Contains(wanted, weights) {
+		if slices.Contains(wanted, weights) || m.unload.pending(weights, status.Incarnation, unloadRetry) {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -189,5 +192,11 @@
 			continue
 		}
 		unloadsOrdered.Inc(1)
+		m.unload = change{weights: weights, incarnation: status.Incarnation, since: time.Now()}
 	}
 }
+
+// pending reports whether the change was ordered from this engine process not long ago.
+func (c change) pending(weights string, incarnation uint64, within time.Duration) bool {
+	return c.weights == weights && c.incarnation == incarnation && time.Since(c.since) < within
+}
--- a/internal/agent/rollout/rollout_test.go
+++ b/internal/agent/rollout/rollout_test.go
@@ -80,6 +80,7 @@
 	}
 	s.publish(3, "v2")
 	m.check(t.Context())
+	m.check(t.Context())
 	if len(e.orders) != 2 || e.orders[1].Kind != engine.OrderUnload || e.orders[1].Weights != "v1" {
 		t.Fatalf("orders %v, want v1 unloaded", e.orders)
 	}
