--- a/internal/router/parse.go
+++ b/internal/router/parse.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -173,7 +174,7 @@
 	}
 	control := http.NewResponseController(c.Writer)
 	_ = control.SetReadDeadline(time.Now().Add(limits.BodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, limits.MaxBodyBytes))
+	body, err := readAll(http.MaxBytesReader(c.Writer, c.Request.Body, limits.MaxBodyBytes), c.Request.ContentLength)
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -187,3 +188,13 @@
 		return nil, refuse(http.StatusBadRequest, "body_unreadable", step, "the body could not be read")
 	}
 }
+
+// readAll reads to the end into a buffer that is sized by the announced length, if any.
+func readAll(r io.Reader, announced int64) ([]byte, error) {
+	var buffer bytes.Buffer
+	if announced > 0 {
+		buffer.Grow(int(announced) + bytes.MinRead)
+	}
+	_, err := buffer.ReadFrom(r)
+	return buffer.Bytes(), err
+}
