--- a/internal/dispatch/screen.go
+++ b/internal/dispatch/screen.go
@@ -1,9 +1,6 @@
 package dispatch
 
 import (
-	"encoding/binary"
-
-	"github.com/cespare/xxhash/v2"
 	"github.com/greengagegate/greengagegate/internal/quarantine"
 	"github.com/greengagegate/greengagegate/internal/refusal"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
@@ -11,15 +8,7 @@
 
 // callDigest identifies a call's content over its caller's repeats.
 func callDigest(request *wirepb.CallRequest) uint64 {
-	digest := xxhash.New()
-	for _, part := range []string{"call", request.Customer, request.Method, request.Path} {
-		var length [8]byte
-		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
-		_, _ = digest.Write(length[:])
-		_, _ = digest.WriteString(part)
-	}
-	_, _ = digest.Write(request.Body)
-	return digest.Sum64()
+	return quarantine.Digest([]byte("call"), []byte(request.Customer), []byte(request.Method), []byte(request.Path), request.Body)
 }
 
 // screen refuses a call whose content crashed upstreams, and marks a suspect. A
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -91,3 +91,30 @@
 		_ = second.Stop(context.Background())
 	})
 }
+
+func TestDigestKeepsPartsApart(t *testing.T) {
+	seen := make(map[uint64]bool)
+	for _, parts := range [][][]byte{
+		{[]byte("ab"), []byte("c")},
+		{[]byte("a"), []byte("bc")},
+		{[]byte("abc")},
+		{[]byte("abc"), nil},
+	} {
+		digest := Digest(parts...)
+		if seen[digest] {
+			t.Fatalf("%q has the digest of other parts", parts)
+		}
+		seen[digest] = true
+		if Digest(parts...) != digest {
+			t.Fatal("the digest changes")
+		}
+	}
+}
+
+func BenchmarkDigest(b *testing.B) {
+	prompt := make([]byte, 64<<10)
+	b.SetBytes(int64(len(prompt)))
+	for b.Loop() {
+		Digest(prompt)
+	}
+}
--- a/internal/router/prompts.go
+++ b/internal/router/prompts.go
@@ -8,12 +8,12 @@
 	"sort"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/gin-gonic/gin"
 	"github.com/greengagegate/greengagegate/internal/dispatch"
 	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/object"
 	"github.com/greengagegate/greengagegate/internal/picker"
+	"github.com/greengagegate/greengagegate/internal/quarantine"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 	"github.com/greengagegate/greengagegate/placement"
 )
@@ -29,6 +29,8 @@
 	version  *object.ModelVersion
 	tokens   int64
 	hashes   []uint64
+	// contentDigest is kept by digest.
+	contentDigest uint64
 }
 
 func (s *Server) servePrompt(c *gin.Context, parse parser) {
@@ -282,11 +284,10 @@
 
 // digest identifies the prompt's content over its caller's repeats.
 func (p *prompt) digest() uint64 {
-	digest := xxhash.New()
-	_, _ = digest.WriteString(p.customerName())
-	_, _ = digest.WriteString("\x00" + p.request.Model + "\x00")
-	_, _ = digest.Write(p.request.Prompt)
-	return digest.Sum64()
+	if p.contentDigest == 0 {
+		p.contentDigest = quarantine.Digest([]byte("prompt"), []byte(p.customerName()), []byte(p.request.Model), p.request.Prompt)
+	}
+	return p.contentDigest
 }
 
 type modelEntry struct {
