Test the fleet's promises under failure on real applications

Cause: the whole path was tested for graceful stops and a single restart only. Not covered: an open route served by a cut-off router (its agents are peers, so they are cut off too), and a slow caller beside others.

--- a/internal/app/fleet_test.go
+++ b/internal/app/fleet_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/greengagegate/greengagegate/internal/engine"
+	"github.com/greengagegate/greengagegate/internal/engine/httpengine"
 	"github.com/greengagegate/greengagegate/internal/node"
 	"github.com/greengagegate/greengagegate/internal/object"
 	"github.com/greengagegate/greengagegate/internal/publish"
@@ -42,13 +44,23 @@
 	changes  []publish.Change
 	// addresses are the inner addresses of agents by the names of their upstreams.
 	addresses map[string]string
+	engines   map[string]*simulated
+	// nodes are the inner sides of routers and agents, by the names of
+	// processes and of agents' upstreams.
+	nodes map[string]*node.Node
+}
+
+// simulated is an engine stand-in with a driver of its own.
+type simulated struct {
+	*enginesim.Manager
+	engine.Driver
 }
 
 func newTestFleet(t *testing.T, tls tlsconf.Files) *testFleet {
 	manager := platform.New(platform.Options{})
 	server := httptest.NewServer(manager.Handler())
 	t.Cleanup(server.Close)
-	f := &testFleet{t: t, platform: manager, storeURL: server.URL, tls: tls, seed: freeAddress(t), addresses: make(map[string]string)}
+	f := &testFleet{t: t, platform: manager, storeURL: server.URL, tls: tls, seed: freeAddress(t), addresses: make(map[string]string), engines: make(map[string]*simulated), nodes: make(map[string]*node.Node)}
 	documents, mistakes := object.ReadFiles("../../examples/demo/config")
 	if len(mistakes) > 0 {
 		t.Fatal(mistakes)
@@ -83,8 +95,20 @@
 	}
 }
 
-func (f *testFleet) start(options fx.Option) *fx.App {
-	app := fx.New(fx.NopLogger, fx.StopTimeout(time.Minute), fx.Supply(zerolog.Nop()), options)
+// populate keeps the inner side of an application for faults.
+func (f *testFleet) populate(name string) fx.Option {
+	return fx.Invoke(func(n *node.Node) { f.nodes[name] = n })
+}
+
+// cutInner ends a process's inner listener and all its sessions at once.
+func (f *testFleet) cutInner(name string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = f.nodes[name].Stop(ctx)
+}
+
+func (f *testFleet) start(options ...fx.Option) *fx.App {
+	app := fx.New(fx.NopLogger, fx.StopTimeout(time.Minute), fx.Supply(zerolog.Nop()), fx.Options(options...))
 	if err := app.Start(f.t.Context()); err != nil {
 		f.t.Fatal(err)
 	}
@@ -98,7 +122,7 @@
 	s.Inner.Advertise = s.Inner.Listen
 	s.CallersListen.Listen = freeAddress(f.t)
 	s.Operators.Listen = freeAddress(f.t)
-	return f.start(Router(s)), s
+	return f.start(Router(s), f.populate(name)), s
 }
 
 // engine starts an engine stand-in with its agent and adds its Upstream object.
@@ -112,6 +136,7 @@
 		f.t.Fatal(err)
 	}
 	f.t.Cleanup(sim.Stop)
+	f.engines[name] = &simulated{Manager: sim, Driver: httpengine.New("http://" + address)}
 	return f.agent(name, "engine", "models", "http://"+address)
 }
 
@@ -139,12 +164,21 @@
 		f.t.Fatal(err)
 	}
 	f.changes = append(f.changes, publish.Change{Kind: object.KindUpstream, Name: name, Spec: spec})
-	return f.start(Agent(s))
+	return f.start(Agent(s), f.populate(name))
 }
 
 // publish commits the objects through a router and waits until it is ready.
 func (f *testFleet) publish(through *RouterSettings, routers ...*RouterSettings) {
-	body, err := json.Marshal(publish.Request{Author: "test", Changes: f.usableChanges()})
+	f.change(through, f.usableChanges()...)
+	for _, router := range append(routers, through) {
+		f.awaitReady(router)
+	}
+}
+
+// change publishes changes through a router.
+func (f *testFleet) change(through *RouterSettings, changes ...publish.Change) {
+	f.t.Helper()
+	body, err := json.Marshal(publish.Request{Author: "test", Changes: changes})
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -158,9 +192,6 @@
 		_ = json.NewDecoder(response.Body).Decode(&result)
 		f.t.Fatalf("publish: %d %+v", response.StatusCode, result)
 	}
-	for _, router := range append(routers, through) {
-		f.awaitReady(router)
-	}
 }
 
 // usableChanges leaves out the objects that refer to a pool without upstreams.
