Renew the witnesses of a shard when they restart, and end its doubt in the store

A shard without calls kept witnesses that had been restarted, so that the next crash of its owner left it in doubt for a horizon; and it stayed marked doubtful after the doubt was over. Heads are now written in both cases. An owner that sees no peers keeps the witnesses that it has.

--- a/once/commit.go
+++ b/once/commit.go
@@ -163,12 +163,9 @@
 		Sequence:  j.sequence,
 		Closed:    closed,
 		Doubtful:  now.Before(s.doubtUntil),
-		Witnesses: peersToWire(s.m.witnesses()),
+		Witnesses: peersToWire(j.nextWitnesses(s.m.witnesses())),
 		Entries:   append(append([]*wirepb.OnceEntry(nil), j.tail...), j.pending...),
 	}
-	if j.proposed != nil {
-		d.head.Witnesses = peersToWire(j.proposed)
-	}
 	for _, kept := range j.segments[len(d.expired):] {
 		d.head.Segments = append(d.head.Segments, kept.name)
 	}
--- a/once/journal.go
+++ b/once/journal.go
@@ -91,6 +91,20 @@
 	return j.unjournaled && !j.closeOpen && time.Since(j.failedAt) < failureFreshFor
 }
 
+// nextWitnesses returns the witnesses of the next write, given those alive. The
+// list stays while a write is open, and while nobody else is alive: an owner that
+// is cut off must not do without witnesses.
+func (j *journal) nextWitnesses(live []Peer) []Peer {
+	switch {
+	case j.proposed != nil:
+		return j.proposed
+	case len(live) == 0:
+		return j.witnesses
+	default:
+		return live
+	}
+}
+
 // tooLong reports whether the tail should become a segment.
 func (j *journal) tooLong() bool {
 	return len(j.tail) > 0 && j.tailBytes+j.pendingBytes > rollBytes
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -320,6 +320,24 @@
 	})
 }
 
+func TestRestartedWitnessIsReplaced(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		owner := f.owner(charge("k"))
+		for _, peer := range f.peers() {
+			if peer.Process != owner {
+				f.crash(peer.Process)
+				f.start(peer.Process)
+			}
+		}
+		time.Sleep(2 * maxLookInterval)
+		f.settle()
+		f.crash(owner)
+		f.start(owner)
+		f.settle()
+		mustRun(t, f, charge("k"))
+	})
+}
+
 func TestWitness(t *testing.T) {
 	w := newWitness()
 	steps := []struct {
--- a/once/ownership.go
+++ b/once/ownership.go
@@ -51,6 +51,7 @@
 	}
 	look := ownershipInterval
 	for {
+		m.refreshWitnesses()
 		missing := m.missing()
 		if len(missing) == 0 {
 			look = ownershipInterval
--- a/once/shard.go
+++ b/once/shard.go
@@ -249,6 +249,10 @@
 func (s *shard) sweep(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.doubtUntil.IsZero() && !now.Before(s.doubtUntil) {
+		s.doubtUntil = time.Time{}
+		s.journal.writeSoon()
+	}
 	n := 0
 	for n < len(s.expiries) && !now.Before(s.expiries[n].at) {
 		old := s.expiries[n]
--- a/once/unjournaled.go
+++ b/once/unjournaled.go
@@ -52,6 +52,22 @@
 	}
 }
 
+// refreshWitnesses has the heads written whose witnesses are not those alive
+// now. Otherwise a witness's restart would leave a shard in doubt without need.
+func (m *Manager) refreshWitnesses() {
+	live := m.witnesses()
+	m.mu.Lock()
+	shards := m.shards
+	m.mu.Unlock()
+	for _, s := range shards {
+		s.mu.Lock()
+		if s.owned && !slices.Equal(s.journal.witnesses, s.journal.nextWitnesses(live)) {
+			s.journal.writeSoon()
+		}
+		s.mu.Unlock()
+	}
+}
+
 // markAny tells all witnesses and reports whether one took the mark. An empty
 // list needs none: a successor that reads it takes the shard for doubtful.
 func (m *Manager) markAny(ctx context.Context, witnesses []Peer, mark Mark) bool {
