Keep agreement evidence through a change of revision

Cause: a new revision dropped the moment that a majority of the witnesses had agreed on. After an outage of more than stale_after no evidence from the store is young, so the first publication made every process stale at once: in the randomised run, revision 2 was applied at 14.8 s of store evidence age and 1 to 4 s of agreement age, and both routers that had heard nothing of the store ended all their keyed requests in that millisecond. They recovered when 12 of 23 witnesses had stated revision 2.

Change: the moment is kept. It says that the head was no newer than the former revision then, so it was no newer than the one now in force; it ages on and is not passed to peers. The statements are dropped as before.

--- a/internal/configsync/evidence.go
+++ b/internal/configsync/evidence.go
@@ -30,7 +30,8 @@
 	start time.Time
 	// store is the latest moment at which the store's head was no newer.
 	store atomic.Int64
-	// agreement is the latest moment since which a majority of witnesses has stated so.
+	// agreement is the latest moment since which a majority of witnesses has
+	// stated so, of the revision in force or of an earlier one.
 	agreement  atomic.Int64
 	staleAfter atomic.Int64
 
@@ -53,7 +54,8 @@
 func (e *evidence) now() time.Duration { return time.Since(e.start) }
 
 // reset forgets the witnesses' statements, which were about the former revision.
-// What the store has shown stays true of a later revision.
+// What the store has shown, and what a majority has agreed on, stays true of a
+// later revision: the head was no newer than the former one at that moment.
 func (e *evidence) reset(next *configuration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -65,7 +67,6 @@
 		e.witnesses[address] = i
 		e.stated[i] = never
 	}
-	e.agreement.Store(int64(never))
 	clear(e.pending)
 }
 
@@ -142,14 +143,16 @@
 	e.recount()
 }
 
-// recount finds the moment since which a majority of witnesses has made statements; e.mu is held.
+// recount finds the moment since which a majority of witnesses has made
+// statements, unless an earlier revision's is later; e.mu is held.
 func (e *evidence) recount() {
 	if len(e.stated) == 0 {
 		return
 	}
 	moments := append([]time.Duration(nil), e.stated...)
 	sort.Slice(moments, func(i, j int) bool { return moments[i] > moments[j] })
-	e.agreement.Store(int64(moments[majority(len(moments))-1]))
+	agreed := int64(moments[majority(len(moments))-1])
+	e.agreement.Store(max(e.agreement.Load(), agreed))
 }
 
 // old reports that evidence of both kinds is so old that it is worth asking more peers.
--- a/internal/configsync/evidence_test.go
+++ b/internal/configsync/evidence_test.go
@@ -136,3 +136,32 @@
 		}
 	})
 }
+
+// What a majority has stated of a revision holds for a later one, too: it ages on
+// as before, and the statements themselves are not passed on as ones about the later.
+func TestAgreementOutlivesItsRevision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, c := newTestEvidence(t)
+		time.Sleep(time.Hour)
+		e.merge(ages(3, 0), e.now(), 1)
+		time.Sleep(testStaleAfter / 2)
+		next, err := configure(c, c.snapshot.Apply(2, nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		e.reset(next)
+		e.merge(ages(2, 0), e.now(), 2)
+		if !e.fresh() || e.age() != testStaleAfter/2 {
+			t.Fatalf("fresh %t, age %s right after the change", e.fresh(), e.age())
+		}
+		for i, age := range e.message(2).WitnessAges[2:] {
+			if age != ageUnknown {
+				t.Errorf("witness %d states something about a revision that it may not know", i+2)
+			}
+		}
+		time.Sleep(testStaleAfter / 2)
+		if e.fresh() {
+			t.Fatal("two of five witnesses keep the later revision fresh")
+		}
+	})
+}
--- a/internal/publish/outage_test.go
+++ b/internal/publish/outage_test.go
@@ -135,6 +135,44 @@
 	})
 }
 
+// Routers that only the witnesses have kept fresh stay so through a new revision.
+func TestPublicationAfterAnOutageKeepsRoutersFresh(t *testing.T) {
+	tests := []struct {
+		name string
+		// after are the store's faults once the publication is accepted.
+		after memstore.Faults
+	}{
+		{"the store is back", memstore.Faults{}},
+		{"the store is back for the publication alone", memstore.Faults{Down: true}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, routers := demoFleet(t)
+				defer f.stopAll()
+				f.store.SetFaults(memstore.Faults{Down: true})
+				time.Sleep(time.Minute)
+				f.store.SetFaults(memstore.Faults{})
+				result := f.at(routers[0]).publisher.Publish(t.Context(), Request{Changes: []Change{withdraw("pilot-1")}})
+				if result.Outcome != OutcomeAccepted {
+					t.Fatalf("%+v", result)
+				}
+				f.store.SetFaults(test.after)
+				accepted := time.Now()
+				for time.Since(accepted) < time.Minute {
+					if fresh := f.freshness(routers); fresh != len(routers) {
+						t.Fatalf("%d of %d routers fresh %s after the publication", fresh, len(routers), time.Since(accepted))
+					}
+					time.Sleep(linkDelay)
+				}
+				if revision := f.at(routers[2]).manager.Revision(); revision != 2 {
+					t.Fatalf("revision %d", revision)
+				}
+			})
+		})
+	}
+}
+
 func TestCutOffGroupsFailClosed(t *testing.T) {
 	tests := []struct {
 		name    string
