--- a/snapshot/commit.go
+++ b/snapshot/commit.go
@@ -40,6 +40,7 @@
 	switch {
 	case err == nil:
 		r.collect(ctx, to)
+		r.sweep(ctx, to)
 	case !errors.Is(err, ErrUnknown):
 		r.discard(ctx, from.head, to)
 	}
