--- a/internal/router/parse.go
+++ b/internal/router/parse.go
@@ -189,11 +189,15 @@
 	}
 }
 
-// readAll reads to the end into a buffer that is sized by the announced length, if any.
+// maxPresizedBytes bounds the memory that a caller can claim by announcing a length.
+const maxPresizedBytes = 256 << 10
+
+// readAll reads to the end into a buffer that is sized by the announced length,
+// if any, up to a bound.
 func readAll(r io.Reader, announced int64) ([]byte, error) {
 	var buffer bytes.Buffer
 	if announced > 0 {
-		buffer.Grow(int(announced) + bytes.MinRead)
+		buffer.Grow(int(min(announced, maxPresizedBytes)) + bytes.MinRead)
 	}
 	_, err := buffer.ReadFrom(r)
 	return buffer.Bytes(), err
