Hold on to claims of slots that were resumed without the store

Traces: (1) a holder that had just taken its slot again through the store was reclaimed, because its wait had begun while it was down and the platform's list lagged; (2) a reclaim whose epoch a minority's records had raised overruled a claim that a majority had taken. Change: a written tenure starts the wait anew; a witness gives a claim up only to the same address or to a record that names the claim as outwaited; a reclaimed tenure that has not begun goes back to a former holder that is listed again.

--- a/internal/slotlink/slotlink.go
+++ b/internal/slotlink/slotlink.go
@@ -91,7 +91,10 @@
 func encode(records []lease.Record) []*wirepb.SlotRecord {
 	var encoded []*wirepb.SlotRecord
 	for _, r := range records {
-		encoded = append(encoded, &wirepb.SlotRecord{Index: int32(r.Index), Address: r.Address, Life: r.Life, Epoch: r.Epoch})
+		encoded = append(encoded, &wirepb.SlotRecord{
+			Index: int32(r.Index), Address: r.Address, Life: r.Life, Epoch: r.Epoch,
+			Former: r.Former, Past: r.Past, Resumed: r.Resumed,
+		})
 	}
 	return encoded
 }
@@ -99,7 +102,10 @@
 func decode(records []*wirepb.SlotRecord) []lease.Record {
 	var decoded []lease.Record
 	for _, r := range records {
-		decoded = append(decoded, lease.Record{Index: int(r.Index), Address: r.Address, Life: r.Life, Epoch: r.Epoch})
+		decoded = append(decoded, lease.Record{
+			Index: int(r.Index), Address: r.Address, Life: r.Life, Epoch: r.Epoch,
+			Former: r.Former, Past: r.Past, Resumed: r.Resumed,
+		})
 	}
 	return decoded
 }
--- a/lease/slots.go
+++ b/lease/slots.go
@@ -51,8 +51,15 @@
 	Address string `json:"address"`
 	// Life names the life of the holding process.
 	Life uint64 `json:"life"`
-	// Epoch grows by one with each tenure.
+	// Epoch grows with each tenure.
 	Epoch uint64 `json:"epoch"`
+	// Former is the address that the slot was reclaimed from, or "".
+	Former string `json:"former,omitempty"`
+	// Past are lives that resumed the slot without the store and whose end the
+	// holder has waited for. Witnesses hold on to all other ones.
+	Past []uint64 `json:"past,omitempty"`
+	// Resumed says that a witness has the record from the holder's own claim.
+	Resumed bool `json:"-"`
 
 	version int64
 }
@@ -101,6 +108,10 @@
 	reclaimed map[int]bool
 	// witnessed are the highest epochs that witnesses have seen.
 	witnessed map[int]uint64
+	// lives are the witnesses' tokens, by address.
+	lives map[string]witnessLife
+	// claimed are the tenures that were resumed without the store, as far as seen.
+	claimed map[int][]Record
 	// polled is what the witnesses answered after the last round.
 	polled *poll
 	// tickedAt is when the process last showed that it runs.
@@ -135,6 +146,8 @@
 		free:      make(map[int]time.Time),
 		reclaimed: make(map[int]bool),
 		witnessed: make(map[int]uint64),
+		lives:     make(map[string]witnessLife),
+		claimed:   make(map[int][]Record),
 	}
 }
 
@@ -242,6 +255,7 @@
 		return searchInterval
 	}
 	if polled != nil {
+		s.returnListed(ctx)
 		s.inform(ctx, polled)
 	}
 	s.polled = s.askWitnesses(ctx)
@@ -262,6 +276,7 @@
 		return err
 	}
 	s.takeOwn(ctx)
+	s.settle(ctx)
 	if s.hasFree(count) {
 		s.takeFree(ctx, count)
 	}
@@ -285,6 +300,10 @@
 			s.options.Log.Error().Err(err).Str("key", object.Key).Msg("lease: slot is unreadable")
 			continue
 		}
+		if s.known[record.Index].version != record.version {
+			// A holder that has just written is not silent, whatever the list says.
+			delete(s.dropped, record.Address)
+		}
 		s.known[record.Index] = record
 		s.confirm(record)
 	}
@@ -295,7 +314,8 @@
 // confirm compares a record with this process's tenures; s.mu is held.
 func (s *Slots) confirm(record Record) {
 	tenure, held := s.held[record.Index]
-	if record.Life == s.life && !held && !s.reclaimed[record.Index] {
+	_, pending := s.reclaimed[record.Index]
+	if record.Life == s.life && record.Address == s.options.Address && !held && !pending {
 		s.hold(record, false)
 		return
 	}
@@ -320,12 +340,19 @@
 	return record, nil
 }
 
-// takeOwn starts a new tenure of each slot that belongs to this address's former life.
+// takeOwn starts a new tenure of each slot that belongs to this address's former
+// life. One that was reclaimed waits for the witnesses again.
 func (s *Slots) takeOwn(ctx context.Context) {
 	for _, record := range s.Known() {
-		if record.Address == s.options.Address && record.Life != s.life {
+		if record.Address != s.options.Address || record.Life == s.life {
+			continue
+		}
+		if record.Former == "" {
 			s.take(ctx, record, false)
+			continue
 		}
+		s.markReclaimed(record.Index)
+		s.put(ctx, s.successor(record))
 	}
 }
 
@@ -374,13 +401,13 @@
 
 // take begins a tenure by conditional update. It reports whether the slot is held.
 func (s *Slots) take(ctx context.Context, former Record, unused bool) bool {
-	record, ok := s.put(ctx, former)
-	if !ok {
+	next := s.successor(former)
+	if !s.put(ctx, next) {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hold(record, unused)
+	s.hold(next, unused)
 	return true
 }
 
@@ -394,25 +421,32 @@
 	s.options.Log.Info().Int("slot", record.Index).Uint64("epoch", record.Epoch).Msg("lease: slot held")
 }
 
-// put writes this process as the next holder, by conditional update.
-func (s *Slots) put(ctx context.Context, former Record) (Record, bool) {
-	record := Record{Index: former.Index, Address: s.options.Address, Life: s.life, Epoch: s.nextEpoch(former)}
+// successor returns the record of this process's tenure after former.
+func (s *Slots) successor(former Record) Record {
+	return Record{
+		Index: former.Index, Address: s.options.Address, Life: s.life, Epoch: s.nextEpoch(former),
+		Former: former.Former, Past: former.Past, version: former.version,
+	}
+}
+
+// put writes a record in place of the version that it was made from.
+func (s *Slots) put(ctx context.Context, record Record) bool {
 	value, err := json.Marshal(record)
 	if err != nil {
-		return record, false
+		return false
 	}
-	version, err := s.options.Store.Put(ctx, slotPrefix+strconv.Itoa(record.Index), value, former.version)
+	version, err := s.options.Store.Put(ctx, slotPrefix+strconv.Itoa(record.Index), value, record.version)
 	if err != nil && !errors.Is(err, store.ErrConflict) {
-		s.options.Log.Warn().Err(err).Int("slot", record.Index).Msg("lease: slot not taken")
+		s.options.Log.Warn().Err(err).Int("slot", record.Index).Msg("lease: slot not written")
 	}
 	if err != nil {
-		return record, false
+		return false
 	}
 	record.version = version
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.known[record.Index] = record
-	return record, true
+	return true
 }
 
 // nextEpoch returns the epoch of the tenure after former. A tenure that was
@@ -435,17 +469,18 @@
 	}
 	for _, record := range s.lost(hosts, count) {
 		s.markReclaimed(record.Index)
-		if _, ok := s.put(ctx, record); ok {
+		if s.put(ctx, s.reclaiming(record)) {
 			return
 		}
 	}
 }
 
-// markReclaimed keeps a slot from being used before the witnesses know its new holder.
+// markReclaimed keeps a slot from being used before the witnesses know its new
+// holder and the former one is known to be unlisted still.
 func (s *Slots) markReclaimed(index int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reclaimed[index] = true
+	s.reclaimed[index] = false
 }
 
 // lost returns the slots of hosts that have been missing from the platform's
--- a/lease/witness.go
+++ b/lease/witness.go
@@ -72,6 +72,7 @@
 	}
 	for _, record := range request.Records {
 		if w.accepts(record, request.Claim) {
+			record.Resumed = request.Claim
 			w.records[record.Index] = record
 		}
 	}
@@ -84,10 +85,15 @@
 }
 
 // accepts reports whether a record replaces the one that is remembered. A claim
-// goes only from one life of an address to the next; w.mu is held.
+// goes only from one life of an address to the next, and yields only to that
+// address or to a holder that has waited for the claim's end; w.mu is held.
 func (w *Witness) accepts(record Record, claim bool) bool {
 	current, known := w.records[record.Index]
-	if claim && (!known || current.Address != record.Address) {
+	sameAddress := current.Address == record.Address
+	if claim && (!known || !sameAddress) {
+		return false
+	}
+	if current.Resumed && !sameAddress && !slices.Contains(record.Past, current.Life) {
 		return false
 	}
 	return record.Epoch > current.Epoch
