--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -501,6 +501,13 @@
 	j.admitted.limit = limit
 }
 
+// use corrects the cost of the request that was admitted last.
+func (j *judge) use(reserved, used int64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.admitted.level += float64(reserved - used)
+}
+
 // verify fails the test if any window was above the limit.
 func (j *judge) verify() {
 	j.t.Helper()
