--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -151,6 +151,17 @@
 	f.cut[[2]string{b, a}] = cut
 }
 
+// calls is the number of calls sent by all members.
+func (f *fleet) calls() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var sum int64
+	for _, m := range f.members {
+		sum += m.sentCalls
+	}
+	return sum
+}
+
 // now is the member's clock, which may run fast or slow.
 func (m *member) now() time.Time {
 	return m.fleet.start.Add(time.Duration(float64(time.Since(m.fleet.start)) * m.speed))
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -20,7 +20,7 @@
 	stopRounds = 3
 	stopPause  = 50 * time.Millisecond
 	// minWaitHint and maxWaitHint bound the time after which a router is told to ask again.
-	minWaitHint = 50 * time.Millisecond
+	minWaitHint = 25 * time.Millisecond
 	maxWaitHint = time.Minute
 )
 
--- a/quota/randomised_test.go
+++ b/quota/randomised_test.go
@@ -35,6 +35,9 @@
 // program panic.
 func TestRandomised(t *testing.T) {
 	length := 40 * time.Second
+	if testing.Short() {
+		length = 15 * time.Second
+	}
 	if *simulate > 0 {
 		length = *simulate
 	}
--- a/quota/refusals_test.go
+++ b/quota/refusals_test.go
@@ -101,6 +101,9 @@
 // arrivals and faults.
 func TestWrongfulRefusals(t *testing.T) {
 	length := time.Minute
+	if testing.Short() {
+		length = 25 * time.Second
+	}
 	if *measureFor > 0 {
 		length = *measureFor
 	}
