Ask all neighbours until a new revision is agreed on

Cause: since the agreed moment is kept through a change of revision, it kept processes from asking all their neighbours although it cannot grow younger. Change: whether evidence is old is judged by the store and by statements of the revision in force.

--- a/internal/configsync/evidence.go
+++ b/internal/configsync/evidence.go
@@ -32,7 +32,9 @@
 	store atomic.Int64
 	// agreement is the latest moment since which a majority of witnesses has
 	// stated so, of the revision in force or of an earlier one.
-	agreement  atomic.Int64
+	agreement atomic.Int64
+	// renewed is the same for the revision in force alone.
+	renewed    atomic.Int64
 	staleAfter atomic.Int64
 
 	mu sync.Mutex
@@ -47,6 +49,7 @@
 	e := &evidence{start: time.Now(), pending: make(map[string]time.Duration)}
 	e.store.Store(int64(never))
 	e.agreement.Store(int64(never))
+	e.renewed.Store(int64(never))
 	return e
 }
 
@@ -67,6 +70,7 @@
 		e.witnesses[address] = i
 		e.stated[i] = never
 	}
+	e.renewed.Store(int64(never))
 	clear(e.pending)
 }
 
@@ -152,12 +156,15 @@
 	moments := append([]time.Duration(nil), e.stated...)
 	sort.Slice(moments, func(i, j int) bool { return moments[i] > moments[j] })
 	agreed := int64(moments[majority(len(moments))-1])
+	e.renewed.Store(agreed)
 	e.agreement.Store(max(e.agreement.Load(), agreed))
 }
 
-// old reports that evidence of both kinds is so old that it is worth asking more peers.
+// old reports that evidence of both kinds is so old that it is worth asking more
+// peers. What was agreed on of a former revision does not count: it cannot grow younger.
 func (e *evidence) old() bool {
-	return e.age() > time.Duration(e.staleAfter.Load())*2/3
+	latest := time.Duration(max(e.store.Load(), e.renewed.Load()))
+	return e.now()-latest > time.Duration(e.staleAfter.Load())*2/3
 }
 
 // message returns the evidence for a reply that names the revision. Ages are rounded up.
--- a/internal/configsync/evidence_test.go
+++ b/internal/configsync/evidence_test.go
@@ -151,8 +151,8 @@
 		}
 		e.reset(next)
 		e.merge(ages(2, 0), e.now(), 2)
-		if !e.fresh() || e.age() != testStaleAfter/2 {
-			t.Fatalf("fresh %t, age %s right after the change", e.fresh(), e.age())
+		if !e.fresh() || e.age() != testStaleAfter/2 || !e.old() {
+			t.Fatalf("fresh %t, age %s, old %t right after the change", e.fresh(), e.age(), e.old())
 		}
 		for i, age := range e.message(2).WitnessAges[2:] {
 			if age != ageUnknown {
