--- a/internal/capacity/collect/main.go
+++ b/internal/capacity/collect/main.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 
 	"github.com/greengagegate/greengagegate/internal/capacity"
@@ -40,6 +41,9 @@
 	if err != nil {
 		return err
 	}
+	if err := os.MkdirAll(filepath.Dir(out), 0o755); err != nil {
+		return err
+	}
 	if err := os.WriteFile(out, append(encoded, '\n'), 0o644); err != nil {
 		return err
 	}
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -104,7 +104,7 @@
 }
 
 func (m *model) routerParts() []part {
-	return append(m.shared(), m.part("limits: lending", "quota lending", customers, "", 1))
+	return append(m.shared(), m.part("limits: lending, 7 requests/s", "quota.router", routers, "", 1))
 }
 
 func (m *model) agentParts() []part {
@@ -143,8 +143,8 @@
 	}
 	fmt.Fprintf(b, "| **sum** | | **%.0f** | **%.0f** | **%.0f** |\n", sum.BytesPerSecond, sum.CPUMicrosPerSecond, sum.HeapBytes/1024)
 	fmt.Fprintf(b, "| budget | | %.0f | %.0f | %.0f |\n", budgetBytes, budgetCPU, budgetHeap/1024)
-	fmt.Fprintf(b, "| verdict | | %s | %s | %s |\n\n",
-		verdict(sum.BytesPerSecond, budgetBytes), verdict(sum.CPUMicrosPerSecond, budgetCPU), verdict(sum.HeapBytes, budgetHeap))
+	fmt.Fprintf(b, "| verdict | | sent and received %s; sent alone %s | %s | %s |\n\n",
+		verdict(sum.BytesPerSecond, budgetBytes), verdict(sum.BytesPerSecond/2, budgetBytes), verdict(sum.CPUMicrosPerSecond, budgetCPU), verdict(sum.HeapBytes, budgetHeap))
 }
 
 // verdict compares a cost with its budget.
--- a/quota/scale_test.go
+++ b/quota/scale_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -14,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/greengagegate/greengagegate/internal/slope"
 	"github.com/greengagegate/greengagegate/quota"
 )
 
@@ -72,14 +72,16 @@
 	for _, size := range [][2]int{{3, 70}, {10, 500}, {30, 500}, {100, 1500}, {350, 4900}} {
 		synctest.Test(t, func(t *testing.T) {
 			c := measureCost(t, size[0], size[1])
-			line, err := json.Marshal(map[string]any{
-				"name": "quota.router", "size": c.members, "bytes_per_s": c.bytesPerNode,
-				"cpu_us_per_s": c.cpuMicrosPerNodeSecond, "heap_bytes": c.heapBytes,
+			err := slope.Print(os.Stdout, slope.Point{
+				Name: "quota.router", Size: float64(c.members), Unit: "routers, 14 customers each",
+				// What one router sends another receives.
+				BytesPerSecond:     2 * c.bytesPerNode,
+				CPUMicrosPerSecond: c.cpuMicrosPerNodeSecond,
+				HeapBytes:          c.heapBytes,
 			})
 			if err != nil {
 				t.Fatal(err)
 			}
-			fmt.Fprintln(os.Stdout, string(line))
 		})
 	}
 }
