Drain the upstream that new work prefers in the test of drains

Cause: the test drained the busier of two engines, which new prompts avoid anyway; on a copy of the code whose picker ignores leaving upstreams it passed. Change: streams run on both engines, and the one that serves a prompt just before is drained.

--- a/internal/app/failures_test.go
+++ b/internal/app/failures_test.go
@@ -122,33 +122,61 @@
 		complete, len(text), len(want), len(text) <= len(want) && want[:len(text)] == text)
 }
 
+// complete runs a prompt to its end.
+func (f *testFleet) complete(router *RouterSettings, prompt string) {
+	f.t.Helper()
+	response := f.post(router, "/v1/completions", fmt.Sprintf(`{"model":%q,"prompt":%q,"max_tokens":2}`, fleetModel, prompt), nil)
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		f.t.Fatalf("got %s", response.Status)
+	}
+}
+
+// placed runs a short prompt and returns the engine that served it, and the other.
+func (f *testFleet) placed(router *RouterSettings) (chosen, other string) {
+	f.t.Helper()
+	before := f.engines["engine-1"].Stats().Completed
+	f.complete(router, "x")
+	if f.engines["engine-1"].Stats().Completed > before {
+		return "engine-1", "engine-2"
+	}
+	return "engine-2", "engine-1"
+}
+
 func TestDrainedUpstreamFinishesAndGetsNoNewWork(t *testing.T) {
 	f := newTestFleet(t, tlsconf.Files{})
 	app, router := f.router("router-1", f.seed)
 	agents := []*fx.App{f.engine("engine-1"), f.engine("engine-2")}
 	f.publish(router)
 	requirePrompt(t, f, router)
-	stream := f.beginStream(router, "long", 150)
-	busy, other := f.engineOf()
-	before := f.engines[other].Stats().Completed
-	finished := f.engines[busy].Stats().Completed
+	var streams []<-chan string
+	for f.running("engine-1") == 0 || f.running("engine-2") == 0 {
+		streams = append(streams, f.beginStream(router, fmt.Sprint("long ", len(streams)), 250))
+	}
+	// The upstream that new work prefers is the one to drain.
+	drained, other := f.placed(router)
+	finished := f.engines[drained].Stats().Completed
+	inFlight := int64(f.running(drained))
 
-	code := ctl.Run([]string{"drain", "-server", "http://" + router.Operators.Listen, busy}, io.Discard, os.Stderr)
+	code := ctl.Run([]string{"drain", "-server", "http://" + router.Operators.Listen, drained}, io.Discard, os.Stderr)
 	if code != ctl.ExitOK {
 		t.Fatalf("drain ended with %d", code)
 	}
+	before := f.engines[other].Stats().Completed
 	const prompts = 10
 	for range prompts {
-		requirePrompt(t, f, router)
+		f.complete(router, "x")
 	}
-	if got := f.engines[other].Stats().Completed - before; got != prompts {
+	if got := f.engines[other].Stats().Completed - before; got < prompts {
 		t.Errorf("%d of %d prompts ran on the upstream that was left", got, prompts)
 	}
-	if wrong := <-stream; wrong != "" {
-		t.Error(wrong)
+	for _, stream := range streams {
+		if wrong := <-stream; wrong != "" {
+			t.Error(wrong)
+		}
 	}
-	if got := f.engines[busy].Stats().Completed - finished; got != 1 {
-		t.Errorf("the drained upstream completed %d requests after the drain", got)
+	if got := f.engines[drained].Stats().Completed - finished; got > inFlight {
+		t.Errorf("the drained upstream completed %d requests after the drain, %d were in flight", got, inFlight)
 	}
 	for _, each := range append(agents, app) {
 		stop(t, each)
