Work out the capacity page from measured slopes

Cause: the page's computed part was put at the head of the file when it was empty, because an empty string was replaced.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -92,32 +92,47 @@
 	endMarker   = "<!-- computed: end -->"
 )
 
-// Computed returns the part of the page that the slopes determine.
-func Computed(page string) (string, error) {
-	_, rest, ok := strings.Cut(page, beginMarker+"\n")
+// split returns the page before, within and after the markers.
+func split(page string) (before, computed, after string, err error) {
+	before, rest, ok := strings.Cut(page, beginMarker+"\n")
 	if !ok {
-		return "", fmt.Errorf("the page lacks %q", beginMarker)
+		return "", "", "", fmt.Errorf("the page lacks %q", beginMarker)
 	}
-	computed, _, ok := strings.Cut(rest, endMarker)
+	computed, after, ok = strings.Cut(rest, endMarker)
 	if !ok {
-		return "", fmt.Errorf("the page lacks %q", endMarker)
+		return "", "", "", fmt.Errorf("the page lacks %q", endMarker)
 	}
-	return computed, nil
+	return before, computed, after, nil
 }
 
-// UpdatePage replaces the computed part of the page.
-func UpdatePage(file string, record Record) error {
-	data, err := os.ReadFile(file)
+// Computed returns the part of the page that the slopes determine.
+func Computed(page string) (string, error) {
+	_, computed, _, err := split(page)
+	return computed, err
+}
+
+// Update returns the page with its computed part replaced.
+func Update(page string, record Record) (string, error) {
+	before, _, after, err := split(page)
 	if err != nil {
-		return err
+		return "", err
 	}
-	old, err := Computed(string(data))
+	tables, err := Tables(record)
+	if err != nil {
+		return "", err
+	}
+	return before + beginMarker + "\n" + tables + endMarker + after, nil
+}
+
+// UpdatePage replaces the computed part of the page in a file.
+func UpdatePage(file string, record Record) error {
+	data, err := os.ReadFile(file)
 	if err != nil {
 		return err
 	}
-	tables, err := Tables(record)
+	page, err := Update(string(data), record)
 	if err != nil {
 		return err
 	}
-	return os.WriteFile(file, []byte(strings.Replace(string(data), old, tables, 1)), 0o644)
+	return os.WriteFile(file, []byte(page), 0o644)
 }
--- a/internal/capacity/collect/main.go
+++ b/internal/capacity/collect/main.go
@@ -20,14 +20,22 @@
 func main() {
 	out := flag.String("out", "measure/slopes.json", "file to write")
 	page := flag.String("page", "docs/CAPACITY.md", "page whose tables are brought up to date")
+	reuse := flag.Bool("reuse", false, "measure nothing, only bring the page up to date with the file")
 	flag.Parse()
-	if err := run(*out, *page, flag.Args()); err != nil {
+	if err := run(*out, *page, *reuse, flag.Args()); err != nil {
 		fmt.Fprintln(os.Stderr, "collect:", err)
 		os.Exit(1)
 	}
 }
 
-func run(out, page string, packages []string) error {
+func run(out, page string, reuse bool, packages []string) error {
+	if reuse {
+		record, err := capacity.ReadRecord(out)
+		if err != nil {
+			return err
+		}
+		return capacity.UpdatePage(page, record)
+	}
 	var record capacity.Record
 	for _, name := range packages {
 		points, err := measure(name)
