Wait for a time or a context in one place

Cause: the same select over a timer and a context stood in many files under the names pauseFor, pause, sleep and waitFor, some with an error, some with a bool. Change: internal/pause has For, which returns the context's error when that ended first; all those places use it. Waits that end for a third reason keep their own.

--- a/internal/agent/cacheindex/follow.go
+++ b/internal/agent/cacheindex/follow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/engine"
+	"github.com/greengagegate/greengagegate/internal/pause"
 )
 
 const (
@@ -28,10 +29,7 @@
 				x.Apply(event)
 			}
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(reconnectDelay):
-		}
+		_ = pause.For(ctx, reconnectDelay)
 	}
 }
 
--- a/internal/agent/calls/calls.go
+++ b/internal/agent/calls/calls.go
@@ -13,6 +13,7 @@
 
 	"github.com/greengagegate/greengagegate/internal/fault"
 	"github.com/greengagegate/greengagegate/internal/object"
+	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/internal/refusal"
 	"github.com/greengagegate/greengagegate/internal/retry"
 	"github.com/greengagegate/greengagegate/internal/service"
@@ -96,12 +97,8 @@
 	m.handOver(ctx)
 	m.draining.Store(true)
 	for m.active.Load() > 0 {
-		timer := time.NewTimer(drainPollInterval)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			return fault.Wrap(ctx.Err(), "finish calls", m.options.Upstream)
+		if err := pause.For(ctx, drainPollInterval); err != nil {
+			return fault.Wrap(err, "finish calls", m.options.Upstream)
 		}
 	}
 	return nil
--- a/internal/agent/calls/keyed.go
+++ b/internal/agent/calls/keyed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/object"
+	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/internal/refusal"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 	"github.com/greengagegate/greengagegate/membership"
@@ -29,11 +30,7 @@
 			m.beginKeyed(upstream)
 			return
 		}
-		timer := time.NewTimer(configPollInterval)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
+		if pause.For(ctx, configPollInterval) != nil {
 			return
 		}
 	}
--- a/internal/agent/transfer/transfer.go
+++ b/internal/agent/transfer/transfer.go
@@ -13,6 +13,7 @@
 
 	"github.com/greengagegate/greengagegate/internal/engine"
 	"github.com/greengagegate/greengagegate/internal/metrics"
+	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/rs/zerolog"
 )
 
@@ -211,9 +212,6 @@
 	took := time.Since(began)
 	exported.Inc(int64(done.Blocks - stored))
 	m.observe(done.Blocks-stored, took)
-	select {
-	case <-ctx.Done():
-	case <-time.After(exportPause * took):
-	}
+	_ = pause.For(ctx, exportPause*took)
 	return done.Blocks, nil
 }
--- a/internal/app/agent.go
+++ b/internal/app/agent.go
@@ -16,6 +16,7 @@
 	"github.com/greengagegate/greengagegate/internal/engine/httpengine"
 	"github.com/greengagegate/greengagegate/internal/node"
 	"github.com/greengagegate/greengagegate/internal/object"
+	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/internal/quarantine"
 	"github.com/greengagegate/greengagegate/internal/service"
 	"github.com/greengagegate/greengagegate/internal/slotlink"
@@ -124,7 +125,7 @@
 		ready.Set(false)
 		members.Leave()
 		state.Drain()
-		pause(ctx, s.Stop.DrainDelay)
+		_ = pause.For(ctx, s.Stop.DrainDelay)
 		r.Drain()
 		answers.Drain()
 		return n.Server.Shutdown(ctx)
@@ -178,7 +179,7 @@
 		if err := manager.Stop(ctx); err != nil {
 			return err
 		}
-		pause(ctx, s.Stop.DrainDelay)
+		_ = pause.For(ctx, s.Stop.DrainDelay)
 		return n.Server.Shutdown(ctx)
 	}
 	appendHook(lifecycle, start, stop)
--- a/internal/app/common.go
+++ b/internal/app/common.go
@@ -155,16 +155,6 @@
 	}
 }
 
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // appendBackground runs work from start to stop of the application.
 func appendBackground(lifecycle fx.Lifecycle, work func(ctx context.Context)) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/app/router.go
+++ b/internal/app/router.go
@@ -12,6 +12,7 @@
 	"github.com/greengagegate/greengagegate/internal/dispatch"
 	"github.com/greengagegate/greengagegate/internal/node"
 	"github.com/greengagegate/greengagegate/internal/object"
+	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/internal/picker"
 	"github.com/greengagegate/greengagegate/internal/publish"
 	"github.com/greengagegate/greengagegate/internal/quarantine"
@@ -127,7 +128,7 @@
 		ready.Set(false)
 		members.Leave()
 		server.Drain()
-		pause(ctx, s.Stop.DrainDelay)
+		_ = pause.For(ctx, s.Stop.DrainDelay)
 		return nil
 	}
 	appendHook(lifecycle, start, stop)
@@ -137,7 +138,7 @@
 // becomeReady waits for the first configuration.
 func becomeReady(ctx context.Context, source object.Source, ready *admin.Readiness) {
 	for source.Current() == nil {
-		pause(ctx, readyInterval)
+		_ = pause.For(ctx, readyInterval)
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -9,6 +9,7 @@
 
 	"github.com/greengagegate/greengagegate/internal/fault"
 	"github.com/greengagegate/greengagegate/internal/metrics"
+	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 	"github.com/greengagegate/greengagegate/snapshot"
 	"google.golang.org/protobuf/proto"
@@ -256,17 +257,7 @@
 		if len(peers) > 0 {
 			m.askedOnce.Do(func() { close(m.asked) })
 		}
-		pause(ctx, m.jitter(interval))
+		_ = pause.For(ctx, m.jitter(interval))
 		interval = min(2*interval, compareInterval)
 	}
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/configsync/fence.go
+++ b/internal/configsync/fence.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/metrics"
+	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/snapshot"
 )
 
@@ -20,7 +21,7 @@
 // writer fail for ever, wherever it has been held up.
 func (m *Manager) fenceLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, m.jitter(fenceCheckInterval))
+		_ = pause.For(ctx, m.jitter(fenceCheckInterval))
 		age, pending := m.evidence.oldestPending()
 		if !pending || age < fenceAfter {
 			continue
--- a/internal/configsync/prepare.go
+++ b/internal/configsync/prepare.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 	"github.com/greengagegate/greengagegate/snapshot"
 	"golang.org/x/sync/errgroup"
@@ -40,7 +41,7 @@
 	left := current.witnesses
 	for attempt := range prepareAttempts {
 		if attempt > 0 {
-			pause(ctx, prepareInterval)
+			_ = pause.For(ctx, prepareInterval)
 		}
 		left = m.announceTo(ctx, left, request)
 		result.Confirmed = result.Witnesses - len(left)
--- a/internal/configsync/storeloop.go
+++ b/internal/configsync/storeloop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/metrics"
+	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/snapshot"
 	"github.com/greengagegate/greengagegate/store"
 )
@@ -31,7 +32,7 @@
 		if err := m.loadOnce(ctx); err != nil {
 			m.log.Debug().Err(err).Msg("config: store not read")
 		}
-		pause(ctx, m.jitter(wait))
+		_ = pause.For(ctx, m.jitter(wait))
 		wait = min(2*wait, storeRetryLimit)
 	}
 }
@@ -95,7 +96,7 @@
 	var stopWatch context.CancelFunc
 	wait := storeRetryInterval
 	for ctx.Err() == nil {
-		pause(ctx, m.jitter(wait))
+		_ = pause.For(ctx, m.jitter(wait))
 		wait = storeRetryInterval
 		if m.Current() == nil {
 			continue
@@ -145,7 +146,7 @@
 			if m.evidence.now()-began > storeRetryLimit {
 				wait = storeRetryInterval
 			}
-			pause(ctx, m.jitter(wait))
+			_ = pause.For(ctx, m.jitter(wait))
 		}
 	})
 	return cancel
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/object"
+	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/internal/quarantine"
 	"github.com/greengagegate/greengagegate/internal/refusal"
 	"github.com/greengagegate/greengagegate/internal/retry"
@@ -97,7 +98,7 @@
 	if !c.upstreams.Withdraw(upstream.Name) || !c.customers.Withdraw(request.Customer) {
 		return false
 	}
-	return pauseFor(ctx, retry.Pause(number-1, callRetryBase, callRetryLimit)) == nil
+	return pause.For(ctx, retry.Pause(number-1, callRetryBase, callRetryLimit)) == nil
 }
 
 // order returns the upstreams to try, a random live one first.
@@ -168,14 +169,3 @@
 func refusedCall(code refusal.Code, run wirepb.RunState, message, peer string) *wirepb.CallReply {
 	return &wirepb.CallReply{Refusal: refusal.New(code, run, message, "call", peer)}
 }
-
-func pauseFor(ctx context.Context, pause time.Duration) error {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/dispatch/keyed.go
+++ b/internal/dispatch/keyed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/object"
+	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/internal/refusal"
 	"github.com/greengagegate/greengagegate/internal/retry"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
@@ -63,7 +64,7 @@
 	if time.Since(began) > arbiterPatience || !c.customers.Withdraw(request.Customer) {
 		return false
 	}
-	return pauseFor(ctx, retry.Pause(number-1, callRetryBase, callRetryLimit)) == nil
+	return pause.For(ctx, retry.Pause(number-1, callRetryBase, callRetryLimit)) == nil
 }
 
 // attemptOnce asks the arbiter, following redirects. It returns nil when there
--- a/internal/dispatch/prompt.go
+++ b/internal/dispatch/prompt.go
@@ -7,6 +7,7 @@
 
 	"github.com/greengagegate/greengagegate/internal/fault"
 	"github.com/greengagegate/greengagegate/internal/metrics"
+	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/internal/picker"
 	"github.com/greengagegate/greengagegate/internal/quarantine"
 	"github.com/greengagegate/greengagegate/internal/refusal"
@@ -127,7 +128,7 @@
 	if spends && !p.customers.Withdraw(a.request.Customer) {
 		return false
 	}
-	return pauseFor(ctx, retry.Pause(round, placeRetryBase, placeRetryLimit)) == nil
+	return pause.For(ctx, retry.Pause(round, placeRetryBase, placeRetryLimit)) == nil
 }
 
 // tryCandidate runs the prompt on one candidate as what is known of its content allows.
--- a/internal/load/client/client.go
+++ b/internal/load/client/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/greengagegate/greengagegate/internal/load/fleet"
 	"github.com/greengagegate/greengagegate/internal/load/scenario"
+	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/internal/standin/answer"
 	"github.com/greengagegate/greengagegate/internal/standin/plainsvc"
 )
@@ -93,14 +94,7 @@
 
 // sleepUntil blocks until a time of the run and reports whether ctx is still alive.
 func (m *Manager) sleepUntil(ctx context.Context, at time.Duration) bool {
-	timer := time.NewTimer(at - m.now())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.For(ctx, at-m.now()) == nil
 }
 
 func (m *Manager) sendPrompts(ctx context.Context, all *sync.WaitGroup) {
--- a/internal/load/disturb/disturb.go
+++ b/internal/load/disturb/disturb.go
@@ -14,6 +14,7 @@
 	"github.com/greengagegate/greengagegate/internal/load/client"
 	"github.com/greengagegate/greengagegate/internal/load/fleet"
 	"github.com/greengagegate/greengagegate/internal/load/scenario"
+	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/internal/standin/host"
 	"github.com/greengagegate/greengagegate/internal/standin/plainsvc"
 	"github.com/rs/zerolog"
@@ -149,11 +150,7 @@
 }
 
 func (m *Manager) bring(ctx context.Context, started time.Time, e event) {
-	timer := time.NewTimer(time.Until(started.Add(e.at)))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+	if pause.For(ctx, time.Until(started.Add(e.at))) != nil {
 		return
 	}
 	m.options.Log.Info().Str("fault", e.name).Dur("at", e.at).Msg("load: fault")
--- a/internal/load/overhead/overhead.go
+++ b/internal/load/overhead/overhead.go
@@ -17,6 +17,7 @@
 	"github.com/greengagegate/greengagegate/internal/load/fleet"
 	"github.com/greengagegate/greengagegate/internal/load/judge"
 	"github.com/greengagegate/greengagegate/internal/load/scenario"
+	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/rs/zerolog"
 )
 
@@ -111,10 +112,8 @@
 // measureIdle measures what the processes use without requests.
 func (m *measurement) measureIdle(ctx context.Context) error {
 	before := m.processorTime()
-	select {
-	case <-time.After(idleTime):
-	case <-ctx.Done():
-		return ctx.Err()
+	if err := pause.For(ctx, idleTime); err != nil {
+		return err
 	}
 	m.idleCores = (m.processorTime() - before).Seconds() / idleTime.Seconds()
 	return nil
--- a/internal/load/run/run.go
+++ b/internal/load/run/run.go
@@ -14,6 +14,7 @@
 	"github.com/greengagegate/greengagegate/internal/load/fleet"
 	"github.com/greengagegate/greengagegate/internal/load/judge"
 	"github.com/greengagegate/greengagegate/internal/load/scenario"
+	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/internal/standin/host"
 	"github.com/rs/zerolog"
 )
@@ -176,12 +177,8 @@
 }
 
 func (m *measurement) snapshotAt(ctx context.Context, at time.Time) (snapshot, error) {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-		return snapshot{}, ctx.Err()
+	if err := pause.For(ctx, time.Until(at)); err != nil {
+		return snapshot{}, err
 	}
 	var s snapshot
 	var err error
--- /dev/null
+++ b/internal/pause/pause_test.go
@@ -0,0 +1,29 @@
+package pause_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/pause"
+)
+
+func TestForWaitsUntilTheContextEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		start := time.Now()
+		if err := pause.For(ctx, 2*time.Second); err != nil || time.Since(start) != 2*time.Second {
+			t.Fatalf("got %v after %v, want nil after 2s", err, time.Since(start))
+		}
+		err := pause.For(ctx, 2*time.Second)
+		if !errors.Is(err, context.DeadlineExceeded) || time.Since(start) != 3*time.Second {
+			t.Fatalf("got %v after %v, want the end of the context after 3s", err, time.Since(start))
+		}
+		if err := pause.For(ctx, 0); !errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("got %v for an ended context, want its error", err)
+		}
+	})
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -9,6 +9,7 @@
 
 	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/object"
+	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/internal/wire"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 	"github.com/greengagegate/greengagegate/membership"
@@ -146,7 +147,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if !pauseFor(ctx, pushDelay) {
+		if pause.For(ctx, pushDelay) != nil {
 			return
 		}
 		m.flush(ctx)
@@ -238,11 +239,11 @@
 		if m.pull(ctx, pullPeers) > 0 && kept {
 			break
 		}
-		if !pauseFor(ctx, startInterval) {
+		if pause.For(ctx, startInterval) != nil {
 			return
 		}
 	}
-	for pauseFor(ctx, compareInterval/2+rand.N(compareInterval)) {
+	for pause.For(ctx, compareInterval/2+rand.N(compareInterval)) == nil {
 		if !kept {
 			kept = m.load(ctx)
 		}
@@ -273,14 +274,3 @@
 }
 
 func digestText(digest uint64) string { return fmt.Sprintf("%016x", digest) }
-
-func pauseFor(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/standin/enginesim/events.go
+++ b/internal/standin/enginesim/events.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/engine"
+	"github.com/greengagegate/greengagegate/internal/pause"
 )
 
 // eventLogLength is the number of events kept for readers that come back.
@@ -130,12 +131,5 @@
 			return ctx.Err()
 		}
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return pause.For(ctx, wait)
 }
--- a/internal/standin/kvstore/kvstore.go
+++ b/internal/standin/kvstore/kvstore.go
@@ -7,6 +7,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/greengagegate/greengagegate/internal/pause"
 )
 
 // Options describes the store.
@@ -72,7 +74,7 @@
 	}
 	wait := m.reserve(held)
 	m.mu.Unlock()
-	if err := sleep(ctx, wait); err != nil {
+	if err := pause.For(ctx, wait); err != nil {
 		return 0, err
 	}
 	m.mu.Lock()
@@ -92,7 +94,7 @@
 	}
 	wait := m.reserve(missing)
 	m.mu.Unlock()
-	if err := sleep(ctx, wait); err != nil {
+	if err := pause.For(ctx, wait); err != nil {
 		return err
 	}
 	m.mu.Lock()
@@ -142,17 +144,3 @@
 		m.counts.Evicted++
 	}
 }
-
-func sleep(ctx context.Context, wait time.Duration) error {
-	if wait <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/standin/plainsvc/plainsvc.go
+++ b/internal/standin/plainsvc/plainsvc.go
@@ -12,6 +12,7 @@
 
 	"github.com/gin-gonic/gin"
 	"github.com/greengagegate/greengagegate/internal/fault"
+	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/internal/service"
 )
 
@@ -176,7 +177,7 @@
 
 func (m *Manager) restart() {
 	wait := m.options.Restart
-	for sleep(m.ctx, wait) {
+	for pause.For(m.ctx, wait) == nil {
 		listener, err := net.Listen("tcp", m.options.Address)
 		if err == nil {
 			m.live(listener)
@@ -230,7 +231,7 @@
 	wait := m.options.Latency + m.delay
 	m.mu.Unlock()
 	c.Header(service.RequestIDHeader, c.GetHeader(service.RequestIDHeader))
-	return sleep(ctx, wait)
+	return pause.For(ctx, wait) == nil
 }
 
 // countCredentials notes credentials that should not have come here; m.mu is held.
@@ -267,17 +268,3 @@
 	m.balances[request.Account] += request.Amount
 	return ChargeReply{ID: request.ID, Execution: entry.Executions, Balance: m.balances[request.Account]}
 }
-
-func sleep(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/lease/slots.go
+++ b/lease/slots.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/store"
 	"github.com/rs/zerolog"
 )
@@ -231,9 +232,7 @@
 	for {
 		interval := s.round(ctx)
 		interval += time.Duration(rand.Int64N(int64(interval / 4)))
-		select {
-		case <-time.After(interval):
-		case <-ctx.Done():
+		if pause.For(ctx, interval) != nil {
 			return
 		}
 	}
--- a/once/handover.go
+++ b/once/handover.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/fault"
+	"github.com/greengagegate/greengagegate/internal/pause"
 )
 
 const (
@@ -107,7 +108,7 @@
 
 func (s *shard) closeRecord(ctx context.Context, persist bool) error {
 	for s.inFlight() > 0 {
-		if err := pauseFor(ctx, closeRetryPause); err != nil {
+		if err := pause.For(ctx, closeRetryPause); err != nil {
 			return fault.Wrap(err, "finish calls", "")
 		}
 	}
@@ -116,7 +117,7 @@
 		if err == nil || errors.Is(err, errMoved) || !persist {
 			return err
 		}
-		if ctxErr := pauseFor(ctx, closeRetryPause); ctxErr != nil {
+		if ctxErr := pause.For(ctx, closeRetryPause); ctxErr != nil {
 			return err
 		}
 	}
@@ -127,14 +128,3 @@
 	defer s.mu.Unlock()
 	return s.active
 }
-
-func pauseFor(ctx context.Context, pause time.Duration) error {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/once/ownership.go
+++ b/once/ownership.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/greengagegate/greengagegate/internal/fault"
+	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/store"
 )
 
@@ -43,13 +44,12 @@
 // hands over those that prefer a live peer. It asks the store only while a
 // preferred shard is missing.
 func (m *Manager) ownershipLoop() {
-	pause := ownershipInterval
-	for m.sleep(pause / 4) {
+	look := ownershipInterval
+	for pause.For(m.ctx, look/4) == nil {
 		if err := m.loadTable(m.ctx); err == nil {
 			break
 		}
 	}
-	look := ownershipInterval
 	for {
 		m.refreshWitnesses()
 		missing := m.missing()
@@ -61,24 +61,12 @@
 		} else {
 			look = min(2*look, maxLookInterval)
 		}
-		if !m.sleep(look) {
+		if pause.For(m.ctx, look) != nil {
 			return
 		}
 	}
 }
 
-// sleep returns false once the manager stops.
-func (m *Manager) sleep(pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-m.ctx.Done():
-		return false
-	}
-}
-
 // missing returns the shards that prefer this process and are not owned by it.
 func (m *Manager) missing() []*shard {
 	m.mu.Lock()
--- a/snapshot/commit.go
+++ b/snapshot/commit.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"time"
 
+	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/store"
 )
 
@@ -190,7 +190,7 @@
 		case err == nil:
 			return 0, true, ErrMoved
 		}
-		if sleep(ctx, settleInterval) != nil {
+		if pause.For(ctx, settleInterval) != nil {
 			// The cause is not wrapped: it must not read as a refusal.
 			return 0, true, fmt.Errorf("%w: %v", ErrUnknown, err)
 		}
@@ -204,17 +204,6 @@
 	return len(history) > 0 && history[len(history)-1].Revision > revision
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // collect deletes the buckets that were replaced some revisions ago. No head
 // refers to them any more, and none will again, since writers only keep the
 // references of the head that they replace. Failures leave an object behind.
--- a/store/memstore/memstore.go
+++ b/store/memstore/memstore.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/store"
 )
 
@@ -98,12 +99,8 @@
 	latency := s.faults.Latency
 	s.mu.Unlock()
 	if latency > 0 {
-		timer := time.NewTimer(latency)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			return ctx.Err()
+		if err := pause.For(ctx, latency); err != nil {
+			return err
 		}
 	}
 	s.mu.Lock()
