Keep one copy of the digest of parts, of HTTP dialing and of the stand-ins' lives

Cause: once.Sum and quarantine.Digest hashed parts alike; the engine's driver and the store's client made the same transport and the same note of a connection; the simulated engine and the plain service had the same listener, crash and restart. Change: internal/digest, internal/httpclient and internal/standin/lives have the logic; each of the six uses its part. The engine's runs and the calls of services keep their settings, and Request.ID keeps its own form, which is stored. Ran the tests of once, internal/quarantine, internal/engine, internal/standin, store and internal/digest with -race -short. Conclusion: the load generator's client has no idle timeout and stays apart.

--- /dev/null
+++ b/internal/digest/digest_test.go
@@ -0,0 +1,20 @@
+package digest_test
+
+import (
+	"encoding/hex"
+	"testing"
+
+	"github.com/greengagegate/greengagegate/internal/digest"
+)
+
+func TestSumTellsPartsApart(t *testing.T) {
+	sum := digest.Sum([]byte("ab"), []byte("c"))
+	if digest.Sum([]byte("a"), []byte("bc")) == sum || digest.Sum([]byte("abc")) == sum {
+		t.Fatal("another division into parts has the same sum")
+	}
+	// Owners of shards keep sums for longer than a release, so that they must not change.
+	const want = "43ee655579de01ca"
+	if got := hex.EncodeToString(sum[:8]); got != want {
+		t.Fatalf("got %s, want %s", got, want)
+	}
+}
--- a/internal/engine/httpengine/driver.go
+++ b/internal/engine/httpengine/driver.go
@@ -7,20 +7,15 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"strconv"
-	"sync/atomic"
-	"time"
 
 	"github.com/greengagegate/greengagegate/internal/engine"
 	"github.com/greengagegate/greengagegate/internal/fault"
+	"github.com/greengagegate/greengagegate/internal/httpclient"
 )
 
 const (
-	dialTimeout      = 2 * time.Second
-	idleTimeout      = 30 * time.Second
 	maxIdleConns     = 8
 	maxRefusalBytes  = 4 << 10
 	maxEventBytes    = 1 << 20
@@ -40,21 +35,12 @@
 
 // New returns a driver for the engine at base, such as "http://127.0.0.1:8000".
 func New(base string) *Driver {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Driver{
-		base: base,
-		runs: &http.Client{Transport: &http.Transport{
-			DialContext:        dialer.DialContext,
-			DisableCompression: true,
-			DisableKeepAlives:  true,
-		}},
-		calls: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			DisableCompression:  true,
-			IdleConnTimeout:     idleTimeout,
-			MaxIdleConnsPerHost: maxIdleConns,
-		}},
-	}
+	runs := httpclient.NewTransport(0)
+	runs.DisableCompression = true
+	runs.DisableKeepAlives = true
+	calls := httpclient.NewTransport(maxIdleConns)
+	calls.DisableCompression = true
+	return &Driver{base: base, runs: &http.Client{Transport: runs}, calls: &http.Client{Transport: calls}}
 }
 
 // Close closes the connections that are not in use.
@@ -183,10 +169,6 @@
 // send returns the answer when its status is 200. Any other outcome is an error
 // that says whether the engine may have seen the request.
 func send(ctx context.Context, client *http.Client, method, target string, body io.Reader, length int64) (*http.Response, error) {
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
 	request, err := http.NewRequestWithContext(ctx, method, target, body)
 	if err != nil {
 		return nil, errors.Join(engine.ErrUnreachable, err)
@@ -195,8 +177,8 @@
 	if length == 0 {
 		request.Body = nil
 	}
-	response, err := client.Do(request)
-	if err != nil && !connected.Load() {
+	response, sent, err := httpclient.Do(client, request)
+	if err != nil && !sent {
 		return nil, errors.Join(engine.ErrUnreachable, err)
 	}
 	if err != nil {
--- a/internal/standin/plainsvc/plainsvc.go
+++ b/internal/standin/plainsvc/plainsvc.go
@@ -5,21 +5,17 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/gin-gonic/gin"
-	"github.com/greengagegate/greengagegate/internal/fault"
 	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/internal/service"
+	"github.com/greengagegate/greengagegate/internal/standin/lives"
 )
 
 const (
-	relistenInterval = 50 * time.Millisecond
-	headerTimeout    = 5 * time.Second
-
 	idempotencyHeader = "Idempotency-Key"
 )
 
@@ -79,12 +75,9 @@
 // Manager is one service. It lives through crashes.
 type Manager struct {
 	options Options
-	ctx     context.Context // ends at Stop
-	stop    context.CancelFunc
-	tasks   sync.WaitGroup
+	server  *lives.Manager
 
 	mu          sync.Mutex
-	crash       context.CancelFunc // ends the present life, nil while down
 	crashAt     CrashPoint
 	delay       time.Duration
 	entries     map[string]*Entry
@@ -94,31 +87,21 @@
 
 // New returns a service that is not started.
 func New(options Options) *Manager {
-	ctx, stop := context.WithCancel(context.Background())
-	return &Manager{
+	m := &Manager{
 		options:  options,
-		ctx:      ctx,
-		stop:     stop,
 		entries:  make(map[string]*Entry),
 		balances: make(map[string]int64),
 	}
+	begin := func(ctx context.Context) (http.Handler, func()) { return m.handler(ctx), func() {} }
+	m.server = lives.New(lives.Options{Address: options.Address, Restart: options.Restart, Begin: begin})
+	return m
 }
 
 // Start listens and serves. An error means that the address could not be used.
-func (m *Manager) Start() error {
-	listener, err := net.Listen("tcp", m.options.Address)
-	if err != nil {
-		return fault.Wrap(err, "listen", m.options.Address)
-	}
-	m.live(listener)
-	return nil
-}
+func (m *Manager) Start() error { return m.server.Start() }
 
 // Stop ends the service for good and waits for its tasks.
-func (m *Manager) Stop() {
-	m.stop()
-	m.tasks.Wait()
-}
+func (m *Manager) Stop() { m.server.Stop() }
 
 // Crash makes the service crash at a point: all connections end without an
 // answer, new ones are refused for the restart time.
@@ -126,7 +109,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if at == CrashNow {
-		m.crashNow()
+		m.server.Crash()
 		return
 	}
 	m.crashAt = at
@@ -152,41 +135,6 @@
 	return ledger
 }
 
-// crashNow ends the present life; m.mu is held.
-func (m *Manager) crashNow() {
-	if m.crash == nil {
-		return
-	}
-	m.crash()
-	m.crash = nil
-}
-
-func (m *Manager) live(listener net.Listener) {
-	ctx, end := context.WithCancel(m.ctx)
-	m.mu.Lock()
-	m.crash = end
-	m.mu.Unlock()
-	server := &http.Server{Handler: m.handler(ctx), ReadHeaderTimeout: headerTimeout}
-	m.tasks.Go(func() { _ = server.Serve(listener) })
-	m.tasks.Go(func() {
-		<-ctx.Done()
-		_ = server.Close()
-		m.restart()
-	})
-}
-
-func (m *Manager) restart() {
-	wait := m.options.Restart
-	for pause.For(m.ctx, wait) == nil {
-		listener, err := net.Listen("tcp", m.options.Address)
-		if err == nil {
-			m.live(listener)
-			return
-		}
-		wait = relistenInterval
-	}
-}
-
 // handler serves one life of the service, which ends with ctx.
 func (m *Manager) handler(ctx context.Context) http.Handler {
 	gin.SetMode(gin.ReleaseMode)
@@ -251,7 +199,7 @@
 		return false
 	}
 	m.crashAt = ""
-	m.crashNow()
+	m.server.Crash()
 	return true
 }
 
--- a/once/once.go
+++ b/once/once.go
@@ -15,6 +15,8 @@
 	"encoding/binary"
 	"fmt"
 	"time"
+
+	"github.com/greengagegate/greengagegate/internal/digest"
 )
 
 // State says whether the operation of a key was executed.
@@ -75,14 +77,8 @@
 
 // Sum returns the digest of a content given in parts.
 func Sum(parts ...[]byte) Digest {
-	hash := sha256.New()
-	for _, part := range parts {
-		var length [8]byte
-		binary.LittleEndian.PutUint64(length[:], uint64(len(part)))
-		hash.Write(length[:])
-		hash.Write(part)
-	}
-	return Digest(hash.Sum(nil)[:digestBytes])
+	sum := digest.Sum(parts...)
+	return Digest(sum[:digestBytes])
 }
 
 // ShardOf maps a key to one of a number of shards. Callers outside of the pool
--- a/store/httpstore/httpstore.go
+++ b/store/httpstore/httpstore.go
@@ -8,15 +8,12 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"sync/atomic"
-	"time"
 
 	"github.com/greengagegate/greengagegate/internal/fault"
+	"github.com/greengagegate/greengagegate/internal/httpclient"
 	"github.com/greengagegate/greengagegate/store"
 )
 
@@ -41,8 +38,6 @@
 )
 
 const (
-	dialTimeout     = 2 * time.Second
-	idleTimeout     = 30 * time.Second
 	maxIdleConns    = 16
 	maxRefusalBytes = 4 << 10
 )
@@ -77,15 +72,7 @@
 
 // New returns a client of the service at base, such as "http://127.0.0.1:7400".
 func New(base string) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &Client{
-		base: base,
-		client: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			IdleConnTimeout:     idleTimeout,
-			MaxIdleConnsPerHost: maxIdleConns,
-		}},
-	}
+	return &Client{base: base, client: &http.Client{Transport: httpclient.NewTransport(maxIdleConns)}}
 }
 
 // Close closes the connections that are not in use.
@@ -146,17 +133,13 @@
 // write makes a change once. Until a connection is there the change cannot have
 // been sent; from then on a missing answer leaves the outcome unknown.
 func (c *Client) write(ctx context.Context, method, key string, value []byte, expected int64) (int64, error) {
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
 	target := c.base + PathObjects + url.PathEscape(key) + "?" + ParamExpected + "=" + strconv.FormatInt(expected, 10)
 	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(value))
 	if err != nil {
 		return 0, errors.Join(store.ErrUnavailable, err)
 	}
-	response, err := c.client.Do(request)
-	if err != nil && !connected.Load() {
+	response, sent, err := httpclient.Do(c.client, request)
+	if err != nil && !sent {
 		return 0, errors.Join(store.ErrUnavailable, err)
 	}
 	if err != nil {
