Split the tests of calls that run once by what they try

Cause: once_test.go had 417 lines on three matters. Change: takeover_test.go has the changes of owner, outage_test.go the outages of the store and the witnesses, once_test.go the rest. No test is changed. Ran the tests of once with -race -short.

--- /dev/null
+++ b/once/outage_test.go
@@ -0,0 +1,137 @@
+package once
+
+import (
+	"testing"
+	"time"
+
+	"github.com/greengagegate/greengagegate/store/memstore"
+)
+
+func TestLostStoreAnswerIsSettledByReading(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		f.store.SetFaults(memstore.Faults{LoseAnswers: 1})
+		mustRun(t, f, charge("k"))
+		if !mustRun(t, f, charge("k")).Replayed {
+			t.Fatal("ran twice")
+		}
+	})
+}
+
+func TestOutageThenCrashLeavesDoubt(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		f.store.SetFaults(memstore.Faults{Down: true})
+		mustRun(t, f, charge("k"))
+		owner := f.owner(charge("k"))
+		f.crash(owner)
+		f.start(owner)
+		if _, err := f.call(charge("k"), callLimit); reason(t, err) != ReasonUnavailable {
+			t.Fatalf("during the outage: %v", err)
+		}
+		f.store.SetFaults(memstore.Faults{})
+		f.settle()
+		if _, err := f.call(charge("k"), callLimit); reason(t, err) != ReasonInDoubt {
+			t.Fatalf("after the outage: %v", err)
+		}
+		time.Sleep(testHorizon)
+		mustRun(t, f, charge("later"))
+	})
+}
+
+func TestOutageThenRecoveryLeavesNoDoubt(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		f.store.SetFaults(memstore.Faults{Down: true})
+		mustRun(t, f, charge("k"))
+		f.store.SetFaults(memstore.Faults{})
+		time.Sleep(5 * time.Second)
+		owner := f.owner(charge("k"))
+		f.crash(owner)
+		f.start(owner)
+		f.settle()
+		if !mustRun(t, f, charge("k")).Replayed {
+			t.Fatal("ran twice")
+		}
+		mustRun(t, f, sameShard(f, charge("k"), "new"))
+	})
+}
+
+func TestDoubtWithoutWitness(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		owner := f.owner(charge("k"))
+		for _, peer := range f.peers() {
+			if peer.Process != owner {
+				f.crash(peer.Process)
+				f.start(peer.Process)
+				break
+			}
+		}
+		f.crash(owner)
+		f.start(owner)
+		f.settle()
+		if _, err := f.call(charge("k"), callLimit); reason(t, err) != ReasonInDoubt {
+			t.Fatalf("a witness was started anew: %v", err)
+		}
+	})
+}
+
+func TestRestartedWitnessIsReplaced(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		owner := f.owner(charge("k"))
+		for _, peer := range f.peers() {
+			if peer.Process != owner {
+				f.crash(peer.Process)
+				f.start(peer.Process)
+			}
+		}
+		time.Sleep(2 * maxLookInterval)
+		f.settle()
+		f.crash(owner)
+		f.start(owner)
+		f.settle()
+		mustRun(t, f, charge("k"))
+	})
+}
+
+func TestWitness(t *testing.T) {
+	w := newWitness()
+	steps := []struct {
+		name   string
+		mark   *Mark
+		ask    *Ask
+		wantOK bool
+	}{
+		{"nothing known", nil, &Ask{Epoch: 1}, false},
+		{"fenced epoch", &Mark{Epoch: 1, Episode: 1}, nil, false},
+		{"next epoch", &Mark{Epoch: 2, Episode: 1}, nil, true},
+		{"episode ended", &Mark{Epoch: 2, Episode: 1, Ended: true}, nil, true},
+		{"second episode", &Mark{Epoch: 2, Episode: 2}, nil, true},
+		{"late end of the first", &Mark{Epoch: 2, Episode: 1, Ended: true}, nil, true},
+		{"still marked", nil, &Ask{Epoch: 2}, true},
+		{"fenced by the question", &Mark{Epoch: 2, Episode: 3}, nil, false},
+	}
+	for _, step := range steps {
+		got := false
+		if step.mark != nil {
+			got = w.mark(*step.mark) == nil
+		} else {
+			got = w.ask(*step.ask)
+		}
+		if got != step.wantOK {
+			t.Errorf("%s: got %v, want %v", step.name, got, step.wantOK)
+		}
+	}
+}
+
+func TestClaimIsGivenUpInTime(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		f.store.SetFaults(memstore.Faults{Down: true})
+		_, err := f.call(charge("k"), defaultUnjournaledAfter/2)
+		if reason(t, err) != ReasonNotRun || told(Result{}, err).state != StateUnknown {
+			t.Fatalf("got %v", err)
+		}
+		f.store.SetFaults(memstore.Faults{})
+		time.Sleep(time.Second)
+		if mustRun(t, f, charge("k")).Replayed {
+			t.Fatal("a claim that was given up was replayed")
+		}
+	})
+}
