Ask peers in one place

Cause: six clients opened a stream, sent one message, received one and closed it, each with its own copy; the stand-in of the platform read the expected version twice. Change: wire.Pool.Ask does it for once, configsync, rollout, slots, status and quarantine; platform has expectedVersion. Calls of services keep their own form, since they tell a stream that did not open from one that broke. Ran the tests of the packages touched with -race -short. Conclusion: what else the search for duplicates lists outside of tests is imports, options, JSON types and lists of constants that only look alike.

--- a/internal/agent/calls/transport.go
+++ b/internal/agent/calls/transport.go
@@ -47,16 +47,8 @@
 }
 
 func (t *transport) ask(ctx context.Context, address string, request *wirepb.OnceRequest) (*wirepb.OnceReply, error) {
-	stream, err := t.pool.Open(ctx, address, wirepb.Kind_KIND_ONCE, "")
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = stream.Close() }()
-	if err := stream.Send(request); err != nil {
-		return nil, err
-	}
 	reply := new(wirepb.OnceReply)
-	if err := stream.Recv(reply); err != nil {
+	if err := t.pool.Ask(ctx, address, wirepb.Kind_KIND_ONCE, "", request, reply); err != nil {
 		return nil, err
 	}
 	return reply, nil
--- a/internal/agent/rollout/coordinate.go
+++ b/internal/agent/rollout/coordinate.go
@@ -116,14 +116,6 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	stream, err := m.options.Pool.Open(ctx, upstream.Address, wirepb.Kind_KIND_ORDER, request.Upstream)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = stream.Close() }()
-	if err := stream.Send(request); err != nil {
-		return nil, err
-	}
 	reply := new(wirepb.LoadReply)
-	return reply, stream.Recv(reply)
+	return reply, m.options.Pool.Ask(ctx, upstream.Address, wirepb.Kind_KIND_ORDER, request.Upstream, request, reply)
 }
--- a/internal/configsync/transport.go
+++ b/internal/configsync/transport.go
@@ -27,16 +27,8 @@
 	if request.Delta != nil {
 		kind = wirepb.Kind_KIND_CONFIG_PUSH
 	}
-	stream, err := t.pool.Open(ctx, address, kind, "")
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = stream.Close() }()
-	if err := stream.Send(request); err != nil {
-		return nil, err
-	}
 	reply := new(wirepb.ConfigReply)
-	if err := stream.Recv(reply); err != nil {
+	if err := t.pool.Ask(ctx, address, kind, "", request, reply); err != nil {
 		return nil, err
 	}
 	metrics.Counter("config.bytes", "direction", "sent").Inc(int64(proto.Size(request)))
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -198,16 +198,8 @@
 
 // exchange sends an update and returns the peer's.
 func (m *Manager) exchange(ctx context.Context, address string, update *wirepb.QuarantineUpdate) (*wirepb.QuarantineUpdate, error) {
-	stream, err := m.options.Pool.Open(ctx, address, wirepb.Kind_KIND_QUARANTINE, "")
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = stream.Close() }()
-	if err := stream.Send(update); err != nil {
-		return nil, err
-	}
 	reply := new(wirepb.QuarantineUpdate)
-	return reply, stream.Recv(reply)
+	return reply, m.options.Pool.Ask(ctx, address, wirepb.Kind_KIND_QUARANTINE, "", update, reply)
 }
 
 // Handle serves KIND_QUARANTINE: it takes in an update and answers with one.
--- a/internal/slotlink/slotlink.go
+++ b/internal/slotlink/slotlink.go
@@ -54,20 +54,12 @@
 
 // Ask implements lease.Witnesses.
 func (c *Client) Ask(ctx context.Context, address string, request lease.WitnessRequest) (lease.WitnessReply, error) {
-	stream, err := c.pool.Open(ctx, address, wirepb.Kind_KIND_SLOTS, "")
-	if err != nil {
-		return lease.WitnessReply{}, err
-	}
-	defer func() { _ = stream.Close() }()
 	message := &wirepb.SlotsRequest{
 		Set: request.Set, Token: request.Token, Claim: request.Claim,
 		Records: encode(request.Records), Released: encode(request.Released),
 	}
-	if err := stream.Send(message); err != nil {
-		return lease.WitnessReply{}, err
-	}
 	reply := new(wirepb.SlotsReply)
-	if err := stream.Recv(reply); err != nil {
+	if err := c.pool.Ask(ctx, address, wirepb.Kind_KIND_SLOTS, "", message, reply); err != nil {
 		return lease.WitnessReply{}, err
 	}
 	return lease.WitnessReply{Token: reply.Token, Informed: reply.Informed, Records: decode(reply.Records)}, nil
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -96,9 +96,8 @@
 	if !ok {
 		return
 	}
-	expected, err := strconv.ParseInt(c.Query(httpstore.ParamExpected), 10, 64)
-	if err != nil {
-		c.AbortWithStatus(http.StatusBadRequest)
+	expected, ok := expectedVersion(c)
+	if !ok {
 		return
 	}
 	value, err := io.ReadAll(io.LimitReader(c.Request.Body, store.MaxValueBytes+1))
@@ -119,9 +118,8 @@
 	if !ok {
 		return
 	}
-	expected, err := strconv.ParseInt(c.Query(httpstore.ParamExpected), 10, 64)
-	if err != nil {
-		c.AbortWithStatus(http.StatusBadRequest)
+	expected, ok := expectedVersion(c)
+	if !ok {
 		return
 	}
 	reply(c, httpstore.Written{}, m.objects.Delete(c.Request.Context(), key, expected))
@@ -185,6 +183,16 @@
 	return key, true
 }
 
+// expectedVersion returns the version that a change expects, or answers 400.
+func expectedVersion(c *gin.Context) (int64, bool) {
+	expected, err := strconv.ParseInt(c.Query(httpstore.ParamExpected), 10, 64)
+	if err != nil {
+		c.AbortWithStatus(http.StatusBadRequest)
+		return 0, false
+	}
+	return expected, true
+}
+
 // reply answers with body, or the refusal that err stands for. A lost answer
 // ends the connection without a byte.
 func reply(c *gin.Context, body any, err error) {
--- a/internal/status/status.go
+++ b/internal/status/status.go
@@ -68,16 +68,8 @@
 func (c *Client) ask(ctx context.Context, address string) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	stream, err := c.pool.Open(ctx, address, wirepb.Kind_KIND_STATUS, "")
-	if err != nil {
-		return Answer{}, err
-	}
-	defer func() { _ = stream.Close() }()
-	if err := stream.Send(new(wirepb.StatusRequest)); err != nil {
-		return Answer{}, err
-	}
 	reply := new(wirepb.StatusReply)
-	if err := stream.Recv(reply); err != nil {
+	if err := c.pool.Ask(ctx, address, wirepb.Kind_KIND_STATUS, "", new(wirepb.StatusRequest), reply); err != nil {
 		return Answer{}, err
 	}
 	return Answer{Process: reply.Process, Revision: reply.ConfigRevision, Draining: reply.Draining}, nil
--- /dev/null
+++ b/internal/wire/ask.go
@@ -0,0 +1,22 @@
+package wire
+
+import (
+	"context"
+
+	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
+	"google.golang.org/protobuf/proto"
+)
+
+// Ask sends one request on a stream of its own and receives the reply into reply.
+// After an error the peer may or may not have handled the request.
+func (p *Pool) Ask(ctx context.Context, address string, kind wirepb.Kind, requestID string, request, reply proto.Message) error {
+	stream, err := p.Open(ctx, address, kind, requestID)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }()
+	if err := stream.Send(request); err != nil {
+		return err
+	}
+	return stream.Recv(reply)
+}
