Back each grant until it ends instead of for a fixed term

Cause: a pool counted a loan only while it had 0.4 s left, but counted all grants in full, also those that waiting requests had spent already or that ended before the loan. So when a loan was about to end, tokens of other loans were dropped.

Free tokens are dropped only when no loan backs them.

Ruled out: the lag of capped shares alone.

--- a/quota/draw.go
+++ b/quota/draw.go
@@ -51,8 +51,8 @@
 	s.mu.Lock()
 	now := p.options.Now()
 	s.expire(now)
-	s.trim(now, p.options.GrantTerm)
-	if s.free >= want {
+	s.trim(now)
+	if s.grantable(now, spendTerm) >= want {
 		s.mu.Unlock()
 		return false
 	}
@@ -77,7 +77,7 @@
 	defer s.mu.Unlock()
 	close(s.drawing)
 	s.drawing = nil
-	return s.free < want
+	return s.grantable(p.options.Now(), spendTerm) < want
 }
 
 // plan chooses the lenders of a round: one that likely has enough, or else as
@@ -85,7 +85,7 @@
 // When all together seem to have too little, they are asked only now and then.
 func (p *pool) plan(s *stock, now time.Time, want float64) []draft {
 	candidates := p.candidates(s, now)
-	missing := want - s.free
+	missing := want - s.grantable(now, spendTerm)
 	if best := single(candidates, missing); best != nil {
 		return []draft{p.draft(s, now, *best, missing)}
 	}
@@ -268,7 +268,7 @@
 	defer s.mu.Unlock()
 	now := p.options.Now()
 	s.expire(now)
-	s.trim(now, p.options.GrantTerm)
+	s.trim(now)
 	if s.drawing != nil {
 		return nil
 	}
@@ -307,7 +307,7 @@
 	if idle {
 		return s.free >= 1 && l.held >= 1
 	}
-	lasting := s.free + s.grants.lasting(now) - s.usableBut(l, now, p.options.GrantTerm)
+	lasting := s.free + s.grants.lasting(now) - s.lasting(l, now, p.options.GrantTerm)
 	return p.ending(l, now) && min(l.held, lasting) >= max(1, endingFraction*s.limit.Burst)
 }
 
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -48,6 +48,20 @@
 	return sum
 }
 
+// at returns what all borrowers may still spend at a time that is not past.
+func (l *ledger) at(at time.Time) float64 {
+	var sum float64
+	for _, h := range l.holders {
+		if at.Before(h.expires) {
+			sum += h.outstanding
+		}
+		if at.Before(h.briefExpires) {
+			sum += h.brief
+		}
+	}
+	return sum
+}
+
 // lasting is total without what must be spent at once.
 func (l *ledger) lasting(now time.Time) float64 {
 	var sum float64
--- a/quota/lot.go
+++ b/quota/lot.go
@@ -41,13 +41,6 @@
 	}
 }
 
-// needed is the part of a lot that free tokens and grants still need, given
-// that other lots back them as far as they can. The rest has been spent.
-func (s *stock) needed(l *lot, now time.Time, grantTerm time.Duration) float64 {
-	others := s.usableBut(l, now, grantTerm)
-	return max(0, min(l.held, s.free+s.grants.total(now)-others))
-}
-
 // ask prepares an ask to the lender of a lot. The tokens that were spent are
 // counted against this lender, and up to giveBack free ones are returned.
 func (s *stock) ask(l *lot, now time.Time, grantTerm time.Duration, seq uint64, giveBack float64) Ask {
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -5,8 +5,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/greengagegate/greengagegate/internal/invariant"
 )
 
 const (
@@ -115,21 +113,33 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now = p.options.Now()
-	s.trim(now, p.options.GrantTerm)
-	answer := Answer{Renewed: known && s.grants.total(now) <= s.usable(now, p.options.GrantTerm)}
-	if s.free >= float64(ask.Want) {
-		answer.Granted = portion(s.free, ask.Want, ask.Extra)
-	} else {
+	answer := s.answer(now, borrower, ask, known, p.options.GrantTerm)
+	if answer.Granted < ask.Want {
 		answer.Wait = p.waitFor(s, now, float64(ask.Want))
 	}
-	s.free -= float64(answer.Granted)
-	answer.Left = int64(s.free)
-	if answer.Granted > 0 || answer.Renewed {
-		wanted := min(answer.Granted, ask.Want)
-		s.grants.issueBrief(now, borrower, float64(wanted))
-		s.grants.issue(now, borrower, float64(answer.Granted-wanted), p.options.GrantTerm)
+	s.check(now)
+	return answer
+}
+
+// answer renews a router's holding and grants what it wants, if there is as
+// much. Tokens beyond that are granted only with a holding that was renewed,
+// since one term holds for both.
+func (s *stock) answer(now time.Time, borrower uint64, ask *Ask, known bool, term time.Duration) Answer {
+	s.expire(now)
+	answer := Answer{Renewed: s.renew(now, borrower, ask.Holding, term) && known}
+	s.trim(now)
+	if s.grantable(now, spendTerm) >= float64(ask.Want) {
+		answer.Granted = ask.Want
+		s.free -= float64(ask.Want)
+		s.grants.issueBrief(now, borrower, float64(ask.Want))
 	}
-	s.check(now, p.options.GrantTerm)
+	if answer.Renewed && answer.Granted == ask.Want {
+		extra := portion(s.grantable(now, term), 0, ask.Extra)
+		answer.Granted += extra
+		s.free -= float64(extra)
+		s.grants.issue(now, borrower, float64(extra), term)
+	}
+	answer.Left = int64(s.free)
 	return answer
 }
 
@@ -141,39 +151,12 @@
 	}
 }
 
-// usable is the sum of the lots that outlast a grant given now.
-func (s *stock) usable(now time.Time, grantTerm time.Duration) float64 {
-	return s.usableBut(nil, now, grantTerm)
-}
-
-// usableBut is usable without one lot.
-func (s *stock) usableBut(but *lot, now time.Time, grantTerm time.Duration) float64 {
-	var sum float64
-	for _, lot := range s.lots {
-		if lot != but && lot.expires.Sub(now) >= grantTerm {
-			sum += lot.held
-		}
-	}
-	return sum
-}
-
-// trim drops free tokens that no lot backs.
-func (s *stock) trim(now time.Time, grantTerm time.Duration) {
-	s.free = max(0, min(s.free, s.usable(now, grantTerm)-s.grants.total(now)))
-}
-
-func (s *stock) check(now time.Time, grantTerm time.Duration) {
-	invariant.Check(s.free >= 0, "quota.pool_negative", "free %f", s.free)
-	invariant.Check(s.free <= slack || s.free+s.grants.total(now) <= s.usable(now, grantTerm)+slack,
-		"quota.pool_above_loans", "free %f, granted %f, lent %f", s.free, s.grants.total(now), s.usable(now, grantTerm))
-}
-
 // waitFor estimates from the customer's rate when tokens will be there.
 func (p *pool) waitFor(s *stock, now time.Time, want float64) time.Duration {
 	if s.limit.Rate <= 0 {
 		return maxWaitHint
 	}
-	missing := want - s.free - total(p.candidates(s, now))
+	missing := want - s.grantable(now, spendTerm) - total(p.candidates(s, now))
 	wait := time.Duration(missing / s.limit.Rate * float64(time.Second))
 	return min(max(wait, minWaitHint), maxWaitHint)
 }
