Read streamed lines of the engine and of the store in one place

Change: httpclient.Lines parses each line and sends it on; both use it. Ran the tests of internal/engine, internal/standin and store.

--- a/internal/engine/httpengine/driver.go
+++ b/internal/engine/httpengine/driver.go
@@ -111,32 +111,10 @@
 		return nil, fault.Wrap(err, "open events", d.base)
 	}
 	events := make(chan engine.CacheEvent, cacheEventBuffer)
-	go readEvents(ctx, response.Body, events)
+	go httpclient.Lines(ctx, response.Body, maxEventBytes, parseCacheEvent, events)
 	return events, nil
 }
 
-// readEvents closes events when the stream breaks, a line is malformed, or ctx ends.
-func readEvents(ctx context.Context, body io.ReadCloser, events chan<- engine.CacheEvent) {
-	defer close(events)
-	defer func() { _ = body.Close() }()
-	lines := bufio.NewScanner(body)
-	lines.Buffer(nil, maxEventBytes)
-	for lines.Scan() {
-		if len(lines.Bytes()) == 0 {
-			continue
-		}
-		event, err := parseCacheEvent(lines.Bytes())
-		if err != nil {
-			return
-		}
-		select {
-		case events <- event:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 func (d *Driver) blocks(ctx context.Context, path string, salt uint64, hashes []uint64) (engine.Transfer, error) {
 	var transfer engine.Transfer
 	err := d.exchange(ctx, path, BlocksRequest{Salt: salt, Hashes: hashes}, &transfer)
--- a/store/httpstore/watch.go
+++ b/store/httpstore/watch.go
@@ -1,16 +1,15 @@
 package httpstore
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 
 	"github.com/greengagegate/greengagegate/internal/fault"
+	"github.com/greengagegate/greengagegate/internal/httpclient"
 	"github.com/greengagegate/greengagegate/store"
 )
 
@@ -35,29 +34,12 @@
 		return nil, fault.Wrap(refusalError(response, store.ErrUnavailable), "watch objects", c.base)
 	}
 	objects := make(chan store.Object, watchBuffer)
-	go readWatch(ctx, response.Body, objects)
+	go httpclient.Lines(ctx, response.Body, maxWatchLineBytes, parseObject, objects)
 	return objects, nil
 }
 
-// readWatch closes objects when the stream breaks or ctx ends. Empty lines keep
-// the connection alive and are skipped.
-func readWatch(ctx context.Context, body io.ReadCloser, objects chan<- store.Object) {
-	defer close(objects)
-	defer func() { _ = body.Close() }()
-	lines := bufio.NewScanner(body)
-	lines.Buffer(nil, maxWatchLineBytes)
-	for lines.Scan() {
-		if len(lines.Bytes()) == 0 {
-			continue
-		}
-		var object store.Object
-		if err := json.Unmarshal(lines.Bytes(), &object); err != nil {
-			return
-		}
-		select {
-		case objects <- object:
-		case <-ctx.Done():
-			return
-		}
-	}
+func parseObject(line []byte) (store.Object, error) {
+	var object store.Object
+	err := json.Unmarshal(line, &object)
+	return object, err
 }
