--- a/internal/agent/transfer/speed.go
+++ b/internal/agent/transfer/speed.go
@@ -39,7 +39,7 @@
 	return time.Duration(tokens / s.rate * float64(time.Second))
 }
 
-// waitNow is the expected wait; it fades without news.
+// waitNow is the expected wait; it decays without news.
 func (s *speed) waitNow(now time.Time) time.Duration {
 	if s.wait == 0 {
 		return 0
--- a/internal/configsync/neighbours.go
+++ b/internal/configsync/neighbours.go
@@ -41,14 +41,15 @@
 	own := place(self.Process)
 	seen := make(map[string]bool)
 	var found []string
-	for shift := 63; shift >= 64-fingers(len(ring)); shift-- {
+	for shift := 63; shift >= 64-distances(len(ring)); shift-- {
 		found = addNeighbour(found, seen, ring, own+1<<shift)
 	}
 	return addNeighbour(found, seen, ring, own+1)
 }
 
-// fingers is the number of distances that reach distinct members as a rule.
-func fingers(members int) int { return bits.Len(uint(members)) }
+// distances is how many distances, each half of the one before, reach distinct
+// members as a rule.
+func distances(members int) int { return bits.Len(uint(members)) }
 
 func addNeighbour(found []string, seen map[string]bool, ring []point, from uint64) []string {
 	i := sort.Search(len(ring), func(i int) bool { return ring[i].place >= from })
--- a/internal/configsync/wire_test.go
+++ b/internal/configsync/wire_test.go
@@ -117,7 +117,7 @@
 				}
 			}
 		}
-		if len(reached) != size || most > fingers(size)+1 {
+		if len(reached) != size || most > distances(size)+1 {
 			t.Errorf("%d members: %d reached, up to %d neighbours", size, len(reached), most)
 		}
 	}
--- a/internal/load/judge/bucket.go
+++ b/internal/load/judge/bucket.go
@@ -46,8 +46,8 @@
 
 // overAdmission returns the largest number of tokens that any customer got
 // beyond its rate and burst in any window. A request counts as admitted in a
-// window when it was both sent and answered in it, so that the figure never
-// accuses wrongly.
+// window when it was both sent and answered in it, so that the figure is
+// never above the true one.
 func overAdmission(plan *scenario.Plan, results []client.PromptResult) float64 {
 	worst := 0.0
 	for customer := range plan.Rates {
--- a/internal/picker/watch.go
+++ b/internal/picker/watch.go
@@ -105,14 +105,14 @@
 func (w *watch) observe(r *record, now time.Time, late time.Duration) {
 	late = min(max(0, late), maxPenalty)
 	w.late += time.Duration(fleetGain * float64(late-w.late))
-	r.late = r.faded(now)
+	r.late = r.decayed(now)
 	r.late += time.Duration(penaltyGain * float64(late-r.late))
 	r.lateAt = now
 }
 
-// faded returns the lateness after the time without news, so that a demoted
+// decayed returns the lateness after the time without news, so that a demoted
 // upstream is tried again.
-func (r *record) faded(now time.Time) time.Duration {
+func (r *record) decayed(now time.Time) time.Duration {
 	if r.late == 0 {
 		return 0
 	}
@@ -128,6 +128,6 @@
 		return 0, false
 	}
 	now := w.now()
-	penalty = max(0, r.faded(now)-toleratedRatio*w.late-tolerated)
+	penalty = max(0, r.decayed(now)-toleratedRatio*w.late-tolerated)
 	return penalty, now.Before(r.avoidUntil)
 }
--- a/lease/reclaim.go
+++ b/lease/reclaim.go
@@ -177,10 +177,10 @@
 	delete(s.reclaimed, index)
 }
 
-// seasoned counts the witnesses that have a record and whose life covers the
-// whole wait before a reclaim. A younger one may have forgotten a claim that the
+// longLived counts the witnesses that have a record and whose life covers the
+// whole wait before a reclaim. One that started later may have forgotten a claim that the
 // former holder made in that time; s.mu is held.
-func (s *Slots) seasoned(p *poll, record Record) int {
+func (s *Slots) longLived(p *poll, record Record) int {
 	count := 0
 	now := s.options.Now()
 	for address, reply := range p.replies {
@@ -203,7 +203,7 @@
 		if !verified || record.Life != s.life || record.Address != s.options.Address {
 			continue
 		}
-		if len(p.addresses) > 0 && s.seasoned(p, record) < p.quorum() {
+		if len(p.addresses) > 0 && s.longLived(p, record) < p.quorum() {
 			continue
 		}
 		delete(s.reclaimed, index)
--- a/once/witness.go
+++ b/once/witness.go
@@ -28,11 +28,11 @@
 // the epoch it asks about: later marks of that epoch are refused.
 type witness struct {
 	mu     sync.Mutex
-	shards map[int]*testimony
+	shards map[int]*episodes
 }
 
-// testimony is what a witness knows of one shard's latest epoch.
-type testimony struct {
+// episodes is what a witness knows of one shard's latest epoch.
+type episodes struct {
 	epoch  uint64
 	begun  uint64
 	ended  uint64
@@ -40,13 +40,13 @@
 }
 
 func newWitness() *witness {
-	return &witness{shards: make(map[int]*testimony)}
+	return &witness{shards: make(map[int]*episodes)}
 }
 
-func (w *witness) testimony(shard int) *testimony {
+func (w *witness) of(shard int) *episodes {
 	found, ok := w.shards[shard]
 	if !ok {
-		found = new(testimony)
+		found = new(episodes)
 		w.shards[shard] = found
 	}
 	return found
@@ -56,7 +56,7 @@
 func (w *witness) mark(m Mark) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	t := w.testimony(m.Shard)
+	t := w.of(m.Shard)
 	if m.Epoch <= t.fenced || m.Epoch < t.epoch {
 		return ErrWitness
 	}
@@ -75,7 +75,7 @@
 func (w *witness) ask(a Ask) (marked bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	t := w.testimony(a.Shard)
+	t := w.of(a.Shard)
 	t.fenced = max(t.fenced, a.Epoch)
 	return t.epoch == a.Epoch && t.begun > t.ended
 }
