--- a/quota/refusals_test.go
+++ b/quota/refusals_test.go
@@ -40,10 +40,10 @@
 	return []profile{
 		{"no faults, 95% of the rate", deskParts(), 0.95, 100, 3200, noFaults, 0},
 		{"graceful restart every 10 s, 95% of the rate", deskParts(), 0.95, 100, 3200, restarts(true, 10*time.Second), 0.001},
-		{"graceful restart every 10 s, 77% of the rate, few large requests", deskParts(), 0.77, 11, 32_000, restarts(true, 10*time.Second), 1},
+		{"graceful restart every 10 s, 77% of the rate, few large requests", deskParts(), 0.77, 11, 32_000, restarts(true, 10*time.Second), 0.001},
 		{"crash every 10 s, 77% of the rate", deskParts(), 0.77, 100, 3200, restarts(false, 10*time.Second), 0.001},
-		{"crash every 10 s, 95% of the rate", deskParts(), 0.95, 100, 3200, restarts(false, 10*time.Second), 1},
-		{"all faults, 77% of the rate", deskParts(), 0.77, 100, 3200, allFaults, 1},
+		{"crash every 10 s, 95% of the rate", deskParts(), 0.95, 100, 3200, restarts(false, 10*time.Second), 0.001},
+		{"all faults, 77% of the rate", deskParts(), 0.77, 100, 3200, allFaults, 0.001},
 	}
 }
 
