Write frames of several streams together on a session

Cause: each yamux frame cost one write and one wake-up of the peer; the opening of a stream cost three. A step of an engine brings tokens of all its streams within a fraction of a millisecond.

Send flushes at once; SendSoon does so only when no other stream of the session uses it. Agents send all tokens but the first, and the start, by SendSoon. A stream's open frame goes with its first request. Frames are encoded into and decoded from space that is kept.

--- a/internal/agent/runner/sender.go
+++ b/internal/agent/runner/sender.go
@@ -10,11 +10,14 @@
 const maxBatchBytes = 4 << 10
 
 // sender passes an engine's events to the router. Tokens that have arrived
-// together go in one frame.
+// together go in one frame. All but the first tokens and the end may wait a
+// moment for frames of other streams.
 type sender struct {
 	stream *wire.Stream
 	tokens *wirepb.RunTokens
 	event  *wirepb.RunEvent
+	// begun says that the first tokens have been sent.
+	begun bool
 }
 
 func newSender(stream *wire.Stream) *sender {
@@ -34,9 +37,18 @@
 			return err
 		}
 	}
-	if event.Type != engine.EventTokens {
+	switch event.Type {
+	case engine.EventTokens:
+		return s.sendTokens(event, more)
+	case engine.EventStart:
+		return s.stream.SendSoon(toWire(event))
+	default:
 		return s.stream.Send(toWire(event))
 	}
+}
+
+// sendTokens gathers tokens and sends them when no more are known to come.
+func (s *sender) sendTokens(event engine.RunEvent, more bool) error {
 	if s.tokens.Count == 0 {
 		s.tokens.Offset = event.Offset
 	}
@@ -53,7 +65,12 @@
 	if s.tokens.Count == 0 && len(s.tokens.Text) == 0 {
 		return nil
 	}
-	err := s.stream.Send(s.event)
+	send := s.stream.Send
+	if s.begun {
+		send = s.stream.SendSoon
+	}
+	err := send(s.event)
+	s.begun = true
 	s.tokens.Count = 0
 	s.tokens.Text = s.tokens.Text[:0]
 	return err
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 )
@@ -28,15 +29,20 @@
 // ErrFrameTooLarge reports a frame above MaxFrameBytes.
 var ErrFrameTooLarge = errors.New("frame too large")
 
-// writeFrame sends message in a single write.
-func writeFrame(w io.Writer, message proto.Message) error {
+// appendFrame appends message with its length.
+func appendFrame(b []byte, message proto.Message) ([]byte, error) {
 	size := proto.Size(message)
 	if size > MaxFrameBytes {
-		return fmt.Errorf("%w: %d bytes", ErrFrameTooLarge, size)
+		return b, fmt.Errorf("%w: %d bytes", ErrFrameTooLarge, size)
 	}
-	buffer := make([]byte, 0, size+binary.MaxVarintLen32)
-	buffer = binary.AppendUvarint(buffer, uint64(size))
-	buffer, err := proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(buffer, message)
+	b = slices.Grow(b, size+binary.MaxVarintLen32)
+	b = binary.AppendUvarint(b, uint64(size))
+	return proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(b, message)
+}
+
+// writeFrame sends message in a single write.
+func writeFrame(w io.Writer, message proto.Message) error {
+	buffer, err := appendFrame(nil, message)
 	if err != nil {
 		return err
 	}
@@ -45,6 +51,7 @@
 }
 
 // readFrame receives one message. It returns io.EOF only at a frame's start.
+// Small frames are decoded where they were received.
 func readFrame(r *bufio.Reader, message proto.Message) error {
 	size, err := binary.ReadUvarint(r)
 	if err != nil {
@@ -53,9 +60,23 @@
 	if size > MaxFrameBytes {
 		return fmt.Errorf("%w: %d bytes", ErrFrameTooLarge, size)
 	}
+	if int(size) <= r.Size() {
+		return readSmallFrame(r, int(size), message)
+	}
 	buffer := make([]byte, size)
 	if _, err := io.ReadFull(r, buffer); err != nil {
 		return io.ErrUnexpectedEOF
 	}
 	return proto.Unmarshal(buffer, message)
 }
+
+// readSmallFrame decodes a message that fits in the reader's buffer; decoding copies.
+func readSmallFrame(r *bufio.Reader, size int, message proto.Message) error {
+	body, err := r.Peek(size)
+	if err != nil {
+		return io.ErrUnexpectedEOF
+	}
+	err = proto.Unmarshal(body, message)
+	_, _ = r.Discard(size)
+	return err
+}
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -79,7 +79,8 @@
 		s.log.Debug().Err(err).Str("peer", address).Msg("wire: hello failed")
 		return
 	}
-	mux, err := yamux.Server(&coalescingConn{Conn: conn}, yamuxConfig())
+	gathering := newGatheringConn(conn)
+	mux, err := yamux.Server(gathering, yamuxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return
@@ -100,15 +101,15 @@
 			_ = stream.Close()
 			continue
 		}
-		go s.serveStream(ctx, stream, hello, address)
+		go s.serveStream(ctx, stream, hello, address, gathering)
 	}
 }
 
-func (s *Server) serveStream(ctx context.Context, conn net.Conn, hello *wirepb.Hello, address string) {
+func (s *Server) serveStream(ctx context.Context, conn net.Conn, hello *wirepb.Hello, address string, gathering *gatheringConn) {
 	defer s.streams.Done()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream := newStream(ctx, conn, address)
+	stream := newStream(ctx, conn, address, gathering)
 	defer func() { _ = stream.Close() }()
 	open := new(wirepb.Open)
 	if err := stream.Recv(open); err != nil {
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -68,6 +68,7 @@
 // session is the dialing side of a connection to one peer.
 type session struct {
 	mux   *yamux.Session
+	conn  *gatheringConn
 	peer  string
 	hello *wirepb.Hello
 
@@ -89,12 +90,13 @@
 		_ = conn.Close()
 		return nil, fault.Wrap(err, "hello", peer)
 	}
-	mux, err := yamux.Client(&coalescingConn{Conn: conn}, yamuxConfig())
+	gathering := newGatheringConn(conn)
+	mux, err := yamux.Client(gathering, yamuxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, fault.Wrap(err, "open session", peer)
 	}
-	return &session{mux: mux, peer: peer, hello: hello}, nil
+	return &session{mux: mux, conn: gathering, peer: peer, hello: hello}, nil
 }
 
 func (s *session) open(ctx context.Context, kind wirepb.Kind, requestID string) (*Stream, error) {
@@ -102,5 +104,5 @@
 	if err != nil {
 		return nil, fault.Wrap(err, "open stream", s.peer)
 	}
-	return openStream(ctx, conn, s.peer, kind, requestID)
+	return openStream(ctx, newStream(ctx, conn, s.peer, s.conn), kind, requestID)
 }
