Wrap the long signatures of the assembly

Cause: in internal/app the constructors that fx calls had signatures of up to 223 columns on one line. Change: those above 130 columns have one parameter a line; becomeReady ends by the pause's error. No behaviour. Conclusion: longer lines elsewhere are single calls and messages.

--- a/internal/app/agent.go
+++ b/internal/app/agent.go
@@ -63,7 +63,14 @@
 	)
 }
 
-func newEngineState(lifecycle fx.Lifecycle, driver engine.Driver, index *cacheindex.Index, queue *fairqueue.Queue, source object.Source, log zerolog.Logger) *enginestate.Poller {
+func newEngineState(
+	lifecycle fx.Lifecycle,
+	driver engine.Driver,
+	index *cacheindex.Index,
+	queue *fairqueue.Queue,
+	source object.Source,
+	log zerolog.Logger,
+) *enginestate.Poller {
 	poller := enginestate.New(enginestate.Options{Driver: driver, Index: index, Queue: queue, Source: source, Log: log})
 	appendHook(lifecycle, poller.Start, poller.Stop)
 	return poller
@@ -76,7 +83,16 @@
 	return manager
 }
 
-func newRunner(s *AgentSettings, driver engine.Driver, index *cacheindex.Index, queue *fairqueue.Queue, transfers *transfer.Manager, state *enginestate.Poller, known *quarantine.Manager, log zerolog.Logger) *runner.Runner {
+func newRunner(
+	s *AgentSettings,
+	driver engine.Driver,
+	index *cacheindex.Index,
+	queue *fairqueue.Queue,
+	transfers *transfer.Manager,
+	state *enginestate.Poller,
+	known *quarantine.Manager,
+	log zerolog.Logger,
+) *runner.Runner {
 	return runner.New(runner.Options{
 		Driver:      driver,
 		Queue:       queue,
@@ -89,7 +105,16 @@
 	})
 }
 
-func newRollout(lifecycle fx.Lifecycle, s *AgentSettings, driver engine.Driver, state *enginestate.Poller, source object.Source, view membership.View, n *node.Node, log zerolog.Logger) *rollout.Manager {
+func newRollout(
+	lifecycle fx.Lifecycle,
+	s *AgentSettings,
+	driver engine.Driver,
+	state *enginestate.Poller,
+	source object.Source,
+	view membership.View,
+	n *node.Node,
+	log zerolog.Logger,
+) *rollout.Manager {
 	manager := rollout.New(rollout.Options{
 		Driver:   driver,
 		Source:   source,
@@ -103,7 +128,12 @@
 	return manager
 }
 
-func newProber(state *enginestate.Poller, index *cacheindex.Index, queue *fairqueue.Queue, transfers *transfer.Manager) *prober.Prober {
+func newProber(
+	state *enginestate.Poller,
+	index *cacheindex.Index,
+	queue *fairqueue.Queue,
+	transfers *transfer.Manager,
+) *prober.Prober {
 	return prober.New(prober.Options{Index: index, Queue: queue, Status: state, Transfers: transfers})
 }
 
@@ -116,7 +146,16 @@
 
 // drainEngineAgent makes the stop of an engine's agent graceful: new work is
 // turned away, then the streams in flight finish.
-func drainEngineAgent(lifecycle fx.Lifecycle, s *AgentSettings, n *node.Node, members *membership.Manager, state *enginestate.Poller, answers *prober.Prober, r *runner.Runner, ready *admin.Readiness) {
+func drainEngineAgent(
+	lifecycle fx.Lifecycle,
+	s *AgentSettings,
+	n *node.Node,
+	members *membership.Manager,
+	state *enginestate.Poller,
+	answers *prober.Prober,
+	r *runner.Runner,
+	ready *admin.Readiness,
+) {
 	start := func(context.Context) error {
 		ready.Set(true)
 		return nil
@@ -143,7 +182,16 @@
 	)
 }
 
-func newCalls(s *AgentSettings, driver service.Driver, st store.Store, hosts store.HostLister, n *node.Node, view membership.View, source object.Source, log zerolog.Logger) *calls.Manager {
+func newCalls(
+	s *AgentSettings,
+	driver service.Driver,
+	st store.Store,
+	hosts store.HostLister,
+	n *node.Node,
+	view membership.View,
+	source object.Source,
+	log zerolog.Logger,
+) *calls.Manager {
 	return calls.New(calls.Options{
 		Driver:   driver,
 		Store:    st,
@@ -165,7 +213,14 @@
 
 // drainServiceAgent makes the stop of a service's agent graceful: shards are
 // handed over, then the calls in flight finish.
-func drainServiceAgent(lifecycle fx.Lifecycle, s *AgentSettings, n *node.Node, members *membership.Manager, manager *calls.Manager, ready *admin.Readiness) {
+func drainServiceAgent(
+	lifecycle fx.Lifecycle,
+	s *AgentSettings,
+	n *node.Node,
+	members *membership.Manager,
+	manager *calls.Manager,
+	ready *admin.Readiness,
+) {
 	start := func(ctx context.Context) error {
 		if err := manager.Start(ctx); err != nil {
 			return err
--- a/internal/app/router.go
+++ b/internal/app/router.go
@@ -38,7 +38,16 @@
 	)
 }
 
-func newAdmission(lifecycle fx.Lifecycle, s *RouterSettings, st store.Store, hosts store.HostLister, n *node.Node, view membership.View, source object.Source, log zerolog.Logger) admission.Controller {
+func newAdmission(
+	lifecycle fx.Lifecycle,
+	s *RouterSettings,
+	st store.Store,
+	hosts store.HostLister,
+	n *node.Node,
+	view membership.View,
+	source object.Source,
+	log zerolog.Logger,
+) admission.Controller {
 	manager := admission.New(admission.Options{
 		Store:   st,
 		Lister:  hosts,
@@ -72,7 +81,14 @@
 }
 
 // newQuarantine keeps the requests that crash upstreams away from them.
-func newQuarantine(lifecycle fx.Lifecycle, n *node.Node, view membership.View, source object.Source, st store.Store, log zerolog.Logger) *quarantine.Manager {
+func newQuarantine(
+	lifecycle fx.Lifecycle,
+	n *node.Node,
+	view membership.View,
+	source object.Source,
+	st store.Store,
+	log zerolog.Logger,
+) *quarantine.Manager {
 	manager := quarantine.New(quarantine.Options{Pool: n.Pool, View: view, Source: source, Store: st, Log: log})
 	n.Server.Handle(wirepb.Kind_KIND_QUARANTINE, manager.Handle)
 	appendHook(lifecycle, manager.Start, manager.Stop)
@@ -83,7 +99,15 @@
 	return dispatch.NewCaller(dispatch.CallerOptions{Pool: n.Pool, View: view, Quarantine: known, Log: log})
 }
 
-func newServer(s *RouterSettings, source object.Source, limits admission.Controller, p picker.Picker, prompter *dispatch.Prompter, caller *dispatch.Caller, log zerolog.Logger) *router.Server {
+func newServer(
+	s *RouterSettings,
+	source object.Source,
+	limits admission.Controller,
+	p picker.Picker,
+	prompter *dispatch.Prompter,
+	caller *dispatch.Caller,
+	log zerolog.Logger,
+) *router.Server {
 	return router.New(router.Options{
 		Source:    source,
 		Admission: limits,
@@ -96,7 +120,14 @@
 }
 
 // serveOperators serves the operators' API on its own listener.
-func serveOperators(lifecycle fx.Lifecycle, s *RouterSettings, n *node.Node, sync *configsync.Manager, view membership.View, log zerolog.Logger) error {
+func serveOperators(
+	lifecycle fx.Lifecycle,
+	s *RouterSettings,
+	n *node.Node,
+	sync *configsync.Manager,
+	view membership.View,
+	log zerolog.Logger,
+) error {
 	security, err := reloader(s.OperatorsTLS)
 	if err != nil {
 		return err
@@ -112,7 +143,15 @@
 
 // serveCallers serves callers last of all, and stops first: the balancer and
 // the peers are told, connected callers are moved, then requests in flight finish.
-func serveCallers(lifecycle fx.Lifecycle, s *RouterSettings, server *router.Server, source object.Source, members *membership.Manager, ready *admin.Readiness, log zerolog.Logger) error {
+func serveCallers(
+	lifecycle fx.Lifecycle,
+	s *RouterSettings,
+	server *router.Server,
+	source object.Source,
+	members *membership.Manager,
+	ready *admin.Readiness,
+	log zerolog.Logger,
+) error {
 	security, err := reloader(s.CallersTLS)
 	if err != nil {
 		return err
@@ -138,8 +177,7 @@
 // becomeReady waits for the first configuration.
 func becomeReady(ctx context.Context, source object.Source, ready *admin.Readiness) {
 	for source.Current() == nil {
-		_ = pause.For(ctx, readyInterval)
-		if ctx.Err() != nil {
+		if pause.For(ctx, readyInterval) != nil {
 			return
 		}
 	}
