Use the KV store's answers again for a second

Cause: an agent that is asked about a prompt whose shared part it lacks asks its engine what the KV store holds. This round trip stands in the path of the first token, and costs processor time in the agent for each probe.

Change: the agent keeps for 1 s which blocks the store held or lacked, in a bounded table, and answers from it when the number of leading blocks follows from that. Its own exports enter the table at once.

Conclusion: a block that another engine exports is seen up to 1 s later, and one that the store dropped is offered for up to 1 s; the import then brings fewer blocks and the rest is computed.

--- a/internal/agent/transfer/transfer.go
+++ b/internal/agent/transfer/transfer.go
@@ -64,6 +64,7 @@
 	mu    sync.Mutex
 	speed speed
 	wants wants
+	stock stock
 }
 
 // export is a prefix to copy to the KV store.
@@ -79,6 +80,7 @@
 		exports: make(chan export, exportQueue),
 		speed:   newSpeed(),
 		wants:   newWants(),
+		stock:   newStock(),
 	}
 }
 
@@ -89,9 +91,7 @@
 	if len(hashes)-cached < minImportBlocks || m.ownPart(hashes, cached) {
 		return 0, 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, storedTimeout)
-	defer cancel()
-	blocks, err := m.options.Driver.Stored(ctx, salt, hashes)
+	blocks, err := m.stored(ctx, salt, hashes)
 	if err != nil || blocks-cached < minImportBlocks {
 		return 0, 0
 	}
@@ -100,6 +100,27 @@
 	return blocks, m.speed.rateFor(float64(int64(blocks-cached)*m.options.BlockTokens()), time.Now())
 }
 
+// stored returns how many leading blocks the KV store holds. It asks the engine
+// only when that does not follow from its recent answers.
+func (m *Manager) stored(ctx context.Context, salt uint64, hashes []uint64) (int, error) {
+	m.mu.Lock()
+	blocks, known := m.stock.leading(hashes, time.Now())
+	m.mu.Unlock()
+	if known {
+		return blocks, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, storedTimeout)
+	defer cancel()
+	blocks, err := m.options.Driver.Stored(ctx, salt, hashes)
+	if err != nil {
+		return 0, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stock.note(hashes, blocks, time.Now())
+	return blocks, nil
+}
+
 // ownPart reports whether what is missing is a prompt's own part, which no store
 // holds: the shared part is cached and nobody asked for the next block before.
 func (m *Manager) ownPart(hashes []uint64, cached int) bool {
@@ -131,6 +152,12 @@
 	return min(done.Blocks, len(hashes))
 }
 
+func (m *Manager) noteStored(hashes []uint64, blocks int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stock.note(hashes, blocks, time.Now())
+}
+
 func (m *Manager) observe(blocks int, took time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -212,6 +239,7 @@
 	took := time.Since(began)
 	exported.Inc(int64(done.Blocks - stored))
 	m.observe(done.Blocks-stored, took)
+	m.noteStored(hashes, done.Blocks)
 	_ = pause.For(ctx, exportPause*took)
 	return done.Blocks, nil
 }
--- a/internal/agent/transfer/transfer_test.go
+++ b/internal/agent/transfer/transfer_test.go
@@ -16,9 +16,11 @@
 	engine.Driver
 	held   []uint64
 	freeAt time.Time
+	asked  int
 }
 
 func (s *store) Stored(_ context.Context, _ uint64, hashes []uint64) (int, error) {
+	s.asked++
 	n := 0
 	for n < len(hashes) && slices.Contains(s.held, hashes[n]) {
 		n++
@@ -136,3 +138,31 @@
 		t.Fatalf("%d blocks offered for a prompt sent again", blocks)
 	}
 }
+
+func TestStoreIsAskedAgainOnlyWhenItsAnswerIsOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{held: []uint64{1, 2}}
+		m := newManager(s)
+		look := func(wantBlocks, wantAsked int, hashes ...uint64) {
+			t.Helper()
+			if blocks, _ := m.Importable(t.Context(), 1, hashes, 0); blocks != wantBlocks || s.asked != wantAsked {
+				t.Fatalf("%d blocks after %d questions, want %d and %d", blocks, s.asked, wantBlocks, wantAsked)
+			}
+		}
+		look(2, 1, 1, 2, 3, 4)
+		look(2, 1, 1, 2, 3, 5) // Without block 3 what follows does not matter.
+		look(2, 2, 1, 2, 6)
+		s.held = append(s.held, 3)
+		look(2, 2, 1, 2, 3, 4)
+		time.Sleep(stockFor + time.Nanosecond)
+		look(3, 3, 1, 2, 3, 4)
+		s.held = nil
+		look(3, 3, 1, 2, 3)
+		time.Sleep(stockFor + time.Nanosecond)
+		look(0, 4, 1, 2, 3)
+		if _, err := m.exportChunk(t.Context(), 1, []uint64{1, 2, 3}, 0); err != nil {
+			t.Fatal(err)
+		}
+		look(3, s.asked, 1, 2, 3)
+	})
+}
