Crash and pause around calls at random, with repeats through other routers

The crashes around one call were tried in a fixed order with a healthy store. A paused owner goes on with its call after its next life has taken the shard. The randomised run of package once also lets a service fail after a call was sent and before it ran.

strikeAt also returns when a call is refused before it comes to its point; it waited for ever then.

--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -48,6 +48,9 @@
 	at       point
 	strike   func(agent string)
 	upstream bool
+	// paused makes agents that crash go on with the calls that they have begun, as
+	// a process does that was paused while its shards moved.
+	paused bool
 }
 
 type agentProcess struct {
@@ -211,7 +214,7 @@
 	}
 	select {
 	case <-d.a.dead:
-		return at == beforeSending
+		return at == beforeSending && !d.w.paused
 	default:
 		return false
 	}
@@ -317,8 +320,18 @@
 	return reply.Refusal.Run
 }
 
+// begun reports whether the strike has begun, and calls it off otherwise.
+func (w *world) begun() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	begun := w.strike == nil
+	w.strike = nil
+	return begun
+}
+
 // strikeAt makes the next call that comes to a point meet a crash, then sends it
-// and its repeats through two other routers at once.
+// and its repeats through two other routers at once. A call that is refused on
+// the way there meets none.
 func (w *world) strikeAt(at point, key string, strike func(cancel context.CancelFunc, agent string)) []told {
 	ctx, cancel := context.WithCancel(w.t.Context())
 	defer cancel()
@@ -332,8 +345,18 @@
 	w.mu.Unlock()
 	replies := make([]told, 3)
 	var group sync.WaitGroup
-	group.Go(func() { replies[0] = w.call(ctx, w.router(), key) })
-	<-struck
+	ended := make(chan struct{})
+	group.Go(func() {
+		defer close(ended)
+		replies[0] = w.call(ctx, w.router(), key)
+	})
+	select {
+	case <-struck:
+	case <-ended:
+		if w.begun() {
+			<-struck
+		}
+	}
 	for i := 1; i < len(replies); i++ {
 		group.Go(func() { replies[i] = w.call(w.t.Context(), w.router(), key) })
 	}
--- a/once/random_test.go
+++ b/once/random_test.go
@@ -216,7 +216,8 @@
 	c.launch(name)
 }
 
-// execute runs a request on the process's service.
+// executeOn runs a request on the process's service, which now and then fails
+// before it is sent, after it is sent, or after it has run.
 func (c *chaos) executeOn(p *process, request Request, latency time.Duration) Outcome {
 	time.Sleep(latency / 2)
 	p.gate.wait()
@@ -226,6 +227,9 @@
 	if latency%7 == 0 {
 		return Outcome{State: StateNotRun}
 	}
+	if latency%11 == 0 {
+		return Outcome{State: StateUnknown}
+	}
 	outcome := c.execute(request)
 	time.Sleep(latency / 2)
 	if latency%5 == 0 {
