Suspect a request at its first crash, also after tokens, and run one copy of it at a time

Cause: a request that had given tokens when its engine crashed became suspect with its second crash only, and a suspect was alone only until its first token. So one that crashes its engine after tokens took four of six engines. Repeats of a known suspect that came at once each took an engine of their own: six engines after the first crash, nine when the crash came after tokens; 15 calls of plain services.

Change: all in flight at a crash are suspect. A suspect is alone at its engine until its end, and a crash then convicts it. One router, by the hash of the content, grants one run of a suspect at a time in the fleet. An agent sends back, as not run, what became suspect after its router sent it.

Tests changed since they asserted the old rule: a run with tokens is now suspect at its first crash (TestRequestsBecomeSuspectWithTheFirstCrash, TestLostRuns), a second crash convicts after tokens too (TestLostRuns), and nothing starts beside a suspect that has given a token (TestSuspectRunsAlone). Each asks for more than before.

--- a/internal/agent/fairqueue/fairqueue_test.go
+++ b/internal/agent/fairqueue/fairqueue_test.go
@@ -169,10 +169,14 @@
 		}
 		suspect.FirstToken()
 		synctest.Wait()
-		if later == nil {
-			t.Fatal("request did not start after the suspect's first token")
+		if later != nil {
+			t.Fatal("request started beside a suspect that has given a token")
 		}
 		suspect.Release(0)
+		synctest.Wait()
+		if later == nil {
+			t.Fatal("request did not start after the suspect's end")
+		}
 		later.Release(0)
 	})
 }
--- a/internal/agent/runner/crash.go
+++ b/internal/agent/runner/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/greengagegate/greengagegate/internal/quarantine"
 	"github.com/greengagegate/greengagegate/internal/refusal"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 )
@@ -13,15 +14,17 @@
 
 // Suspects is told of contents that were in flight at crashes of the engine.
 type Suspects interface {
+	// Recent returns what routers may not know of a content yet, and for how long it holds.
+	Recent(digest uint64) (quarantine.State, time.Duration)
 	// Suspect notes a content that was in flight at a crash.
 	Suspect(digest uint64)
 	// Convict notes a content that crashed upstreams and returns for how long it is refused.
 	Convict(digest uint64) time.Duration
 }
 
-// lost explains a run that broke off. When the engine crashed, a request without
-// a token becomes suspect; one that ran alone as a suspect and brought the engine down
-// before its first token is convicted.
+// lost explains a run that broke off. When the engine crashed, the request
+// becomes suspect, whether or not it had given tokens; one that ran alone as a
+// suspect is convicted.
 func (x *running) lost(ctx context.Context, err error) *wirepb.RunEvent {
 	event := x.runner.refuse(refusal.UpstreamLost, wirepb.RunState_RUN_UNKNOWN, err.Error())
 	if ctx.Err() != nil || !x.runner.crashed(ctx, x.prefix.incarnation) {
@@ -30,16 +33,37 @@
 	x.runner.engineDown()
 	told := event.GetRefusal()
 	told.Suspect = true
-	if x.request.Suspect && x.generated == 0 {
+	if x.request.Suspect {
 		x.convict(told)
 		return event
 	}
-	if x.generated == 0 && x.runner.options.Suspects != nil {
+	if x.runner.options.Suspects != nil {
 		x.runner.options.Suspects.Suspect(x.request.Digest)
 	}
 	return event
 }
 
+// unwarned returns a refusal for a request whose content has become suspect, or
+// was convicted, after its router sent it; nil when there is no such news.
+func (x *running) unwarned() *wirepb.RunEvent {
+	known := x.runner.options.Suspects
+	if known == nil {
+		return nil
+	}
+	state, left := known.Recent(x.request.Digest)
+	if state == quarantine.StateConvicted {
+		event := x.runner.refuse(refusal.Quarantined, wirepb.RunState_RUN_NOT_RUN, "the request's content crashed upstreams")
+		refusal.After(event.GetRefusal(), left)
+		return event
+	}
+	if state != quarantine.StateSuspect || x.request.Suspect {
+		return nil
+	}
+	event := x.runner.refuse(refusal.QueueFull, wirepb.RunState_RUN_NOT_RUN, "the request's content was in flight at a crash")
+	event.GetRefusal().Suspect = true
+	return event
+}
+
 func (x *running) convict(told *wirepb.Refusal) {
 	told.Code = string(refusal.Poisonous)
 	told.Message = "the request was in flight at two crashes of upstreams"
--- a/internal/agent/runner/crash_test.go
+++ b/internal/agent/runner/crash_test.go
@@ -10,6 +10,7 @@
 	"github.com/greengagegate/greengagegate/internal/agent/cacheindex"
 	"github.com/greengagegate/greengagegate/internal/agent/fairqueue"
 	"github.com/greengagegate/greengagegate/internal/engine"
+	"github.com/greengagegate/greengagegate/internal/quarantine"
 	"github.com/greengagegate/greengagegate/internal/refusal"
 	"github.com/greengagegate/greengagegate/internal/wire"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
@@ -56,7 +57,12 @@
 func (r *breakingRun) Close() error { return nil }
 
 // verdicts counts what the runner reports.
-type verdicts struct{ suspected, convicted int }
+type verdicts struct {
+	suspected, convicted int
+	recent               quarantine.State
+}
+
+func (v *verdicts) Recent(uint64) (quarantine.State, time.Duration) { return v.recent, time.Minute }
 
 func (v *verdicts) Suspect(uint64) { v.suspected++ }
 
@@ -86,10 +92,10 @@
 		{name: "cut without a crash", engine: breakingEngine{tokens: 3, load: engine.Load{Incarnation: 1}}, code: refusal.UpstreamLost, run: unknown},
 		{name: "engine is down", engine: breakingEngine{loadErr: down}, code: refusal.UpstreamLost, run: unknown, crash: true, suspected: 1},
 		{name: "engine is back", engine: breakingEngine{load: engine.Load{Incarnation: 2}}, code: refusal.UpstreamLost, run: unknown, crash: true, suspected: 1},
-		{name: "engine is down, after tokens", engine: breakingEngine{tokens: 3, loadErr: down}, code: refusal.UpstreamLost, run: unknown, crash: true},
+		{name: "engine is down, after tokens", engine: breakingEngine{tokens: 3, loadErr: down}, code: refusal.UpstreamLost, run: unknown, crash: true, suspected: 1},
 		{name: "lost before the start", engine: breakingEngine{startErr: engine.ErrLost, loadErr: down}, code: refusal.UpstreamLost, run: unknown, crash: true, suspected: 1},
 		{name: "suspect again, no token", engine: breakingEngine{loadErr: down}, suspect: true, code: refusal.Poisonous, run: unknown, crash: true, convicted: 1},
-		{name: "suspect again, after tokens", engine: breakingEngine{tokens: 3, loadErr: down}, suspect: true, code: refusal.UpstreamLost, run: unknown, crash: true},
+		{name: "suspect again, after tokens", engine: breakingEngine{tokens: 3, loadErr: down}, suspect: true, code: refusal.Poisonous, run: unknown, crash: true, convicted: 1},
 		{name: "suspect cut without a crash", engine: breakingEngine{load: engine.Load{Incarnation: 1}}, suspect: true, code: refusal.UpstreamLost, run: unknown},
 	}
 	for _, c := range cases {
@@ -146,3 +152,15 @@
 	t.Fatal("no refusal")
 	return nil, 0
 }
+
+func TestNewsOfAContentKeepsItFromTheEngine(t *testing.T) {
+	const notRun = wirepb.RunState_RUN_NOT_RUN
+	told, _ := runLost(t, &breakingEngine{tokens: 3}, &verdicts{recent: quarantine.StateSuspect}, false)
+	if told.GetCode() != string(refusal.QueueFull) || told.GetRun() != notRun || !told.GetSuspect() {
+		t.Errorf("an unwarned suspect got %v", told)
+	}
+	told, _ = runLost(t, &breakingEngine{tokens: 3}, &verdicts{recent: quarantine.StateConvicted}, true)
+	if told.GetCode() != string(refusal.Quarantined) || told.GetRun() != notRun || told.GetRetryAfterMs() <= 0 {
+		t.Errorf("a convicted content got %v", told)
+	}
+}
--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -158,6 +158,9 @@
 	options := x.runner.options
 	x.prefix.await(ctx, blockTokens(x.request), options.Queue.Rate())
 	x.grant.SetPrefill(uncached(x.request, x.prefix.cached))
+	if refused := x.unwarned(); refused != nil {
+		return x.stream.Send(refused)
+	}
 	run, err := options.Driver.Run(ctx, engineRequest(x.request))
 	if errors.Is(err, engine.ErrUnreachable) {
 		x.runner.engineDown()
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -43,6 +43,8 @@
 	crashes int
 	// crashed says that the last candidate's upstream crashed.
 	crashed bool
+	// warned says that the last candidate knew of a crash under the content.
+	warned bool
 	// final says that the prompt is given up.
 	final bool
 }
@@ -96,7 +98,8 @@
 	case *wirepb.RunEvent_End:
 		return true, a.end(e.End)
 	case *wirepb.RunEvent_Refusal:
-		a.crashed = e.Refusal.Suspect
+		a.crashed = e.Refusal.Suspect && e.Refusal.Run != wirepb.RunState_RUN_NOT_RUN
+		a.warned = e.Refusal.Suspect && !a.crashed
 		a.note(e.Refusal)
 		return false, fault.New(e.Refusal.Message, e.Refusal.Step, e.Refusal.Peer)
 	default:
--- a/internal/dispatch/bystander_test.go
+++ b/internal/dispatch/bystander_test.go
@@ -13,17 +13,17 @@
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 )
 
-// TestRequestsWithTokensBecomeSuspectWithTheSecondCrash runs a prompt on engines
-// that crash after some tokens each, and looks at which runs are suspect.
-func TestRequestsWithTokensBecomeSuspectWithTheSecondCrash(t *testing.T) {
+// TestRequestsBecomeSuspectWithTheFirstCrash runs a prompt on engines that crash
+// after some tokens each, and looks at which runs are suspect.
+func TestRequestsBecomeSuspectWithTheFirstCrash(t *testing.T) {
 	for _, test := range []struct {
 		name   string
 		tokens []int64 // given before each crash
 		want   []bool  // whether each run, the last one included, is suspect
 	}{
 		{"none before the first crash", []int64{0}, []bool{false, true}},
-		{"some before the first crash", []int64{3}, []bool{false, false}},
-		{"some before both crashes", []int64{3, 2}, []bool{false, false, true}},
+		{"some before the first crash", []int64{3}, []bool{false, true}},
+		{"some before both crashes", []int64{3, 2}, []bool{false, true, true}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			var suspect []bool
--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -62,9 +62,6 @@
 func (c *Caller) Call(ctx context.Context, set *object.Set, route *object.Route, request *wirepb.CallRequest) (*wirepb.CallReply, error) {
 	c.customers.Deposit(request.Customer)
 	digest := callDigest(request)
-	if refused := c.screen(request, digest); refused != nil {
-		return refused, nil
-	}
 	reply := c.call(ctx, set, route, request, digest)
 	if reply.Refusal == nil && request.Suspect && c.options.Quarantine != nil {
 		c.options.Quarantine.Clear(digest)
@@ -74,8 +71,7 @@
 
 func (c *Caller) call(ctx context.Context, set *object.Set, route *object.Route, request *wirepb.CallRequest, digest uint64) *wirepb.CallReply {
 	if !request.Idempotent && request.IdempotencyKey != "" {
-		reply := c.callOnce(ctx, set, route, request)
-		c.learnOf(reply, digest)
+		reply, _ := c.try(ctx, request, digest, func() *wirepb.CallReply { return c.callOnce(ctx, set, route, request) })
 		return reply
 	}
 	reply := refusedCall(refusal.NoUpstream, wirepb.RunState_RUN_NOT_RUN, "no upstream can take the call", route.Pool)
@@ -83,9 +79,10 @@
 		if number > 0 && !c.mayRetry(ctx, request, upstream, number) {
 			break
 		}
-		reply = later(reply, c.attempt(ctx, upstream.Address, request))
+		next, final := c.try(ctx, request, digest, func() *wirepb.CallReply { return c.attempt(ctx, upstream.Address, request) })
+		reply = later(reply, next)
 		c.upstreams.Deposit(upstream.Name)
-		if c.learnOf(reply, digest) || !retryable(request, reply) {
+		if final || !retryable(request, reply) {
 			break
 		}
 		request.Suspect = request.Suspect || reply.Refusal.Suspect
@@ -93,6 +90,18 @@
 	return reply
 }
 
+// try makes an attempt when the call's content may be run, and learns from it.
+// It reports whether the call is given up.
+func (c *Caller) try(ctx context.Context, request *wirepb.CallRequest, digest uint64, attempt func() *wirepb.CallReply) (reply *wirepb.CallReply, final bool) {
+	trial, refused := c.admit(ctx, request, digest)
+	defer trial.Release()
+	if refused != nil {
+		return refused, true
+	}
+	reply = attempt()
+	return reply, c.learnOf(reply, digest)
+}
+
 // mayRetry spends the budgets and pauses before a numbered retry.
 func (c *Caller) mayRetry(ctx context.Context, request *wirepb.CallRequest, upstream *object.Upstream, number int) bool {
 	if !c.upstreams.Withdraw(upstream.Name) || !c.customers.Withdraw(request.Customer) {
--- /dev/null
+++ b/internal/dispatch/late_test.go
@@ -0,0 +1,124 @@
+package dispatch
+
+import (
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/object"
+	"github.com/greengagegate/greengagegate/internal/quarantine"
+	"github.com/greengagegate/greengagegate/internal/refusal"
+	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
+	"github.com/rs/zerolog"
+)
+
+const (
+	// lostLimit is the most engines that one request may crash.
+	lostLimit   = 2
+	lateRepeats = 20
+)
+
+// TestLatePoisonCrashesTwoEngines sends a request that crashes engines after its
+// first tokens again and again through three routers, beside innocent ones.
+func TestLatePoisonCrashesTwoEngines(t *testing.T) {
+	for name, fromStart := range map[string]bool{"tokens of the answer": false, "tokens of each run": true} {
+		t.Run(name, func(t *testing.T) {
+			p := newPond(t, 6, 3)
+			for _, e := range p.engines {
+				e.lateFromStart = fromStart
+			}
+			var innocents sync.WaitGroup
+			p.sendInnocents(&innocents, 24)
+			time.Sleep(60 * time.Millisecond)
+			codes := make(map[string]int)
+			for i := range lateRepeats {
+				codes[p.refusedPoison(i%3)]++
+			}
+			innocents.Wait()
+			lost := crashesOf(p.engines)
+			t.Logf("engines lost: %d, answers: %v", lost, codes)
+			if lost > lostLimit || codes[string(refusal.Quarantined)] < lateRepeats-2 {
+				t.Errorf("engines lost: %d, answers: %v", lost, codes)
+			}
+		})
+	}
+}
+
+// TestRepeatsOfASuspectRunOneAfterTheOther sends a poison at once through all
+// routers while its first crash is known.
+func TestRepeatsOfASuspectRunOneAfterTheOther(t *testing.T) {
+	for name, content := range map[string]string{"at its start": poisonText, "after tokens": latePoison} {
+		t.Run(name, func(t *testing.T) {
+			p := newPond(t, 6, 3)
+			for _, known := range p.known {
+				known.Suspect(7)
+			}
+			p.refusedAtOnce(lateRepeats, content)
+			lost := crashesOf(p.engines)
+			t.Logf("engines lost after the first: %d", lost)
+			if lost > lostLimit-1 {
+				t.Errorf("engines lost after the first: %d", lost)
+			}
+		})
+	}
+}
+
+// sendInnocents sends prompts through all routers that must come whole.
+func (p *pond) sendInnocents(group *sync.WaitGroup, count int) {
+	for i := range count {
+		group.Go(func() {
+			time.Sleep(time.Duration(i) * 5 * time.Millisecond)
+			answer, end, err := p.prompt(i%3, uint64(100+i), "harmless")
+			checkWhole(p.t, answer, end, err)
+		})
+	}
+}
+
+// refusedAtOnce sends a poison many times at the same instant.
+func (p *pond) refusedAtOnce(count int, content string) {
+	var group sync.WaitGroup
+	for i := range count {
+		group.Go(func() { p.refused(i%3, content) })
+	}
+	group.Wait()
+}
+
+func (p *pond) refusedPoison(router int) string { return p.refused(router, latePoison) }
+
+// refused sends a poison and returns the code of its refusal.
+func (p *pond) refused(router int, content string) string {
+	_, _, err := p.prompt(router, 7, content)
+	var failure *Failure
+	if !errors.As(err, &failure) {
+		p.t.Errorf("poison: %v", err)
+		return ""
+	}
+	return failure.Refusal.Code
+}
+
+// TestRepeatsOfASuspectCallRunOneAfterTheOther sends a call that crashes
+// services at once through one router while its first crash is known.
+func TestRepeatsOfASuspectCallRunOneAfterTheOther(t *testing.T) {
+	w := newWorld(t)
+	caller := w.router()
+	caller.options.Quarantine = quarantine.New(quarantine.Options{View: view{w: w}, Source: source{w.set}, Log: zerolog.Nop()})
+	route := &object.Route{Name: "verdicts", Path: "/verdicts", Pool: "billing", Idempotent: true}
+	request := func() *wirepb.CallRequest {
+		return &wirepb.CallRequest{Customer: "limon", Method: "GET", Path: "/verdicts", Body: []byte(poisonText), Idempotent: true}
+	}
+	caller.options.Quarantine.Suspect(callDigest(request()))
+	var group sync.WaitGroup
+	for range lateRepeats {
+		group.Go(func() {
+			reply, _ := caller.Call(t.Context(), w.set, route, request())
+			if reply.Refusal.GetRetryAfterMs() <= 0 {
+				t.Errorf("poison got %v", reply)
+			}
+		})
+	}
+	group.Wait()
+	if n := w.poisoned.Load(); n != 1 {
+		t.Fatalf("crashed %d services after the first", n)
+	}
+}
--- a/internal/dispatch/pond_test.go
+++ b/internal/dispatch/pond_test.go
@@ -29,6 +29,8 @@
 
 const (
 	poisonText   = "<<poison>>"
+	latePoison   = "<<poison after tokens>>"
+	lateTokens   = 7
 	engineDown   = 400 * time.Millisecond
 	tokenPause   = 3 * time.Millisecond
 	promptTokens = 60
@@ -44,6 +46,9 @@
 	crashes int
 	// cutAfter breaks a run off after this many tokens without a crash, once.
 	cutAfter int64
+	// lateFromStart counts the tokens of a late poison from the start of each
+	// run instead of from the answer's beginning.
+	lateFromStart bool
 }
 
 func newFakeEngine() *fakeEngine { return &fakeEngine{born: 1, life: make(chan struct{})} }
@@ -75,6 +80,13 @@
 	}
 	run := &numbered{ctx: ctx, request: request, next: request.ResumeOffset, life: e.life, born: e.born, cut: e.cutAfter}
 	e.cutAfter = 0
+	if bytes.Contains(request.Prompt, []byte(latePoison)) {
+		run.crashAt = lateTokens
+		run.crash = sync.OnceFunc(e.crash)
+		if e.lateFromStart {
+			run.crashAt += request.ResumeOffset
+		}
+	}
 	e.mu.Unlock()
 	if bytes.Contains(request.Prompt, []byte(poisonText)) {
 		e.crash()
@@ -90,6 +102,8 @@
 	born    uint64
 	life    chan struct{}
 	cut     int64
+	crashAt int64
+	crash   func()
 	started bool
 	ended   bool
 }
@@ -109,6 +123,10 @@
 		r.started = true
 		return engine.RunEvent{Type: engine.EventStart, Incarnation: r.born}, nil
 	}
+	if r.crash != nil && r.next >= r.crashAt {
+		r.crash()
+		return engine.RunEvent{}, engine.ErrLost
+	}
 	if r.cut > 0 && r.next >= r.cut {
 		return engine.RunEvent{}, engine.ErrLost
 	}
@@ -159,13 +177,28 @@
 
 func newPond(t *testing.T, engines, routers int) *pond {
 	p := &pond{t: t}
+	set := object.NewSet(1)
+	set.Fleet.QuarantineFor = object.Duration(time.Minute)
+	var views []*routerView
+	var all []*quarantine.Manager
+	join := func(options quarantine.Options, self membership.Member) *quarantine.Manager {
+		view := &routerView{members: []membership.Member{self}}
+		options.View, options.Source, options.Log = view, source{set}, zerolog.Nop()
+		views = append(views, view)
+		all = append(all, quarantine.New(options))
+		return all[len(all)-1]
+	}
 	for i := range engines {
 		e := newFakeEngine()
 		name := fmt.Sprintf("e%d", i)
 		index := cacheindex.New()
 		index.Observe(1)
+		pool := wire.NewPool(&wirepb.Hello{}, wire.NewDialer(""))
+		t.Cleanup(pool.Close)
+		known := join(quarantine.Options{Pool: pool}, membership.Member{Process: name, Role: membership.RoleAgent})
 		r := runner.New(runner.Options{
-			Driver: e, Queue: fairqueue.New(fairqueue.DefaultOptions(32)), Index: index, Name: name, Log: zerolog.Nop(),
+			Suspects: known,
+			Driver:   e, Queue: fairqueue.New(fairqueue.DefaultOptions(32)), Index: index, Name: name, Log: zerolog.Nop(),
 		})
 		agent := &proxy{address: "127.0.0.1:0", handle: r.Handle}
 		agent.start(t)
@@ -175,28 +208,29 @@
 		p.engines = append(p.engines, e)
 		p.targets = append(p.targets, picker.Candidate{Upstream: &object.Upstream{Name: name, Address: address}})
 	}
-	set := object.NewSet(1)
-	set.Fleet.QuarantineFor = object.Duration(time.Minute)
 	st := memstore.New()
-	var views []*routerView
 	var members []membership.Member
 	for i := range routers {
-		view := new(routerView)
 		pool := wire.NewPool(&wirepb.Hello{}, wire.NewDialer(""))
-		known := quarantine.New(quarantine.Options{Pool: pool, View: view, Source: source{set}, Store: st, Log: zerolog.Nop()})
-		address := serve(t, func(s *wire.Server) { s.Handle(wirepb.Kind_KIND_QUARANTINE, known.Handle) })
-		members = append(members, membership.Member{Process: fmt.Sprintf("r%d", i), Address: address, Role: membership.RoleRouter})
-		views = append(views, view)
+		t.Cleanup(pool.Close)
+		var known *quarantine.Manager
+		address := serve(t, func(s *wire.Server) {
+			s.Handle(wirepb.Kind_KIND_QUARANTINE, func(ctx context.Context, request wire.Request, stream *wire.Stream) {
+				known.Handle(ctx, request, stream)
+			})
+		})
+		self := membership.Member{Process: fmt.Sprintf("r%d", i), Address: address, Role: membership.RoleRouter}
+		known = join(quarantine.Options{Pool: pool, Store: st}, self)
+		members = append(members, self)
 		p.known = append(p.known, known)
 		p.routers = append(p.routers, NewPrompter(Options{Pool: pool, Quarantine: known, Log: zerolog.Nop()}))
-		t.Cleanup(pool.Close)
 	}
 	for i, view := range views {
-		view.members = append([]membership.Member{members[i]}, members...)
-		if err := p.known[i].Start(t.Context()); err != nil {
+		view.members = append(view.members, members...)
+		if err := all[i].Start(t.Context()); err != nil {
 			t.Fatal(err)
 		}
-		t.Cleanup(func() { _ = p.known[i].Stop(context.Background()) })
+		t.Cleanup(func() { _ = all[i].Stop(context.Background()) })
 	}
 	return p
 }
--- a/internal/dispatch/prompt.go
+++ b/internal/dispatch/prompt.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/fault"
-	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/internal/picker"
 	"github.com/greengagegate/greengagegate/internal/quarantine"
@@ -20,8 +19,6 @@
 const (
 	// maxPlacements bounds how often one prompt is placed anew.
 	maxPlacements = 7
-	// maxCrashes is the number of crashes after which a prompt is given up.
-	maxCrashes = 3
 
 	placeRetryBase  = 30 * time.Millisecond
 	placeRetryLimit = time.Second
@@ -77,16 +74,6 @@
 	}
 }
 
-// Refused returns the final answer for a content that is not run any more, or nil.
-func (p *Prompter) Refused(digest uint64) *Failure {
-	state, left := p.lookup(digest)
-	if state != quarantine.StateConvicted {
-		return nil
-	}
-	told := refusal.New(refusal.Quarantined, wirepb.RunState_RUN_NOT_RUN, "the request's content crashed upstreams", "run prompt", "")
-	return &Failure{Refusal: refusal.After(told, left)}
-}
-
 // Run sends the prompt to the candidates in order until one completes it, and
 // resumes it elsewhere when a stream is lost. It returns *Failure when the prompt
 // can't go on.
@@ -133,10 +120,11 @@
 
 // tryCandidate runs the prompt on one candidate as what is known of its content allows.
 func (p *Prompter) tryCandidate(ctx context.Context, candidate picker.Candidate, a *attempt) error {
-	if refused := p.Refused(a.request.Digest); refused != nil {
-		a.give(refused.Refusal)
-		return refused
+	trial, err := p.admit(ctx, a)
+	if err != nil {
+		return err
 	}
+	defer trial.Release()
 	name := candidate.Upstream.Name
 	if a.tried > 0 && a.request.ResumeOffset == 0 && !p.upstreams.Withdraw(name) {
 		a.note(refusal.New(refusal.RetryBudget, wirepb.RunState_RUN_NOT_RUN, "too many retries on the upstream", "run prompt", name))
@@ -144,53 +132,14 @@
 	}
 	p.upstreams.Deposit(name)
 	a.tried++
-	state, _ := p.lookup(a.request.Digest)
-	a.request.Suspect = a.request.Suspect || state == quarantine.StateSuspect
-	offset := a.request.ResumeOffset
-	err := p.runOn(ctx, candidate, a)
+	err = p.runOn(ctx, candidate, a)
 	if err != nil {
 		p.options.Log.Debug().Err(err).Str("request", a.request.RequestId).Msg("dispatch: candidate failed")
 	}
-	p.learn(a, err, a.request.ResumeOffset > offset)
+	p.learn(a, err)
 	return err
 }
 
-func (p *Prompter) lookup(digest uint64) (quarantine.State, time.Duration) {
-	if p.options.Quarantine == nil {
-		return quarantine.StateClear, 0
-	}
-	return p.options.Quarantine.Lookup(digest)
-}
-
-// learn spreads what a run showed of its content. A request that had given
-// tokens when its upstream crashed becomes suspect with its second crash only:
-// most of those in flight at a crash are such bystanders, and each suspect
-// keeps an engine to itself.
-func (p *Prompter) learn(a *attempt, err error, gaveTokens bool) {
-	known := p.options.Quarantine
-	if err == nil && a.request.Suspect && known != nil {
-		known.Clear(a.request.Digest)
-	}
-	if err == nil || !a.crashed {
-		return
-	}
-	a.crashed = false
-	a.crashes++
-	metrics.Counter("dispatch.crashes").Inc(1)
-	if known == nil {
-		return
-	}
-	if refusal.Code(a.last.Code) == refusal.Poisonous || a.crashes >= maxCrashes {
-		a.last.Code = string(refusal.Poisonous)
-		refusal.After(a.last, known.Convict(a.request.Digest))
-		a.final = true
-		return
-	}
-	if !gaveTokens || a.crashes > 1 {
-		known.Suspect(a.request.Digest)
-	}
-}
-
 func (p *Prompter) runOn(ctx context.Context, candidate picker.Candidate, a *attempt) error {
 	address := candidate.Upstream.Address
 	seen := p.watch(candidate)
--- a/internal/dispatch/prompts_test.go
+++ b/internal/dispatch/prompts_test.go
@@ -140,6 +140,20 @@
 	checkWhole(t, answer, end, err)
 }
 
+func TestPromptThatFindsNoUpstreamIsNotRun(t *testing.T) {
+	p := newPond(t, 1, 1)
+	request := &wirepb.RunRequest{RequestId: "r", MaxTokens: promptTokens}
+	none := func(context.Context) (Placement, error) { return Placement{}, picker.ErrNoUpstream }
+	_, err := p.routers[0].Run(t.Context(), Placement{Request: request}, none, new(text))
+	var failure *Failure
+	if !errors.As(err, &failure) || failure.Refusal.Code != string(refusal.NoUpstream) || failure.Refusal.Run != wirepb.RunState_RUN_NOT_RUN {
+		t.Fatalf("got %v", err)
+	}
+	if failure.Refusal.RetryAfterMs <= 0 {
+		t.Fatal("not told when to come back")
+	}
+}
+
 func TestRetryBudgetEndsThePrompt(t *testing.T) {
 	p := newPond(t, 1, 1)
 	for p.routers[0].upstreams.Withdraw("e0") {
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -38,7 +38,9 @@
 	case *wirepb.RunEvent_Tokens:
 		s.firstToken()
 	case *wirepb.RunEvent_Refusal:
-		s.refused(refusal.Code(e.Refusal.Code))
+		if !e.Refusal.Suspect || e.Refusal.Run != wirepb.RunState_RUN_NOT_RUN {
+			s.refused(refusal.Code(e.Refusal.Code))
+		}
 	}
 }
 
--- a/internal/dispatch/screen.go
+++ b/internal/dispatch/screen.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"context"
+
 	"github.com/greengagegate/greengagegate/internal/quarantine"
 	"github.com/greengagegate/greengagegate/internal/refusal"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
@@ -11,24 +13,32 @@
 	return quarantine.Digest([]byte("call"), []byte(request.Customer), []byte(request.Method), []byte(request.Path), request.Body)
 }
 
-// screen refuses a call whose content crashed upstreams, and marks a suspect. A
-// keyed call may have run before, which only the key's arbiter knows.
-func (c *Caller) screen(request *wirepb.CallRequest, digest uint64) *wirepb.CallReply {
+// admit waits until a call may be made and marks a suspect. It refuses a call
+// whose content crashed upstreams, or whose time is over.
+func (c *Caller) admit(ctx context.Context, request *wirepb.CallRequest, digest uint64) (quarantine.Trial, *wirepb.CallReply) {
 	if c.options.Quarantine == nil {
-		return nil
+		return quarantine.Trial{}, nil
+	}
+	trial, err := c.options.Quarantine.Admit(ctx, digest)
+	if err != nil {
+		return trial, refusedCall(refusal.DeadlineExceeded, unsent(request), err.Error(), "")
 	}
-	state, left := c.options.Quarantine.Lookup(digest)
-	request.Suspect = state == quarantine.StateSuspect
-	if state != quarantine.StateConvicted {
-		return nil
+	request.Suspect = trial.State == quarantine.StateSuspect
+	if trial.State != quarantine.StateConvicted {
+		return trial, nil
 	}
-	run := wirepb.RunState_RUN_NOT_RUN
+	reply := refusedCall(refusal.Quarantined, unsent(request), "the request's content crashed upstreams", "")
+	refusal.After(reply.Refusal, trial.Left)
+	return trial, reply
+}
+
+// unsent is what is known of a call that was not sent. A keyed call may have
+// run before, which only the key's arbiter knows.
+func unsent(request *wirepb.CallRequest) wirepb.RunState {
 	if !request.Idempotent && request.IdempotencyKey != "" {
-		run = wirepb.RunState_RUN_UNKNOWN
+		return wirepb.RunState_RUN_UNKNOWN
 	}
-	reply := refusedCall(refusal.Quarantined, run, "the request's content crashed upstreams", "")
-	refusal.After(reply.Refusal, left)
-	return reply
+	return wirepb.RunState_RUN_NOT_RUN
 }
 
 // learnOf spreads what a reply shows of its content, and reports whether the
--- a/internal/load/disturb/callers.go
+++ b/internal/load/disturb/callers.go
@@ -15,6 +15,8 @@
 	poisonRepeats = 20
 	poisonPause   = 100 * time.Millisecond
 	poisonOutput  = 16
+	// poisonTokens follows the marker of a late poison.
+	poisonTokens = "6."
 
 	revokeUseEvery = 20 * time.Millisecond
 	revokeBefore   = time.Second
@@ -23,24 +25,40 @@
 )
 
 // poison sends a request that crashes engines, again and again through
-// different routers, as a caller does that gets errors.
-func (m *Manager) poison(ctx context.Context) error {
-	text := append(bytes.Repeat([]byte("poison. "), m.options.Plan.Scenario.BlockTokens/2), fleet.PoisonMarker...)
+// different routers, as a caller does that gets errors. After is the number of
+// tokens before the crash.
+func (m *Manager) poison(ctx context.Context, after string) error {
 	for i := range poisonRepeats {
-		prompt := scenario.Prompt{Output: poisonOutput, Router: i % m.options.Plan.Scenario.Zones}
-		result := m.options.Client.Prompt(ctx, prompt, text)
-		if ctx.Err() != nil {
-			return nil
-		}
-		m.mu.Lock()
-		m.report.PoisonSent++
-		m.report.PoisonCodes[string(result.Outcome)+" "+result.Code]++
-		m.mu.Unlock()
+		m.sendPoison(ctx, i, after)
 		time.Sleep(poisonPause)
 	}
 	return nil
 }
 
+// poisonBurst sends a request that crashes engines many times at once.
+func (m *Manager) poisonBurst(ctx context.Context) error {
+	var all sync.WaitGroup
+	for i := range poisonRepeats {
+		all.Go(func() { m.sendPoison(ctx, i, "") })
+	}
+	all.Wait()
+	return nil
+}
+
+func (m *Manager) sendPoison(ctx context.Context, number int, after string) {
+	text := bytes.Repeat([]byte("poison. "), m.options.Plan.Scenario.BlockTokens/2)
+	text = append(text, fleet.PoisonMarker+after...)
+	prompt := scenario.Prompt{Output: poisonOutput, Router: number % m.options.Plan.Scenario.Zones}
+	result := m.options.Client.Prompt(ctx, prompt, text)
+	if ctx.Err() != nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.report.PoisonSent++
+	m.report.PoisonCodes[string(result.Outcome)+" "+result.Code]++
+}
+
 // revoke uses a key on connections that stay open, withdraws it, and notes for
 // how long it still worked.
 func (m *Manager) revoke(ctx context.Context) error {
--- a/internal/load/disturb/disturb.go
+++ b/internal/load/disturb/disturb.go
@@ -41,10 +41,14 @@
 	Shift Kind = "shift"
 	// Poison sends a request that crashes each engine that runs it, many times.
 	Poison Kind = "poison"
+	// LatePoison is Poison with a request that crashes engines after its first tokens.
+	LatePoison Kind = "late-poison"
+	// PoisonBurst is Poison with all sendings at the same instant.
+	PoisonBurst Kind = "poison-burst"
 )
 
 // Kinds are all kinds of failures.
-var Kinds = []Kind{Crash, Quarter, Outage, Restart, Revoke, Shift, Poison, Kill}
+var Kinds = []Kind{Crash, Quarter, Outage, Restart, Revoke, Shift, Poison, Kill, LatePoison, PoisonBurst}
 
 const (
 	crashEvery    = 8 * time.Second
@@ -189,7 +193,11 @@
 	case Revoke:
 		return []event{{m.within(0.3, 0.6), "revoke", m.revoke}}
 	case Poison:
-		return []event{{m.within(0.2, 0.4), "poison", m.poison}}
+		return []event{{m.within(0.2, 0.4), "poison", func(ctx context.Context) error { return m.poison(ctx, "") }}}
+	case LatePoison:
+		return []event{{m.within(0.2, 0.4), "late-poison", func(ctx context.Context) error { return m.poison(ctx, poisonTokens) }}}
+	case PoisonBurst:
+		return []event{{m.within(0.2, 0.4), "poison-burst", m.poisonBurst}}
 	default:
 		return nil
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	pushDelay       = 50 * time.Millisecond
+	pushDelay       = 10 * time.Millisecond
 	pushTimeout     = time.Second
 	maxPushes       = 16
 	pullTimeout     = time.Second
@@ -27,6 +27,9 @@
 	startAttempts   = 20
 	compareInterval = 15 * time.Second
 
+	// recentFor is how long an agent's suspicion counts as news to routers.
+	recentFor = time.Second
+
 	defaultQuarantine = 10 * time.Minute
 )
 
@@ -46,6 +49,7 @@
 type Manager struct {
 	options Options
 	table   *table
+	trials  trials
 
 	mu      sync.Mutex
 	pending []*wirepb.QuarantineEntry
@@ -61,6 +65,7 @@
 	return &Manager{
 		options: options,
 		table:   newTable(),
+		trials:  trials{held: make(map[uint64]holding)},
 		stored:  make(map[string]stored),
 		kick:    make(chan struct{}, 1),
 		cancel:  func() {},
@@ -89,6 +94,16 @@
 	return m.table.lookup(digest)
 }
 
+// Recent is Lookup without suspicions that all routers know by now, and may have
+// dropped.
+func (m *Manager) Recent(digest uint64) (State, time.Duration) {
+	state, left := m.table.lookup(digest)
+	if state == StateSuspect && left < suspectFor-recentFor {
+		return StateClear, 0
+	}
+	return state, left
+}
+
 // Suspect notes that a content was in flight at a crash.
 func (m *Manager) Suspect(digest uint64) {
 	m.found(&wirepb.QuarantineEntry{
@@ -209,11 +224,18 @@
 		return
 	}
 	m.applyAll(update.Entries)
-	reply := new(wirepb.QuarantineUpdate)
-	if update.Pull {
-		reply.Entries = m.table.entries()
+	_ = stream.Send(m.answer(update))
+}
+
+func (m *Manager) answer(update *wirepb.QuarantineUpdate) *wirepb.QuarantineUpdate {
+	switch {
+	case update.Trial != nil:
+		return m.judgeTrial(update.Trial)
+	case update.Pull:
+		return &wirepb.QuarantineUpdate{Entries: m.table.entries()}
+	default:
+		return new(wirepb.QuarantineUpdate)
 	}
-	_ = stream.Send(reply)
 }
 
 func (m *Manager) applyAll(entries []*wirepb.QuarantineEntry) {
--- a/internal/standin/enginesim/engine_test.go
+++ b/internal/standin/enginesim/engine_test.go
@@ -110,28 +110,31 @@
 }
 
 func TestCrashOnPoisonLosesStreamsAndCache(t *testing.T) {
-	m, driver := startEngine(t, testOptions(t))
-	before, err := driver.Load(context.Background())
-	if err != nil {
-		t.Fatal(err)
-	}
-	poison := append(prompt(1), "POISON"...)
-	run, err := driver.Run(context.Background(), engine.RunRequest{RequestID: "p", Weights: "v1", Prompt: poison, MaxTokens: 1})
-	if err == nil {
-		_, _, err = collect(run)
-	}
-	if !errors.Is(err, engine.ErrLost) {
-		t.Fatalf("poisoned run: %v", err)
-	}
-	for {
-		after, err := driver.Load(context.Background())
-		if err == nil && after.Incarnation > before.Incarnation {
-			break
+	for marker, tokens := range map[string]int{"POISON": 0, "POISON3.": 3} {
+		m, driver := startEngine(t, testOptions(t))
+		before, err := driver.Load(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		poison := append(prompt(1), marker...)
+		run, err := driver.Run(context.Background(), engine.RunRequest{RequestID: "p", Weights: "v1", Prompt: poison, MaxTokens: 5})
+		text := ""
+		if err == nil {
+			text, _, err = collect(run)
+		}
+		if !errors.Is(err, engine.ErrLost) || len(text) > tokens*answer.BytesPerToken {
+			t.Fatalf("%s: %q, %v", marker, text, err)
+		}
+		for {
+			after, err := driver.Load(context.Background())
+			if err == nil && after.Incarnation > before.Incarnation {
+				break
+			}
+			time.Sleep(time.Millisecond)
+		}
+		if stats := m.Stats(); stats.Crashes != 1 || len(stats.Poisoned) != 1 {
+			t.Fatalf("%s: stats %+v", marker, stats)
 		}
-		time.Sleep(time.Millisecond)
-	}
-	if stats := m.Stats(); stats.Crashes != 1 || len(stats.Poisoned) != 1 {
-		t.Fatalf("stats %+v", stats)
 	}
 }
 
--- a/internal/standin/enginesim/instance.go
+++ b/internal/standin/enginesim/instance.go
@@ -1,7 +1,6 @@
 package enginesim
 
 import (
-	"bytes"
 	"context"
 	"sync"
 	"time"
@@ -23,6 +22,7 @@
 	order     uint64
 	generated int64 // tokens generated so far, those of an earlier engine included
 	cached    int64
+	crashAt   int64 // crashes the engine when so many tokens are generated; neverCrash for a harmless run
 	events    chan engine.RunEvent
 }
 
@@ -133,9 +133,9 @@
 
 // prefill computes what the cache lacks and generates the first token.
 func (in *instance) prefill(ctx context.Context, j *job) {
-	if in.options.PoisonMarker != "" && bytes.Contains(j.request.Prompt, []byte(in.options.PoisonMarker)) {
-		in.stats.poisonedBy(j.request.RequestID)
-		in.poisoned()
+	j.crashAt = in.crashAt(j.request.Prompt)
+	if j.crashAt == 0 {
+		in.crashUnder(j)
 		return
 	}
 	promptTokens := answer.Tokens(j.request.Prompt)
--- a/internal/standin/enginesim/options.go
+++ b/internal/standin/enginesim/options.go
@@ -43,7 +43,8 @@
 	Restart time.Duration
 	// ChecksFence makes the engine refuse orders with an old fencing number.
 	ChecksFence bool
-	// PoisonMarker in a prompt crashes the engine that runs it.
+	// PoisonMarker in a prompt crashes the engine that runs it, at once or after
+	// the number of tokens that follows the marker.
 	PoisonMarker string
 
 	// KV is the store for cache blocks, nil when there is none.
