--- a/internal/dispatch/failures_test.go
+++ b/internal/dispatch/failures_test.go
@@ -63,7 +63,7 @@
 	w.mu.Unlock()
 	request := &wirepb.CallRequest{RequestId: "r", Customer: "limon", Method: "POST", Path: "/charges", Pool: "billing"}
 	reply, err := w.router().Call(t.Context(), w.set, w.set.Routes["charges"], request)
-	if err != nil || reply.Refusal == nil || reply.Refusal.Run != wirepb.RunState_RUN_UNKNOWN {
+	if err != nil || reply.Refusal.GetCode() != string(refusal.AgentLost) || reply.Refusal.Run != wirepb.RunState_RUN_UNKNOWN {
 		t.Fatalf("got %v, %v", reply, err)
 	}
 	if n := len(w.executions("")); n != 1 {
@@ -79,7 +79,7 @@
 	pool := wire.NewPool(&wirepb.Hello{}, func(context.Context, string) (net.Conn, error) { return nil, errors.New("refused") })
 	caller := NewCaller(CallerOptions{Pool: pool, Log: zerolog.Nop()})
 	reply, _ := caller.Call(t.Context(), set, set.Routes["charges"], &wirepb.CallRequest{Pool: "billing"})
-	if reply.Refusal == nil || reply.Refusal.Run != wirepb.RunState_RUN_NOT_RUN {
+	if reply.Refusal.GetCode() != string(refusal.AgentUnreachable) || reply.Refusal.Run != wirepb.RunState_RUN_NOT_RUN {
 		t.Fatalf("got %v", reply)
 	}
 }
--- a/internal/router/refusals_test.go
+++ b/internal/router/refusals_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
+	"github.com/gin-gonic/gin"
 	"github.com/greengagegate/greengagegate/internal/admission"
 	"github.com/greengagegate/greengagegate/internal/object"
 )
@@ -25,9 +30,42 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	var reply errorReply
+	if err := json.NewDecoder(response.Body).Decode(&reply); err != nil {
+		t.Fatal(err)
+	}
 	if response.StatusCode != http.StatusBadRequest || response.Header.Get(HeaderRun) != string(RunNot) {
 		t.Fatalf("got %d, %q", response.StatusCode, response.Header.Get(HeaderRun))
 	}
+	if reply.Error.Code != "idempotency_key_too_long" {
+		t.Fatalf("got %+v", reply.Error)
+	}
+}
+
+func TestBrokenBodyIsNotRun(t *testing.T) {
+	server := New(Options{Source: newFakeSource(testSet(object.KeyActive)), Limits: DefaultLimits()})
+	defer server.Close()
+	c, _ := gin.CreateTestContext(httptest.NewRecorder())
+	c.Request = httptest.NewRequest(http.MethodPost, "/v1/completions", iotest.ErrReader(io.ErrUnexpectedEOF))
+	_, failure := server.readBody(c)
+	if failure == nil || failure.Status != http.StatusBadRequest || failure.Code != "body_unreadable" || failure.Run != RunNot {
+		t.Fatalf("got %+v", failure)
+	}
+}
+
+// panickingAdmission fails in a way that nobody has foreseen.
+type panickingAdmission struct{}
+
+func (panickingAdmission) Admit(context.Context, *object.Customer, int64) (admission.Ticket, error) {
+	panic("odd")
+}
+
+func TestPanicIsToldAsUnknown(t *testing.T) {
+	server := startServer(t, Options{Source: newFakeSource(testSet(object.KeyActive)), Admission: panickingAdmission{}})
+	response, reply := post(t, server.URL+"/v1/completions", testSecret, `{"model":"harbour","prompt":"tariff?"}`)
+	if response.StatusCode != http.StatusInternalServerError || reply.Error.Code != "internal" || reply.Error.Run != RunUnknown {
+		t.Fatalf("got %d, %+v", response.StatusCode, reply.Error)
+	}
 }
 
 func TestRefusalsWithoutConfiguration(t *testing.T) {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -217,8 +217,12 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusRequestTimeout {
-		t.Fatalf("got %d", response.StatusCode)
+	var reply errorReply
+	if err := json.NewDecoder(response.Body).Decode(&reply); err != nil {
+		t.Fatal(err)
+	}
+	if response.StatusCode != http.StatusRequestTimeout || reply.Error.Code != "body_timeout" || reply.Error.Run != RunNot {
+		t.Fatalf("got %d, %+v", response.StatusCode, reply.Error)
 	}
 }
 
@@ -313,7 +317,8 @@
 }
 
 func TestUnknownCauseIsNotCalledNotRun(t *testing.T) {
-	if failure := fromError(errors.New("odd"), "run"); failure.Run != RunUnknown {
-		t.Fatalf("got %q", failure.Run)
+	failure := fromError(errors.New("odd"), "run")
+	if failure.Run != RunUnknown || failure.Code != "failed" || failure.Status != http.StatusBadGateway {
+		t.Fatalf("got %+v", failure)
 	}
 }
