Let unsuspected requests run beside a suspect from its first token on

Cause: alone until its end, a suspect held an engine too long after an ordinary crash.

A crash tells the place in the answer; the second one convicts before the first token, or within 8 tokens of the first one's place, counted from the start of the answer or of the run. At another place the content stays suspect, since what runs beside may be the cause.

--- a/internal/agent/fairqueue/fairqueue.go
+++ b/internal/agent/fairqueue/fairqueue.go
@@ -66,7 +66,7 @@
 	Priority int32
 	// Deadline is when waiting becomes pointless; zero waits as long as ctx.
 	Deadline time.Time
-	// Suspect runs alone at the engine.
+	// Suspect runs alone at the engine until its first token.
 	Suspect bool
 }
 
@@ -99,7 +99,7 @@
 	// waitingTokens are the prompt tokens of waiting.
 	waitingTokens int64
 	running       int
-	// suspects counts running suspects.
+	// suspects counts running suspects without a first token.
 	suspects int
 	// prefills are the started requests without a first token, in order of start.
 	prefills []*Grant
--- a/internal/agent/fairqueue/grant.go
+++ b/internal/agent/fairqueue/grant.go
@@ -10,6 +10,8 @@
 	queue  *Queue
 	ticket Ticket
 	done   bool
+	// cleared says that a suspect need not be alone any more.
+	cleared bool
 	// began is when the engine began to compute the prompt; zero before.
 	began time.Time
 }
@@ -44,9 +46,18 @@
 	g.queue.mu.Lock()
 	defer g.queue.mu.Unlock()
 	g.queue.endPrefill(g, true)
+	g.clear()
 	g.queue.dispatch()
 }
 
+// clear lets others run beside a suspect.
+func (g *Grant) clear() {
+	if g.ticket.Suspect && !g.cleared {
+		g.cleared = true
+		g.queue.suspects--
+	}
+}
+
 // Release ends the request. Actual is the service it got in tokens: prompt
 // tokens computed and decodeCost for each generated one, see Service. Further calls do nothing.
 func (g *Grant) Release(actual float64) {
@@ -58,9 +69,7 @@
 	g.done = true
 	g.queue.endPrefill(g, false)
 	g.queue.running--
-	if g.ticket.Suspect {
-		g.queue.suspects--
-	}
+	g.clear()
 	g.queue.settle(g.ticket, actual)
 	g.queue.dispatch()
 }
--- a/internal/agent/runner/crash.go
+++ b/internal/agent/runner/crash.go
@@ -14,17 +14,21 @@
 
 // Suspects is told of contents that were in flight at crashes of the engine.
 type Suspects interface {
-	// Recent returns what routers may not know of a content yet, and for how long it holds.
-	Recent(digest uint64) (quarantine.State, time.Duration)
-	// Suspect notes a content that was in flight at a crash.
-	Suspect(digest uint64)
+	// Recent returns what routers may not know of a content yet.
+	Recent(digest uint64) quarantine.Trial
+	// Suspect notes a content that was in flight at a crash, after some tokens of its answer.
+	Suspect(digest uint64, tokens int64)
 	// Convict notes a content that crashed upstreams and returns for how long it is refused.
 	Convict(digest uint64) time.Duration
 }
 
+// nearTokens is how far two crashes under one content may lie apart in its answer.
+// Tokens on their way are lost in a crash, so that the place is not exact.
+const nearTokens = 8
+
 // lost explains a run that broke off. When the engine crashed, the request
-// becomes suspect, whether or not it had given tokens; one that ran alone as a
-// suspect is convicted.
+// becomes suspect, whether or not it had given tokens. A suspect that crashed
+// while it was alone, or at the place of its first crash, is convicted.
 func (x *running) lost(ctx context.Context, err error) *wirepb.RunEvent {
 	event := x.runner.refuse(refusal.UpstreamLost, wirepb.RunState_RUN_UNKNOWN, err.Error())
 	if ctx.Err() != nil || !x.runner.crashed(ctx, x.prefix.incarnation) {
@@ -33,16 +37,29 @@
 	x.runner.engineDown()
 	told := event.GetRefusal()
 	told.Suspect = true
-	if x.request.Suspect {
+	told.CrashTokens = x.request.ResumeOffset + x.generated
+	if x.request.Suspect && x.crashedAgain() {
 		x.convict(told)
 		return event
 	}
 	if x.runner.options.Suspects != nil {
-		x.runner.options.Suspects.Suspect(x.request.Digest)
+		x.runner.options.Suspects.Suspect(x.request.Digest, told.CrashTokens)
 	}
 	return event
 }
 
+// crashedAgain reports whether nothing but the suspect explains the crash: it was
+// alone, having given no token, or had come to the place of its first crash,
+// counted from the start of the answer or of the run. Else what ran beside it may
+// have crashed the engine.
+func (x *running) crashedAgain() bool {
+	return x.generated == 0 ||
+		near(x.request.ResumeOffset+x.generated, x.request.CrashTokens) ||
+		near(x.generated, x.request.CrashTokens)
+}
+
+func near(a, b int64) bool { return a-b <= nearTokens && b-a <= nearTokens }
+
 // unwarned returns a refusal for a request whose content has become suspect, or
 // was convicted, after its router sent it; nil when there is no such news.
 func (x *running) unwarned() *wirepb.RunEvent {
@@ -50,17 +67,18 @@
 	if known == nil {
 		return nil
 	}
-	state, left := known.Recent(x.request.Digest)
-	if state == quarantine.StateConvicted {
+	news := known.Recent(x.request.Digest)
+	if news.State == quarantine.StateConvicted {
 		event := x.runner.refuse(refusal.Quarantined, wirepb.RunState_RUN_NOT_RUN, "the request's content crashed upstreams")
-		refusal.After(event.GetRefusal(), left)
+		refusal.After(event.GetRefusal(), news.Left)
 		return event
 	}
-	if state != quarantine.StateSuspect || x.request.Suspect {
+	if news.State != quarantine.StateSuspect || x.request.Suspect {
 		return nil
 	}
 	event := x.runner.refuse(refusal.QueueFull, wirepb.RunState_RUN_NOT_RUN, "the request's content was in flight at a crash")
 	event.GetRefusal().Suspect = true
+	event.GetRefusal().CrashTokens = news.CrashTokens
 	return event
 }
 
--- a/internal/dispatch/screen.go
+++ b/internal/dispatch/screen.go
@@ -49,7 +49,7 @@
 		return false
 	}
 	if refusal.Code(reply.Refusal.Code) != refusal.Poisonous {
-		known.Suspect(digest)
+		known.Suspect(digest, 0)
 		return false
 	}
 	refusal.After(reply.Refusal, known.Convict(digest))
--- a/internal/dispatch/verdict.go
+++ b/internal/dispatch/verdict.go
@@ -50,6 +50,7 @@
 		return trial, refused
 	}
 	a.request.Suspect = trial.State == quarantine.StateSuspect
+	a.request.CrashTokens = trial.CrashTokens
 	return trial, nil
 }
 
@@ -65,7 +66,7 @@
 	case a.crashed:
 		p.learnCrash(a, known)
 	case a.warned:
-		known.Suspect(a.request.Digest)
+		known.Suspect(a.request.Digest, a.last.CrashTokens)
 	case a.last != nil && refusal.Code(a.last.Code) == refusal.Quarantined:
 		a.final = true
 	}
@@ -77,7 +78,7 @@
 	a.crashes++
 	metrics.Counter("dispatch.crashes").Inc(1)
 	if refusal.Code(a.last.Code) != refusal.Poisonous && a.crashes < maxCrashes {
-		known.Suspect(a.request.Digest)
+		known.Suspect(a.request.Digest, a.last.CrashTokens)
 		return
 	}
 	a.last.Code = string(refusal.Poisonous)
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -96,18 +96,20 @@
 
 // Recent is Lookup without suspicions that all routers know by now, and may have
 // dropped.
-func (m *Manager) Recent(digest uint64) (State, time.Duration) {
+func (m *Manager) Recent(digest uint64) Trial {
 	state, left := m.table.lookup(digest)
 	if state == StateSuspect && left < suspectFor-recentFor {
-		return StateClear, 0
+		return Trial{}
 	}
-	return state, left
+	return Trial{State: state, Left: left, CrashTokens: m.table.crashTokens(digest)}
 }
 
-// Suspect notes that a content was in flight at a crash.
-func (m *Manager) Suspect(digest uint64) {
+// Suspect notes that a content was in flight at a crash, after a number of
+// tokens of its answer.
+func (m *Manager) Suspect(digest uint64, tokens int64) {
 	m.found(&wirepb.QuarantineEntry{
-		Digest: digest, State: wirepb.QuarantineState_QUARANTINE_SUSPECT, RemainingMs: suspectFor.Milliseconds(),
+		Digest: digest, State: wirepb.QuarantineState_QUARANTINE_SUSPECT,
+		RemainingMs: suspectFor.Milliseconds(), CrashTokens: tokens,
 	})
 }
 
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -30,6 +30,8 @@
 type item struct {
 	state State
 	until time.Time
+	// tokens of the answer were given before the last crash.
+	tokens int64
 }
 
 // table holds the contents that are not clear, by digest.
@@ -58,6 +60,13 @@
 	return found.state, left
 }
 
+// crashTokens returns the tokens that a content had given before its last crash.
+func (t *table) crashTokens(digest uint64) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.items[digest].tokens
+}
+
 // apply takes in an entry and reports whether it changed anything. A conviction
 // overrides a suspicion; nothing but time ends a conviction.
 func (t *table) apply(entry *wirepb.QuarantineEntry) bool {
@@ -78,7 +87,7 @@
 		t.put(entry.Digest, item{state: StateConvicted, until: until})
 		return true
 	default:
-		t.put(entry.Digest, item{state: StateSuspect, until: until})
+		t.put(entry.Digest, item{state: StateSuspect, until: until, tokens: entry.CrashTokens})
 		return !ok
 	}
 }
@@ -118,7 +127,7 @@
 			delete(t.items, digest)
 			continue
 		}
-		out = append(out, &wirepb.QuarantineEntry{Digest: digest, State: wireState(found.state), RemainingMs: left.Milliseconds()})
+		out = append(out, &wirepb.QuarantineEntry{Digest: digest, State: wireState(found.state), RemainingMs: left.Milliseconds(), CrashTokens: found.tokens})
 	}
 	return out
 }
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -20,11 +20,15 @@
 	trialTimeout = 300 * time.Millisecond
 )
 
-// Trial is the leave to run a content, which is alone in the fleet for a suspect.
+// Trial is what is known of a content, and the leave to run it, which one run in
+// the fleet has for a suspect.
 type Trial struct {
 	State State
 	// Left is how long the state lasts.
-	Left    time.Duration
+	Left time.Duration
+	// CrashTokens of a suspect's answer were given before its last crash.
+	CrashTokens int64
+
 	release func()
 }
 
@@ -46,7 +50,8 @@
 		}
 		ask := &wirepb.QuarantineTrial{Digest: digest, Holder: holder}
 		if m.askTrial(ctx, ask) {
-			return Trial{State: state, Left: left, release: func() { m.endTrial(ctx, ask) }}, nil
+			tokens := m.table.crashTokens(digest)
+			return Trial{State: state, Left: left, CrashTokens: tokens, release: func() { m.endTrial(ctx, ask) }}, nil
 		}
 		if err := pause.For(ctx, trialPoll); err != nil {
 			return Trial{}, err
