--- a/internal/standin/enginesim/decode.go
+++ b/internal/standin/enginesim/decode.go
@@ -86,7 +86,7 @@
 		Text:      string(answer.Append(text[:0], j.digest, j.generated, 1)),
 	}
 	j.generated++
-	if j.generated == j.crashAt {
+	if j.generated >= j.crashAt {
 		in.crashUnder(j)
 		return false
 	}
--- a/internal/standin/enginesim/engine_test.go
+++ b/internal/standin/enginesim/engine_test.go
@@ -110,20 +110,25 @@
 }
 
 func TestCrashOnPoisonLosesStreamsAndCache(t *testing.T) {
-	for marker, tokens := range map[string]int{"POISON": 0, "POISON3.": 3} {
+	cases := []struct {
+		marker string
+		resume int64
+		tokens int
+	}{{"POISON", 0, 0}, {"POISON3.", 0, 3}, {"POISON3.", 3, 0}}
+	for _, c := range cases {
 		m, driver := startEngine(t, testOptions(t))
 		before, err := driver.Load(context.Background())
 		if err != nil {
 			t.Fatal(err)
 		}
-		poison := append(prompt(1), marker...)
-		run, err := driver.Run(context.Background(), engine.RunRequest{RequestID: "p", Weights: "v1", Prompt: poison, MaxTokens: 5})
+		poison := append(prompt(1), c.marker...)
+		run, err := driver.Run(context.Background(), engine.RunRequest{RequestID: "p", Weights: "v1", Prompt: poison, MaxTokens: 5, ResumeOffset: c.resume})
 		text := ""
 		if err == nil {
 			text, _, err = collect(run)
 		}
-		if !errors.Is(err, engine.ErrLost) || len(text) > tokens*answer.BytesPerToken {
-			t.Fatalf("%s: %q, %v", marker, text, err)
+		if !errors.Is(err, engine.ErrLost) || len(text) > c.tokens*answer.BytesPerToken {
+			t.Fatalf("%+v: %q, %v", c, text, err)
 		}
 		for {
 			after, err := driver.Load(context.Background())
@@ -133,7 +138,7 @@
 			time.Sleep(time.Millisecond)
 		}
 		if stats := m.Stats(); stats.Crashes != 1 || len(stats.Poisoned) != 1 {
-			t.Fatalf("%s: stats %+v", marker, stats)
+			t.Fatalf("%+v: stats %+v", c, stats)
 		}
 	}
 }
--- a/internal/standin/enginesim/instance.go
+++ b/internal/standin/enginesim/instance.go
@@ -134,7 +134,7 @@
 // prefill computes what the cache lacks and generates the first token.
 func (in *instance) prefill(ctx context.Context, j *job) {
 	j.crashAt = in.crashAt(j.request.Prompt)
-	if j.crashAt == 0 {
+	if j.generated >= j.crashAt {
 		in.crashUnder(j)
 		return
 	}
