--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -85,7 +85,7 @@
 		s.members = append(s.members, membership.Member{
 			Process: fmt.Sprintf("router-%d", i), Address: address, Role: membership.RoleRouter, Region: "r1",
 		})
-		hosts = append(hosts, store.Host{Address: "127.0.0.1"})
+		hosts = append(hosts, store.Host{Address: testhost.Address()})
 	}
 	s.store.SetHosts(hosts)
 	return s
--- a/quota/draw.go
+++ b/quota/draw.go
@@ -32,6 +32,8 @@
 	address  string
 	lot      *lot
 	estimate float64
+	// level is what it likely has, including what it may not lend at present.
+	level float64
 	// fill is the level of the share as a part of the highest it can have.
 	fill float64
 	far  bool
@@ -132,6 +134,15 @@
 	return sum
 }
 
+// withheld is what all candidates together likely have and may not lend at present.
+func withheld(candidates []candidate) float64 {
+	var sum float64
+	for _, c := range candidates {
+		sum += c.level - c.estimate
+	}
+	return sum
+}
+
 // single returns the first near lender that likely has enough.
 func single(candidates []candidate, missing float64) *candidate {
 	for i := range candidates {
@@ -163,11 +174,13 @@
 			continue
 		}
 		lot := s.lot(address)
-		estimate, fill := lot.estimate(now, s.limit, part, s.needed(lot, now, p.options.GrantTerm))
 		if now.Before(lot.retryAfter) {
 			continue
 		}
-		found = append(found, candidate{address, lot, estimate, fill, region != p.options.Region})
+		c := lot.outlook(now, s.limit, part, s.needed(lot, now, p.options.GrantTerm))
+		c.address = address
+		c.far = region != p.options.Region
+		found = append(found, c)
 	}
 	slices.SortFunc(found, func(a, b candidate) int { return p.compare(a, b) })
 	return found
--- a/quota/lot.go
+++ b/quota/lot.go
@@ -76,10 +76,10 @@
 	l.anchor = anchor{at: now, peer: clock}
 }
 
-// estimate is what a lender with a part of the limit can likely lend, and how
+// outlook is what a lender with a part of the limit can likely lend, and how
 // full its share likely is. Of what the pool has on loan from it, needed has not
 // been spent.
-func (l *lot) estimate(now time.Time, limit Limit, part, needed float64) (tokens, fill float64) {
+func (l *lot) outlook(now time.Time, limit Limit, part, needed float64) candidate {
 	burst := part * limit.Burst
 	room := max(1, burst-needed)
 	level := room
@@ -87,8 +87,9 @@
 		gained := now.Sub(l.leftAt).Seconds() * limit.Rate * part
 		level = min(l.left+gained, room)
 	}
-	if now.Before(l.blockedUntil) {
-		return 0, level / room
+	c := candidate{lot: l, level: level, fill: level / room}
+	if !now.Before(l.blockedUntil) {
+		c.estimate = min(level, max(0, MaxLent*burst-needed))
 	}
-	return min(level, max(0, MaxLent*burst-needed)), level / room
+	return c
 }
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -151,12 +151,17 @@
 	}
 }
 
-// waitFor estimates from the customer's rate when tokens will be there.
+// waitFor estimates when tokens will be there: soon if lenders have enough that
+// they may not lend at present, else from the customer's rate.
 func (p *pool) waitFor(s *stock, now time.Time, want float64) time.Duration {
+	candidates := p.candidates(s, now)
+	missing := want - s.grantable(now, spendTerm) - total(candidates)
+	if missing <= withheld(candidates) {
+		return sweepInterval
+	}
 	if s.limit.Rate <= 0 {
 		return maxWaitHint
 	}
-	missing := want - s.grantable(now, spendTerm) - total(p.candidates(s, now))
 	wait := time.Duration(missing / s.limit.Rate * float64(time.Second))
 	return min(max(wait, minWaitHint), maxWaitHint)
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -85,3 +85,27 @@
 		j.verify()
 	})
 }
+
+// TestRestOfBurstIsGrantedToOtherRouters asks through each router in turn. What
+// the first was granted counts as unspent, and keeps lenders from lending the
+// rest, until it reports or its grant ends.
+func TestRestOfBurstIsGrantedToOtherRouters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(1, 3, 3)
+		limit := quota.Limit{Rate: 1, Burst: 10_000}
+		f.config.set(harbour, limit)
+		f.run()
+		defer f.stopAll()
+		time.Sleep(time.Second)
+		j := newJudge(t, limit)
+		for i, tokens := range []int64{7500, 500, 500, 500, 500} {
+			if j.admit(f.at(i%3), harbour, tokens) == nil {
+				t.Errorf("request %d of %d tokens was refused", i, tokens)
+			}
+		}
+		if j.admit(f.at(1), harbour, 1000) != nil {
+			t.Error("more than the burst was admitted")
+		}
+		j.verify()
+	})
+}
