Reserve what a share need not lend with a peer, and send clocks rarely

The next tenure claims them once, and assumes as much less to be out on loan. Notes end at an instant of the keeper's own clock.

--- a/internal/quotalink/convert.go
+++ b/internal/quotalink/convert.go
@@ -80,7 +80,7 @@
 	if d == nil {
 		return nil
 	}
-	out := &wirepb.QuotaDeposit{Holder: d.Holder, AgeUs: d.Age.Microseconds()}
+	out := &wirepb.QuotaDeposit{Holder: d.Holder, AgeUs: d.Age.Microseconds(), Seq: d.Seq, Until: encodeInstant(d.Until)}
 	for _, s := range d.Slots {
 		out.Slots = append(out.Slots, &wirepb.QuotaSlot{Index: int32(s.Index), Epoch: s.Epoch})
 	}
@@ -98,7 +98,9 @@
 	if in == nil {
 		return nil
 	}
-	d := &quota.Deposit{Holder: in.Holder, Age: time.Duration(in.AgeUs) * time.Microsecond}
+	d := &quota.Deposit{
+		Holder: in.Holder, Age: time.Duration(in.AgeUs) * time.Microsecond, Seq: in.Seq, Until: decodeInstant(in.Until),
+	}
 	for _, s := range in.Slots {
 		d.Slots = append(d.Slots, quota.SlotEpoch{Index: int(s.Index), Epoch: s.Epoch})
 	}
--- a/quota/custody.go
+++ b/quota/custody.go
@@ -16,10 +16,13 @@
 
 // custody keeps the deposits of stopped holders until their next life claims them.
 type custody struct {
-	now func() time.Time
+	now   func() time.Time
+	clock *instantClock
 
 	mu       sync.Mutex
 	deposits map[string]keptDeposit
+	// reserves holds the notes of live holders.
+	reserves map[string]*keptReserve
 }
 
 type keptDeposit struct {
@@ -27,8 +30,13 @@
 	at      time.Time
 }
 
-func newCustody(o *Options) *custody {
-	return &custody{now: o.Now, deposits: make(map[string]keptDeposit)}
+func newCustody(o *Options, clock *instantClock) *custody {
+	return &custody{
+		now:      o.Now,
+		clock:    clock,
+		deposits: make(map[string]keptDeposit),
+		reserves: make(map[string]*keptReserve),
+	}
 }
 
 // keep stores a deposit.
@@ -40,6 +48,7 @@
 		return new(Reply)
 	}
 	now := c.now()
+	c.forgetReserves(now)
 	for holder, kept := range c.deposits {
 		if now.Sub(kept.at) > custodyTerm {
 			delete(c.deposits, holder)
@@ -58,7 +67,7 @@
 	defer c.mu.Unlock()
 	kept, ok := c.deposits[request.Deposit.Holder]
 	if !ok {
-		return new(Reply)
+		return &Reply{Deposit: c.handOut(request.Deposit)}
 	}
 	delete(c.deposits, request.Deposit.Holder)
 	return &Reply{Deposit: kept.aged(c.now())}
@@ -80,6 +89,7 @@
 		all = append(all, kept.aged(c.now()))
 	}
 	c.deposits = nil
+	c.reserves = nil
 	return all
 }
 
@@ -122,7 +132,9 @@
 	if m.options.Config.Revision() == 0 || !m.lender.wantsDeposit() {
 		return
 	}
-	claim := &Request{Tier: TierClaim, Deposit: &Deposit{Holder: m.options.Address}}
+	claim := &Request{Tier: TierClaim, Deposit: m.lender.claim()}
+	var mu sync.Mutex
+	var found []*Deposit
 	var calls sync.WaitGroup
 	for _, router := range m.options.Directory.Routers() {
 		if router.Address == m.options.Address || router.Region != m.options.Region {
@@ -131,11 +143,35 @@
 		calls.Go(func() {
 			reply, err := m.callCustody(ctx, router.Address, claim)
 			if err == nil && reply.Deposit != nil {
-				m.lender.adopt(reply.Deposit)
+				mu.Lock()
+				defer mu.Unlock()
+				found = append(found, reply.Deposit)
 			}
 		})
 	}
 	calls.Wait()
+	m.lender.recover(found)
+}
+
+// claim names the tenures for which deposits are claimed.
+func (l *lender) claim() *Deposit {
+	claim := &Deposit{Holder: l.address}
+	claim.Slots = tenuresOf(l.directory.Held())
+	return claim
+}
+
+// recover takes over deposits. What a stopped holder left includes what it had reserved.
+func (l *lender) recover(found []*Deposit) {
+	for _, deposit := range found {
+		if deposit.Until.Life == 0 {
+			l.adopt(deposit)
+		}
+	}
+	for _, deposit := range found {
+		if deposit.Until.Life != 0 {
+			l.restore(deposit)
+		}
+	}
 }
 
 // close ends lending and returns the state of the shares, or nil without slots.
@@ -201,7 +237,7 @@
 	defer l.mu.Unlock()
 	now := l.now()
 	held := l.directory.Held()
-	if l.closed || !l.follows(deposit, held, now) {
+	if l.closed || !l.follows(deposit, held, now) || l.hasRestored(held) {
 		return
 	}
 	for _, slot := range held {
--- a/quota/demand.go
+++ b/quota/demand.go
@@ -30,6 +30,11 @@
 	d.at = now
 }
 
+// rate returns the number of asks a second.
+func (d *demand) rate(now time.Time) float64 {
+	return d.asks * math.Exp(-now.Sub(d.at).Seconds()/demandWindow.Seconds()) / demandWindow.Seconds()
+}
+
 // expect returns the tokens likely asked for within a time, or zero when asks
 // are too rare to foresee.
 func (d *demand) expect(within time.Duration) float64 {
--- a/quota/lender.go
+++ b/quota/lender.go
@@ -7,6 +7,7 @@
 
 // lender holds this process's shares and lends from them.
 type lender struct {
+	address   string
 	config    Config
 	directory Directory
 	now       func() time.Time
@@ -23,11 +24,19 @@
 	// at first use, or whose former life's deposit has been taken over.
 	filled  map[int]uint64
 	adopted map[int]uint64
+	// restored holds the tenures for which a former life's reserve has been taken over.
+	restored map[int]uint64
+	// restoredUntil is when a former life's loans are over for the first of these.
+	restoredUntil time.Time
+	keeper        keeper
+	// touched holds the customers whose reserve may have to change.
+	touched map[CustomerID]struct{}
 	closed  bool
 }
 
 func newLender(o *Options, clock *instantClock) *lender {
 	return &lender{
+		address:   o.Address,
 		config:    o.Config,
 		directory: o.Directory,
 		now:       o.Now,
@@ -37,6 +46,8 @@
 		shares:    make(map[CustomerID]*share),
 		filled:    make(map[int]uint64),
 		adopted:   make(map[int]uint64),
+		restored:  make(map[int]uint64),
+		touched:   make(map[CustomerID]struct{}),
 	}
 }
 
@@ -50,6 +61,7 @@
 	held := l.directory.Held()
 	l.layouts.set(now, l.config.Slots())
 	l.fill(now, held, customers)
+	l.forget()
 	revision := l.config.Revision()
 	if revision == l.revision && len(held) == l.slots && len(l.layouts.earlier) == 0 {
 		return
@@ -60,7 +72,6 @@
 			l.share(now, customer, held)
 		}
 	}
-	l.forget()
 }
 
 // partOf returns the part of a customer's limit that belongs to the held slots.
@@ -103,9 +114,10 @@
 
 // forget drops the shares of customers that are gone.
 func (l *lender) forget() {
-	for customer := range l.shares {
-		if _, ok := l.config.Limit(customer); !ok {
+	for customer, s := range l.shares {
+		if _, ok := l.config.Limit(customer); !ok && s.reserved == 0 {
 			delete(l.shares, customer)
+			delete(l.touched, customer)
 		}
 	}
 }
@@ -127,6 +139,9 @@
 			unknown += p
 		}
 	}
+	if !now.Before(l.restoredUntil) {
+		s.restored = 0
+	}
 	s.advance(now, Limit{Rate: part * limit.Rate, Burst: part * limit.Burst}, unknown*MaxLent*limit.Burst)
 	return s
 }
@@ -145,7 +160,8 @@
 		ask := &request.Asks[i]
 		s := l.share(now, ask.Customer, held)
 		since := l.clock.time(ask.RefundSince)
-		reply.Answers = append(reply.Answers, s.lend(now, request.Borrower, ask, since, l.term))
+		l.touched[ask.Customer] = struct{}{}
+		reply.Answers = append(reply.Answers, s.lend(now, request.Borrower, ask, since, l.term, l.reserved(s, now)))
 	}
 	return reply
 }
--- a/quota/manager.go
+++ b/quota/manager.go
@@ -66,6 +66,9 @@
 	pool     *pool
 	limiter  *limiter
 	custody  *custody
+	clocks   *clocks
+	// noting holds one element while a note is under way.
+	noting chan struct{}
 
 	cancel context.CancelFunc
 	tasks  sync.WaitGroup
@@ -79,7 +82,9 @@
 	m.lender = newLender(&m.options, clock)
 	m.pool = newPool(&m.options, clock, m.call)
 	m.limiter = newLimiter(&m.options, m.call)
-	m.custody = newCustody(&m.options)
+	m.custody = newCustody(&m.options, clock)
+	m.clocks = newClocks(&m.options)
+	m.noting = make(chan struct{}, 1)
 	return m
 }
 
@@ -93,6 +98,7 @@
 	m.limiter.start(ctx)
 	m.tasks.Go(func() { m.every(ctx, syncInterval, func(context.Context) { m.lender.sync() }) })
 	m.tasks.Go(func() { m.every(ctx, recoverInterval, m.recover) })
+	m.tasks.Go(func() { m.every(ctx, noteInterval, m.note) })
 	m.tasks.Go(func() { m.every(ctx, flushInterval, m.pool.flush) })
 	m.tasks.Go(func() { m.every(ctx, flushInterval, m.limiter.flush) })
 }
@@ -128,8 +134,17 @@
 
 // Handle answers a peer's request. It blocks while a pool borrows what it lacks.
 func (m *Manager) Handle(ctx context.Context, request *Request) *Reply {
+	reply := m.handle(ctx, request)
+	if request.Tier == TierGrant || request.Tier == TierLoan {
+		m.clocks.omit(request.Borrower, reply)
+	}
+	return reply
+}
+
+func (m *Manager) handle(ctx context.Context, request *Request) *Reply {
 	switch request.Tier {
 	case TierLoan:
+		m.makeRoom(ctx, request)
 		return m.lender.handle(request)
 	case TierGrant:
 		return m.pool.handle(ctx, request)
@@ -137,6 +152,8 @@
 		return m.custody.keep(request)
 	case TierClaim:
 		return m.custody.claim(request)
+	case TierReserve:
+		return m.custody.reserve(request.Deposit)
 	default:
 		return new(Reply)
 	}
@@ -146,7 +163,7 @@
 func (m *Manager) call(ctx context.Context, address string, request *Request) (*Reply, error) {
 	request.Borrower = m.borrower
 	if address == m.options.Address {
-		return m.Handle(ctx, request), nil
+		return m.handle(ctx, request), nil
 	}
 	timeout := loanCallTimeout
 	if request.Tier == TierGrant {
@@ -154,5 +171,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return m.options.Transport.Call(ctx, address, request)
+	reply, err := m.options.Transport.Call(ctx, address, request)
+	if err != nil {
+		return nil, err
+	}
+	if request.Tier == TierGrant || request.Tier == TierLoan {
+		m.clocks.complete(address, reply)
+	}
+	return reply, nil
 }
--- a/quota/message.go
+++ b/quota/message.go
@@ -18,6 +18,9 @@
 	TierCustody
 	// TierClaim is a restarted holder's demand for its deposit.
 	TierClaim
+	// TierReserve is a holder's note to a peer of the tokens that it will not lend
+	// before a further note.
+	TierReserve Tier = 5
 )
 
 // Instant is a reading of one process's monotonic clock. It has a meaning for
@@ -90,6 +93,11 @@
 	// Slots are the tenures that ended.
 	Slots  []SlotEpoch
 	Shares []ShareState
+	// Seq grows with each note of reserved tokens.
+	Seq uint64
+	// Until is set in notes of reserved tokens, whose shares are only those that
+	// changed. It is the time on the keeper's clock at which it must forget them.
+	Until Instant
 }
 
 // Request is sent from a borrower to a peer.
@@ -99,7 +107,8 @@
 	// at the receiver from what they know of the sender.
 	Borrower uint64
 	Asks     []Ask
-	// Deposit is what is deposited, or names the holder whose deposit is claimed.
+	// Deposit is what is deposited or reserved, or names the holder whose deposit
+	// is claimed, with the tenures of the claim.
 	Deposit *Deposit
 }
 
--- a/quota/share.go
+++ b/quota/share.go
@@ -17,7 +17,15 @@
 	level float64
 	at    time.Time
 	// unknown is what an earlier holder may have lent, until its term is over.
-	unknown  float64
+	unknown float64
+	// restored is the part of unknown that the former holder had reserved.
+	restored float64
+	// reserved must not be lent; noted is what the keeper has confirmed of it.
+	reserved, noted float64
+	// shortOf is what was asked for in vain, for being reserved, at shortAt.
+	shortOf  float64
+	shortAt  time.Time
+	asked    demand
 	loans    ledger
 	deficits deficitHistory
 }
@@ -33,7 +41,7 @@
 	elapsed := now.Sub(s.at).Seconds()
 	gained := elapsed * min(s.limit.Rate, limit.Rate)
 	s.limit = limit
-	s.unknown = unknown
+	s.unknown = max(0, unknown-s.restored)
 	s.at = now
 	s.level = max(0, min(s.level+gained, s.room(now)))
 	s.deficits.record(now, s.deficit(now))
@@ -49,8 +57,13 @@
 	return max(0, s.room(now)-s.level)
 }
 
+// lendable is what the share may lend or reserve.
+func (s *share) lendable(now time.Time) float64 {
+	return min(s.level, MaxLent*s.limit.Burst-s.loans.total(now))
+}
+
 // lend answers a pool's ask. The share is advanced to now.
-func (s *share) lend(now time.Time, borrower uint64, ask *Ask, refundSince time.Time, term time.Duration) Answer {
+func (s *share) lend(now time.Time, borrower uint64, ask *Ask, refundSince time.Time, term time.Duration, reserved float64) Answer {
 	returned, known, fresh := s.loans.report(now, borrower, ask)
 	if !fresh {
 		return Answer{}
@@ -58,8 +71,8 @@
 	s.level = max(0, min(s.level+returned, s.room(now)))
 	s.deficits.record(now, s.deficit(now))
 	s.refund(now, float64(ask.Refund), refundSince)
-	lendable := min(s.level, MaxLent*s.limit.Burst-s.loans.total(now))
-	granted := portion(lendable, ask.Want, ask.Extra)
+	granted := portion(s.lendable(now)-reserved, ask.Want, ask.Extra)
+	s.noteAsk(now, ask.Want, granted)
 	s.level -= float64(granted)
 	s.loans.issue(now, borrower, float64(granted), term)
 	s.deficits.record(now, s.deficit(now))
@@ -69,6 +82,14 @@
 	return Answer{Granted: granted, Renewed: known, Left: int64(s.level)}
 }
 
+// noteAsk remembers how often tokens are asked for.
+func (s *share) noteAsk(now time.Time, want, granted int64) {
+	s.asked.add(now, float64(want))
+	if granted >= want {
+		s.shortOf = 0
+	}
+}
+
 // refund takes back tokens that were spent and not used, as far as the share
 // has not been full since they were spent.
 func (s *share) refund(now time.Time, tokens float64, since time.Time) {
