Name the fixtures of dispatch's tests by what they are

The Makefile had a target glued to the next one's comment. The tests' checks are the same. Ran the tests of internal/dispatch with -race -short.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 measure: build
 	$(BIN)/greengage-load -suite $(if $(FULL),full,$(if $(QUICK),quick,normal)) \
 		-seed $(SEED) -bin $(BIN) -out measure -commit $(VERSION)
+
 # Runs the whole path on loopback and fails when any step does.
 demo: build
 	scripts/demo.sh
@@ -51,7 +52,8 @@
 	go test -run '^$$' -fuzz FuzzParseHead -fuzztime $(FUZZTIME) ./snapshot
 	go test -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZTIME) ./internal/object
 
-# Measures what each part costs at several sizes and writes measure/slopes.json.
+# Measures what each part costs at several sizes, and writes measure/slopes.json
+# and the tables of docs/CAPACITY.md.
 SLOPED := ./membership ./internal/configsync ./quota ./internal/agent/cacheindex ./internal/agent/prober ./once
 slopes:
 	go run ./internal/capacity/collect -out measure/slopes.json $(SLOPED)
--- a/internal/dispatch/bystander_test.go
+++ b/internal/dispatch/bystander_test.go
@@ -50,7 +50,7 @@
 				candidates = append(candidates, picker.Candidate{Upstream: &object.Upstream{Name: fmt.Sprint(i), Address: address}})
 			}
 			request := &wirepb.RunRequest{RequestId: "r", Digest: 11, MaxTokens: 10}
-			p := newPond(t, 1, 1).routers[0]
+			p := newPromptFleet(t, 1, 1).routers[0]
 			if _, err := p.Run(t.Context(), Placement{candidates, request}, nil, new(text)); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/callfleet_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/greengagegate/greengagegate/internal/agent/calls"
 	"github.com/greengagegate/greengagegate/internal/object"
-	"github.com/greengagegate/greengagegate/internal/service"
 	"github.com/greengagegate/greengagegate/internal/testhost"
 	"github.com/greengagegate/greengagegate/internal/wire"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
@@ -33,8 +32,8 @@
 
 var points = []point{beforeSending, afterSending, afterRunning, beforeAnswering}
 
-// world is three agents beside services, and the ledger of what these executed.
-type world struct {
+// callFleet is three agents beside services, and the ledger of what these executed.
+type callFleet struct {
 	t     *testing.T
 	store *memstore.Store
 	set   *object.Set
@@ -47,7 +46,7 @@
 	births   uint64
 	ledger   map[string][]string // request ids of executions, by key
 	at       point
-	strike   func(agent string)
+	inject   func(agent string)
 	upstream bool
 	// paused makes agents that crash go on with the calls that they have begun, as
 	// a process does that was paused while its shards moved.
@@ -66,8 +65,8 @@
 
 var agentNames = []string{"s1", "s2", "s3"}
 
-func newWorld(t *testing.T) *world {
-	w := &world{t: t, store: memstore.New(), agents: make(map[string]*agentProcess), ledger: make(map[string][]string)}
+func newCallFleet(t *testing.T) *callFleet {
+	w := &callFleet{t: t, store: memstore.New(), agents: make(map[string]*agentProcess), ledger: make(map[string][]string)}
 	w.set = object.NewSet(1)
 	w.set.Fleet = object.Fleet{IdempotencyShards: 6, RetryHorizon: object.Duration(time.Minute)}
 	w.set.Routes["charges"] = &object.Route{Name: "charges", Path: "/charges", Pool: "billing"}
@@ -89,7 +88,7 @@
 }
 
 // begin starts a new life of an agent.
-func (w *world) begin(name string, listener net.Listener) {
+func (w *callFleet) begin(name string, listener net.Listener) {
 	w.mu.Lock()
 	w.births++
 	incarnation := w.births
@@ -117,14 +116,14 @@
 	go func() { _ = a.server.Serve(listener) }()
 }
 
-func (w *world) agent(name string) *agentProcess {
+func (w *callFleet) agent(name string) *agentProcess {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return w.agents[name]
 }
 
 // crash cuts an agent off from everything and starts its next life.
-func (w *world) crash(name string) {
+func (w *callFleet) crash(name string) {
 	a := w.agent(name)
 	close(a.dead)
 	_ = a.listener.Close()
@@ -141,7 +140,7 @@
 	w.begin(name, listener)
 }
 
-func (w *world) stop() {
+func (w *callFleet) stop() {
 	for _, name := range agentNames {
 		a := w.agent(name)
 		_ = a.listener.Close()
@@ -153,107 +152,33 @@
 	}
 }
 
-func (w *world) executions(key string) []string {
+func (w *callFleet) executions(key string) []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return slices.Clone(w.ledger[key])
 }
 
-// reach runs the strike if the call has come to its point, once.
-func (w *world) reach(at point, agent string) {
+// reach injects the fault if the call has come to its point, once.
+func (w *callFleet) reach(at point, agent string) {
 	w.mu.Lock()
-	strike := w.strike
-	if w.at != at || strike == nil {
+	inject := w.inject
+	if w.at != at || inject == nil {
 		w.mu.Unlock()
 		return
 	}
-	w.strike = nil
+	w.inject = nil
 	w.mu.Unlock()
-	strike(agent)
+	inject(agent)
 }
 
-// ledgerDriver is an agent's service. It counts executions by key.
-type ledgerDriver struct {
-	w *world
-	a *agentProcess
-}
-
-func (d *ledgerDriver) Do(_ context.Context, call service.Call) (service.Answer, error) {
-	if string(call.Body) == poisonText {
-		d.w.poisoned.Add(1)
-		return service.Answer{}, service.ErrOutcomeUnknown
-	}
-	key := call.Header.Get("Idempotency-Key")
-	d.w.reach(beforeSending, d.a.name)
-	if d.crashed(beforeSending) {
-		return service.Answer{}, service.ErrNotSent
-	}
-	d.w.reach(afterSending, d.a.name)
-	if d.crashed(afterSending) {
-		return service.Answer{}, service.ErrOutcomeUnknown
-	}
-	d.w.mu.Lock()
-	d.w.ledger[key] = append(d.w.ledger[key], call.RequestID)
-	d.w.mu.Unlock()
-	for _, at := range []point{afterRunning, beforeAnswering} {
-		d.w.reach(at, d.a.name)
-		if d.crashed(at) {
-			return service.Answer{}, service.ErrOutcomeUnknown
-		}
-	}
-	return service.Answer{Status: 200, Body: []byte("paid " + key)}, nil
-}
-
-// crashed reports whether the service crashed at this point, or its agent did
-// before it sent anything.
-func (d *ledgerDriver) crashed(at point) bool {
-	d.w.mu.Lock()
-	defer d.w.mu.Unlock()
-	if d.w.upstream && d.w.at == at && d.w.strike == nil {
-		d.w.upstream = false
-		return true
-	}
-	select {
-	case <-d.a.dead:
-		return at == beforeSending && !d.w.paused
-	default:
-		return false
-	}
-}
-
-type view struct {
-	w    *world
-	self membership.Member
-}
-
-func (v view) Self() membership.Member { return v.self }
-
-func (v view) Members() []membership.Member {
-	var members []membership.Member
-	for _, name := range agentNames {
-		if a := v.w.agent(name); a != nil {
-			members = append(members, a.member)
-		}
-	}
-	return members
-}
-
-func (v view) Changed() <-chan struct{} { return make(chan struct{}) }
-
-type source struct{ set *object.Set }
-
-func (s source) Current() *object.Set     { return s.set }
-func (s source) Fresh() bool              { return true }
-func (s source) Changed() <-chan struct{} { return make(chan struct{}) }
-
 // router returns a caller of its own sessions.
-func (w *world) router() *Caller {
+func (w *callFleet) router() *Caller {
 	pool := wire.NewPool(&wirepb.Hello{}, wire.NewDialer(""))
 	w.t.Cleanup(pool.Close)
 	return NewCaller(CallerOptions{Pool: pool, View: view{w: w}, Log: zerolog.Nop()})
 }
 
-func (w *world) call(ctx context.Context, router *Caller, key string) told {
+func (w *callFleet) call(ctx context.Context, router *Caller, key string) told {
 	request := &wirepb.CallRequest{
 		RequestId: fmt.Sprintf("%s-%d", key, w.requests.Add(1)), Customer: "limon", Method: "POST", Path: "/charges",
 		Body: []byte("pay"), IdempotencyKey: key, Pool: "billing",
@@ -269,7 +194,7 @@
 }
 
 // warm waits until keyed calls are answered.
-func (w *world) warm() {
+func (w *callFleet) warm() {
 	router := w.router()
 	for i := 0; ; i++ {
 		reply := w.call(w.t.Context(), router, fmt.Sprintf("warm-%d", i)).reply
@@ -289,7 +214,7 @@
 }
 
 // check compares what a key's callers were told with the ledger.
-func (w *world) check(key string, all []told) {
+func (w *callFleet) check(key string, all []told) {
 	w.t.Helper()
 	executions := w.executions(key)
 	if len(executions) > 1 {
@@ -321,26 +246,26 @@
 	return reply.Refusal.Run
 }
 
-// begun reports whether the strike has begun, and calls it off otherwise.
-func (w *world) begun() bool {
+// begun reports whether the fault has been injected, and calls it off otherwise.
+func (w *callFleet) begun() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	begun := w.strike == nil
-	w.strike = nil
+	begun := w.inject == nil
+	w.inject = nil
 	return begun
 }
 
-// strikeAt makes the next call that comes to a point meet a crash, then sends it
+// injectAt makes the next call that comes to a point meet a crash, then sends it
 // and its repeats through two other routers at once. A call that is refused on
 // the way there meets none.
-func (w *world) strikeAt(at point, key string, strike func(cancel context.CancelFunc, agent string)) []told {
+func (w *callFleet) injectAt(at point, key string, inject func(cancel context.CancelFunc, agent string)) []told {
 	ctx, cancel := context.WithCancel(w.t.Context())
 	defer cancel()
 	struck := make(chan struct{})
 	w.mu.Lock()
 	w.at = at
-	w.strike = func(agent string) {
-		strike(cancel, agent)
+	w.inject = func(agent string) {
+		inject(cancel, agent)
 		close(struck)
 	}
 	w.mu.Unlock()
--- a/internal/dispatch/cut_test.go
+++ b/internal/dispatch/cut_test.go
@@ -36,7 +36,7 @@
 		firstCut   = 1_000
 		laterByOdd = 211
 	)
-	p := newPond(t, 3, 1)
+	p := newPromptFleet(t, 3, 1)
 	var dials atomic.Int64
 	dial := wire.NewDialer("")
 	pool := wire.NewPool(&wirepb.Hello{}, func(ctx context.Context, address string) (net.Conn, error) {
--- a/internal/dispatch/failures_test.go
+++ b/internal/dispatch/failures_test.go
@@ -15,20 +15,20 @@
 )
 
 func TestCrashesAroundOneCall(t *testing.T) {
-	w := newWorld(t)
+	w := newCallFleet(t)
 	w.warm()
 	cases := map[string]func(cancel context.CancelFunc, agent string){
 		"agent":    func(_ context.CancelFunc, agent string) { w.crash(agent) },
 		"upstream": func(context.CancelFunc, string) { w.mu.Lock(); w.upstream = true; w.mu.Unlock() },
 		"router":   func(cancel context.CancelFunc, _ string) { cancel() },
 	}
-	for name, strike := range cases {
+	for name, inject := range cases {
 		for _, at := range points {
 			key := name + " " + string(at)
-			replies := w.strikeAt(at, key, strike)
+			replies := w.injectAt(at, key, inject)
 			w.check(key, replies)
 			w.mu.Lock()
-			w.at, w.strike, w.upstream = "", nil, false
+			w.at, w.inject, w.upstream = "", nil, false
 			w.mu.Unlock()
 			again := w.call(t.Context(), w.router(), key)
 			w.check(key, append(replies, again))
@@ -43,7 +43,7 @@
 }
 
 func TestKeyedCallIsUnknownWithoutArbiter(t *testing.T) {
-	w := newWorld(t)
+	w := newCallFleet(t)
 	w.warm()
 	for _, name := range agentNames {
 		_ = w.agent(name).listener.Close()
@@ -56,10 +56,10 @@
 }
 
 func TestUnkeyedChargeIsNotRepeatedAfterLoss(t *testing.T) {
-	w := newWorld(t)
+	w := newCallFleet(t)
 	w.mu.Lock()
 	w.at = afterRunning
-	w.strike = func(agent string) { w.crash(agent) }
+	w.inject = func(agent string) { w.crash(agent) }
 	w.mu.Unlock()
 	request := &wirepb.CallRequest{RequestId: "r", Customer: "limon", Method: "POST", Path: "/charges", Pool: "billing"}
 	reply, err := w.router().Call(t.Context(), w.set, w.set.Routes["charges"], request)
@@ -85,7 +85,7 @@
 }
 
 func TestPoisonCallIsConvicted(t *testing.T) {
-	w := newWorld(t)
+	w := newCallFleet(t)
 	known := quarantine.New(quarantine.Options{View: view{w: w}, Source: source{w.set}, Log: zerolog.Nop()})
 	caller := w.router()
 	caller.options.Quarantine = known
--- a/internal/dispatch/late_test.go
+++ b/internal/dispatch/late_test.go
@@ -24,7 +24,7 @@
 func TestLatePoisonCrashesTwoEngines(t *testing.T) {
 	for name, fromStart := range map[string]bool{"tokens of the answer": false, "tokens of each run": true} {
 		t.Run(name, func(t *testing.T) {
-			p := newPond(t, 6, 3)
+			p := newPromptFleet(t, 6, 3)
 			for _, e := range p.engines {
 				e.lateFromStart = fromStart
 			}
@@ -50,7 +50,7 @@
 func TestRepeatsOfASuspectRunOneAfterTheOther(t *testing.T) {
 	for name, content := range map[string]string{"at its start": poisonText, "after tokens": latePoison} {
 		t.Run(name, func(t *testing.T) {
-			p := newPond(t, 6, 3)
+			p := newPromptFleet(t, 6, 3)
 			for _, known := range p.known {
 				known.Suspect(7, 0)
 			}
@@ -67,7 +67,7 @@
 // TestTwoPoisonsAtOnceConvictNoInnocent sends a poison that crashes engines at
 // its start and a late one at the same time, beside innocent prompts.
 func TestTwoPoisonsAtOnceConvictNoInnocent(t *testing.T) {
-	p := newPond(t, 8, 3)
+	p := newPromptFleet(t, 8, 3)
 	var all sync.WaitGroup
 	p.sendInnocents(&all, 24)
 	time.Sleep(60 * time.Millisecond)
@@ -87,7 +87,7 @@
 }
 
 // sendInnocents sends prompts through all routers that must come whole.
-func (p *pond) sendInnocents(group *sync.WaitGroup, count int) {
+func (p *promptFleet) sendInnocents(group *sync.WaitGroup, count int) {
 	for i := range count {
 		group.Go(func() {
 			time.Sleep(time.Duration(i) * 5 * time.Millisecond)
@@ -98,7 +98,7 @@
 }
 
 // refusedAtOnce sends a poison many times at the same instant.
-func (p *pond) refusedAtOnce(count int, content string) {
+func (p *promptFleet) refusedAtOnce(count int, content string) {
 	var group sync.WaitGroup
 	for i := range count {
 		group.Go(func() { p.refused(i%3, 7, content) })
@@ -107,7 +107,7 @@
 }
 
 // refused sends a poison and returns the code of its refusal.
-func (p *pond) refused(router int, digest uint64, content string) string {
+func (p *promptFleet) refused(router int, digest uint64, content string) string {
 	_, _, err := p.prompt(router, digest, content)
 	var failure *Failure
 	if !errors.As(err, &failure) {
@@ -120,7 +120,7 @@
 // TestRepeatsOfASuspectCallRunOneAfterTheOther sends a call that crashes
 // services at once through one router while its first crash is known.
 func TestRepeatsOfASuspectCallRunOneAfterTheOther(t *testing.T) {
-	w := newWorld(t)
+	w := newCallFleet(t)
 	caller := w.router()
 	caller.options.Quarantine = quarantine.New(quarantine.Options{View: view{w: w}, Source: source{w.set}, Log: zerolog.Nop()})
 	route := &object.Route{Name: "verdicts", Path: "/verdicts", Pool: "billing", Idempotent: true}
--- a/internal/dispatch/pond_test.go
+++ b/internal/dispatch/promptfleet_test.go
@@ -142,8 +142,8 @@
 
 func (r *numbered) Close() error { return nil }
 
-// pond is a few engines behind agents, and routers that share what they know.
-type pond struct {
+// promptFleet is a few engines behind agents, and routers that share what they know.
+type promptFleet struct {
 	t       *testing.T
 	engines []*fakeEngine
 	agents  []*proxy
@@ -176,8 +176,8 @@
 	return listener.Addr().String()
 }
 
-func newPond(t *testing.T, engines, routers int) *pond {
-	p := &pond{t: t}
+func newPromptFleet(t *testing.T, engines, routers int) *promptFleet {
+	p := &promptFleet{t: t}
 	set := object.NewSet(1)
 	set.Fleet.QuarantineFor = object.Duration(time.Minute)
 	var views []*routerView
@@ -249,7 +249,7 @@
 }
 
 // prompt sends one prompt through a router, on engines in random order.
-func (p *pond) prompt(router int, digest uint64, content string) (*text, *wirepb.RunEnd, error) {
+func (p *promptFleet) prompt(router int, digest uint64, content string) (*text, *wirepb.RunEnd, error) {
 	place := func(context.Context) (Placement, error) {
 		order := append([]picker.Candidate(nil), p.targets...)
 		rand.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
--- a/internal/dispatch/prompts_test.go
+++ b/internal/dispatch/prompts_test.go
@@ -16,7 +16,7 @@
 )
 
 func TestStreamIsResumedWithoutGapOrRepeat(t *testing.T) {
-	p := newPond(t, 3, 1)
+	p := newPromptFleet(t, 3, 1)
 	for _, e := range p.engines {
 		e.cutAfter = 20
 	}
@@ -25,7 +25,7 @@
 }
 
 func TestPoisonIsConvictedAndInnocentsComplete(t *testing.T) {
-	p := newPond(t, 6, 3)
+	p := newPromptFleet(t, 6, 3)
 	var group sync.WaitGroup
 	for i := range 24 {
 		group.Go(func() {
@@ -60,7 +60,7 @@
 }
 
 func TestConvictionReachesOtherRouters(t *testing.T) {
-	p := newPond(t, 3, 2)
+	p := newPromptFleet(t, 3, 2)
 	p.known[0].Convict(9)
 	for range 100 {
 		if state, _ := p.known[1].Lookup(9); state == quarantine.StateConvicted {
@@ -72,7 +72,7 @@
 }
 
 func TestCrashedEnginesStreamsAreSuspectsUntilTheyComplete(t *testing.T) {
-	p := newPond(t, 4, 1)
+	p := newPromptFleet(t, 4, 1)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -90,7 +90,7 @@
 }
 
 func TestStreamThatCannotGoOnEndsWithARefusal(t *testing.T) {
-	p := newPond(t, 2, 1)
+	p := newPromptFleet(t, 2, 1)
 	for _, e := range p.engines {
 		e.upAt = time.Now().Add(time.Hour)
 	}
@@ -113,7 +113,7 @@
 }
 
 func TestCallerThatLeavesEndsTheRun(t *testing.T) {
-	p := newPond(t, 1, 1)
+	p := newPromptFleet(t, 1, 1)
 	first := Placement{p.targets, &wirepb.RunRequest{RequestId: "r", MaxTokens: promptTokens, Digest: 3}}
 	never := func(context.Context) (Placement, error) {
 		t.Error("placed again after the caller left")
@@ -125,7 +125,7 @@
 }
 
 func TestPromptWithoutCandidatesIsPlacedAgain(t *testing.T) {
-	p := newPond(t, 1, 1)
+	p := newPromptFleet(t, 1, 1)
 	request := &wirepb.RunRequest{RequestId: "r", MaxTokens: promptTokens, Digest: 3}
 	rounds := 0
 	again := func(context.Context) (Placement, error) {
@@ -141,7 +141,7 @@
 }
 
 func TestPromptThatFindsNoUpstreamIsNotRun(t *testing.T) {
-	p := newPond(t, 1, 1)
+	p := newPromptFleet(t, 1, 1)
 	request := &wirepb.RunRequest{RequestId: "r", MaxTokens: promptTokens}
 	none := func(context.Context) (Placement, error) { return Placement{}, picker.ErrNoUpstream }
 	_, err := p.routers[0].Run(t.Context(), Placement{Request: request}, none, new(text))
@@ -155,7 +155,7 @@
 }
 
 func TestRetryBudgetEndsThePrompt(t *testing.T) {
-	p := newPond(t, 1, 1)
+	p := newPromptFleet(t, 1, 1)
 	for p.routers[0].upstreams.Withdraw("e0") {
 	}
 	request := &wirepb.RunRequest{RequestId: "r", MaxTokens: promptTokens}
--- a/internal/dispatch/random_test.go
+++ b/internal/dispatch/random_test.go
@@ -64,7 +64,7 @@
 }
 
 // disturb crashes engines, cuts runs and kills agents until over is closed.
-func (p *pond) disturb(random *rand.Rand, over <-chan struct{}) {
+func (p *promptFleet) disturb(random *rand.Rand, over <-chan struct{}) {
 	for {
 		select {
 		case <-over:
@@ -96,7 +96,7 @@
 		length = soak
 	}
 	t.Logf("seed %d", *seed)
-	p := newPond(t, 8, 3)
+	p := newPromptFleet(t, 8, 3)
 	over := make(chan struct{})
 	var group sync.WaitGroup
 	group.Go(func() { p.disturb(rand.New(rand.NewPCG(*seed, 0)), over) })
@@ -139,7 +139,7 @@
 }
 
 // sendPoison sends a request that crashes engines again and again.
-func (p *pond) sendPoison(digest uint64, over <-chan struct{}) {
+func (p *promptFleet) sendPoison(digest uint64, over <-chan struct{}) {
 	for i := 0; !closed(over); i++ {
 		if _, _, err := p.prompt(i%3, digest, poisonText); err == nil {
 			p.t.Error("poison was answered")
@@ -149,7 +149,7 @@
 }
 
 // checkPart fails unless a partial answer is the whole one's beginning.
-func (p *pond) checkPart(answer *text) {
+func (p *promptFleet) checkPart(answer *text) {
 	want := ""
 	for i := range answer.count {
 		want += fmt.Sprintf("%d ", i)
--- a/internal/dispatch/randomcalls_test.go
+++ b/internal/dispatch/randomcalls_test.go
@@ -46,7 +46,7 @@
 // randomCallsOn makes a few calls on agents of their own, since shards that are
 // in doubt after a crash refuse further keys. It returns how many were struck.
 func randomCallsOn(t *testing.T, random *rand.Rand) int {
-	w := newWorld(t)
+	w := newCallFleet(t)
 	w.warm()
 	var struck atomic.Int64
 	for i := range randomCalls {
@@ -54,7 +54,7 @@
 		victim := strikes[random.IntN(len(strikes))]
 		key := fmt.Sprintf("%d: %s %s", i, victim, at)
 		w.store.SetFaults(storeFaults(random))
-		replies := w.strikeAt(at, key, func(cancel context.CancelFunc, agent string) {
+		replies := w.injectAt(at, key, func(cancel context.CancelFunc, agent string) {
 			struck.Add(1)
 			w.hit(victim, agent, cancel)
 		})
@@ -77,7 +77,7 @@
 	}
 }
 
-func (w *world) hit(victim, agent string, leave context.CancelFunc) {
+func (w *callFleet) hit(victim, agent string, leave context.CancelFunc) {
 	switch victim {
 	case "agent":
 		w.crash(agent)
@@ -95,9 +95,9 @@
 	}
 }
 
-// calm ends what a strike left behind.
-func (w *world) calm() {
+// calm ends what an injected fault left behind.
+func (w *callFleet) calm() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.at, w.strike, w.upstream, w.paused = "", nil, false, false
+	w.at, w.inject, w.upstream, w.paused = "", nil, false, false
 }
--- a/internal/dispatch/report.go
+++ b/internal/dispatch/report.go
@@ -8,8 +8,8 @@
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 )
 
-// sighting is what the router sees of one candidate, for the picker.
-type sighting struct {
+// observation is what the router sees of one candidate, for the picker.
+type observation struct {
 	prompter  *Prompter
 	candidate picker.Candidate
 	began     time.Time
@@ -17,21 +17,21 @@
 	answered  bool
 }
 
-func (p *Prompter) watch(candidate picker.Candidate) *sighting {
-	return &sighting{prompter: p, candidate: candidate, began: time.Now()}
+func (p *Prompter) watch(candidate picker.Candidate) *observation {
+	return &observation{prompter: p, candidate: candidate, began: time.Now()}
 }
 
-func (s *sighting) report(outcome picker.Outcome) {
+func (s *observation) report(outcome picker.Outcome) {
 	if s.prompter.options.Report != nil {
 		s.prompter.options.Report(s.candidate.Upstream.Name, outcome)
 	}
 }
 
 // failed reports that the upstream could not be reached or broke off.
-func (s *sighting) failed() { s.report(picker.Outcome{Kind: picker.OutcomeFailed}) }
+func (s *observation) failed() { s.report(picker.Outcome{Kind: picker.OutcomeFailed}) }
 
 // see takes in an event of the run.
-func (s *sighting) see(event *wirepb.RunEvent) {
+func (s *observation) see(event *wirepb.RunEvent) {
 	switch e := event.Event.(type) {
 	case *wirepb.RunEvent_Started:
 		s.cached = e.Started.CachedTokens
@@ -44,7 +44,7 @@
 	}
 }
 
-func (s *sighting) firstToken() {
+func (s *observation) firstToken() {
 	if s.answered {
 		return
 	}
@@ -59,7 +59,7 @@
 }
 
 // refused reports refusals that say something about the upstream's state.
-func (s *sighting) refused(code refusal.Code) {
+func (s *observation) refused(code refusal.Code) {
 	switch code {
 	case refusal.QueueFull:
 		s.report(picker.Outcome{Kind: picker.OutcomeFull})
