--- a/quota/refusals_test.go
+++ b/quota/refusals_test.go
@@ -12,7 +12,10 @@
 	"github.com/greengagegate/greengagegate/quota"
 )
 
-var measureFor = flag.Duration("measure", 0, "virtual time of each measurement of refusals")
+var (
+	measureFor   = flag.Duration("measure", 0, "virtual time of each measurement of refusals")
+	arrivalsFlag = flag.Uint64("arrivals", 4, "seed of the requests in measurements of refusals")
+)
 
 // profile is a load with a pattern of faults.
 type profile struct {
@@ -154,7 +157,7 @@
 
 // arrive sends the same requests to all arms.
 func arrive(f *fleet, p profile, arms []*arm, ids []quota.CustomerID, length time.Duration, work *sync.WaitGroup) {
-	random := rand.New(rand.NewPCG(11, 4))
+	random := rand.New(rand.NewPCG(11, *arrivalsFlag))
 	end := time.Now().Add(length)
 	for time.Now().Before(end) {
 		time.Sleep(time.Duration(random.ExpFloat64() / p.perSecond * float64(time.Second)))
