Let the picker's owner set how long it waits for probes

Cause: TestPoliciesChooseByWhatAgentsSay failed in 3 of 80 and 1 of 80 runs on a busy machine: the first probe opens a session, and under the race detector that took longer than the 60 ms after which an agent is silent. Change: the timeout and the hedge are options with the former values as defaults; the tests allow 3 s and 300 ms, and check the same choices.

--- a/internal/picker/asker.go
+++ b/internal/picker/asker.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// probeTimeout bounds the wait for answers.
-	probeTimeout = 60 * time.Millisecond
-	// hedgeAfter is when others are asked in place of silent upstreams.
-	hedgeAfter = 15 * time.Millisecond
+	// DefaultProbeTimeout bounds the wait for answers.
+	DefaultProbeTimeout = 60 * time.Millisecond
+	// DefaultHedgeAfter is when others are asked in place of silent upstreams.
+	DefaultHedgeAfter = 15 * time.Millisecond
 )
 
 var (
@@ -43,9 +43,9 @@
 		ask()
 	}
 	answers := make([]placement.Answer, 0, len(order))
-	hedge := time.NewTimer(hedgeAfter)
+	hedge := time.NewTimer(a.manager.options.HedgeAfter)
 	defer hedge.Stop()
-	limit := time.NewTimer(probeTimeout)
+	limit := time.NewTimer(a.manager.options.ProbeTimeout)
 	defer limit.Stop()
 	for pending > 0 {
 		select {
@@ -95,7 +95,7 @@
 		return
 	}
 	probesSent.Inc(1)
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, a.manager.options.ProbeTimeout)
 	defer cancel()
 	reply, err := a.manager.lines.ask(ctx, object.Address, message)
 	if err != nil {
--- a/internal/picker/picker.go
+++ b/internal/picker/picker.go
@@ -86,6 +86,11 @@
 	ZoneDelay time.Duration
 	// View may be nil; then every upstream of the configuration counts as alive.
 	View membership.View
+	// ProbeTimeout bounds the wait for answers to probes; 0 takes the default.
+	ProbeTimeout time.Duration
+	// HedgeAfter is when others are asked in place of silent upstreams; 0 takes
+	// the default.
+	HedgeAfter time.Duration
 }
 
 // Manager is the Picker of a router.
@@ -105,6 +110,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if options.ProbeTimeout <= 0 {
+		options.ProbeTimeout = DefaultProbeTimeout
+	}
+	if options.HedgeAfter <= 0 {
+		options.HedgeAfter = DefaultHedgeAfter
+	}
 	histogram := metrics.Histogram("router.pick_us", "policy", options.Policy)
 	return &Manager{
 		options:  options,
--- a/internal/picker/picker_test.go
+++ b/internal/picker/picker_test.go
@@ -55,11 +55,17 @@
 	return set
 }
 
+const (
+	// testProbeTimeout and testHedgeAfter leave agents time on a busy machine.
+	testProbeTimeout = 3 * time.Second
+	testHedgeAfter   = 300 * time.Millisecond
+)
+
 func newPicker(t *testing.T, policy string) *Manager {
 	t.Helper()
 	pool := wire.NewPool(&wirepb.Hello{}, wire.NewDialer(""))
 	t.Cleanup(pool.Close)
-	m, err := New(Options{Policy: policy, Import: true, Pool: pool})
+	m, err := New(Options{Policy: policy, Import: true, Pool: pool, ProbeTimeout: testProbeTimeout, HedgeAfter: testHedgeAfter})
 	if err != nil {
 		t.Fatal(err)
 	}
