Recall running copies of a content at its first crash

Cause: copies of a poison that were sent at once through several routers ran on, not marked, after the first crash was known, until each crashed its own engine.

Change: a router that learns that a content is suspect ends its runs that are not marked and goes on with them as suspects, one after the other in the fleet, with the tokens that they have given. The stand-in counts one crash for each of its lives. greengage-load has the fault late-poison-burst.

TestRunsOfAContentAreRecalledAtItsFirstCrash does not end without the change.

--- a/cmd/greengage-load/main.go
+++ b/cmd/greengage-load/main.go
@@ -43,7 +43,7 @@
 	flags.DurationVar(&a.duration, "duration", 40*time.Second, "measured time")
 	flags.DurationVar(&a.warmup, "warmup", 10*time.Second, "time before it that is not measured")
 	flags.BoolVar(&a.surge, "surge", false, "first customer at a multiple of its rate from second 20 to 40")
-	flags.StringVar(&a.faults, "faults", "", "comma-separated: crash, quarter, outage, restart, kill, revoke, shift, poison, late-poison, poison-burst")
+	flags.StringVar(&a.faults, "faults", "", "comma-separated: crash, quarter, outage, restart, kill, revoke, shift, poison, late-poison, poison-burst, late-poison-burst")
 	flags.StringVar(&a.importing, "import", "auto", "copy blocks from the KV store: on, off, or auto by policy")
 	flags.StringVar(&a.json, "json", "", "file for the figures of the run; standard output when empty")
 	flags.StringVar(&a.suite, "suite", "", "measure everything: quick, normal or full")
--- a/internal/dispatch/late_test.go
+++ b/internal/dispatch/late_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"errors"
 	"sync"
 	"testing"
@@ -86,6 +87,32 @@
 	}
 }
 
+// TestRunsOfAContentAreRecalledAtItsFirstCrash runs three copies of a poison
+// through three routers. Two are held by their engines until they are recalled.
+func TestRunsOfAContentAreRecalledAtItsFirstCrash(t *testing.T) {
+	p := newPromptFleet(t, 6, 3)
+	p.engines[1].stalls, p.engines[2].stalls = true, true
+	again := func(context.Context) (Placement, error) {
+		return Placement{p.targets[3:], &wirepb.RunRequest{RequestId: "r", Prompt: []byte(latePoison), MaxTokens: promptTokens, Digest: 7}}, nil
+	}
+	var group sync.WaitGroup
+	for i, router := range p.routers {
+		group.Go(func() {
+			first, _ := again(t.Context())
+			first.Candidates = p.targets[i : i+1]
+			_, err := router.Run(t.Context(), first, again, new(text))
+			var failure *Failure
+			if !errors.As(err, &failure) {
+				t.Errorf("poison: %v", err)
+			}
+		})
+	}
+	group.Wait()
+	if lost := crashesOf(p.engines); lost != lostLimit {
+		t.Errorf("engines lost: %d", lost)
+	}
+}
+
 // sendInnocents sends prompts through all routers that must come whole.
 func (p *promptFleet) sendInnocents(group *sync.WaitGroup, count int) {
 	for i := range count {
--- a/internal/dispatch/prompt.go
+++ b/internal/dispatch/prompt.go
@@ -156,13 +156,15 @@
 		a.note(lostRefusal(err, address))
 		return err
 	}
+	recalled := p.watchRun(a, stream)
+	defer recalled.stop()
 	event := new(wirepb.RunEvent)
 	for {
 		if err := stream.Recv(event); err != nil {
-			if ctx.Err() == nil {
+			if ctx.Err() == nil && !recalled.done.Load() {
 				seen.failed()
 			}
-			a.note(lostRefusal(err, address))
+			err = recalled.explain(a, err, address)
 			return errors.Join(a.deliver(), err)
 		}
 		seen.see(event)
--- a/internal/dispatch/promptfleet_test.go
+++ b/internal/dispatch/promptfleet_test.go
@@ -47,6 +47,8 @@
 	crashes int
 	// cutAfter breaks a run off after this many tokens without a crash, once.
 	cutAfter int64
+	// stalls holds the next run before its first token until its router leaves.
+	stalls bool
 	// lateFromStart counts the tokens of a late poison from the start of each
 	// run instead of from the answer's beginning.
 	lateFromStart bool
@@ -80,6 +82,7 @@
 		return nil, engine.ErrUnreachable
 	}
 	run := &numbered{ctx: ctx, request: request, next: request.ResumeOffset, life: e.life, born: e.born, cut: e.cutAfter}
+	run.stalls, e.stalls = e.stalls, false
 	e.cutAfter = 0
 	if bytes.Contains(request.Prompt, []byte(latePoison)) {
 		run.crashAt = lateTokens
@@ -104,6 +107,7 @@
 	life    chan struct{}
 	cut     int64
 	crashAt int64
+	stalls  bool
 	crash   func()
 	started bool
 	ended   bool
@@ -124,6 +128,10 @@
 		r.started = true
 		return engine.RunEvent{Type: engine.EventStart, Incarnation: r.born}, nil
 	}
+	if r.stalls {
+		<-r.ctx.Done()
+		return engine.RunEvent{}, engine.ErrLost
+	}
 	if r.crash != nil && r.next >= r.crashAt {
 		r.crash()
 		return engine.RunEvent{}, engine.ErrLost
--- a/internal/load/disturb/callers.go
+++ b/internal/load/disturb/callers.go
@@ -36,10 +36,10 @@
 }
 
 // poisonBurst sends a request that crashes engines many times at once.
-func (m *Manager) poisonBurst(ctx context.Context) error {
+func (m *Manager) poisonBurst(ctx context.Context, after string) error {
 	var all sync.WaitGroup
 	for i := range poisonRepeats {
-		all.Go(func() { m.sendPoison(ctx, i, "") })
+		all.Go(func() { m.sendPoison(ctx, i, after) })
 	}
 	all.Wait()
 	return nil
--- a/internal/load/disturb/disturb.go
+++ b/internal/load/disturb/disturb.go
@@ -45,10 +45,12 @@
 	LatePoison Kind = "late-poison"
 	// PoisonBurst is Poison with all sendings at the same instant.
 	PoisonBurst Kind = "poison-burst"
+	// LatePoisonBurst is LatePoison with all sendings at the same instant.
+	LatePoisonBurst Kind = "late-poison-burst"
 )
 
 // Kinds are all kinds of failures.
-var Kinds = []Kind{Crash, Quarter, Outage, Restart, Revoke, Shift, Poison, Kill, LatePoison, PoisonBurst}
+var Kinds = []Kind{Crash, Quarter, Outage, Restart, Revoke, Shift, Poison, Kill, LatePoison, PoisonBurst, LatePoisonBurst}
 
 const (
 	crashEvery    = 8 * time.Second
@@ -197,7 +199,9 @@
 	case LatePoison:
 		return []event{{m.within(0.2, 0.4), "late-poison", func(ctx context.Context) error { return m.poison(ctx, poisonTokens) }}}
 	case PoisonBurst:
-		return []event{{m.within(0.2, 0.4), "poison-burst", m.poisonBurst}}
+		return []event{{m.within(0.2, 0.4), "poison-burst", func(ctx context.Context) error { return m.poisonBurst(ctx, "") }}}
+	case LatePoisonBurst:
+		return []event{{m.within(0.2, 0.4), "late-poison-burst", func(ctx context.Context) error { return m.poisonBurst(ctx, poisonTokens) }}}
 	default:
 		return nil
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -47,9 +47,10 @@
 // routers. Convictions are written to the store too, so that they outlive any
 // process. Methods are safe for concurrent use.
 type Manager struct {
-	options Options
-	table   *table
-	trials  trials
+	options  Options
+	table    *table
+	trials   trials
+	watchers watchers
 
 	mu      sync.Mutex
 	pending []*wirepb.QuarantineEntry
@@ -63,12 +64,13 @@
 // New returns a manager with an empty table.
 func New(options Options) *Manager {
 	return &Manager{
-		options: options,
-		table:   newTable(),
-		trials:  trials{held: make(map[uint64]holding)},
-		stored:  make(map[string]stored),
-		kick:    make(chan struct{}, 1),
-		cancel:  func() {},
+		options:  options,
+		table:    newTable(),
+		trials:   trials{held: make(map[uint64]holding)},
+		watchers: watchers{runs: make(map[uint64]map[uint64]func())},
+		stored:   make(map[string]stored),
+		kick:     make(chan struct{}, 1),
+		cancel:   func() {},
 	}
 }
 
@@ -144,7 +146,7 @@
 
 // found applies an entry and queues it for the routers if it is news.
 func (m *Manager) found(entry *wirepb.QuarantineEntry) bool {
-	if !m.table.apply(entry) {
+	if !m.apply(entry) {
 		return false
 	}
 	m.mu.Lock()
@@ -242,10 +244,19 @@
 
 func (m *Manager) applyAll(entries []*wirepb.QuarantineEntry) {
 	for _, entry := range entries {
-		m.table.apply(entry)
+		m.apply(entry)
 	}
 }
 
+// apply takes in an entry, tells the content's runs, and reports whether it is news.
+func (m *Manager) apply(entry *wirepb.QuarantineEntry) bool {
+	news := m.table.apply(entry)
+	if news && entry.State != wirepb.QuarantineState_QUARANTINE_CLEARED {
+		m.watchers.tell(entry.Digest)
+	}
+	return news
+}
+
 // pullLoop fetches the entries of others: at start until some source has
 // answered, later now and then from a random peer.
 func (m *Manager) pullLoop(ctx context.Context) {
--- a/internal/standin/enginesim/instance.go
+++ b/internal/standin/enginesim/instance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/engine"
@@ -32,6 +33,7 @@
 	incarnation uint64
 	stats       *stats
 	poisoned    func()
+	crashed     atomic.Bool
 	events      *eventLog
 	weights     *weightSet
 
--- a/internal/standin/enginesim/poison.go
+++ b/internal/standin/enginesim/poison.go
@@ -28,8 +28,11 @@
 	return tokens
 }
 
-// crashUnder ends the engine's life because of a run.
+// crashUnder ends the engine's life because of a run, once.
 func (in *instance) crashUnder(j *job) {
+	if in.crashed.Swap(true) {
+		return
+	}
 	in.stats.poisonedBy(j.request.RequestID)
 	in.poisoned()
 }
