Give no test address twice

Cause: 1 of 21 runs of TestCutOffRouterRefusesKeyedRoutes (3 processes at once) ended with "address already in use" on the process's own loopback host. The kernel has about 14,000 ports for such a listener and may choose one again that was just freed, while its first user has not listened yet. Conclusion: outgoing connections are ruled out here, their source is 127.0.0.1.

--- a/internal/testhost/testhost.go
+++ b/internal/testhost/testhost.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"strconv"
+	"sync"
 	"testing"
 )
 
@@ -31,8 +32,24 @@
 	return net.JoinHostPort(Address(), strconv.Itoa(0))
 }
 
+// given holds the addresses that Free has returned.
+var given sync.Map
+
 // Free returns an address and a port of this process's own that is free for TCP.
+// It returns each address once, since the kernel may choose a port again before
+// its user listens on it.
 func Free(t testing.TB) string {
+	t.Helper()
+	for {
+		address := listenOnce(t)
+		if _, again := given.LoadOrStore(address, true); !again {
+			return address
+		}
+	}
+}
+
+// listenOnce returns the address of a listener that it has closed again.
+func listenOnce(t testing.TB) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", AnyPort())
 	if err != nil {
