Cut the store off without a race in the test of cut-off routers

Cause: the test replaced the handler of a running server; in one run of the package the race detector found a request that read it at that moment, and failed the test. Change: the store's handler looks at an atomic flag and drops the connection; the listener is closed before the connections are, so that none comes in between. Conclusion: the test's fault, not the product's.

--- a/internal/app/keys_test.go
+++ b/internal/app/keys_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -145,7 +146,14 @@
 	f := newTestFleet(t, tlsconf.Files{})
 	f.editFleet(func(fleet *object.Fleet) { fleet.StaleAfter = object.Duration(5 * time.Second) })
 	firstRouter, first := f.router("router-1", f.seed)
-	ownStore := httptest.NewServer(f.platform.Handler())
+	var cutOff atomic.Bool
+	platform := f.platform.Handler()
+	ownStore := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if cutOff.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		platform.ServeHTTP(w, r)
+	}))
 	defer ownStore.Close()
 	f.storeURL = ownStore.URL
 	secondRouter, second := f.router("router-2", testhost.Free(t))
@@ -156,9 +164,9 @@
 		status, _ := f.get(second, keyed, fleetSecret)
 		return status < http.StatusInternalServerError && status != http.StatusTooManyRequests
 	})
-	ownStore.CloseClientConnections()
-	ownStore.Config.Handler = nil
+	cutOff.Store(true)
 	_ = ownStore.Listener.Close()
+	ownStore.CloseClientConnections()
 	f.cutInner("router-2")
 	await(t, func() bool {
 		_, code := f.get(second, keyed, fleetSecret)
