Resume only slots whose record is settled and names this address

Traces show two holes. A router that had reclaimed a slot and still waited for the witnesses resumed it when the store went away; the former holder came back. And a router whose claim only one of five witnesses had taken sent the next claim in the name of the majority's holder, who was accepted, and counted that as its own. Change: a slot is claimed only if its record is settled, not pending, and the witnesses' newest record names this address; claims name the sender. TestClaimsOnlySettledSlotsOfItsOwn fails on the old code. Ruled out: the list's lag, a witness restart between poll and store read. Conclusion: a router that restarts between a reclaim and its next round with the store away serves open routes only; safety goes first.

--- a/lease/quorum.go
+++ b/lease/quorum.go
@@ -252,6 +252,8 @@
 }
 
 // claims returns the next tenures of the slots whose last holder was this address.
+// A reclaimed slot whose tenure has not settled is left out: the host that it was
+// taken from may still come back for it.
 func (s *Slots) claims(latest map[int]Record) []Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -260,11 +262,18 @@
 		if record.Epoch > s.known[index].Epoch {
 			s.known[index] = record
 		}
-		if s.known[index].Address == s.options.Address {
-			claims = append(claims, Record{
-				Index: index, Address: record.Address, Life: s.life, Epoch: max(record.Epoch, s.known[index].Epoch) + 1,
-			})
+		known := s.known[index]
+		if _, pending := s.reclaimed[index]; pending || !s.settledOwn(known) || !s.settledOwn(record) {
+			continue
 		}
+		claims = append(claims, Record{
+			Index: index, Address: s.options.Address, Life: s.life, Epoch: max(record.Epoch, known.Epoch) + 1,
+		})
 	}
 	return claims
 }
+
+// settledOwn reports whether a record gives a slot to this address for good.
+func (s *Slots) settledOwn(record Record) bool {
+	return record.Address == s.options.Address && record.Former == ""
+}
--- a/lease/slots_test.go
+++ b/lease/slots_test.go
@@ -165,3 +165,35 @@
 		}
 	})
 }
+
+func TestClaimsOnlySettledSlotsOfItsOwn(t *testing.T) {
+	const self, other = "10.0.0.1:7000", "10.0.0.2:7000"
+	for _, c := range []struct {
+		name          string
+		known, latest Record
+		pending       bool
+		want          int
+	}{
+		{"its own", Record{Address: self, Epoch: 1}, Record{Address: self, Epoch: 1}, false, 1},
+		{"its own by a lost claim, another's for the witnesses", Record{Address: self, Epoch: 9}, Record{Address: other, Epoch: 5}, false, 0},
+		{"another's", Record{Address: self, Epoch: 1}, Record{Address: other, Epoch: 2}, false, 0},
+		{"reclaimed by a former life", Record{}, Record{Address: self, Epoch: 4, Former: other}, false, 0},
+		{"reclaimed and not settled", Record{Address: self, Epoch: 4, Former: other}, Record{Address: self, Epoch: 4}, false, 0},
+		{"reclaimed and not begun", Record{Address: self, Epoch: 4}, Record{Address: self, Epoch: 4}, true, 0},
+	} {
+		s := NewSlots(Options{Address: self})
+		s.known[0] = c.known
+		if c.pending {
+			s.reclaimed[0] = false
+		}
+		claims := s.claims(map[int]Record{0: c.latest})
+		if len(claims) != c.want {
+			t.Errorf("%s: %d claims, want %d", c.name, len(claims), c.want)
+		}
+		for _, claim := range claims {
+			if claim.Address != self || claim.Life != s.life {
+				t.Errorf("%s: claim in the name of %s", c.name, claim.Address)
+			}
+		}
+	}
+}
