Note the KV store's answers in one place

Cause: stored repeated the lock and note that noteStored does. Change: it calls noteStored. Behaviour is the same.

--- a/internal/agent/transfer/transfer.go
+++ b/internal/agent/transfer/transfer.go
@@ -115,9 +115,7 @@
 	if err != nil {
 		return 0, err
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.stock.note(hashes, blocks, time.Now())
+	m.noteStored(hashes, blocks)
 	return blocks, nil
 }
 
