--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -22,19 +22,22 @@
 // Ready returns the answer.
 func (r *Readiness) Ready() bool { return r.ready.Load() }
 
+// Handle answers whether the process is ready.
+func (r *Readiness) Handle(c *gin.Context) {
+	if !r.Ready() {
+		c.String(http.StatusServiceUnavailable, "not ready\n")
+		return
+	}
+	c.String(http.StatusOK, "ready\n")
+}
+
 // NewRouter returns the handler of the admin listener. Callers may add routes.
 func NewRouter(ready *Readiness) *gin.Engine {
 	gin.SetMode(gin.ReleaseMode)
 	router := gin.New()
 	router.Use(gin.Recovery())
 	router.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
-	router.GET("/readyz", func(c *gin.Context) {
-		if !ready.Ready() {
-			c.String(http.StatusServiceUnavailable, "not ready\n")
-			return
-		}
-		c.String(http.StatusOK, "ready\n")
-	})
+	router.GET("/readyz", ready.Handle)
 	router.GET("/metrics", gin.WrapH(metrics.Handler()))
 	router.GET("/debug/pprof/*profile", func(c *gin.Context) {
 		switch c.Param("profile") {
--- /dev/null
+++ b/internal/app/gateway.go
@@ -0,0 +1,342 @@
+package app
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/greengagegate/greengagegate/internal/admin"
+	"github.com/greengagegate/greengagegate/internal/catalog"
+	"github.com/greengagegate/greengagegate/internal/exchange"
+	"github.com/greengagegate/greengagegate/internal/fault"
+	"github.com/greengagegate/greengagegate/internal/framing"
+	"github.com/greengagegate/greengagegate/internal/gateway"
+	"github.com/greengagegate/greengagegate/internal/mirror"
+	"github.com/greengagegate/greengagegate/internal/node"
+	"github.com/greengagegate/greengagegate/internal/pause"
+	"github.com/greengagegate/greengagegate/internal/peering"
+	"github.com/greengagegate/greengagegate/internal/retry"
+	"github.com/greengagegate/greengagegate/internal/roster"
+	"github.com/greengagegate/greengagegate/internal/share"
+	"github.com/greengagegate/greengagegate/internal/steer"
+	"github.com/greengagegate/greengagegate/internal/tlsconf"
+	"github.com/greengagegate/greengagegate/internal/weights"
+	"github.com/greengagegate/greengagegate/membership"
+	"github.com/greengagegate/greengagegate/store"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+)
+
+const (
+	// stalenessPart is the part of the time that a withdrawn key may work after
+	// which evidence is too old. The rest covers a request's way to an upstream.
+	stalenessPart = 0.75
+	// configWait is how long the store may hold a poll for the configuration. The
+	// evidence for withdrawn keys is at most about this old.
+	configWait = time.Second
+	// listWait is how long it may hold the other polls.
+	listWait = 10 * time.Second
+	// weightsGrace is how long older weights serve without harm.
+	weightsGrace = 1200 * time.Millisecond
+	// weightsMargin is how long before their limit older weights are given up.
+	weightsMargin = time.Second
+	// slackPart keeps repeats below their bound while gateways come and go.
+	slackPart = 0.7
+	// ratioPart keeps repeats below their bound in each window.
+	ratioPart = 0.9
+	// sweepEvery is the pause between two looks for idle connections.
+	sweepEvery = 200 * time.Millisecond
+	// headerTimeout bounds the reading of a request's head.
+	headerTimeout = 10 * time.Second
+	// callerIdle is how long an idle connection of a caller is kept.
+	callerIdle = 60 * time.Second
+	// maxHeaderBytes bounds a request's head.
+	maxHeaderBytes = 64 << 10
+	// takeOverMargin is added to the time between the orders of two holders.
+	takeOverMargin = 200 * time.Millisecond
+)
+
+// FollowedStore is a platform's store that tells changes by calls that wait.
+type FollowedStore interface {
+	store.Store
+	store.Poller
+}
+
+// Followed is a prefix of the store, and what takes its content.
+type Followed struct {
+	Prefix string
+	Sink   mirror.Sink
+	// Evidence says that the prefix tells withdrawn keys, so that its age matters.
+	Evidence bool
+}
+
+// Platform is what a gateway needs of the platform that it runs on.
+type Platform interface {
+	Store(address string) FollowedStore
+	Codec() gateway.Codec
+	Engines() weights.Engines
+	// Followed returns the prefixes that fill the catalog.
+	Followed(c *catalog.Catalog, log zerolog.Logger) []Followed
+}
+
+// Gateway returns the application of a gateway on a platform.
+func Gateway(s *GatewaySettings, p Platform) fx.Option {
+	s.Identity.Role = membership.RoleRouter
+	s.Identity.Incarnation = node.NewIncarnation()
+	if s.Memory.LimitMB > 0 {
+		debug.SetMemoryLimit(int64(float64(s.Memory.LimitMB*megabyte) * heapPart))
+	}
+	return fx.Options(
+		fx.Supply(s),
+		fx.Provide(
+			func() Platform { return p },
+			func() FollowedStore { return p.Store(s.Store.URL) },
+			catalog.New,
+			exchange.NewPool,
+			func() *admin.Readiness { return new(admin.Readiness) },
+			func() *share.Manager { return share.New(nil) },
+			func() *steer.Chooser { return steer.New(s.Identity.Zone, nil) },
+			newAllowance, newGatewayNode, newGateway, newOrders, newPeering, newRoster,
+		),
+		fx.Invoke(
+			serveGatewayAdmin, serveReadiness, startPeering, followCatalog, followPlatform, followRoster,
+			sweepConnections, startOrders, serveGatewayCallers,
+		),
+	)
+}
+
+func newAllowance(s *GatewaySettings) *retry.Allowance {
+	return retry.NewAllowance(s.Bounds.RetryRatio*ratioPart, s.Bounds.RetrySlack*slackPart)
+}
+
+func newGatewayNode(lifecycle fx.Lifecycle, s *GatewaySettings, log zerolog.Logger) (*node.Node, error) {
+	n, err := node.New(s.Identity, s.Inner, tlsconf.Files{}, log)
+	if err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+func newGateway(
+	s *GatewaySettings,
+	p Platform,
+	known *catalog.Catalog,
+	pool *exchange.Pool,
+	chooser *steer.Chooser,
+	shares *share.Manager,
+	allowance *retry.Allowance,
+	log zerolog.Logger,
+) *gateway.Gateway {
+	return gateway.New(gateway.Options{
+		Catalog:   known,
+		Codec:     p.Codec(),
+		Pool:      pool,
+		Chooser:   chooser,
+		Shares:    shares,
+		Allowance: allowance,
+		Bounds: gateway.Bounds{
+			KeyStaleness: time.Duration(stalenessPart * float64(s.Bounds.Revoke)),
+			WeightsGrace: weightsGrace,
+			WeightsLimit: s.Bounds.Weights - weightsMargin,
+			MaxBuffered:  s.Memory.bodies(),
+		},
+		Log: log,
+	})
+}
+
+func newOrders(s *GatewaySettings, p Platform, st FollowedStore, known *catalog.Catalog, chooser *steer.Chooser, log zerolog.Logger) *weights.Manager {
+	return weights.New(weights.Options{
+		Name:     s.Identity.Name,
+		Lease:    weights.NewLease(st, s.Identity.Name),
+		Catalog:  known,
+		Engines:  p.Engines(),
+		Fleet:    chooser,
+		TakeOver: s.Bounds.Lease + takeOverMargin,
+		Log:      log,
+	})
+}
+
+func newPeering(
+	s *GatewaySettings,
+	n *node.Node,
+	shares *share.Manager,
+	orders *weights.Manager,
+	known *catalog.Catalog,
+	chooser *steer.Chooser,
+	log zerolog.Logger,
+) *peering.Manager {
+	news := &gatewayNews{name: s.Identity.Name, shares: shares, orders: orders, known: known, chooser: chooser}
+	manager := peering.New(peering.Options{Name: s.Identity.Name, Pool: n.Pool, News: news.compose, Hear: news.hear, Log: log})
+	manager.Register(n.Server)
+	orders.OnNews(manager.Urge)
+	return manager
+}
+
+func newRoster(
+	s *GatewaySettings,
+	st FollowedStore,
+	n *node.Node,
+	peers *peering.Manager,
+	shares *share.Manager,
+	chooser *steer.Chooser,
+	allowance *retry.Allowance,
+	log zerolog.Logger,
+) *roster.Roster {
+	changed := func(others []peering.Peer) {
+		peers.SetPeers(others)
+		names := make([]string, len(others))
+		for i, other := range others {
+			names[i] = other.Name
+		}
+		shares.SetPeers(names)
+		chooser.SetGateways(1 + len(others))
+		allowance.SetSlack(s.Bounds.RetrySlack * slackPart / float64(1+len(others)))
+	}
+	return roster.New(roster.Options{
+		Store: st, Name: s.Identity.Name, Address: n.Address, Zone: s.Identity.Zone, Changed: changed, Log: log,
+	})
+}
+
+func serveGatewayAdmin(lifecycle fx.Lifecycle, s *GatewaySettings, ready *admin.Readiness, log zerolog.Logger) {
+	server := &http.Server{Handler: admin.NewRouter(ready), ReadHeaderTimeout: headerTimeout}
+	serveHTTP(lifecycle, server, s.Admin.Listen, nil, log)
+}
+
+func serveReadiness(lifecycle fx.Lifecycle, s *GatewaySettings, ready *admin.Readiness, log zerolog.Logger) {
+	gin.SetMode(gin.ReleaseMode)
+	engine := gin.New()
+	engine.GET(s.Readiness.Path, ready.Handle)
+	server := &http.Server{Handler: engine, ReadHeaderTimeout: headerTimeout}
+	serveHTTP(lifecycle, server, s.Readiness.Listen, nil, log)
+}
+
+func startPeering(lifecycle fx.Lifecycle, n *node.Node, peers *peering.Manager) {
+	stop := func(ctx context.Context) error {
+		peers.Stop()
+		return n.Stop(ctx)
+	}
+	appendHook(lifecycle, n.Start, stop)
+}
+
+// followCatalog passes changes of the list of upstreams on.
+func followCatalog(lifecycle fx.Lifecycle, known *catalog.Catalog, chooser *steer.Chooser, pool *exchange.Pool) {
+	appendBackground(lifecycle, func(ctx context.Context) {
+		var former *catalog.Upstreams
+		for {
+			changed := known.Changed()
+			if upstreams := known.Upstreams(); upstreams != nil && upstreams != former {
+				chooser.Retain(upstreams)
+				forgetGone(pool, former, upstreams)
+				former = upstreams
+			}
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+}
+
+// forgetGone closes the idle connections to upstreams that are no longer listed.
+func forgetGone(pool *exchange.Pool, former, current *catalog.Upstreams) {
+	if former == nil {
+		return
+	}
+	for id, upstream := range former.ByID {
+		if now := current.ByID[id]; now == nil || now.Address != upstream.Address {
+			pool.Forget(upstream.Address)
+		}
+	}
+}
+
+func followPlatform(lifecycle fx.Lifecycle, p Platform, st FollowedStore, known *catalog.Catalog, log zerolog.Logger) {
+	for _, followed := range p.Followed(known, log) {
+		wait := listWait
+		if followed.Evidence {
+			wait = configWait
+		}
+		follow(lifecycle, st, followed.Prefix, followed.Sink, wait, log)
+	}
+}
+
+func follow(lifecycle fx.Lifecycle, st FollowedStore, prefix string, sink mirror.Sink, wait time.Duration, log zerolog.Logger) {
+	m := mirror.New(mirror.Options{Store: st, Prefix: prefix, Sink: sink, Wait: wait, Log: log})
+	appendBackground(lifecycle, m.Run)
+}
+
+// followRoster joins the list of gateways, follows it, and leaves it at the end.
+func followRoster(lifecycle fx.Lifecycle, st FollowedStore, r *roster.Roster, log zerolog.Logger) {
+	appendHook(lifecycle, func(context.Context) error { return nil }, func(ctx context.Context) error {
+		r.Leave(ctx)
+		return nil
+	})
+	follow(lifecycle, st, roster.Prefix, r, listWait, log)
+	appendBackground(lifecycle, r.Join)
+}
+
+func sweepConnections(lifecycle fx.Lifecycle, pool *exchange.Pool) {
+	appendBackground(lifecycle, func(ctx context.Context) {
+		for pause.For(ctx, sweepEvery) == nil {
+			pool.Sweep()
+		}
+	})
+}
+
+func startOrders(lifecycle fx.Lifecycle, orders *weights.Manager) {
+	appendBackground(lifecycle, orders.Run)
+}
+
+// serveGatewayCallers serves callers last of all, and stops first.
+func serveGatewayCallers(lifecycle fx.Lifecycle, s *GatewaySettings, g *gateway.Gateway, known *catalog.Catalog, ready *admin.Readiness, log zerolog.Logger) {
+	server := &http.Server{
+		Handler:           g,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       callerIdle,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	start := func(context.Context) error {
+		listener, err := net.Listen("tcp", s.Callers.Listen)
+		if err != nil {
+			return fault.Wrap(err, "listen for callers", s.Callers.Listen)
+		}
+		go func() {
+			if err := server.Serve(framing.Listener{Listener: listener}); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				log.Error().Err(err).Msg("app: callers' listener failed")
+			}
+		}()
+		go gatewayReady(ctx, known, ready, log)
+		return nil
+	}
+	stop := func(ctx context.Context) error {
+		cancel()
+		ready.Set(false)
+		g.Drain()
+		log.Info().Int64("active", g.Active()).Msg("app: not ready any more, finishing requests")
+		_ = pause.For(ctx, s.Stop.DrainDelay)
+		return fault.Wrap(server.Shutdown(ctx), "finish requests", s.Callers.Listen)
+	}
+	appendHook(lifecycle, start, stop)
+}
+
+// gatewayReady waits until the configuration and the lists are known.
+func gatewayReady(ctx context.Context, known *catalog.Catalog, ready *admin.Readiness, log zerolog.Logger) {
+	for !known.Known() {
+		changed := known.Changed()
+		if known.Known() {
+			break
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+	ready.Set(true)
+	log.Info().Int64("config", known.Config().Version).Msg("app: ready")
+}
--- /dev/null
+++ b/internal/catalog/state.go
@@ -0,0 +1,146 @@
+package catalog
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/bootclock"
+)
+
+// Upstreams is one version of the list of upstreams.
+type Upstreams struct {
+	ByID   map[string]*Upstream
+	ByPool map[string][]*Upstream
+}
+
+// NewUpstreams indexes a list.
+func NewUpstreams(list []*Upstream) *Upstreams {
+	u := &Upstreams{ByID: make(map[string]*Upstream, len(list)), ByPool: make(map[string][]*Upstream)}
+	for _, upstream := range list {
+		u.ByID[upstream.ID] = upstream
+		u.ByPool[upstream.Pool] = append(u.ByPool[upstream.Pool], upstream)
+	}
+	return u
+}
+
+// Wanted is the weights version that a model is to have.
+type Wanted struct {
+	Version int64
+	// Known is when this process learned of the version.
+	Known bootclock.Instant
+}
+
+// Catalog is the newest knowledge of the fleet. Parts are replaced whole and
+// read without locks.
+type Catalog struct {
+	config    atomic.Pointer[Config]
+	upstreams atomic.Pointer[Upstreams]
+	wanted    atomic.Pointer[map[string]Wanted]
+	evidence  atomic.Int64
+
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+// New returns a catalog that knows nothing.
+func New() *Catalog { return &Catalog{changed: make(chan struct{})} }
+
+// Config returns the configuration in force, or nil before the first.
+func (c *Catalog) Config() *Config { return c.config.Load() }
+
+// Upstreams returns the list of upstreams, or nil before the first.
+func (c *Catalog) Upstreams() *Upstreams { return c.upstreams.Load() }
+
+// Wanted returns the version that a model is to have; 0 when none was named.
+func (c *Catalog) Wanted(model string) Wanted {
+	all := c.wanted.Load()
+	if all == nil {
+		return Wanted{}
+	}
+	return (*all)[model]
+}
+
+// Models returns the wanted versions of all models, or nil before they are known.
+func (c *Catalog) Models() map[string]Wanted {
+	all := c.wanted.Load()
+	if all == nil {
+		return nil
+	}
+	return *all
+}
+
+// Known reports whether the configuration, the upstreams and the wanted weights are known.
+func (c *Catalog) Known() bool {
+	return c.config.Load() != nil && c.upstreams.Load() != nil && c.wanted.Load() != nil
+}
+
+// SetConfig puts a configuration in force. A version that is not newer than the
+// one in force is ignored; the result says whether it was taken.
+func (c *Catalog) SetConfig(config *Config) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if former := c.config.Load(); former != nil && config.Version <= former.Version {
+		return false
+	}
+	c.config.Store(config)
+	c.notify()
+	return true
+}
+
+// SetUpstreams replaces the list of upstreams.
+func (c *Catalog) SetUpstreams(list []*Upstream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.upstreams.Store(NewUpstreams(list))
+	c.notify()
+}
+
+// SetWanted notes the named versions. Versions only grow; the time at which a
+// version became known is kept.
+func (c *Catalog) SetWanted(versions map[string]int64, now bootclock.Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	merged := make(map[string]Wanted)
+	if former := c.wanted.Load(); former != nil {
+		for model, wanted := range *former {
+			merged[model] = wanted
+		}
+	}
+	for model, version := range versions {
+		if version > merged[model].Version {
+			merged[model] = Wanted{Version: version, Known: now}
+		}
+	}
+	c.wanted.Store(&merged)
+	c.notify()
+}
+
+// Changed returns a channel that is closed at the next change.
+func (c *Catalog) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+// notify wakes those who wait for a change; c.mu is held.
+func (c *Catalog) notify() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// Confirm notes that the configuration in force was the newest at an instant.
+func (c *Catalog) Confirm(at bootclock.Instant) {
+	for {
+		former := c.evidence.Load()
+		if int64(at) <= former || c.evidence.CompareAndSwap(former, int64(at)) {
+			return
+		}
+	}
+}
+
+// EvidenceAge returns how long ago the configuration in force was last known to
+// be the newest.
+func (c *Catalog) EvidenceAge(now bootclock.Instant) time.Duration {
+	return now.Sub(bootclock.Instant(c.evidence.Load()))
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,14 +29,25 @@
 
 const startTimeout = 30 * time.Second
 
+// Where a daemon may write its log.
+const (
+	outputStderr = "stderr"
+	outputStdout = "stdout"
+)
+
 // Log holds the settings of a daemon's log.
 type Log struct {
 	// Level is the least severity that is logged: debug, info, warn or error.
 	Level string `ini:"level"`
+	// Output is stderr or stdout.
+	Output string `ini:"output"`
 }
 
 // Validate implements settings.Validator.
 func (l *Log) Validate() (string, error) {
+	if l.Output != outputStderr && l.Output != outputStdout {
+		return "output", fmt.Errorf("%q is neither %s nor %s", l.Output, outputStderr, outputStdout)
+	}
 	_, err := zerolog.ParseLevel(l.Level)
 	return "level", err
 }
@@ -47,6 +58,9 @@
 	Summary string
 	// Sections are the settings beside [log].
 	Sections []settings.Section
+	// SettingsEnv names an environment variable with the path of the settings file,
+	// for platforms that tell it so. May be empty.
+	SettingsEnv string
 	// StopTimeout bounds a graceful stop. It is read after the settings are loaded.
 	StopTimeout func() time.Duration
 	// Options builds the application from the loaded settings.
@@ -56,7 +70,7 @@
 // Main runs the program and returns its exit code.
 func Main(p Program) int {
 	flags := flag.NewFlagSet(p.Name, flag.ContinueOnError)
-	config := flags.String("config", "/etc/greengage/"+p.Name+".ini", "settings file")
+	config := flags.String("config", defaultSettings(p), "settings file")
 	checkOnly := flags.Bool("check-config", false, "check the settings file and exit")
 	version := flags.Bool("version", false, "print the version and exit")
 	flags.Usage = func() { usage(flags.Output(), p, flags) }
@@ -70,7 +84,7 @@
 		fmt.Println(p.Name, Version)
 		return ExitOK
 	}
-	logSettings := Log{Level: "info"}
+	logSettings := Log{Level: "info", Output: outputStderr}
 	sections := append([]settings.Section{{Name: "log", Target: &logSettings}}, p.Sections...)
 	if err := settings.Load(*config, sections...); err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", p.Name, err)
@@ -80,7 +94,19 @@
 		fmt.Println(*config, "is valid")
 		return ExitOK
 	}
-	return run(p, newLogger(os.Stderr, logSettings, p.Name))
+	output := newLogOutput(logSettings)
+	defer output.Close()
+	return run(p, newLogger(output, logSettings, p.Name))
+}
+
+// defaultSettings returns the settings file that is read without -config.
+func defaultSettings(p Program) string {
+	if p.SettingsEnv != "" {
+		if file := os.Getenv(p.SettingsEnv); file != "" {
+			return file
+		}
+	}
+	return "/etc/greengage/" + p.Name + ".ini"
 }
 
 func usage(w io.Writer, p Program, flags *flag.FlagSet) {
@@ -112,6 +138,9 @@
 		log.Error().Err(err).Msg("daemon: set-up failed")
 		return ExitFailure
 	}
+	// The platform sends SIGHUP when settings have changed. They are read at the
+	// next start; the signal must not end the process.
+	signal.Ignore(syscall.SIGHUP)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	startCtx, cancel := context.WithTimeout(context.Background(), startTimeout)
--- /dev/null
+++ b/internal/exchange/pool.go
@@ -0,0 +1,204 @@
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/metrics"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection; a machine without power does not answer.
+	dialTimeout = time.Second
+	// unackedTimeout ends a connection whose peer acknowledges nothing that was sent.
+	unackedTimeout = 3 * time.Second
+	// defaultIdle is how long a connection is kept whose upstream tells no timeout.
+	// Such timeouts are below a second.
+	defaultIdle = 400 * time.Millisecond
+	// idleMargin is subtracted from a timeout that the upstream tells in whole seconds.
+	idleMargin = 300 * time.Millisecond
+	// maxIdle is how long a connection is kept at the most.
+	maxIdle = 30 * time.Second
+	// readBuffer holds the head of an answer or a few events.
+	readBuffer = 4 << 10
+)
+
+// keepAliveProbes find idle connections that went silent.
+var keepAliveProbes = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
+// boundSilence makes writes fail whose peer acknowledges nothing.
+func boundSilence(connection net.Conn) {
+	tcp, ok := connection.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	// A refusal leaves the keep-alive probes in force, which find silence later.
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+}
+
+// Pool keeps connections to upstreams, the last used first.
+type Pool struct {
+	mu   sync.Mutex
+	idle map[string][]*conn
+	// open counts the connections to each address, idle ones included.
+	open map[string]int
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool {
+	return &Pool{idle: make(map[string][]*conn), open: make(map[string]int)}
+}
+
+// conn is a connection to an upstream, used by one exchange at a time.
+type conn struct {
+	pool    *Pool
+	address string
+	net     net.Conn
+	reader  *bufio.Reader
+	// uses counts the exchanges that were completed.
+	uses    int
+	expires time.Time
+	closed  atomic.Bool
+}
+
+// abort ends an exchange at once.
+func (c *conn) abort() { _ = c.net.Close() }
+
+// Open returns the number of open connections to an address.
+func (p *Pool) Open(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open[address]
+}
+
+// take returns an idle connection that is still sound, or a new one.
+func (p *Pool) take(ctx context.Context, address string) (*conn, error) {
+	for c := p.pop(address); c != nil; c = p.pop(address) {
+		if time.Now().Before(c.expires) && c.quiet() {
+			return c, nil
+		}
+		c.discard()
+	}
+	connection, err := dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	metrics.Counter("exchange.connections_opened").Inc(1)
+	p.mu.Lock()
+	p.open[address]++
+	p.mu.Unlock()
+	return &conn{pool: p, address: address, net: connection, reader: bufio.NewReaderSize(connection, readBuffer)}, nil
+}
+
+// pop removes the connection to an address that was used last.
+func (p *Pool) pop(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	list[len(list)-1] = nil
+	p.idle[address] = list[:len(list)-1]
+	return c
+}
+
+// keep makes the connection available again. timeout is what the upstream told.
+func (c *conn) keep(timeout time.Duration) {
+	c.uses++
+	if err := c.net.SetReadDeadline(time.Time{}); err != nil {
+		c.discard()
+		return
+	}
+	idle := defaultIdle
+	if timeout > 0 {
+		idle = min(timeout-idleMargin, maxIdle)
+	}
+	c.expires = time.Now().Add(idle)
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.pool.idle[c.address] = append(c.pool.idle[c.address], c)
+}
+
+// discard closes the connection. It is safe to call more than once.
+func (c *conn) discard() {
+	if c.closed.Swap(true) {
+		return
+	}
+	_ = c.net.Close()
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if c.pool.open[c.address]--; c.pool.open[c.address] <= 0 {
+		delete(c.pool.open, c.address)
+	}
+}
+
+// quiet reports whether the upstream has neither closed the connection nor sent
+// anything on it since its last answer.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	tcp, ok := c.net.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, peekErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = peekErr == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+// Sweep closes connections that have been idle for too long. Callers repeat it.
+func (p *Pool) Sweep() {
+	now := time.Now()
+	var expired []*conn
+	p.mu.Lock()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Before(c.expires) {
+				kept = append(kept, c)
+				continue
+			}
+			expired = append(expired, c)
+		}
+		clear(list[len(kept):])
+		if len(kept) == 0 {
+			delete(p.idle, address)
+			continue
+		}
+		p.idle[address] = kept
+	}
+	p.mu.Unlock()
+	for _, c := range expired {
+		c.discard()
+	}
+}
+
+// Forget closes the idle connections to an address, whose upstream is gone.
+func (p *Pool) Forget(address string) {
+	for c := p.pop(address); c != nil; c = p.pop(address) {
+		c.discard()
+	}
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,227 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/bootclock"
+	"github.com/greengagegate/greengagegate/internal/catalog"
+	"github.com/greengagegate/greengagegate/internal/exchange"
+	"github.com/greengagegate/greengagegate/internal/steer"
+)
+
+const (
+	// choiceWait is the part of a route's objective that a request waits for an
+	// upstream to become usable.
+	choiceWait = 0.12
+	// choiceStep is the pause between two looks at the upstreams.
+	choiceStep = 10 * time.Millisecond
+	// minLeft is the least time that is worth a send.
+	minLeft = 5 * time.Millisecond
+	// fullPause is how long an upstream that refused a request is left alone.
+	fullPause = 60 * time.Millisecond
+	// misdirectedPause is how long an upstream with unknown weights is left alone.
+	misdirectedPause = 150 * time.Millisecond
+	// maxSends bounds the sends of one request, refused ones included.
+	maxSends = 4
+)
+
+// sendRecord is one send of a request, for its log line.
+type sendRecord struct {
+	upstream string
+	result   string
+	took     time.Duration
+}
+
+// run sends the request until it has an answer or may not be sent again.
+func (j *job) run() {
+	j.prepareWork()
+	j.gateway.Allowance.Earn(j.pool.Name)
+	var refused *refusal
+	for refused == nil {
+		var done bool
+		if done, refused = j.attempt(); done {
+			return
+		}
+	}
+	j.refuse(refused)
+}
+
+// prepareWork describes the request to the choice of upstreams.
+func (j *job) prepareWork() {
+	j.work = steer.Work{Pool: j.pool.Name}
+	if j.pool.Engine == nil {
+		return
+	}
+	wanted := j.gateway.Catalog.Wanted(j.call.Model)
+	age := bootclock.Since(wanted.Known)
+	j.work.Model = j.call.Model
+	j.work.Parts = j.call.Parts
+	j.work.Prefill = j.call.PromptTokens
+	j.work.Salt = j.salt
+	if age > j.gateway.Bounds.WeightsGrace {
+		j.work.Wanted = wanted.Version
+	}
+	j.work.NewestOnly = wanted.Version > 0 && age > j.gateway.Bounds.WeightsLimit
+}
+
+// attempt makes one send. done says that the caller has an answer or is gone;
+// otherwise a refusal ends the job, and without one there is another attempt.
+func (j *job) attempt() (done bool, refused *refusal) {
+	choice, refused := j.choose()
+	if refused != nil {
+		return false, refused
+	}
+	visit := j.gateway.Chooser.Sent(choice, &j.work)
+	defer visit.Left()
+	started := bootclock.Now()
+	ctx, cancel := context.WithTimeout(j.r.Context(), j.left())
+	defer cancel()
+	response, err := j.gateway.Pool.Do(ctx, choice.Upstream.Address, j.message(&choice, j.call.LastEvent))
+	if err != nil {
+		return j.sendFailed(choice.Upstream, visit, err, started)
+	}
+	defer response.Close()
+	return j.answer(ctx, &choice, visit, response, started)
+}
+
+// choose waits a little for a usable upstream.
+func (j *job) choose() (steer.Choice, *refusal) {
+	waitUntil := bootclock.Now().Add(time.Duration(choiceWait * float64(j.route.Objective)))
+	for {
+		if j.gone() {
+			j.outcome.err = errGone
+			return steer.Choice{}, refusedNotRun
+		}
+		if j.left() < minLeft {
+			return steer.Choice{}, j.tooLate()
+		}
+		upstreams := j.gateway.Catalog.Upstreams()
+		if upstreams == nil {
+			return steer.Choice{}, refusedNoConfig
+		}
+		choice, ok := j.gateway.Chooser.Choose(upstreams.ByPool[j.pool.Name], &j.work)
+		if ok {
+			return choice, nil
+		}
+		if !bootclock.Now().Before(waitUntil) {
+			return steer.Choice{}, j.notServed()
+		}
+		time.Sleep(choiceStep)
+	}
+}
+
+// notServed is the refusal of a request for which there is no upstream (any more).
+func (j *job) notServed() *refusal {
+	switch {
+	case j.runs > 0:
+		return failedUnknown
+	case len(j.sends) > 0:
+		return refusedFull
+	default:
+		return refusedNoUpstream
+	}
+}
+
+func (j *job) tooLate() *refusal {
+	if j.runs > 0 {
+		return failedTimeout
+	}
+	return failedLate
+}
+
+func (j *job) message(choice *steer.Choice, lastEvent string) *exchange.Request {
+	send := &Send{
+		Upstream:  choice.Upstream.ID,
+		Left:      j.left(),
+		Priority:  j.route.Priority,
+		LastEvent: lastEvent,
+	}
+	if j.customer != nil {
+		send.Customer = j.customer.Name
+		if j.customer.Priority != nil {
+			send.Priority = *j.customer.Priority
+		}
+	}
+	if j.pool.Engine != nil {
+		send.Salt = j.salt(choice.Version)
+		send.Version = choice.Version
+	}
+	call := j.call
+	codec := j.gateway.Codec
+	return &exchange.Request{
+		Method:  j.r.Method,
+		Target:  j.r.RequestURI,
+		Host:    j.r.Host,
+		Header:  codec.Headers(j.r.Header, call, send),
+		Body:    j.body,
+		Matches: func(header http.Header) bool { return codec.Belongs(call, header) },
+	}
+}
+
+// sendFailed decides what follows a send that has no answer.
+func (j *job) sendFailed(upstream *catalog.Upstream, visit *steer.Visit, err error, started bootclock.Instant) (bool, *refusal) {
+	var failure *exchange.Error
+	if !errors.As(err, &failure) {
+		failure = &exchange.Error{Progress: exchange.MaybeSent}
+	}
+	j.outcome.err = err
+	if j.gone() {
+		j.note(upstream, "caller-left", started)
+		if failure.Progress != exchange.NotSent {
+			j.runs++
+		}
+		return true, nil
+	}
+	if failure.Progress == exchange.NotSent {
+		j.note(upstream, "not-sent", started)
+		visit.Unreachable()
+		return false, j.again(false)
+	}
+	j.runs++
+	j.note(upstream, "no-answer", started)
+	if j.left() < minLeft {
+		visit.Failed()
+		return false, failedTimeout
+	}
+	if !failure.Reused {
+		visit.Unreachable()
+	}
+	visit.Failed()
+	return false, j.again(true)
+}
+
+// again returns nil when the request may be sent once more. ran says that the
+// last send may have run.
+func (j *job) again(ran bool) *refusal {
+	if ran && (!j.repeatable() || j.runs >= max(1, j.route.Attempts)) {
+		return failedUnknown
+	}
+	if j.left() < minLeft {
+		return j.tooLate()
+	}
+	if len(j.sends) >= maxSends {
+		return j.notServed()
+	}
+	last := j.sends[len(j.sends)-1]
+	j.work.Tried = append(j.work.Tried, last.upstream)
+	if last.result == "not-sent" {
+		return nil
+	}
+	if !j.gateway.Allowance.Spend(j.pool.Name) {
+		return j.notServed()
+	}
+	return nil
+}
+
+// note records a send.
+func (j *job) note(upstream *catalog.Upstream, result string, started bootclock.Instant) {
+	j.sends = append(j.sends, sendRecord{upstream: upstream.ID, result: result, took: bootclock.Since(started)})
+}
+
+// salt names what the request's cached parts belong to.
+func (j *job) salt(version int64) string {
+	return cacheSalt(version, j.customer)
+}
--- /dev/null
+++ b/internal/gateway/codec.go
@@ -0,0 +1,74 @@
+// Package gateway serves requests that are passed through whole: an upstream gets
+// the caller's method, path and body unchanged, and the caller gets the upstream's
+// answer unchanged. What a request is about is told by metadata, which a Codec
+// reads from and writes to headers.
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/steer"
+)
+
+// Call is what a caller tells of a request beside its bytes.
+type Call struct {
+	// ID identifies the request; upstreams repeat it in their answers.
+	ID string
+	// Key is the caller's secret, which goes no further.
+	Key string
+	// Patience is how long the caller waits; 0 when it does not tell.
+	Patience time.Duration
+	Model    string
+	// PromptTokens and OutputTokens bound the request's size.
+	PromptTokens int64
+	OutputTokens int64
+	// Sized says that the two were told.
+	Sized bool
+	Parts []steer.Part
+	// LastEvent is the event after which a stream is to go on.
+	LastEvent string
+}
+
+// Send is what an upstream is told beside the request's bytes.
+type Send struct {
+	Upstream string
+	Customer string
+	// Left is the time that is left for the request.
+	Left     time.Duration
+	Priority int
+	// Salt names what cached parts belong to; empty for plain services.
+	Salt string
+	// Version is the weights version that the upstream must have; 0 for any.
+	Version int64
+	// LastEvent is the event after which a stream is to go on.
+	LastEvent string
+}
+
+// Verdict is what an answer's head says.
+type Verdict struct {
+	// NotRun says that the upstream did not and will not run the request.
+	NotRun bool
+	// Misdirected says that the upstream is another one, or has other weights.
+	Misdirected bool
+	// Upstream is the id that a misdirected answer tells; may be empty.
+	Upstream string
+	// Sound says that a success carries all that a caller needs to rely on it.
+	Sound bool
+	// Version is the weights version that the answer tells; 0 when it tells none.
+	Version int64
+}
+
+// Codec translates between headers and metadata.
+type Codec interface {
+	// Describe reads a caller's request. An error makes it a bad request.
+	Describe(r *http.Request) (*Call, error)
+	// Headers returns what an upstream gets in place of the caller's headers.
+	Headers(in http.Header, call *Call, send *Send) http.Header
+	// Judge reads the head of an answer.
+	Judge(status int, header http.Header) Verdict
+	// Belongs reports whether an answer belongs to the call.
+	Belongs(call *Call, header http.Header) bool
+	// Version returns the weights version that an event tells; 0 when it tells none.
+	Version(event []byte) int64
+}
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,177 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/bootclock"
+	"github.com/greengagegate/greengagegate/internal/eventstream"
+	"github.com/greengagegate/greengagegate/internal/exchange"
+	"github.com/greengagegate/greengagegate/internal/steer"
+)
+
+const (
+	// minSilence is the least pause after which a stream that may be resumed is
+	// taken from a silent upstream.
+	minSilence = 1200 * time.Millisecond
+	// silencePauses is that pause in terms of the route's longest pause on time.
+	silencePauses = 4
+	// writeTimeout bounds a write to a caller that does not read.
+	writeTimeout = 5 * time.Second
+)
+
+// stream passes events on as they arrive. Once the head is out, the answer ends
+// either complete or with a broken connection.
+func (j *job) stream(ctx context.Context, choice *steer.Choice, visit *steer.Visit, response *exchange.Response, started bootclock.Instant) (bool, *refusal) {
+	control := http.NewResponseController(j.w)
+	headOut := false
+	lastEvent := j.call.LastEvent
+	for {
+		err := j.copyEvents(ctx, choice, visit, response, control, &headOut, &lastEvent)
+		j.outcome.events = lastEvent
+		if err == nil {
+			response.Finished()
+			visit.Succeeded()
+			j.note(choice.Upstream, "answered", started)
+			j.outcome.status, j.outcome.reason = http.StatusOK, "answered"
+			return true, nil
+		}
+		j.outcome.err = err
+		if j.gone() {
+			j.note(choice.Upstream, "caller-left", started)
+			j.outcome.reason = "caller-left"
+			return true, nil
+		}
+		visit.Failed()
+		j.note(choice.Upstream, "broken-off", started)
+		response.Close()
+		visit.Left()
+		if !headOut {
+			if j.left() < minLeft {
+				return false, failedTimeout
+			}
+			return false, j.again(true)
+		}
+		next := j.resume(ctx, lastEvent)
+		if next == nil {
+			j.breakOff()
+		}
+		choice, visit, response, started = next.choice, next.visit, next.response, next.started
+		defer response.Close()
+		defer visit.Left()
+	}
+}
+
+// breakOff closes the caller's connection, so that the answer can't look complete.
+func (j *job) breakOff() {
+	j.outcome.status, j.outcome.reason = http.StatusOK, "broken-off"
+	panic(http.ErrAbortHandler)
+}
+
+// silence is how long a stream may pause before it is resumed elsewhere; 0 for ever.
+func (j *job) silence() time.Duration {
+	if !j.route.Resumable {
+		return 0
+	}
+	return max(minSilence, silencePauses*j.route.MaxPause)
+}
+
+// copyEvents passes on whole events until the stream's end, which is nil.
+func (j *job) copyEvents(ctx context.Context, choice *steer.Choice, visit *steer.Visit, response *exchange.Response, control *http.ResponseController, headOut *bool, lastEvent *string) error {
+	events := eventstream.NewReader(response.Body)
+	silence := j.silence()
+	for first := true; ; first = false {
+		if silence > 0 && !first {
+			response.LimitRead(time.Now().Add(silence))
+		}
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			return j.endStream(response, headOut)
+		}
+		if err != nil {
+			return err
+		}
+		if first {
+			visit.Started()
+		}
+		if version := j.gateway.Codec.Version(event.Raw); version > 0 {
+			j.gateway.Chooser.NoteVersion(choice.Upstream.ID, j.call.Model, version)
+		}
+		j.sendHead(response, headOut)
+		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := j.w.Write(event.Raw); err != nil {
+			return err
+		}
+		if event.ID != "" {
+			*lastEvent = event.ID
+		}
+		if events.Buffered() {
+			continue
+		}
+		if err := control.Flush(); err != nil {
+			return err
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
+
+// endStream passes on the end of a stream, also of one without events.
+func (j *job) endStream(response *exchange.Response, headOut *bool) error {
+	j.sendHead(response, headOut)
+	return nil
+}
+
+func (j *job) sendHead(response *exchange.Response, headOut *bool) {
+	if *headOut {
+		return
+	}
+	*headOut = true
+	j.outcome.firstByte = bootclock.Since(j.arrived)
+	copyHeaders(j.w.Header(), response.Header)
+	j.w.WriteHeader(response.Status)
+}
+
+// resumed is a stream that goes on at another upstream.
+type resumed struct {
+	choice   *steer.Choice
+	visit    *steer.Visit
+	response *exchange.Response
+	started  bootclock.Instant
+}
+
+// resume opens the rest of a stream at another upstream, or returns nil.
+func (j *job) resume(ctx context.Context, lastEvent string) *resumed {
+	for j.again(true) == nil {
+		choice, refused := j.choose()
+		if refused != nil {
+			return nil
+		}
+		visit := j.gateway.Chooser.Sent(choice, &j.work)
+		started := bootclock.Now()
+		response, err := j.gateway.Pool.Do(ctx, choice.Upstream.Address, j.message(&choice, lastEvent))
+		if err != nil {
+			visit.Left()
+			if _, refused := j.sendFailed(choice.Upstream, visit, err, started); refused != nil || j.gone() {
+				return nil
+			}
+			continue
+		}
+		verdict := j.gateway.Codec.Judge(response.Status, response.Header)
+		if isEventStream(response) && verdict.Sound {
+			j.runs++
+			return &resumed{choice: &choice, visit: visit, response: response, started: started}
+		}
+		if !verdict.NotRun {
+			j.runs++
+		}
+		j.note(choice.Upstream, "not-resumed", started)
+		response.Close()
+		visit.Left()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/peering/peering.go
@@ -0,0 +1,194 @@
+// Package peering exchanges short news between gateways over inner sessions: one
+// goroutine for each peer, a few exchanges a second, and one at once when there
+// is something urgent.
+package peering
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/wire"
+	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
+	"github.com/rs/zerolog"
+)
+
+const (
+	// baseInterval is the pause between exchanges with a peer in a small fleet.
+	baseInterval = 250 * time.Millisecond
+	// fullRatePeers is the number of peers up to which the pause stays at its base.
+	// Above it the pause grows, so that a gateway's exchanges a second stay bounded.
+	fullRatePeers = 8
+	// maxInterval keeps the news of a large fleet within the time they are relied on.
+	maxInterval = 900 * time.Millisecond
+	// askTimeout bounds one exchange.
+	askTimeout = 500 * time.Millisecond
+)
+
+// Peer is another gateway.
+type Peer struct {
+	Name    string
+	Address string
+}
+
+// Options configures a Manager. All fields are required.
+type Options struct {
+	Name string
+	Pool *wire.Pool
+	// News returns what this gateway tells.
+	News func() *wirepb.GatewayNews
+	// Hear takes what a peer told.
+	Hear func(*wirepb.GatewayNews)
+	Log  zerolog.Logger
+}
+
+// Manager keeps one exchange with each peer going.
+type Manager struct {
+	options Options
+
+	mu    sync.Mutex
+	peers map[Peer]*link
+	ctx   context.Context
+	stop  context.CancelFunc
+	done  sync.WaitGroup
+}
+
+type link struct {
+	stop   context.CancelFunc
+	urgent chan struct{}
+}
+
+// New returns a manager without peers.
+func New(options Options) *Manager {
+	ctx, stop := context.WithCancel(context.Background())
+	return &Manager{options: options, peers: make(map[Peer]*link), ctx: ctx, stop: stop}
+}
+
+// Register makes the server answer peers.
+func (m *Manager) Register(server *wire.Server) {
+	server.Handle(wirepb.Kind_KIND_GATEWAY, m.handle)
+}
+
+func (m *Manager) handle(_ context.Context, _ wire.Request, stream *wire.Stream) {
+	var news wirepb.GatewayNews
+	if err := stream.Recv(&news); err != nil {
+		m.options.Log.Debug().Err(err).Str("peer", stream.Peer()).Msg("peering: news not read")
+		return
+	}
+	m.options.Hear(&news)
+	if err := stream.Send(m.options.News()); err != nil {
+		m.options.Log.Debug().Err(err).Str("peer", stream.Peer()).Msg("peering: news not answered")
+	}
+}
+
+// SetPeers replaces the set of peers.
+func (m *Manager) SetPeers(peers []Peer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	wanted := make(map[Peer]bool, len(peers))
+	for _, peer := range peers {
+		wanted[peer] = true
+		if m.peers[peer] == nil {
+			m.start(peer)
+		}
+	}
+	for peer, l := range m.peers {
+		if !wanted[peer] {
+			l.stop()
+			delete(m.peers, peer)
+		}
+	}
+}
+
+// start begins the exchange with a peer; m.mu is held.
+func (m *Manager) start(peer Peer) {
+	ctx, stop := context.WithCancel(m.ctx)
+	l := &link{stop: stop, urgent: make(chan struct{}, 1)}
+	m.peers[peer] = l
+	m.done.Add(1)
+	go func() {
+		defer m.done.Done()
+		m.run(ctx, peer, l)
+	}()
+}
+
+// Urge makes news go out at once.
+func (m *Manager) Urge() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range m.peers {
+		select {
+		case l.urgent <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Stop ends all exchanges.
+func (m *Manager) Stop() {
+	m.stop()
+	m.done.Wait()
+}
+
+// run exchanges news with one peer until ctx ends. Of two gateways the one whose
+// name is smaller asks in turn; both ask when there is something urgent.
+func (m *Manager) run(ctx context.Context, peer Peer, l *link) {
+	asks := m.options.Name < peer.Name
+	lost := false
+	for ctx.Err() == nil {
+		err := m.ask(ctx, peer)
+		if ctx.Err() != nil {
+			return
+		}
+		if (err != nil) != lost {
+			lost = err != nil
+			m.report(peer, err)
+		}
+		m.wait(ctx, l, asks || lost)
+	}
+}
+
+func (m *Manager) report(peer Peer, err error) {
+	if err != nil {
+		m.options.Log.Warn().Err(err).Str("peer", peer.Name).Str("address", peer.Address).Msg("peering: peer lost")
+		return
+	}
+	m.options.Log.Info().Str("peer", peer.Name).Str("address", peer.Address).Msg("peering: peer regained")
+}
+
+// wait pauses until the next exchange. Without a turn of its own it waits for
+// something urgent.
+func (m *Manager) wait(ctx context.Context, l *link, ownTurn bool) {
+	var tick <-chan time.Time
+	if ownTurn {
+		timer := time.NewTimer(m.interval())
+		defer timer.Stop()
+		tick = timer.C
+	}
+	select {
+	case <-tick:
+	case <-l.urgent:
+	case <-ctx.Done():
+	}
+}
+
+func (m *Manager) interval() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	interval := baseInterval
+	if n := len(m.peers); n > fullRatePeers {
+		interval = baseInterval * time.Duration(n) / fullRatePeers
+	}
+	return min(interval, maxInterval)
+}
+
+func (m *Manager) ask(ctx context.Context, peer Peer) error {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var news wirepb.GatewayNews
+	if err := m.options.Pool.Ask(ctx, peer.Address, wirepb.Kind_KIND_GATEWAY, "", m.options.News(), &news); err != nil {
+		return err
+	}
+	m.options.Hear(&news)
+	return nil
+}
--- /dev/null
+++ b/internal/share/share.go
@@ -0,0 +1,211 @@
+// Package share divides each customer's limit among gateways by demand. A
+// gateway spends from a bucket of its own, whose rate is its share of the
+// customer's rate. Shares follow from the demands that gateways tell each other
+// a few times a second: nobody is asked when a request arrives.
+//
+// Load pattern: connections are spread unevenly over few gateways, and one
+// customer sends several times its rate for some seconds, often through one
+// gateway. A gateway that hears nothing of the others falls back to an equal
+// part of the limit, and the others count it with that part, so that the sum
+// stays within the limit while the gateways are cut off from each other.
+package share
+
+import (
+	"sync"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/bootclock"
+)
+
+const (
+	// demandWindow is the time over which demand is averaged.
+	demandWindow = time.Second
+	// headroom is how much more than its demand a gateway is given first.
+	headroom = 1.25
+	// StaleAfter is how long a peer's demand is relied on.
+	StaleAfter = 1200 * time.Millisecond
+	// minRetryAfter and maxRetryAfter bound what refused callers are told.
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
+)
+
+// Limit is a customer's limit over all gateways, in tokens a second and tokens.
+type Limit struct{ Rate, Burst float64 }
+
+// Demand is what a gateway's callers ask for, in tokens a second by customer.
+type Demand map[string]float64
+
+type account struct {
+	tokens float64
+	filled bootclock.Instant
+	// asked are the tokens asked for since counted, refused ones included.
+	asked   float64
+	counted bootclock.Instant
+	demand  float64
+}
+
+type report struct {
+	demand Demand
+	heard  bootclock.Instant
+}
+
+// Manager keeps this gateway's shares. It is safe for concurrent use.
+type Manager struct {
+	now func() bootclock.Instant
+
+	mu       sync.Mutex
+	accounts map[string]*account
+	reports  map[string]report
+	// registered are the names of the other gateways that may be at work.
+	registered map[string]bool
+}
+
+// New returns a manager without peers. A nil now stands for bootclock.Now.
+func New(now func() bootclock.Instant) *Manager {
+	if now == nil {
+		now = bootclock.Now
+	}
+	return &Manager{
+		now:        now,
+		accounts:   make(map[string]*account),
+		reports:    make(map[string]report),
+		registered: make(map[string]bool),
+	}
+}
+
+// SetPeers replaces the names of the other gateways that may be at work.
+func (m *Manager) SetPeers(names []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.registered = make(map[string]bool, len(names))
+	for _, name := range names {
+		m.registered[name] = true
+	}
+}
+
+// Hear takes a peer's demand.
+func (m *Manager) Hear(peer string, demand Demand) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reports[peer] = report{demand: demand, heard: m.now()}
+	m.registered[peer] = true
+}
+
+// Demand returns what this gateway's callers ask for.
+func (m *Manager) Demand() Demand {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	demand := make(Demand, len(m.accounts))
+	for customer, a := range m.accounts {
+		a.count(now)
+		if a.demand >= 1 {
+			demand[customer] = a.demand
+		}
+	}
+	return demand
+}
+
+// count folds what was asked since the last call into the average.
+func (a *account) count(now bootclock.Instant) {
+	elapsed := now.Sub(a.counted)
+	if elapsed < demandWindow/10 {
+		return
+	}
+	weight := min(1, elapsed.Seconds()/demandWindow.Seconds())
+	a.demand += weight * (a.asked/elapsed.Seconds() - a.demand)
+	a.asked, a.counted = 0, now
+}
+
+// Admit spends tokens of a customer. When there are too few it returns when
+// there may be enough.
+func (m *Manager) Admit(customer string, limit Limit, tokens float64) (ok bool, retryAfter time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.now()
+	a := m.accounts[customer]
+	fraction := m.fraction(customer, limit, a, now)
+	rate, burst := limit.Rate*fraction, max(limit.Burst*fraction, min(tokens, limit.Burst))
+	if a == nil {
+		a = &account{tokens: limit.Burst * fraction, filled: now, counted: now}
+		m.accounts[customer] = a
+	}
+	a.asked += tokens
+	a.count(now)
+	a.tokens = min(burst, a.tokens+rate*now.Sub(a.filled).Seconds())
+	a.filled = now
+	if a.tokens >= tokens {
+		a.tokens -= tokens
+		return true, 0
+	}
+	missing := (tokens - a.tokens) / max(rate, 1)
+	wait := time.Duration(missing * float64(time.Second))
+	return false, min(max(wait, minRetryAfter), maxRetryAfter)
+}
+
+// Refund gives back tokens of a request that has not run.
+func (m *Manager) Refund(customer string, tokens float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if a := m.accounts[customer]; a != nil {
+		a.tokens += tokens
+	}
+}
+
+// fraction returns this gateway's part of a customer's limit; m.mu is held.
+func (m *Manager) fraction(customer string, limit Limit, own *account, now bootclock.Instant) float64 {
+	total := 1 + len(m.registered)
+	demands := make([]float64, 1, total)
+	if own != nil {
+		demands[0] = own.demand
+	}
+	silent := 0
+	for name := range m.registered {
+		r, heard := m.reports[name]
+		if !heard || now.Sub(r.heard) > StaleAfter {
+			silent++
+			continue
+		}
+		demands = append(demands, r.demand[customer])
+	}
+	rate := limit.Rate * float64(total-silent) / float64(total)
+	if limit.Rate <= 0 || rate <= 0 {
+		return 1 / float64(total)
+	}
+	return Divide(rate, demands)[0] / limit.Rate
+}
+
+// Divide gives each demand what it asks for with some headroom, the smallest
+// first, and divides what remains equally. The sum is the rate.
+func Divide(rate float64, demands []float64) []float64 {
+	shares := make([]float64, len(demands))
+	open := make([]int, len(demands))
+	for i := range open {
+		open[i] = i
+	}
+	left := rate
+	for len(open) > 0 {
+		equal := left / float64(len(open))
+		var larger []int
+		for _, i := range open {
+			want := demands[i] * headroom
+			if want > equal {
+				larger = append(larger, i)
+				continue
+			}
+			shares[i] = want
+			left -= want
+		}
+		if len(larger) == len(open) {
+			for _, i := range open {
+				shares[i] = equal
+			}
+			return shares
+		}
+		open = larger
+	}
+	for i := range shares {
+		shares[i] += left / float64(len(shares))
+	}
+	return shares
+}
--- /dev/null
+++ b/internal/weights/manager.go
@@ -0,0 +1,344 @@
+package weights
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/bootclock"
+	"github.com/greengagegate/greengagegate/internal/catalog"
+	"github.com/greengagegate/greengagegate/internal/metrics"
+	"github.com/greengagegate/greengagegate/internal/pause"
+	"github.com/greengagegate/greengagegate/lease"
+	"github.com/greengagegate/greengagegate/store"
+	"github.com/rs/zerolog"
+)
+
+const (
+	// leaseKey is where the lease lies in the store.
+	leaseKey = "gateway-leases/orders"
+	// term is how long the lease is held without being renewed.
+	term = 1500 * time.Millisecond
+	// renewEvery is the pause between renewals, and between the looks of the others.
+	renewEvery = 500 * time.Millisecond
+	// leaseCallTimeout bounds a renewal.
+	leaseCallTimeout = 700 * time.Millisecond
+	// orderMargin is the part of the term that must be left when an order is
+	// sent, so that it reaches the engine within the term.
+	orderMargin = 300 * time.Millisecond
+	// planEvery is the pause between two looks at the engines.
+	planEvery = 50 * time.Millisecond
+	// orderTimeout bounds one order.
+	orderTimeout = 800 * time.Millisecond
+	// reportTimeout bounds one question for an engine's state.
+	reportTimeout = 500 * time.Millisecond
+	// firstReport is when a loading engine is asked first, reportEvery the pause after that.
+	firstReport = 900 * time.Millisecond
+	reportEvery = 250 * time.Millisecond
+	// orderPatience is when an engine that does not get ready is ordered anew.
+	orderPatience = 8 * time.Second
+	// rejectedPause is how long an engine that rejected an order is left alone.
+	rejectedPause = time.Second
+	// batchesAtOnce is the number of batches that are under order at the same time: one
+	// that loads, and one that finishes its requests.
+	batchesAtOnce = 2
+)
+
+// Fleet is what the manager needs to know and to tell of engines.
+type Fleet interface {
+	// Version returns the version that an engine is believed to have.
+	Version(id, model string) int64
+	// NoteVersion takes a version that an engine told.
+	NoteVersion(id, model string, version int64)
+	// Hold keeps new requests away from an engine.
+	Hold(id string, until bootclock.Instant)
+	// Running returns the requests that this process has at an engine.
+	Running(id string) int
+}
+
+// Options configures a Manager. All fields are required.
+type Options struct {
+	Name    string
+	Lease   *lease.Lease
+	Catalog *catalog.Catalog
+	Engines Engines
+	Fleet   Fleet
+	// TakeOver is how long a new holder waits before its first order, so that
+	// orders of two holders never come close together.
+	TakeOver time.Duration
+	Log      zerolog.Logger
+}
+
+// Note is what the holder knows of an engine that is under an order.
+type Note struct {
+	ID      string
+	Model   string
+	Version int64
+	Until   bootclock.Instant
+}
+
+// Manager competes for the lease and gives orders while it holds it.
+type Manager struct {
+	options Options
+
+	mu    sync.Mutex
+	fence int64
+	// until is the end of the lease as this process counts it.
+	until bootclock.Instant
+	// since is when the tenure began.
+	since bootclock.Instant
+	busy  map[string]bool
+	notes map[string]Note
+	done  sync.WaitGroup
+	// onNews is called when there are news of engines for other gateways.
+	onNews func()
+}
+
+// NewLease returns the lease on the right to give orders.
+func NewLease(s store.Store, name string) *lease.Lease {
+	return lease.New(s, leaseKey, name, term, bootTime)
+}
+
+// bootTime presents the boot clock as the time that a Lease counts on.
+func bootTime() time.Time { return time.Unix(0, int64(bootclock.Now())) }
+
+// New returns a manager that holds nothing.
+func New(options Options) *Manager {
+	return &Manager{options: options, busy: make(map[string]bool), notes: make(map[string]Note)}
+}
+
+// OnNews sets what is called when there are news of engines for other gateways.
+// It is called before Run.
+func (m *Manager) OnNews(call func()) { m.onNews = call }
+
+// Run competes for the lease and gives orders until ctx ends.
+func (m *Manager) Run(ctx context.Context) {
+	var both sync.WaitGroup
+	both.Go(func() { m.compete(ctx) })
+	both.Go(func() { m.plan(ctx) })
+	both.Wait()
+	m.done.Wait()
+}
+
+// compete takes and renews the lease.
+func (m *Manager) compete(ctx context.Context) {
+	for pause.For(ctx, renewEvery) == nil {
+		asked := bootclock.Now()
+		callCtx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
+		fence, err := m.options.Lease.Acquire(callCtx)
+		cancel()
+		m.mu.Lock()
+		former := m.holds(asked)
+		if err == nil {
+			m.fence = fence
+			m.until = asked.Add(term)
+			if !former {
+				m.since = bootclock.Now()
+				m.options.Log.Info().Int64("fence", fence).Msg("weights: orders lease taken")
+			}
+		}
+		held := m.holds(bootclock.Now())
+		m.mu.Unlock()
+		if former && !held {
+			m.options.Log.Warn().Err(err).Msg("weights: orders lease lost")
+		}
+	}
+}
+
+// holds reports whether the lease is held at an instant; m.mu is held.
+func (m *Manager) holds(now bootclock.Instant) bool { return now.Before(m.until) }
+
+// mayOrder returns the fencing number when an order may be sent now.
+func (m *Manager) mayOrder() (int64, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := bootclock.Now()
+	if !now.Add(orderMargin).Before(m.until) || now.Sub(m.since) < m.options.TakeOver {
+		return 0, false
+	}
+	return m.fence, m.options.Lease.Held()
+}
+
+// Notes returns what other gateways should know of engines under an order.
+func (m *Manager) Notes() []Note {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := bootclock.Now()
+	notes := make([]Note, 0, len(m.notes))
+	for id, note := range m.notes {
+		if !now.Before(note.Until) {
+			delete(m.notes, id)
+			continue
+		}
+		notes = append(notes, note)
+	}
+	return notes
+}
+
+// plan looks for engines that lack the wanted weights.
+func (m *Manager) plan(ctx context.Context) {
+	for pause.For(ctx, planEvery) == nil {
+		if _, ok := m.mayOrder(); !ok {
+			continue
+		}
+		config, upstreams := m.options.Catalog.Config(), m.options.Catalog.Upstreams()
+		if config == nil || upstreams == nil {
+			continue
+		}
+		for model, wanted := range m.options.Catalog.Models() {
+			for _, pool := range config.Pools {
+				if pool.Engine != nil && slices.Contains(pool.Engine.Models, model) {
+					m.planPool(ctx, upstreams.ByPool[pool.Name], model, wanted.Version)
+				}
+			}
+		}
+	}
+}
+
+// planPool starts orders for the next batch of a pool's engines.
+func (m *Manager) planPool(ctx context.Context, engines []*catalog.Upstream, model string, version int64) {
+	limit := AtOnce(len(engines)) * batchesAtOnce
+	perZone := make(map[string]int)
+	var candidates []Candidate
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, engine := range engines {
+		if m.busy[engine.ID] {
+			perZone[engine.Zone]++
+			limit--
+			continue
+		}
+		if engine.Draining || m.options.Fleet.Version(engine.ID, model) >= version {
+			continue
+		}
+		candidates = append(candidates, Candidate{Upstream: engine, Running: m.options.Fleet.Running(engine.ID)})
+	}
+	for _, next := range Next(candidates, perZone, limit) {
+		m.busy[next.Upstream.ID] = true
+		m.done.Add(1)
+		go func() {
+			defer m.done.Done()
+			m.bring(ctx, next.Upstream, model, version)
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			delete(m.busy, next.Upstream.ID)
+		}()
+	}
+}
+
+// bring takes one engine to a version: an order, then questions until it is there.
+func (m *Manager) bring(ctx context.Context, engine *catalog.Upstream, model string, version int64) {
+	m.hold(engine.ID, model)
+	result, err := m.order(ctx, engine, model, version, engine.Orders)
+	if err == nil && result == Busy {
+		report, reportErr := m.report(ctx, engine, model)
+		if reportErr != nil || report.Busy || report.Versions[model] >= version {
+			result, err = Busy, reportErr
+		} else {
+			result, err = m.order(ctx, engine, model, version, report.Orders)
+		}
+	}
+	if err == nil && result == Holds {
+		m.arrived(engine.ID, model, version)
+		return
+	}
+	if err == nil && result != Accepted && result != Busy {
+		m.release(engine.ID, model)
+		_ = pause.For(ctx, rejectedPause)
+		return
+	}
+	m.await(ctx, engine, model, version)
+}
+
+// await asks an engine until it has the version, or is not busy any more.
+func (m *Manager) await(ctx context.Context, engine *catalog.Upstream, model string, version int64) {
+	ordered := bootclock.Now()
+	wait := firstReport
+	for pause.For(ctx, wait) == nil && bootclock.Since(ordered) < orderPatience {
+		wait = reportEvery
+		if m.options.Fleet.Version(engine.ID, model) >= version {
+			m.arrived(engine.ID, model, version)
+			return
+		}
+		report, err := m.report(ctx, engine, model)
+		if err != nil {
+			continue
+		}
+		if report.Versions[model] >= version {
+			m.arrived(engine.ID, model, version)
+			return
+		}
+		if !report.Busy && bootclock.Since(ordered) > 2*firstReport {
+			break
+		}
+	}
+	m.release(engine.ID, model)
+}
+
+func (m *Manager) order(ctx context.Context, engine *catalog.Upstream, model string, version, expected int64) (Result, error) {
+	fence, ok := m.mayOrder()
+	if !ok {
+		return Rejected, ErrNotHolder
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	asked := bootclock.Now()
+	result, err := m.options.Engines.Order(ctx, &Order{
+		Upstream: engine, Model: model, Version: version, Mode: ModeFinish,
+		Holder: m.options.Name, Fence: fence, Expected: expected,
+	})
+	outcome := result.String()
+	if err != nil {
+		outcome = "no-answer"
+	}
+	metrics.Counter("weights.orders", "result", outcome).Inc(1)
+	m.options.Log.Info().Err(err).Str("upstream", engine.ID).Str("model", model).Int64("version", version).
+		Int64("fence", fence).Int64("expected_orders", expected).Str("result", outcome).
+		Dur("took_ms", bootclock.Since(asked)).Msg("weights: order sent")
+	return result, err
+}
+
+func (m *Manager) report(ctx context.Context, engine *catalog.Upstream, model string) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	report, err := m.options.Engines.Report(ctx, engine)
+	if err != nil {
+		m.options.Log.Warn().Err(err).Str("upstream", engine.ID).Msg("weights: engine did not report")
+		return report, err
+	}
+	if version := report.Versions[model]; version > 0 {
+		m.options.Fleet.NoteVersion(engine.ID, model, version)
+	}
+	return report, nil
+}
+
+// hold keeps new requests away from an engine, here and at the other gateways.
+func (m *Manager) hold(id, model string) {
+	until := holdUntil()
+	m.options.Fleet.Hold(id, until)
+	m.tell(Note{ID: id, Model: model, Until: until})
+}
+
+// release lets new requests go to an engine again.
+func (m *Manager) release(id, model string) {
+	m.options.Fleet.Hold(id, 0)
+	m.tell(Note{ID: id, Model: model, Version: m.options.Fleet.Version(id, model), Until: holdUntil()})
+}
+
+// arrived notes that an engine has its new weights.
+func (m *Manager) arrived(id, model string, version int64) {
+	m.options.Fleet.NoteVersion(id, model, version)
+	m.options.Fleet.Hold(id, 0)
+	m.tell(Note{ID: id, Model: model, Version: version, Until: holdUntil()})
+	m.options.Log.Info().Str("upstream", id).Str("model", model).Int64("version", version).Msg("weights: engine has its version")
+}
+
+func (m *Manager) tell(note Note) {
+	m.mu.Lock()
+	m.notes[note.ID] = note
+	m.mu.Unlock()
+	if m.onNews != nil {
+		m.onNews()
+	}
+}
