Copy cached parts between engines, and order half of a pool at once

Change: orders follow a report; engines with the oldest weights take a new version first, half of the pool at once and the rest after 0.4 of the limit; the floor for weights remembers each version's age; gateways tell each other what engines have read, and a chosen engine copies parts from one that has them; a customer's bucket is deeper by the slack, so that large requests fit a part of it.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -98,7 +98,7 @@
 			catalog.New,
 			exchange.NewPool,
 			func() *admin.Readiness { return new(admin.Readiness) },
-			func() *share.Manager { return share.New(nil) },
+			func() *share.Manager { return share.New(s.Bounds.QuotaSlack*slackPart, nil) },
 			func() *steer.Chooser { return steer.New(s.Identity.Zone, nil) },
 			newAllowance, newGatewayNode, newGateway, newOrders, newPeering, newRoster,
 		),
@@ -156,7 +156,9 @@
 		Engines:  p.Engines(),
 		Fleet:    chooser,
 		TakeOver: s.Bounds.Lease + takeOverMargin,
-		Log:      log,
+
+		WeightsLimit: s.Bounds.Weights,
+		Log:          log,
 	})
 }
 
@@ -169,7 +171,7 @@
 	chooser *steer.Chooser,
 	log zerolog.Logger,
 ) *peering.Manager {
-	news := &gatewayNews{name: s.Identity.Name, shares: shares, orders: orders, known: known, chooser: chooser}
+	news := &gatewayNews{name: s.Identity.Name, shares: shares, orders: orders, known: known, chooser: chooser, told: make(map[string]uint64)}
 	manager := peering.New(peering.Options{Name: s.Identity.Name, Pool: n.Pool, News: news.compose, Hear: news.hear, Log: log})
 	manager.Register(n.Server)
 	orders.OnNews(manager.Urge)
--- a/internal/app/gatewaynews.go
+++ b/internal/app/gatewaynews.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"sync"
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/bootclock"
@@ -18,9 +19,15 @@
 	orders  *weights.Manager
 	known   *catalog.Catalog
 	chooser *steer.Chooser
+
+	mu sync.Mutex
+	// told holds the number of the first reading that a peer was not told.
+	told map[string]uint64
 }
 
-func (n *gatewayNews) compose() *wirepb.GatewayNews {
+// compose returns the news for a peer. News that are lost on the way are not
+// told again; they only make choices better.
+func (n *gatewayNews) compose(peer string) *wirepb.GatewayNews {
 	news := &wirepb.GatewayNews{Name: n.name}
 	if config := n.known.Config(); config != nil {
 		news.ConfigVersion = config.Version
@@ -38,15 +45,31 @@
 			Id: note.ID, Model: note.Model, WeightsVersion: note.Version, HeldMs: held,
 		})
 	}
+	for _, reading := range n.readingsFor(peer) {
+		news.Readings = append(news.Readings, &wirepb.PromptReading{
+			Upstream: reading.Upstream, Salt: reading.Salt, Parts: reading.Parts,
+		})
+	}
 	return news
 }
 
+func (n *gatewayNews) readingsFor(peer string) []steer.Reading {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	readings, next := n.chooser.Readings(n.told[peer])
+	n.told[peer] = next
+	return readings
+}
+
 func (n *gatewayNews) hear(news *wirepb.GatewayNews) {
 	demand := make(share.Demand, len(news.Demands))
 	for _, d := range news.Demands {
 		demand[d.Customer] = d.TokensPerSecond
 	}
 	n.shares.Hear(news.Name, demand)
+	for _, reading := range news.Readings {
+		n.chooser.Hear(steer.Reading{Upstream: reading.Upstream, Salt: reading.Salt, Parts: reading.Parts})
+	}
 	now := bootclock.Now()
 	for _, note := range news.Upstreams {
 		if note.WeightsVersion > 0 {
--- a/internal/app/gatewaysettings.go
+++ b/internal/app/gatewaysettings.go
@@ -30,6 +30,9 @@
 	RetryRatio float64 `ini:"retry_ratio"`
 	// RetrySlack is the number of repeats that all gateways may add besides.
 	RetrySlack float64 `ini:"retry_slack"`
+	// QuotaSlack is the number of tokens that a customer may be given beyond its
+	// limit over all gateways.
+	QuotaSlack float64 `ini:"quota_slack"`
 }
 
 // Validate implements settings.Validator.
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -24,11 +24,45 @@
 	return u
 }
 
+// Named is a weights version and when this process learned of it.
+type Named struct {
+	Version int64
+	Known   bootclock.Instant
+}
+
 // Wanted is the weights version that a model is to have.
 type Wanted struct {
-	Version int64
-	// Known is when this process learned of the version.
-	Known bootclock.Instant
+	Named
+	// former are the versions before it, oldest first, as long as they matter.
+	former []Named
+}
+
+// formerKept is how long a version is remembered that was followed by a newer one.
+const formerKept = time.Minute
+
+// Floor returns the newest version that was named at least age ago. Older
+// weights have been out of date for that long. It is 0 when there is none.
+func (w Wanted) Floor(now bootclock.Instant, age time.Duration) int64 {
+	if w.Version > 0 && now.Sub(w.Known) >= age {
+		return w.Version
+	}
+	for i := len(w.former) - 1; i >= 0; i-- {
+		if now.Sub(w.former[i].Known) >= age {
+			return w.former[i].Version
+		}
+	}
+	return 0
+}
+
+// follow returns the wanted version after a newer one was named.
+func (w Wanted) follow(version int64, now bootclock.Instant) Wanted {
+	next := Wanted{Named: Named{Version: version, Known: now}}
+	for _, named := range append(append([]Named(nil), w.former...), w.Named) {
+		if named.Version > 0 && now.Sub(named.Known) < formerKept {
+			next.former = append(next.former, named)
+		}
+	}
+	return next
 }
 
 // Catalog is the newest knowledge of the fleet. Parts are replaced whole and
@@ -109,7 +143,7 @@
 	}
 	for model, version := range versions {
 		if version > merged[model].Version {
-			merged[model] = Wanted{Version: version, Known: now}
+			merged[model] = merged[model].follow(version, now)
 		}
 	}
 	c.wanted.Store(&merged)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -64,7 +64,7 @@
 	if age > j.gateway.Bounds.WeightsGrace {
 		j.work.Wanted = wanted.Version
 	}
-	j.work.NewestOnly = wanted.Version > 0 && age > j.gateway.Bounds.WeightsLimit
+	j.work.Floor = wanted.Floor(bootclock.Now(), j.gateway.Bounds.WeightsLimit)
 }
 
 // attempt makes one send. done says that the caller has an answer or is gone;
@@ -148,6 +148,9 @@
 	if j.pool.Engine != nil {
 		send.Salt = j.salt(choice.Version)
 		send.Version = choice.Version
+		if choice.Source != nil {
+			send.Source = choice.Source.Address
+		}
 	}
 	call := j.call
 	codec := j.gateway.Codec
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -41,6 +41,9 @@
 	Salt string
 	// Version is the weights version that the upstream must have; 0 for any.
 	Version int64
+	// Source is the address of an engine that holds parts which the upstream lacks;
+	// empty for none.
+	Source string
 	// LastEvent is the event after which a stream is to go on.
 	LastEvent string
 }
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -35,8 +35,8 @@
 type Options struct {
 	Name string
 	Pool *wire.Pool
-	// News returns what this gateway tells.
-	News func() *wirepb.GatewayNews
+	// News returns what this gateway tells a peer.
+	News func(peer string) *wirepb.GatewayNews
 	// Hear takes what a peer told.
 	Hear func(*wirepb.GatewayNews)
 	Log  zerolog.Logger
@@ -76,7 +76,7 @@
 		return
 	}
 	m.options.Hear(&news)
-	if err := stream.Send(m.options.News()); err != nil {
+	if err := stream.Send(m.options.News(news.Name)); err != nil {
 		m.options.Log.Debug().Err(err).Str("peer", stream.Peer()).Msg("peering: news not answered")
 	}
 }
@@ -186,7 +186,7 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	var news wirepb.GatewayNews
-	if err := m.options.Pool.Ask(ctx, peer.Address, wirepb.Kind_KIND_GATEWAY, "", m.options.News(), &news); err != nil {
+	if err := m.options.Pool.Ask(ctx, peer.Address, wirepb.Kind_KIND_GATEWAY, "", m.options.News(peer.Name), &news); err != nil {
 		return err
 	}
 	m.options.Hear(&news)
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -52,6 +52,8 @@
 // Manager keeps this gateway's shares. It is safe for concurrent use.
 type Manager struct {
 	now func() bootclock.Instant
+	// slack is what may be spent beyond a customer's limit over all gateways.
+	slack float64
 
 	mu       sync.Mutex
 	accounts map[string]*account
@@ -60,13 +62,16 @@
 	registered map[string]bool
 }
 
-// New returns a manager without peers. A nil now stands for bootclock.Now.
-func New(now func() bootclock.Instant) *Manager {
+// New returns a manager without peers. slack is the number of tokens that all
+// gateways together may spend beyond a customer's limit in any window. A nil now
+// stands for bootclock.Now.
+func New(slack float64, now func() bootclock.Instant) *Manager {
 	if now == nil {
 		now = bootclock.Now
 	}
 	return &Manager{
 		now:        now,
+		slack:      slack,
 		accounts:   make(map[string]*account),
 		reports:    make(map[string]report),
 		registered: make(map[string]bool),
@@ -118,27 +123,30 @@
 }
 
 // Admit spends tokens of a customer. When there are too few it returns when
-// there may be enough.
+// there may be enough. The slack makes the bucket deeper: a gateway's part of the
+// burst alone may be less than a single large request. One that is larger than
+// the bucket waits until the bucket is full, and takes it below zero.
 func (m *Manager) Admit(customer string, limit Limit, tokens float64) (ok bool, retryAfter time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
 	a := m.accounts[customer]
 	fraction := m.fraction(customer, limit, a, now)
-	rate, burst := limit.Rate*fraction, max(limit.Burst*fraction, min(tokens, limit.Burst))
+	rate, burst := limit.Rate*fraction, (limit.Burst+m.slack)*fraction
 	if a == nil {
-		a = &account{tokens: limit.Burst * fraction, filled: now, counted: now}
+		a = &account{tokens: burst, filled: now, counted: now}
 		m.accounts[customer] = a
 	}
 	a.asked += tokens
 	a.count(now)
 	a.tokens = min(burst, a.tokens+rate*now.Sub(a.filled).Seconds())
 	a.filled = now
-	if a.tokens >= tokens {
+	need := min(tokens, burst)
+	if a.tokens >= need {
 		a.tokens -= tokens
 		return true, 0
 	}
-	missing := (tokens - a.tokens) / max(rate, 1)
+	missing := (need - a.tokens) / max(rate, 1)
 	wait := time.Duration(missing * float64(time.Second))
 	return false, min(max(wait, minRetryAfter), maxRetryAfter)
 }
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -22,13 +22,17 @@
 const (
 	// prefillTokensPerMS is assumed of engines, which do not tell their rate.
 	prefillTokensPerMS = 130.0
+	// copyTokensPerMS is assumed of copies between engines.
+	copyTokensPerMS = 1000.0
+	// minCopied is the least number of tokens that is worth a copy.
+	minCopied = 200
 	// cacheKept is how long a cached part is expected to stay without use.
 	cacheKept = 8 * time.Second
 	// homeCached is the part of a prefix that is expected at its home when this
 	// gateway has not sent it there itself; other gateways may have.
 	homeCached = 0.6
 	// zoneCost is the price of another zone, in milliseconds of waiting.
-	zoneCost = 4.0
+	zoneCost = 25.0
 	// runningCost is what each running request adds, in milliseconds.
 	runningCost = 1.0
 	// oldWeightsCost is the price of weights that are no longer wanted.
@@ -60,8 +64,8 @@
 	Parts []Part
 	// Wanted is the version of the weights that the model is to have; 0 when none was named.
 	Wanted int64
-	// NewestOnly excludes upstreams with older weights.
-	NewestOnly bool
+	// Floor excludes upstreams with older weights than this version.
+	Floor int64
 	// Prefill is the number of prompt tokens.
 	Prefill int64
 	// Tried are the upstreams that are not to be asked again.
@@ -79,6 +83,9 @@
 	Cost float64
 	// Usable is the number of upstreams that could have been chosen.
 	Usable int
+	// Source is an upstream from which the choice can copy cached parts that it
+	// lacks; nil when there is none.
+	Source *catalog.Upstream
 }
 
 type upstreamState struct {
@@ -90,7 +97,16 @@
 	// heldUntil keeps new requests away while an order is carried out.
 	heldUntil bootclock.Instant
 	version   map[string]int64
-	parts     map[string]bootclock.Instant
+	parts     map[string]held
+	// born tells lives of an upstream apart that keep its id.
+	born int64
+}
+
+// held is what is known of a cached part.
+type held struct {
+	used bootclock.Instant
+	// read says that the upstream has read the part, so that others can copy it.
+	read bool
 }
 
 // Chooser keeps what is known of each upstream. It is safe for concurrent use.
@@ -102,6 +118,56 @@
 	// gateways is the number of gateways that send to the upstreams, this one included.
 	gateways  int
 	upstreams map[string]*upstreamState
+	// readings are the newest ones of this gateway, numbered from firstReading.
+	readings     []Reading
+	firstReading uint64
+}
+
+// Reading says that an upstream has read the parts of a prompt.
+type Reading struct {
+	Upstream string
+	Salt     string
+	// Parts are the ids of the parts.
+	Parts []string
+}
+
+// maxReadings bounds the readings that are kept for other gateways.
+const maxReadings = 512
+
+// tell keeps a reading for other gateways; c.mu is held.
+func (c *Chooser) tell(r Reading) {
+	c.readings = append(c.readings, r)
+	if excess := len(c.readings) - maxReadings; excess > 0 {
+		c.readings = append(c.readings[:0], c.readings[excess:]...)
+		c.firstReading += uint64(excess)
+	}
+}
+
+// Readings returns this gateway's readings from a number on, and the number of
+// the next one.
+func (c *Chooser) Readings(from uint64) ([]Reading, uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := c.firstReading + uint64(len(c.readings))
+	if from < c.firstReading || from > next {
+		from = c.firstReading
+	}
+	return append([]Reading(nil), c.readings[from-c.firstReading:]...), next
+}
+
+// Hear takes a reading of another gateway.
+func (c *Chooser) Hear(r Reading) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, known := c.upstreams[r.Upstream]
+	if !known {
+		return
+	}
+	now := c.now()
+	for _, part := range r.Parts {
+		s.parts[r.Salt+part] = held{used: now, read: true}
+	}
+	s.forgetOldParts(now)
 }
 
 // New returns a chooser for a gateway in a zone. A nil now stands for bootclock.Now.
@@ -123,7 +189,7 @@
 func (c *Chooser) state(id string) *upstreamState {
 	s, ok := c.upstreams[id]
 	if !ok {
-		s = &upstreamState{version: make(map[string]int64), parts: make(map[string]bootclock.Instant)}
+		s = &upstreamState{version: make(map[string]int64), parts: make(map[string]held)}
 		c.upstreams[id] = s
 	}
 	return s
@@ -139,6 +205,12 @@
 		}
 	}
 	for id, upstream := range listed.ByID {
+		if s := c.state(id); s.born != upstream.BornMillis {
+			s.born = upstream.BornMillis
+			clear(s.version)
+			clear(s.parts)
+			s.heldUntil, s.restUntil, s.rest, s.failures = 0, 0, 0, 0
+		}
 		for model, version := range upstream.Weights {
 			c.noteVersion(c.state(id), model, version)
 		}
@@ -192,6 +264,7 @@
 	defer c.mu.Unlock()
 	now := c.now()
 	home := homeOf(list, work)
+	sources := c.sources(list, work, now)
 	best := Choice{}
 	usable := 0
 	for _, upstream := range list {
@@ -201,7 +274,7 @@
 			continue
 		}
 		usable++
-		candidate := c.price(upstream, s, work, version, upstream.ID == home, now)
+		candidate := c.price(upstream, s, work, version, upstream.ID == home, sources, now)
 		if best.Upstream == nil || candidate.Cost < best.Cost {
 			best = candidate
 		}
@@ -214,7 +287,7 @@
 	if u.Draining || now.Before(s.restUntil) || now.Before(s.heldUntil) {
 		return false
 	}
-	if work.NewestOnly && version < work.Wanted {
+	if version < work.Floor {
 		return false
 	}
 	for _, id := range work.Tried {
@@ -226,7 +299,7 @@
 }
 
 // price estimates the wait at an upstream; c.mu is held.
-func (c *Chooser) price(u *catalog.Upstream, s *upstreamState, work *Work, version int64, home bool, now bootclock.Instant) Choice {
+func (c *Chooser) price(u *catalog.Upstream, s *upstreamState, work *Work, version int64, home bool, sources []source, now bootclock.Instant) Choice {
 	others := float64(c.gateways)
 	running := float64(s.running) * others
 	cost := running*runningCost + failureCost*s.failures + rand.Float64()
@@ -238,14 +311,62 @@
 		cost += zoneCost
 	}
 	missing := work.Prefill
+	var from *catalog.Upstream
 	if len(work.Parts) > 0 {
 		missing = c.missing(s, work, version, home, now)
+		copied := int64(0)
+		from, copied = bestSource(sources, u, version, work.Prefill-missing)
+		missing -= copied
+		cost += float64(copied) / copyTokensPerMS
 		cost += (float64(missing) + float64(s.backlog)*others) / prefillTokensPerMS
 	}
 	if version < work.Wanted {
 		cost += oldWeightsCost
 	}
-	return Choice{Upstream: u, Version: version, Missing: missing, Cost: cost}
+	return Choice{Upstream: u, Version: version, Missing: missing, Cost: cost, Source: from}
+}
+
+// source is an upstream that holds leading parts of a prompt.
+type source struct {
+	upstream *catalog.Upstream
+	version  int64
+	tokens   int64
+}
+
+// sources lists the upstreams from which parts of the work can be copied; c.mu is held.
+func (c *Chooser) sources(list []*catalog.Upstream, work *Work, now bootclock.Instant) []source {
+	if len(work.Parts) == 0 {
+		return nil
+	}
+	var found []source
+	for _, upstream := range list {
+		s := c.state(upstream.ID)
+		if len(s.parts) == 0 || now.Before(s.restUntil) || now.Before(s.heldUntil) {
+			continue
+		}
+		version := s.version[work.Model]
+		if tokens := s.copyable(work, work.Salt(version), now); tokens > 0 {
+			found = append(found, source{upstream: upstream, version: version, tokens: tokens})
+		}
+	}
+	return found
+}
+
+// bestSource returns the source that has the most beyond what an upstream has,
+// in the upstream's zone if possible, and the number of tokens that it saves.
+func bestSource(sources []source, to *catalog.Upstream, version, cached int64) (*catalog.Upstream, int64) {
+	var best *catalog.Upstream
+	var most int64
+	for _, s := range sources {
+		saved := s.tokens - cached
+		if s.version != version || s.upstream.ID == to.ID || saved < minCopied {
+			continue
+		}
+		if saved > most || saved == most && s.upstream.Zone == to.Zone {
+			best, most = s.upstream, saved
+		}
+	}
+	return best, most
 }
 
 // missing estimates the prompt tokens that an upstream has to read; c.mu is held.
@@ -253,8 +374,7 @@
 	salt := work.Salt(version)
 	missing := work.Prefill
 	for i, part := range work.Parts {
-		used, known := s.parts[salt+part.ID]
-		if known && now.Sub(used) < cacheKept {
+		if s.has(salt+part.ID, now) {
 			missing -= part.Tokens
 			continue
 		}
@@ -299,10 +419,30 @@
 		salt = work.Salt(choice.Version)
 	}
 	for _, part := range work.Parts {
-		s.parts[salt+part.ID] = now
+		known := s.parts[salt+part.ID]
+		s.parts[salt+part.ID] = held{used: now, read: known.read && now.Sub(known.used) < cacheKept}
 	}
 	s.forgetOldParts(now)
-	return &Visit{chooser: c, state: s, missing: choice.Missing}
+	return &Visit{chooser: c, state: s, missing: choice.Missing, id: choice.Upstream.ID, salt: salt, parts: work.Parts}
+}
+
+// has reports whether a part is expected to be cached.
+func (s *upstreamState) has(key string, now bootclock.Instant) bool {
+	known, ok := s.parts[key]
+	return ok && now.Sub(known.used) < cacheKept
+}
+
+// copyable returns the number of leading tokens of the work that others can copy.
+func (s *upstreamState) copyable(work *Work, salt string, now bootclock.Instant) int64 {
+	tokens := int64(0)
+	for _, part := range work.Parts {
+		known, ok := s.parts[salt+part.ID]
+		if !ok || !known.read || now.Sub(known.used) >= cacheKept {
+			break
+		}
+		tokens += part.Tokens
+	}
+	return tokens
 }
 
 // maxParts bounds the parts that are remembered of one upstream.
@@ -312,8 +452,8 @@
 	if len(s.parts) <= maxParts {
 		return
 	}
-	for id, used := range s.parts {
-		if now.Sub(used) >= cacheKept {
+	for id, known := range s.parts {
+		if now.Sub(known.used) >= cacheKept {
 			delete(s.parts, id)
 		}
 	}
@@ -331,6 +471,9 @@
 	state   *upstreamState
 	missing int64
 	left    bool
+	id      string
+	salt    string
+	parts   []Part
 }
 
 // Started notes that the upstream has read the prompt.
@@ -339,6 +482,19 @@
 	defer v.chooser.mu.Unlock()
 	v.state.backlog -= v.missing
 	v.missing = 0
+	if len(v.parts) == 0 {
+		return
+	}
+	now := v.chooser.now()
+	ids := make([]string, len(v.parts))
+	for i, part := range v.parts {
+		ids[i] = part.ID
+		key := v.salt + part.ID
+		if _, ok := v.state.parts[key]; ok {
+			v.state.parts[key] = held{used: now, read: true}
+		}
+	}
+	v.chooser.tell(Reading{Upstream: v.id, Salt: v.salt, Parts: ids})
 }
 
 // Left notes the end of the stay. It is safe to call more than once.
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -40,9 +40,6 @@
 	orderPatience = 8 * time.Second
 	// rejectedPause is how long an engine that rejected an order is left alone.
 	rejectedPause = time.Second
-	// batchesAtOnce is the number of batches that are under order at the same time: one
-	// that loads, and one that finishes its requests.
-	batchesAtOnce = 2
 )
 
 // Fleet is what the manager needs to know and to tell of engines.
@@ -67,7 +64,9 @@
 	// TakeOver is how long a new holder waits before its first order, so that
 	// orders of two holders never come close together.
 	TakeOver time.Duration
-	Log      zerolog.Logger
+	// WeightsLimit is how long older weights may be used after newer ones were named.
+	WeightsLimit time.Duration
+	Log          zerolog.Logger
 }
 
 // Note is what the holder knows of an engine that is under an order.
@@ -189,37 +188,41 @@
 		for model, wanted := range m.options.Catalog.Models() {
 			for _, pool := range config.Pools {
 				if pool.Engine != nil && slices.Contains(pool.Engine.Models, model) {
-					m.planPool(ctx, upstreams.ByPool[pool.Name], model, wanted.Version)
+					m.planPool(ctx, upstreams.ByPool[pool.Name], model, wanted)
 				}
 			}
 		}
 	}
 }
 
-// planPool starts orders for the next batch of a pool's engines.
-func (m *Manager) planPool(ctx context.Context, engines []*catalog.Upstream, model string, version int64) {
-	limit := AtOnce(len(engines)) * batchesAtOnce
+// planPool starts orders for the next engines of a pool.
+func (m *Manager) planPool(ctx context.Context, engines []*catalog.Upstream, model string, wanted catalog.Wanted) {
 	perZone := make(map[string]int)
+	state := PoolState{Engines: len(engines), Age: bootclock.Since(wanted.Known), Limit: m.options.WeightsLimit}
 	var candidates []Candidate
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, engine := range engines {
-		if m.busy[engine.ID] {
+		version := m.options.Fleet.Version(engine.ID, model)
+		switch {
+		case m.busy[engine.ID]:
 			perZone[engine.Zone]++
-			limit--
-			continue
-		}
-		if engine.Draining || m.options.Fleet.Version(engine.ID, model) >= version {
-			continue
+			state.Loading++
+		case version >= wanted.Version:
+			perZone[engine.Zone]++
+			state.Ready++
+			state.Running += m.options.Fleet.Running(engine.ID)
+			state.Slots += engine.Capacity
+		case !engine.Draining:
+			candidates = append(candidates, Candidate{Upstream: engine, Running: m.options.Fleet.Running(engine.ID), Version: version})
 		}
-		candidates = append(candidates, Candidate{Upstream: engine, Running: m.options.Fleet.Running(engine.ID)})
 	}
-	for _, next := range Next(candidates, perZone, limit) {
+	for _, next := range Next(candidates, perZone, state.Starts()) {
 		m.busy[next.Upstream.ID] = true
 		m.done.Add(1)
 		go func() {
 			defer m.done.Done()
-			m.bring(ctx, next.Upstream, model, version)
+			m.bring(ctx, next.Upstream, model, wanted.Version)
 			m.mu.Lock()
 			defer m.mu.Unlock()
 			delete(m.busy, next.Upstream.ID)
@@ -230,25 +233,25 @@
 // bring takes one engine to a version: an order, then questions until it is there.
 func (m *Manager) bring(ctx context.Context, engine *catalog.Upstream, model string, version int64) {
 	m.hold(engine.ID, model)
-	result, err := m.order(ctx, engine, model, version, engine.Orders)
-	if err == nil && result == Busy {
-		report, reportErr := m.report(ctx, engine, model)
-		if reportErr != nil || report.Busy || report.Versions[model] >= version {
-			result, err = Busy, reportErr
-		} else {
-			result, err = m.order(ctx, engine, model, version, report.Orders)
-		}
+	report, err := m.report(ctx, engine, model)
+	if err != nil || report.Busy {
+		m.await(ctx, engine, model, version)
+		return
 	}
-	if err == nil && result == Holds {
+	if report.Versions[model] >= version {
 		m.arrived(engine.ID, model, version)
 		return
 	}
-	if err == nil && result != Accepted && result != Busy {
+	result, err := m.order(ctx, engine, model, version, report.Orders)
+	switch {
+	case err == nil && result == Holds:
+		m.arrived(engine.ID, model, version)
+	case err == nil && result != Accepted && result != Busy:
 		m.release(engine.ID, model)
 		_ = pause.For(ctx, rejectedPause)
-		return
+	default:
+		m.await(ctx, engine, model, version)
 	}
-	m.await(ctx, engine, model, version)
 }
 
 // await asks an engine until it has the version, or is not busy any more.
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sort"
 	"time"
 
@@ -89,6 +90,47 @@
 type Candidate struct {
 	Upstream *catalog.Upstream
 	Running  int
+	// Version is what it has now.
+	Version int64
+}
+
+// PoolState is how far a pool is on its way to a version.
+type PoolState struct {
+	// Engines is the number of engines in the pool.
+	Engines int
+	// Ready have the version, Loading are under an order.
+	Ready   int
+	Loading int
+	// Running and Slots are the requests and the places of those that are ready.
+	Running int
+	Slots   int
+	// Age is the time since the version became known.
+	Age time.Duration
+	// Limit is the age at which no engine may have older weights.
+	Limit time.Duration
+}
+
+const (
+	// servingPart is the part of a pool that takes a new version at once. The rest
+	// serves nothing then, and is the first to take the next version, without
+	// requests that it would have to finish.
+	servingPart = 0.5
+	// restAfter is the part of the limit after which the rest follows.
+	restAfter = 0.4
+	// crowded is the part of the places in use, as one gateway sees it, above which
+	// the rest follows at once.
+	crowded = 0.05
+)
+
+// Starts returns the number of engines to order now.
+func (s PoolState) Starts() int {
+	target := s.Engines
+	early := s.Age < time.Duration(restAfter*float64(s.Limit))
+	idle := s.Slots == 0 || float64(s.Running) < crowded*float64(s.Slots)
+	if early && idle {
+		target = int(math.Ceil(servingPart * float64(s.Engines)))
+	}
+	return max(0, min(AtOnce(s.Engines)-s.Loading, target-s.Ready-s.Loading))
 }
 
 // AtOnce is the number of engines of a pool that load at the same time.
@@ -97,14 +139,18 @@
 // batchParts is the number of batches in which a pool takes new weights.
 const batchParts = 6
 
-// Next picks up to count engines for the next batch: zones in turn, so that each
-// zone keeps engines with either version, and within a zone the least busy first.
+// Next picks up to count engines for the next batch: those with the oldest weights
+// first, since they serve least; then zones in turn, so that each zone has engines
+// with the new version; then the least busy.
 func Next(candidates []Candidate, perZone map[string]int, count int) []Candidate {
 	left := append([]Candidate(nil), candidates...)
 	var picked []Candidate
 	for len(picked) < count && len(left) > 0 {
 		sort.SliceStable(left, func(i, k int) bool {
 			a, b := left[i], left[k]
+			if a.Version != b.Version {
+				return a.Version < b.Version
+			}
 			if perZone[a.Upstream.Zone] != perZone[b.Upstream.Zone] {
 				return perZone[a.Upstream.Zone] < perZone[b.Upstream.Zone]
 			}
