Drain engines before an order, hand the orders lease over, close idle callers safely

Change: holds name the version that ends them; the holder releases its lease at SIGTERM; gateways tell each other how long they have known a version; an engine gets 0.5 s to drain and then goes on under the new weights; idle connections of callers end by their read deadline; refusals say which upstreams were excluded.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -56,6 +56,8 @@
 	callerIdle = 60 * time.Second
 	// maxHeaderBytes bounds a request's head.
 	maxHeaderBytes = 64 << 10
+	// closeDelay is the time in which idle connections close after they were told to.
+	closeDelay = 300 * time.Millisecond
 	// takeOverMargin is added to the time between the orders of two holders.
 	takeOverMargin = 200 * time.Millisecond
 )
@@ -294,9 +296,11 @@
 }
 
 // serveGatewayCallers serves callers last of all, and stops first.
-func serveGatewayCallers(lifecycle fx.Lifecycle, s *GatewaySettings, g *gateway.Gateway, known *catalog.Catalog, ready *admin.Readiness, log zerolog.Logger) {
+func serveGatewayCallers(lifecycle fx.Lifecycle, s *GatewaySettings, g *gateway.Gateway, orders *weights.Manager, known *catalog.Catalog, ready *admin.Readiness, log zerolog.Logger) {
+	idle := newIdleTracker()
 	server := &http.Server{
 		Handler:           g,
+		ConnState:         idle.connState,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       callerIdle,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -320,7 +324,11 @@
 		ready.Set(false)
 		g.Drain()
 		log.Info().Int64("active", g.Active()).Msg("app: not ready any more, finishing requests")
+		orders.Retire(ctx)
 		_ = pause.For(ctx, s.Stop.DrainDelay)
+		g.Close()
+		idle.expire()
+		_ = pause.For(ctx, closeDelay)
 		return fault.Wrap(server.Shutdown(ctx), "finish requests", s.Callers.Listen)
 	}
 	appendHook(lifecycle, start, stop)
--- a/internal/app/gatewaynews.go
+++ b/internal/app/gatewaynews.go
@@ -37,12 +37,15 @@
 	}
 	now := bootclock.Now()
 	for _, note := range n.orders.Notes() {
-		held := int64(0)
-		if note.Version == 0 {
-			held = note.Until.Sub(now).Milliseconds()
+		told := &wirepb.UpstreamNote{Id: note.ID, Model: note.Model, WeightsVersion: note.Version}
+		if note.Held {
+			told.HeldMs, told.TargetVersion = note.Until.Sub(now).Milliseconds(), note.Target
 		}
-		news.Upstreams = append(news.Upstreams, &wirepb.UpstreamNote{
-			Id: note.ID, Model: note.Model, WeightsVersion: note.Version, HeldMs: held,
+		news.Upstreams = append(news.Upstreams, told)
+	}
+	for model, wanted := range n.known.Models() {
+		news.Wanted = append(news.Wanted, &wirepb.WantedWeights{
+			Model: model, Version: wanted.Version, AgeMs: now.Sub(wanted.Known).Milliseconds(),
 		})
 	}
 	for _, reading := range n.readingsFor(peer) {
@@ -71,12 +74,23 @@
 		n.chooser.Hear(steer.Reading{Upstream: reading.Upstream, Salt: reading.Salt, Parts: reading.Parts})
 	}
 	now := bootclock.Now()
+	for _, wanted := range news.Wanted {
+		n.known.Age(wanted.Model, wanted.Version, now.Add(-time.Duration(wanted.AgeMs)*time.Millisecond))
+	}
 	for _, note := range news.Upstreams {
-		if note.WeightsVersion > 0 {
-			n.chooser.NoteVersion(note.Id, note.Model, note.WeightsVersion)
-		}
-		if note.HeldMs > 0 {
-			n.chooser.Hold(note.Id, now.Add(time.Duration(note.HeldMs)*time.Millisecond))
-		}
+		n.hearUpstream(note, now)
+	}
+}
+
+// hearUpstream takes what the holder of the orders lease knows of an upstream. A
+// hold may be told after the version that ends it was learned in another way.
+func (n *gatewayNews) hearUpstream(note *wirepb.UpstreamNote, now bootclock.Instant) {
+	if note.WeightsVersion > 0 {
+		n.chooser.NoteVersion(note.Id, note.Model, note.WeightsVersion)
+	}
+	until := bootclock.Instant(0)
+	if note.HeldMs > 0 && n.chooser.Version(note.Id, note.Model) < note.TargetVersion {
+		until = now.Add(time.Duration(note.HeldMs) * time.Millisecond)
 	}
+	n.chooser.Hold(note.Id, until)
 }
--- a/internal/app/gatewaysettings.go
+++ b/internal/app/gatewaysettings.go
@@ -96,7 +96,7 @@
 			Revoke: 5 * time.Second, Lease: 3 * time.Second, Weights: 12 * time.Second,
 			RetryRatio: 0.2, RetrySlack: 50,
 		},
-		Stop:    Stop{DrainDelay: 4 * time.Second, Timeout: 7500 * time.Millisecond},
+		Stop:    Stop{DrainDelay: 2800 * time.Millisecond, Timeout: 7500 * time.Millisecond},
 		Runtime: Runtime{Threads: 1},
 	}
 }
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,6 +55,12 @@
 	return 0
 }
 
+// aged returns the wanted version, known since an earlier instant.
+func (w Wanted) aged(known bootclock.Instant) Wanted {
+	w.Known = min(w.Known, known)
+	return w
+}
+
 // follow returns the wanted version after a newer one was named.
 func (w Wanted) follow(version int64, now bootclock.Instant) Wanted {
 	next := Wanted{Named: Named{Version: version, Known: now}}
@@ -150,6 +157,20 @@
 	c.notify()
 }
 
+// Age corrects the instant at which a wanted version became known, when another
+// process has known it for longer.
+func (c *Catalog) Age(model string, version int64, known bootclock.Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	former := c.wanted.Load()
+	if former == nil || (*former)[model].Version != version || (*former)[model].Known <= known {
+		return
+	}
+	merged := maps.Clone(*former)
+	merged[model] = merged[model].aged(known)
+	c.wanted.Store(&merged)
+}
+
 // Changed returns a channel that is closed at the next change.
 func (c *Catalog) Changed() <-chan struct{} {
 	c.mu.Lock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -107,6 +107,7 @@
 			return choice, nil
 		}
 		if !bootclock.Now().Before(waitUntil) {
+			j.outcome.excluded = choice.Excluded.String()
 			return steer.Choice{}, j.notServed()
 		}
 		time.Sleep(choiceStep)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,7 @@
 	Options
 	records  *recorder
 	draining atomic.Bool
+	closed   atomic.Bool
 	active   atomic.Int64
 	buffered atomic.Int64
 }
@@ -73,6 +74,9 @@
 // Drain makes callers use other gateways for what follows.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
+// Close refuses what still arrives.
+func (g *Gateway) Close() { g.closed.Store(true) }
+
 // Active returns the number of requests that have no final answer yet.
 func (g *Gateway) Active() int64 { return g.active.Load() }
 
@@ -104,6 +108,7 @@
 	refusedNoConfig   = &refusal{http.StatusServiceUnavailable, "no-configuration", stateRetry}
 	refusedStale      = &refusal{http.StatusServiceUnavailable, "configuration-stale", stateRetry}
 	refusedMalformed  = &refusal{http.StatusBadRequest, "malformed", 0}
+	refusedStopping   = &refusal{http.StatusServiceUnavailable, "stopping", shortRetry}
 	refusedNoRoute    = &refusal{http.StatusNotFound, "no-route", 0}
 	refusedKey        = &refusal{http.StatusUnauthorized, "unknown-key", 0}
 	refusedTooLarge   = &refusal{http.StatusRequestEntityTooLarge, "body-too-large", 0}
@@ -141,6 +146,9 @@
 // admit reads the request and decides whether it may run at all.
 func (j *job) admit() *refusal {
 	g := j.gateway
+	if g.closed.Load() {
+		return refusedStopping
+	}
 	call, err := g.Codec.Describe(j.r)
 	if err != nil {
 		j.outcome.err = err
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -27,7 +27,9 @@
 	firstByte time.Duration
 	// events is the last event that was passed on.
 	events string
-	err    error
+	// excluded says why no upstream could be chosen.
+	excluded string
+	err      error
 }
 
 // recorder writes a line on each request that was not served, and on a sample of
@@ -112,6 +114,9 @@
 	if j.outcome.events != "" {
 		line = line.Str("last_event", j.outcome.events)
 	}
+	if j.outcome.excluded != "" {
+		line = line.Str("excluded", j.outcome.excluded)
+	}
 	if len(j.sends) > 0 {
 		line = line.Str("sends", describe(j.sends))
 	}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -10,7 +10,9 @@
 package steer
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -81,13 +83,28 @@
 	Missing int64
 	// Cost is the expected wait in milliseconds.
 	Cost float64
-	// Usable is the number of upstreams that could have been chosen.
-	Usable int
+	// Usable is the number of upstreams that could have been chosen, Excluded counts
+	// the others by reason.
+	Usable   int
+	Excluded Excluded
 	// Source is an upstream from which the choice can copy cached parts that it
 	// lacks; nil when there is none.
 	Source *catalog.Upstream
 }
 
+// Excluded counts upstreams that can't take a request.
+type Excluded struct {
+	// Draining upstreams leave, Resting ones could not be reached or refused a
+	// request, Held ones are about to load weights, Old ones have weights that may
+	// not be used any more, and Tried ones were asked before.
+	Draining, Resting, Held, Old, Tried int
+}
+
+// String returns the counts for logs.
+func (e Excluded) String() string {
+	return fmt.Sprintf("draining=%d resting=%d held=%d old=%d tried=%d", e.Draining, e.Resting, e.Held, e.Old, e.Tried)
+}
+
 type upstreamState struct {
 	running   int
 	backlog   int64
@@ -267,10 +284,11 @@
 	sources := c.sources(list, work, now)
 	best := Choice{}
 	usable := 0
+	var excluded Excluded
 	for _, upstream := range list {
 		s := c.state(upstream.ID)
 		version := s.version[work.Model]
-		if !c.usable(upstream, s, work, version, now) {
+		if !excluded.usable(upstream, s, work, version, now) {
 			continue
 		}
 		usable++
@@ -279,23 +297,27 @@
 			best = candidate
 		}
 	}
-	best.Usable = usable
+	best.Usable, best.Excluded = usable, excluded
 	return best, best.Upstream != nil
 }
 
-func (c *Chooser) usable(u *catalog.Upstream, s *upstreamState, work *Work, version int64, now bootclock.Instant) bool {
-	if u.Draining || now.Before(s.restUntil) || now.Before(s.heldUntil) {
-		return false
-	}
-	if version < work.Floor {
-		return false
-	}
-	for _, id := range work.Tried {
-		if id == u.ID {
-			return false
-		}
-	}
-	return true
+// usable reports whether an upstream can take a request, and counts the reason if not.
+func (e *Excluded) usable(u *catalog.Upstream, s *upstreamState, work *Work, version int64, now bootclock.Instant) bool {
+	switch {
+	case u.Draining:
+		e.Draining++
+	case now.Before(s.restUntil):
+		e.Resting++
+	case now.Before(s.heldUntil):
+		e.Held++
+	case version < work.Floor:
+		e.Old++
+	case slices.Contains(work.Tried, u.ID):
+		e.Tried++
+	default:
+		return true
+	}
+	return false
 }
 
 // price estimates the wait at an upstream; c.mu is held.
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -29,6 +30,10 @@
 	orderMargin = 300 * time.Millisecond
 	// planEvery is the pause between two looks at the engines.
 	planEvery = 50 * time.Millisecond
+	// drainLimit is how long an engine's requests may take to end before an order.
+	drainLimit = 500 * time.Millisecond
+	// drainStep is the pause between two questions whether they have ended.
+	drainStep = 150 * time.Millisecond
 	// orderTimeout bounds one order.
 	orderTimeout = 800 * time.Millisecond
 	// reportTimeout bounds one question for an engine's state.
@@ -38,6 +43,8 @@
 	reportEvery = 250 * time.Millisecond
 	// orderPatience is when an engine that does not get ready is ordered anew.
 	orderPatience = 8 * time.Second
+	// lostPause is how long an engine that did not report is left alone.
+	lostPause = 400 * time.Millisecond
 	// rejectedPause is how long an engine that rejected an order is left alone.
 	rejectedPause = time.Second
 )
@@ -71,10 +78,15 @@
 
 // Note is what the holder knows of an engine that is under an order.
 type Note struct {
-	ID      string
-	Model   string
+	ID    string
+	Model string
+	// Version is what the engine has; 0 when that is not known.
 	Version int64
-	Until   bootclock.Instant
+	// Held says that new requests are kept away until the engine has Target.
+	Held   bool
+	Target int64
+	// Until is when the note is out of date.
+	Until bootclock.Instant
 }
 
 // Manager competes for the lease and gives orders while it holds it.
@@ -89,7 +101,11 @@
 	since bootclock.Instant
 	busy  map[string]bool
 	notes map[string]Note
-	done  sync.WaitGroup
+	// loading is the number of engines of each pool that load, loadsAtOnce its bound.
+	loading     map[string]int
+	loadsAtOnce map[string]int
+	retired     bool
+	done        sync.WaitGroup
 	// onNews is called when there are news of engines for other gateways.
 	onNews func()
 }
@@ -104,7 +120,10 @@
 
 // New returns a manager that holds nothing.
 func New(options Options) *Manager {
-	return &Manager{options: options, busy: make(map[string]bool), notes: make(map[string]Note)}
+	return &Manager{
+		options: options, busy: make(map[string]bool), notes: make(map[string]Note),
+		loading: make(map[string]int), loadsAtOnce: make(map[string]int),
+	}
 }
 
 // OnNews sets what is called when there are news of engines for other gateways.
@@ -123,13 +142,16 @@
 // compete takes and renews the lease.
 func (m *Manager) compete(ctx context.Context) {
 	for pause.For(ctx, renewEvery) == nil {
+		if m.isRetired() {
+			return
+		}
 		asked := bootclock.Now()
 		callCtx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
 		fence, err := m.options.Lease.Acquire(callCtx)
 		cancel()
 		m.mu.Lock()
 		former := m.holds(asked)
-		if err == nil {
+		if err == nil && !m.retired {
 			m.fence = fence
 			m.until = asked.Add(term)
 			if !former {
@@ -145,6 +167,28 @@
 	}
 }
 
+// Retire gives no more orders, and lets another gateway take over.
+func (m *Manager) Retire(ctx context.Context) {
+	m.mu.Lock()
+	m.retired = true
+	held := m.holds(bootclock.Now())
+	m.until = 0
+	m.mu.Unlock()
+	if !held {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
+	defer cancel()
+	err := m.options.Lease.Release(ctx)
+	m.options.Log.Info().Err(err).Msg("weights: orders lease released")
+}
+
+func (m *Manager) isRetired() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.retired
+}
+
 // holds reports whether the lease is held at an instant; m.mu is held.
 func (m *Manager) holds(now bootclock.Instant) bool { return now.Before(m.until) }
 
@@ -197,11 +241,15 @@
 
 // planPool starts orders for the next engines of a pool.
 func (m *Manager) planPool(ctx context.Context, engines []*catalog.Upstream, model string, wanted catalog.Wanted) {
+	if len(engines) == 0 {
+		return
+	}
 	perZone := make(map[string]int)
 	state := PoolState{Engines: len(engines), Age: bootclock.Since(wanted.Known), Limit: m.options.WeightsLimit}
 	var candidates []Candidate
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.loadsAtOnce[engines[0].Pool] = AtOnce(len(engines))
 	for _, engine := range engines {
 		version := m.options.Fleet.Version(engine.ID, model)
 		switch {
@@ -230,18 +278,24 @@
 	}
 }
 
-// bring takes one engine to a version: an order, then questions until it is there.
+// bring takes one engine to a version: its requests get some time to end, then
+// comes the order, then questions until it is there.
 func (m *Manager) bring(ctx context.Context, engine *catalog.Upstream, model string, version int64) {
-	m.hold(engine.ID, model)
-	report, err := m.report(ctx, engine, model)
-	if err != nil || report.Busy {
-		m.await(ctx, engine, model, version)
+	m.hold(engine.ID, model, version)
+	report, err := m.drain(ctx, engine, model)
+	if err != nil {
+		m.release(engine.ID, model)
+		_ = pause.For(ctx, lostPause)
 		return
 	}
 	if report.Versions[model] >= version {
 		m.arrived(engine.ID, model, version)
 		return
 	}
+	if !m.startLoad(ctx, engine.Pool) {
+		return
+	}
+	defer m.endLoad(engine.Pool)
 	result, err := m.order(ctx, engine, model, version, report.Orders)
 	switch {
 	case err == nil && result == Holds:
@@ -254,6 +308,48 @@
 	}
 }
 
+// drain waits until an engine has no requests, but not for long. What still runs
+// then goes on under the new weights.
+func (m *Manager) drain(ctx context.Context, engine *catalog.Upstream, model string) (Report, error) {
+	started := bootclock.Now()
+	for {
+		report, err := m.report(ctx, engine, model)
+		if err != nil || report.Running == 0 && !report.Busy {
+			return report, err
+		}
+		left := drainLimit - bootclock.Since(started)
+		if left <= 0 {
+			return report, nil
+		}
+		if err := pause.For(ctx, min(left, drainStep)); err != nil {
+			return report, err
+		}
+	}
+}
+
+// startLoad waits until another engine of the pool may load. It returns false
+// when ctx ends first.
+func (m *Manager) startLoad(ctx context.Context, pool string) bool {
+	for {
+		m.mu.Lock()
+		if m.loading[pool] < m.loadsAtOnce[pool] {
+			m.loading[pool]++
+			m.mu.Unlock()
+			return true
+		}
+		m.mu.Unlock()
+		if pause.For(ctx, planEvery) != nil {
+			return false
+		}
+	}
+}
+
+func (m *Manager) endLoad(pool string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.loading[pool]--
+}
+
 // await asks an engine until it has the version, or is not busy any more.
 func (m *Manager) await(ctx context.Context, engine *catalog.Upstream, model string, version int64) {
 	ordered := bootclock.Now()
@@ -265,6 +361,9 @@
 			return
 		}
 		report, err := m.report(ctx, engine, model)
+		if errors.Is(err, ErrOtherLife) {
+			break
+		}
 		if err != nil {
 			continue
 		}
@@ -288,7 +387,7 @@
 	defer cancel()
 	asked := bootclock.Now()
 	result, err := m.options.Engines.Order(ctx, &Order{
-		Upstream: engine, Model: model, Version: version, Mode: ModeFinish,
+		Upstream: engine, Model: model, Version: version, Mode: ModeContinue,
 		Holder: m.options.Name, Fence: fence, Expected: expected,
 	})
 	outcome := result.String()
@@ -317,10 +416,10 @@
 }
 
 // hold keeps new requests away from an engine, here and at the other gateways.
-func (m *Manager) hold(id, model string) {
+func (m *Manager) hold(id, model string, target int64) {
 	until := holdUntil()
 	m.options.Fleet.Hold(id, until)
-	m.tell(Note{ID: id, Model: model, Until: until})
+	m.tell(Note{ID: id, Model: model, Held: true, Target: target, Until: until})
 }
 
 // release lets new requests go to an engine again.
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -73,6 +73,8 @@
 	Busy     bool
 	// Orders is the number of orders that were accepted in this life.
 	Orders int64
+	// Running is the number of requests that run or wait.
+	Running int
 	// BornMillis tells lives apart.
 	BornMillis int64
 }
@@ -86,6 +88,10 @@
 // ErrNotHolder says that this process may not give orders now.
 var ErrNotHolder = errors.New("the orders lease is not held")
 
+// ErrOtherLife says that the engine that was meant has ended, and another life of
+// it answers.
+var ErrOtherLife = errors.New("another life of the engine answers")
+
 // Candidate is an engine that may be ordered.
 type Candidate struct {
 	Upstream *catalog.Upstream
@@ -98,7 +104,7 @@
 type PoolState struct {
 	// Engines is the number of engines in the pool.
 	Engines int
-	// Ready have the version, Loading are under an order.
+	// Ready have the version, Loading are on their way to it.
 	Ready   int
 	Loading int
 	// Running and Slots are the requests and the places of those that are ready.
@@ -111,6 +117,9 @@
 }
 
 const (
+	// batchesAtOnce is the number of batches that are on their way at the same time:
+	// one that loads, and one whose requests end.
+	batchesAtOnce = 2
 	// servingPart is the part of a pool that takes a new version at once. The rest
 	// serves nothing then, and is the first to take the next version, without
 	// requests that it would have to finish.
@@ -130,7 +139,7 @@
 	if early && idle {
 		target = int(math.Ceil(servingPart * float64(s.Engines)))
 	}
-	return max(0, min(AtOnce(s.Engines)-s.Loading, target-s.Ready-s.Loading))
+	return max(0, min(batchesAtOnce*AtOnce(s.Engines)-s.Loading, target-s.Ready-s.Loading))
 }
 
 // AtOnce is the number of engines of a pool that load at the same time.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -86,6 +86,23 @@
 	return l.write(ctx, asked, version)
 }
 
+// Release ends the lease early, so that others need not wait for its term. It
+// does nothing when the lease is not held.
+func (l *Lease) Release(ctx context.Context) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.now().Before(l.expires) {
+		return nil
+	}
+	l.expires = time.Time{}
+	value, err := json.Marshal(leaseRecord{Holder: l.holder, Nonce: rand.Uint64()})
+	if err != nil {
+		return err
+	}
+	_, err = l.store.Put(ctx, l.key, value, l.seen)
+	return err
+}
+
 // isOver reports whether a record has stayed unchanged for its whole term.
 func (l *Lease) isOver(r leaseRecord) bool {
 	wait := r.Term + time.Duration(float64(r.Term)*driftAllowance)
