--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/gin-gonic/gin"
 	"github.com/greengagegate/greengagegate/internal/admin"
+	"github.com/greengagegate/greengagegate/internal/cachestore"
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/exchange"
 	"github.com/greengagegate/greengagegate/internal/fault"
@@ -81,6 +82,7 @@
 	Store(address string) FollowedStore
 	Codec() gateway.Codec
 	Engines() weights.Engines
+	CacheEvents() cachestore.Events
 	// Followed returns the prefixes that fill the catalog.
 	Followed(c *catalog.Catalog, log zerolog.Logger) []Followed
 }
@@ -106,7 +108,7 @@
 		),
 		fx.Invoke(
 			serveGatewayAdmin, serveReadiness, startPeering, followCatalog, followPlatform, followRoster,
-			sweepConnections, startOrders, serveGatewayCallers,
+			sweepConnections, startOrders, followCacheStore, serveGatewayCallers,
 		),
 	)
 }
@@ -295,6 +297,11 @@
 	appendBackground(lifecycle, orders.Run)
 }
 
+func followCacheStore(lifecycle fx.Lifecycle, p Platform, known *catalog.Catalog, chooser *steer.Chooser, log zerolog.Logger) {
+	follower := cachestore.New(cachestore.Options{Catalog: known, Events: p.CacheEvents(), Sink: chooser, Log: log})
+	appendBackground(lifecycle, follower.Run)
+}
+
 // serveGatewayCallers serves callers last of all, and stops first.
 func serveGatewayCallers(lifecycle fx.Lifecycle, s *GatewaySettings, g *gateway.Gateway, orders *weights.Manager, known *catalog.Catalog, ready *admin.Readiness, log zerolog.Logger) {
 	idle := newIdleTracker()
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -80,6 +80,14 @@
 	Engine *Engine
 }
 
+// CacheStore keeps cached prompt parts beside the engines.
+type CacheStore struct {
+	Address string
+	Zone    string
+	// TokensPerMS is what its link carries.
+	TokensPerMS float64
+}
+
 // Customer is a party with keys and a limit.
 type Customer struct {
 	Name string
@@ -113,10 +121,12 @@
 
 // Config is one version of the configuration.
 type Config struct {
-	Version   int64
-	Limits    Limits
-	Pools     map[string]*Pool
-	Customers map[string]*Customer
+	Version int64
+	Limits  Limits
+	Pools   map[string]*Pool
+	// CacheStores serve no requests.
+	CacheStores []CacheStore
+	Customers   map[string]*Customer
 	// Keys maps the hash of each key to its customer.
 	Keys map[KeyHash]*Customer
 	// KeysRequired says that routes which are not open need a key.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -61,6 +61,7 @@
 	j.work.Parts = j.call.Parts
 	j.work.Prefill = j.call.PromptTokens
 	j.work.Salt = j.salt
+	j.work.CacheTokens = j.pool.Engine.CacheTokens
 	if age > j.gateway.Bounds.WeightsGrace {
 		j.work.Wanted = wanted.Version
 	}
@@ -104,6 +105,7 @@
 		}
 		choice, ok := j.gateway.Chooser.Choose(upstreams.ByPool[j.pool.Name], &j.work)
 		if ok {
+			j.choice = choice
 			return choice, nil
 		}
 		if !bootclock.Now().Before(waitUntil) {
@@ -149,9 +151,7 @@
 	if j.pool.Engine != nil {
 		send.Salt = j.salt(choice.Version)
 		send.Version = choice.Version
-		if choice.Source != nil {
-			send.Source = choice.Source.Address
-		}
+		send.Source, send.Save = choice.Source, choice.Save
 	}
 	call := j.call
 	codec := j.gateway.Codec
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -41,9 +41,11 @@
 	Salt string
 	// Version is the weights version that the upstream must have; 0 for any.
 	Version int64
-	// Source is the address of an engine that holds parts which the upstream lacks;
-	// empty for none.
+	// Source is the address of an engine or a store that holds parts which the
+	// upstream lacks; empty for none.
 	Source string
+	// Save is the address of the store that the parts should be saved in; empty for none.
+	Save string
 	// LastEvent is the event after which a stream is to go on.
 	LastEvent string
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -138,6 +138,8 @@
 	deadline bootclock.Instant
 	work     steer.Work
 	sends    []sendRecord
+	// choice is the last choice of an upstream.
+	choice steer.Choice
 	// runs counts the sends that an upstream may have run.
 	runs    int
 	outcome outcome
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -15,7 +15,7 @@
 
 const (
 	// sampleEvery is the number of served requests for each that is logged.
-	sampleEvery = 16
+	sampleEvery = 1
 	// maxLinesPerSecond bounds the lines on requests that were not served.
 	maxLinesPerSecond = 100
 )
@@ -106,7 +106,9 @@
 		line = line.Str("route", j.route.Name).Str("kind", j.route.Kind.String())
 	}
 	if j.work.Model != "" {
-		line = line.Int64("wanted", j.work.Wanted)
+		line = line.Int64("wanted", j.work.Wanted).Int64("version", j.choice.Version).
+			Int64("prompt_tokens", j.work.Prefill).Int64("missing_tokens", j.choice.Missing).
+			Float64("cost_ms", j.choice.Cost).Str("copied_from", j.choice.Source).Str("saved_in", j.choice.Save)
 	}
 	if j.outcome.firstByte > 0 {
 		line = line.Dur("first_ms", j.outcome.firstByte)
--- /dev/null
+++ b/internal/steer/work.go
@@ -0,0 +1,69 @@
+package steer
+
+import (
+	"fmt"
+
+	"github.com/greengagegate/greengagegate/internal/catalog"
+)
+
+// Part is a piece of a prompt that requests may share.
+type Part struct {
+	ID     string
+	Tokens int64
+}
+
+// Work describes a request to the choice.
+type Work struct {
+	Pool  string
+	Model string
+	// Salt names what cached parts belong to; it differs by weights and by isolated customer.
+	Salt func(version int64) string
+	// Parts are the prompt's parts in order; the last one belongs to the request alone.
+	Parts []Part
+	// Wanted is the version of the weights that the model is to have; 0 when none was named.
+	Wanted int64
+	// Floor excludes upstreams with older weights than this version.
+	Floor int64
+	// Prefill is the number of prompt tokens.
+	Prefill int64
+	// CacheTokens is the memory of an engine of the pool.
+	CacheTokens int64
+	// Tried are the upstreams that are not to be asked again.
+	Tried []string
+}
+
+// Choice is an upstream with what was decided on.
+type Choice struct {
+	Upstream *catalog.Upstream
+	// Version is the weights version that the upstream is believed to have.
+	Version int64
+	// Missing is the number of prompt tokens that the upstream is expected to read.
+	Missing int64
+	// Cost is the expected wait in milliseconds.
+	Cost float64
+	// Usable is the number of upstreams that could have been chosen, Excluded counts
+	// the others by reason.
+	Usable   int
+	Excluded Excluded
+	// Source is the address from which the choice can copy cached parts that it
+	// lacks; empty when there is none.
+	Source string
+	// Copied is the number of tokens that are expected to be copied.
+	Copied int64
+	// Save is the address of the store that the parts should be saved in; empty
+	// when it has them.
+	Save string
+}
+
+// Excluded counts upstreams that can't take a request.
+type Excluded struct {
+	// Draining upstreams leave, Resting ones could not be reached or refused a
+	// request, Held ones are about to load weights, Old ones have weights that may
+	// not be used any more, and Tried ones were asked before.
+	Draining, Resting, Held, Old, Tried int
+}
+
+// String returns the counts for logs.
+func (e Excluded) String() string {
+	return fmt.Sprintf("draining=%d resting=%d held=%d old=%d tried=%d", e.Draining, e.Resting, e.Held, e.Old, e.Tried)
+}
