--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -15,7 +15,7 @@
 
 const (
 	// sampleEvery is the number of served requests for each that is logged.
-	sampleEvery = 1
+	sampleEvery = 16
 	// maxLinesPerSecond bounds the lines on requests that were not served.
 	maxLinesPerSecond = 100
 )
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -31,12 +31,11 @@
 	cacheKept = 8 * time.Second
 	// keptPart is the part of an engine's memory that may be read anew before a
 	// cached part is expected to be evicted. The rest is taken by running requests.
-	keptPart = 0.4
+	keptPart = 0.3
 	// defaultCacheTokens is assumed of engines whose memory is not told.
 	defaultCacheTokens = 100_000
-	// homeCached is the part of a prefix that is expected at its home when this
-	// gateway has not sent it there itself; other gateways may have.
-	homeCached = 0.6
+	// homeBonus brings a prefix to its home, where other gateways send it at the same time.
+	homeBonus = 8.0
 	// zoneCost is the price of another zone, in milliseconds of waiting.
 	zoneCost = 25.0
 	// runningCost is what each running request adds, in milliseconds.
@@ -212,10 +211,14 @@
 	missing := work.Prefill
 	from, copied, copyCost := "", int64(0), 0.0
 	if len(work.Parts) > 0 {
-		missing = c.missing(s, work, version, home, now)
-		from, copied, copyCost = c.bestSource(sources, work, u, version, work.Prefill-missing, now)
-		missing -= copied
+		own, _ := s.cached(work, work.Salt(version), now)
+		missing -= own
+		from, copied, copyCost = c.bestSource(sources, work, u, version, own, now)
+		missing = max(0, missing-copied)
 		cost += copyCost
+		if home {
+			cost -= homeBonus
+		}
 		cost += (float64(missing) + float64(s.backlog)*others) / prefillTokensPerMS
 	}
 	if version < work.Wanted {
@@ -224,19 +227,6 @@
 	return Choice{Upstream: u, Version: version, Missing: missing, Cost: cost, Source: from, Copied: copied}
 }
 
-// missing estimates the prompt tokens that an upstream has to read; c.mu is held.
-// At the first home of a prompt other gateways may have sent its shared parts.
-func (c *Chooser) missing(s *upstreamState, work *Work, version int64, home bool, now bootclock.Instant) int64 {
-	own, _ := s.cached(work, work.Salt(version), now)
-	missing := work.Prefill - own
-	if home && own == 0 {
-		for _, part := range work.Parts[:len(work.Parts)-1] {
-			missing -= int64(homeCached * float64(part.Tokens))
-		}
-	}
-	return max(0, missing)
-}
-
 // homeOf returns the upstream that ranks first for the deepest shared part.
 func homeOf(list []*catalog.Upstream, work *Work) string {
 	if len(work.Parts) < 2 {
