Take weights named before a gateway's start for old, and spare a restarted holder its wait

A version in the first list is now taken for old until a peer tells its age; older weights then serve only when no upstream has the version. A holder that restarts under its own name renews at once: its former life has ended.

--- a/internal/app/gatewaynews.go
+++ b/internal/app/gatewaynews.go
@@ -44,6 +44,9 @@
 		news.Upstreams = append(news.Upstreams, told)
 	}
 	for model, wanted := range n.known.Models() {
+		if wanted.Assumed {
+			continue
+		}
 		news.Wanted = append(news.Wanted, &wirepb.WantedWeights{
 			Model: model, Version: wanted.Version, AgeMs: now.Sub(wanted.Known).Milliseconds(),
 		})
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -34,6 +34,9 @@
 // Wanted is the weights version that a model is to have.
 type Wanted struct {
 	Named
+	// Assumed says that the version was named before this process started, at a
+	// time that nobody has told it. It is then taken for old.
+	Assumed bool
 	// former are the versions before it, oldest first, as long as they matter.
 	former []Named
 }
@@ -57,6 +60,10 @@
 
 // aged returns the wanted version, known since an earlier instant.
 func (w Wanted) aged(known bootclock.Instant) Wanted {
+	if w.Assumed {
+		w.Known, w.Assumed = known, false
+		return w
+	}
 	w.Known = min(w.Known, known)
 	return w
 }
@@ -138,18 +145,20 @@
 }
 
 // SetWanted notes the named versions. Versions only grow; the time at which a
-// version became known is kept.
+// version became known is kept. The first ones were named before, some time ago.
 func (c *Catalog) SetWanted(versions map[string]int64, now bootclock.Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	merged := make(map[string]Wanted)
-	if former := c.wanted.Load(); former != nil {
-		for model, wanted := range *former {
-			merged[model] = wanted
-		}
+	first := c.wanted.Load() == nil
+	if !first {
+		merged = maps.Clone(*c.wanted.Load())
 	}
 	for model, version := range versions {
-		if version > merged[model].Version {
+		switch {
+		case first:
+			merged[model] = Wanted{Named: Named{Version: version}, Assumed: true}
+		case version > merged[model].Version:
 			merged[model] = merged[model].follow(version, now)
 		}
 	}
@@ -163,7 +172,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	former := c.wanted.Load()
-	if former == nil || (*former)[model].Version != version || (*former)[model].Known <= known {
+	if former == nil || (*former)[model].Version != version {
+		return
+	}
+	if wanted := (*former)[model]; !wanted.Assumed && wanted.Known <= known {
 		return
 	}
 	merged := maps.Clone(*former)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -65,6 +65,7 @@
 	if age > j.gateway.Bounds.WeightsGrace {
 		j.work.Wanted = wanted.Version
 	}
+	j.work.FloorAssumed = wanted.Assumed
 	j.work.Floor = wanted.Floor(bootclock.Now(), j.gateway.Bounds.WeightsLimit)
 }
 
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -153,6 +153,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.now()
+	best := c.choose(list, work, now)
+	if best.Upstream == nil && best.Excluded.Old > 0 && work.FloorAssumed {
+		anyWeights := *work
+		anyWeights.Floor = 0
+		best = c.choose(list, &anyWeights, now)
+	}
+	if best.Upstream != nil {
+		best.Save = c.saveTo(work, best.Version, now)
+	}
+	return best, best.Upstream != nil
+}
+
+// choose compares the upstreams that can take the work; c.mu is held.
+func (c *Chooser) choose(list []*catalog.Upstream, work *Work, now bootclock.Instant) Choice {
 	home := homeOf(list, work)
 	sources := c.sources(list, work, now)
 	best := Choice{}
@@ -171,10 +185,7 @@
 		}
 	}
 	best.Usable, best.Excluded = usable, excluded
-	if best.Upstream != nil {
-		best.Save = c.saveTo(work, best.Version, now)
-	}
-	return best, best.Upstream != nil
+	return best
 }
 
 // usable reports whether an upstream can take a request, and counts the reason if not.
--- a/internal/steer/work.go
+++ b/internal/steer/work.go
@@ -24,6 +24,9 @@
 	Wanted int64
 	// Floor excludes upstreams with older weights than this version.
 	Floor int64
+	// FloorAssumed says that the floor may be too high. It is then left out when
+	// no upstream has such weights.
+	FloorAssumed bool
 	// Prefill is the number of prompt tokens.
 	Prefill int64
 	// CacheTokens is the memory of an engine of the pool.
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -97,8 +97,8 @@
 	fence int64
 	// until is the end of the lease as this process counts it.
 	until bootclock.Instant
-	// since is when the tenure began.
-	since bootclock.Instant
+	// ordersFrom is when this tenure's first order may be given.
+	ordersFrom bootclock.Instant
 	busy  map[string]bool
 	notes map[string]Note
 	// loading is the number of engines of each pool that load, loadsAtOnce its bound.
@@ -155,8 +155,7 @@
 			m.fence = fence
 			m.until = asked.Add(term)
 			if !former {
-				m.since = bootclock.Now()
-				m.options.Log.Info().Int64("fence", fence).Msg("weights: orders lease taken")
+				m.begin(fence)
 			}
 		}
 		held := m.holds(bootclock.Now())
@@ -167,6 +166,18 @@
 	}
 }
 
+// begin starts a tenure; m.mu is held. Orders of another gateway must not come
+// close to those of this one.
+func (m *Manager) begin(fence int64) {
+	former := m.options.Lease.Former()
+	wait := m.options.TakeOver
+	if former == "" || former == m.options.Name {
+		wait = 0
+	}
+	m.ordersFrom = bootclock.Now().Add(wait)
+	m.options.Log.Info().Int64("fence", fence).Str("former", former).Dur("wait_ms", wait).Msg("weights: orders lease taken")
+}
+
 // Retire gives no more orders, and lets another gateway take over.
 func (m *Manager) Retire(ctx context.Context) {
 	m.mu.Lock()
@@ -197,7 +208,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := bootclock.Now()
-	if !now.Add(orderMargin).Before(m.until) || now.Sub(m.since) < m.options.TakeOver {
+	if !now.Add(orderMargin).Before(m.until) || now.Before(m.ordersFrom) {
 		return 0, false
 	}
 	return m.fence, m.options.Lease.Held()
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -44,10 +44,13 @@
 	seen   int64
 	seenAt time.Time
 	nonce  uint64
+	// former is the holder that this process took the lease over from last.
+	former string
 }
 
-// New returns a lease on a key that this process does not hold yet. A nil now
-// stands for time.Now.
+// New returns a lease on a key that this process does not hold yet. No two
+// processes that run at the same time have the same holder name. A nil now stands
+// for time.Now.
 func New(s store.Store, key, holder string, term time.Duration, now func() time.Time) *Lease {
 	if now == nil {
 		now = time.Now
@@ -80,10 +83,24 @@
 	if version != l.seen {
 		l.seen, l.seenAt = version, l.now()
 	}
-	if version != store.VersionAbsent && current.Life != l.life && !l.isOver(current) {
+	takesOver := version != store.VersionAbsent && current.Life != l.life
+	// A holder of the same name is a former life of this process, which has ended.
+	if takesOver && current.Holder != l.holder && !l.isOver(current) {
 		return 0, ErrHeld
 	}
-	return l.write(ctx, asked, version)
+	fence, err := l.write(ctx, asked, version)
+	if err == nil && takesOver {
+		l.former = current.Holder
+	}
+	return fence, err
+}
+
+// Former returns the name of the holder that this process took the lease over
+// from last; empty when nobody held it before.
+func (l *Lease) Former() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.former
 }
 
 // Release ends the lease early, so that others need not wait for its term. It
