--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -86,6 +86,7 @@
 	upstreams atomic.Pointer[Upstreams]
 	wanted    atomic.Pointer[map[string]Wanted]
 	evidence  atomic.Int64
+	trouble   atomic.Int64
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -206,6 +207,12 @@
 	}
 }
 
+// NoteTrouble notes that the store could not be asked at an instant.
+func (c *Catalog) NoteTrouble(at bootclock.Instant) { c.trouble.Store(int64(at)) }
+
+// Trouble returns when the store could not be asked last.
+func (c *Catalog) Trouble() bootclock.Instant { return bootclock.Instant(c.trouble.Load()) }
+
 // EvidenceAge returns how long ago the configuration in force was last known to
 // be the newest.
 func (c *Catalog) EvidenceAge(now bootclock.Instant) time.Duration {
--- /dev/null
+++ b/internal/eventstream/eventstream_test.go
@@ -0,0 +1,59 @@
+package eventstream
+
+import (
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+)
+
+func readAll(source io.Reader) (events []string, ids []string, err error) {
+	reader := NewReader(source)
+	for {
+		event, err := reader.Next()
+		if err != nil {
+			return events, ids, err
+		}
+		events = append(events, string(event.Raw))
+		ids = append(ids, event.ID)
+	}
+}
+
+func TestNextReturnsWholeEvents(t *testing.T) {
+	text := "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\ndata: c\n\n"
+	for name, source := range map[string]io.Reader{
+		"at once":      strings.NewReader(text),
+		"byte by byte": iotest.OneByteReader(strings.NewReader(text)),
+	} {
+		events, ids, err := readAll(source)
+		if !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("%s: ended with %v", name, err)
+		}
+		if got := strings.Join(events, ""); got != text {
+			t.Errorf("%s: got %q, want %q", name, got, text)
+		}
+		if got := strings.Join(ids, ","); got != "1,2," {
+			t.Errorf("%s: ids %q", name, got)
+		}
+	}
+}
+
+func TestNextDropsAnEventThatBrokeOff(t *testing.T) {
+	for _, tail := range []string{"id: 2", "id: 2\ndata: ha", "id: 2\ndata: half\n"} {
+		events, _, err := readAll(strings.NewReader("id: 1\ndata: a\n\n" + tail))
+		if !errors.Is(err, io.ErrUnexpectedEOF) {
+			t.Errorf("tail %q: ended with %v", tail, err)
+		}
+		if len(events) != 1 {
+			t.Errorf("tail %q: %d events, want 1", tail, len(events))
+		}
+	}
+}
+
+func TestNextRefusesEndlessEvents(t *testing.T) {
+	source := io.MultiReader(strings.NewReader("data: "), strings.NewReader(strings.Repeat("x", MaxEventBytes+10)))
+	if _, _, err := readAll(source); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("got %v, want ErrTooLarge", err)
+	}
+}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -35,15 +35,64 @@
 // Demand is what a gateway's callers ask for, in tokens a second by customer.
 type Demand map[string]float64
 
+const (
+	// tinyPart is the size, as a part of the gateway's bucket, up to which requests
+	// need not leave anything for larger ones.
+	tinyPart = 1.0 / 32
+	// largePart is the size from which the bucket saves for a refused request.
+	largePart = 1.0 / 4
+	// savedPart is the part of what comes in that is saved for large requests
+	// while they are refused, so that many small ones do not starve them.
+	savedPart = 0.5
+	// savedFor is how long the bucket saves after a large request was refused.
+	savedFor = time.Second
+)
+
 type account struct {
 	tokens float64
 	filled bootclock.Instant
+	// saved are the tokens that only large requests may take.
+	saved      float64
+	savedUntil bootclock.Instant
 	// asked are the tokens asked for since counted, refused ones included.
 	asked   float64
 	counted bootclock.Instant
 	demand  float64
 }
 
+// fill adds what has come in since the last call.
+func (a *account) fill(rate, depth float64, now bootclock.Instant) {
+	incoming := rate * now.Sub(a.filled).Seconds()
+	a.filled = now
+	a.tokens = min(depth, a.tokens+incoming)
+	if !now.Before(a.savedUntil) {
+		a.saved = 0
+		return
+	}
+	a.saved = min(a.tokens, a.saved+savedPart*incoming)
+}
+
+// take spends tokens if there are enough, and returns how many are missing. A
+// request that is larger than the bucket takes a full one below zero.
+func (a *account) take(tokens, depth float64, now bootclock.Instant) (missing float64) {
+	need := min(tokens, depth)
+	switch {
+	case tokens > largePart*depth:
+		if a.tokens < need {
+			a.savedUntil = now.Add(savedFor)
+			return need - a.tokens
+		}
+		a.saved = 0
+	case tokens > tinyPart*depth:
+		need += max(a.saved, 0)
+	}
+	if a.tokens < need {
+		return need - a.tokens
+	}
+	a.tokens -= tokens
+	return 0
+}
+
 type report struct {
 	demand Demand
 	heard  bootclock.Instant
@@ -139,15 +188,12 @@
 	}
 	a.asked += tokens
 	a.count(now)
-	a.tokens = min(burst, a.tokens+rate*now.Sub(a.filled).Seconds())
-	a.filled = now
-	need := min(tokens, burst)
-	if a.tokens >= need {
-		a.tokens -= tokens
+	a.fill(rate, burst, now)
+	missing := a.take(tokens, burst, now)
+	if missing <= 0 {
 		return true, 0
 	}
-	missing := (need - a.tokens) / max(rate, 1)
-	wait := time.Duration(missing * float64(time.Second))
+	wait := time.Duration(missing / max(rate, 1) * float64(time.Second))
 	return false, min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -99,8 +99,8 @@
 	until bootclock.Instant
 	// ordersFrom is when this tenure's first order may be given.
 	ordersFrom bootclock.Instant
-	busy  map[string]bool
-	notes map[string]Note
+	busy       map[string]bool
+	notes      map[string]Note
 	// loading is the number of engines of each pool that load, loadsAtOnce its bound.
 	loading     map[string]int
 	loadsAtOnce map[string]int
