Forget an upstream's failures with time

An upstream that failed once was never chosen again while others had not failed, since only its own successes lowered its failure rate: found by the test of resumed streams, which waited for it 15 s in vain. The rate now halves every 1.5 s.

--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -48,6 +48,8 @@
 	slotCost = 300.0
 	// failureWeight is the part that the newest outcome has in the failure rate.
 	failureWeight = 0.15
+	// failureHalfLife is how fast a failure is forgotten.
+	failureHalfLife = 1500 * time.Millisecond
 	// minRest and maxRest bound how long an upstream that could not be reached is left alone.
 	minRest = 250 * time.Millisecond
 	maxRest = 2 * time.Second
@@ -211,7 +213,7 @@
 func (c *Chooser) price(u *catalog.Upstream, s *upstreamState, work *Work, version int64, home bool, sources []source, now bootclock.Instant) Choice {
 	others := float64(c.gateways)
 	running := float64(s.running) * others
-	cost := running*runningCost + failureCost*s.failures + rand.Float64()
+	cost := running*runningCost + failureCost*s.failureRate(now) + rand.Float64()
 	if u.Capacity > 0 {
 		load := running / float64(u.Capacity)
 		cost += slotCost * load * load
--- a/internal/steer/upstream.go
+++ b/internal/steer/upstream.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"math"
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/bootclock"
@@ -8,9 +9,11 @@
 
 // upstreamState is what is known of one life of an upstream.
 type upstreamState struct {
-	running   int
-	backlog   int64
-	failures  float64
+	running  int
+	backlog  int64
+	failures float64
+	// failedAt is when failures were counted last; they are forgotten with time.
+	failedAt  bootclock.Instant
 	rest      time.Duration
 	restUntil bootclock.Instant
 	// heldUntil keeps new requests away while an order is carried out.
@@ -54,6 +57,28 @@
 	}
 }
 
+// failureRate returns the part of the requests that fail, as far as it is known.
+// An upstream that failed once is tried again after a while, also when others
+// have not failed.
+func (s *upstreamState) failureRate(now bootclock.Instant) float64 {
+	if s.failures == 0 {
+		return 0
+	}
+	age := now.Sub(s.failedAt)
+	return s.failures * math.Exp2(-float64(age)/float64(failureHalfLife))
+}
+
+// noteOutcome counts a success or a failure.
+func (s *upstreamState) noteOutcome(failed bool, now bootclock.Instant) {
+	rate := s.failureRate(now)
+	s.failedAt = now
+	if failed {
+		s.failures = rate + failureWeight*(1-rate)
+		return
+	}
+	s.failures = rate - failureWeight*rate
+}
+
 // keeps reports whether a cached part is expected to be there still.
 func (s *upstreamState) keeps(part held, memory int64, now bootclock.Instant) bool {
 	if memory <= 0 {
--- a/internal/steer/visit.go
+++ b/internal/steer/visit.go
@@ -50,7 +50,7 @@
 func (v *Visit) Succeeded() {
 	v.chooser.mu.Lock()
 	defer v.chooser.mu.Unlock()
-	v.state.failures -= failureWeight * v.state.failures
+	v.state.noteOutcome(false, v.chooser.now())
 	v.state.rest = 0
 }
 
@@ -58,7 +58,7 @@
 func (v *Visit) Failed() {
 	v.chooser.mu.Lock()
 	defer v.chooser.mu.Unlock()
-	v.state.failures += failureWeight * (1 - v.state.failures)
+	v.state.noteOutcome(true, v.chooser.now())
 }
 
 // Unreachable notes that the upstream could not be reached; it is left alone for a while.
