Refuse requests that engines can only serve late, and probe lost upstreams aside

Lost engines were tried again by callers' requests, each for a second.

Change: a request whose first event is expected later than the route's objective is refused before it is sent, with a Retry-After that follows the work ahead; an upstream that can't be reached gets nothing until a probe's connection succeeds; orders pass over it; connections that acknowledge nothing end after 1 s.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -9,12 +9,12 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/fault"
+	"golang.org/x/sys/unix"
 )
 
 // Progress says how far a request got that has no answer.
@@ -41,10 +41,8 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.cause }
 
-// Timeout reports whether a deadline passed.
-func (e *Error) Timeout() bool {
-	return errors.Is(e.cause, os.ErrDeadlineExceeded) || errors.Is(e.cause, context.DeadlineExceeded)
-}
+// Silent reports whether the upstream's machine acknowledged nothing.
+func (e *Error) Silent() bool { return errors.Is(e.cause, unix.ETIMEDOUT) }
 
 // Request is what an upstream gets, byte for byte but for the framing.
 type Request struct {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -8,15 +8,16 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/greengagegate/greengagegate/internal/fault"
 	"github.com/greengagegate/greengagegate/internal/metrics"
 	"golang.org/x/sys/unix"
 )
 
 const (
 	// dialTimeout bounds the opening of a connection; a machine without power does not answer.
-	dialTimeout = time.Second
+	dialTimeout = 400 * time.Millisecond
 	// unackedTimeout ends a connection whose peer acknowledges nothing that was sent.
-	unackedTimeout = 3 * time.Second
+	unackedTimeout = time.Second
 	// defaultIdle is how long a connection is kept whose upstream tells no timeout.
 	// Such timeouts are below a second.
 	defaultIdle = 400 * time.Millisecond
@@ -90,6 +91,11 @@
 		}
 		c.discard()
 	}
+	return p.connect(ctx, address)
+}
+
+// connect opens a connection.
+func (p *Pool) connect(ctx context.Context, address string) (*conn, error) {
 	connection, err := dial(ctx, address)
 	if err != nil {
 		return nil, err
@@ -101,6 +107,17 @@
 	return &conn{pool: p, address: address, net: connection, reader: bufio.NewReaderSize(connection, readBuffer)}, nil
 }
 
+// Probe opens a connection to an address and keeps it for the next exchange.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	c, err := p.connect(ctx, address)
+	if err != nil {
+		return fault.Wrap(err, "probe", address)
+	}
+	c.keep(0)
+	c.uses = 0
+	return nil
+}
+
 // pop removes the connection to an address that was used last.
 func (p *Pool) pop(address string) *conn {
 	p.mu.Lock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -24,6 +25,11 @@
 	fullPause = 60 * time.Millisecond
 	// misdirectedPause is how long an upstream with unknown weights is left alone.
 	misdirectedPause = 150 * time.Millisecond
+	// busyFactor is the expected time to the first event, in terms of the route's
+	// objective, above which a request is refused.
+	busyFactor = 1
+	// maxBusyRetry bounds what callers are told to wait.
+	maxBusyRetry = 1500 * time.Millisecond
 	// maxSends bounds the sends of one request, refused ones included.
 	maxSends = 4
 )
@@ -107,7 +113,7 @@
 		choice, ok := j.gateway.Chooser.Choose(upstreams.ByPool[j.pool.Name], &j.work)
 		if ok {
 			j.choice = choice
-			return choice, nil
+			return choice, j.tooBusy(choice.Cost)
 		}
 		if !bootclock.Now().Before(waitUntil) {
 			j.outcome.excluded = choice.Excluded.String()
@@ -117,6 +123,26 @@
 	}
 }
 
+// tooBusy refuses a request whose first event is expected so late that it would
+// only make others late too. Such a request has not been sent; the caller is told
+// to come back after the work that is ahead of it.
+//
+// Load pattern: a burst, or a third of the engines gone, while new weights make
+// all prefixes cold. Engines share their time among all prompts, so that without
+// a bound all are late and callers repeat them.
+func (j *job) tooBusy(costMS float64) *refusal {
+	if j.pool.Engine == nil || j.route.Objective <= 0 || len(j.sends) > 0 {
+		return nil
+	}
+	expected := time.Duration(costMS * float64(time.Millisecond))
+	limit := busyFactor * j.route.Objective
+	if expected <= limit {
+		return nil
+	}
+	wait := expected - limit + time.Duration(rand.Int64N(int64(j.route.Objective)))
+	return &refusal{http.StatusServiceUnavailable, "upstreams-busy", min(wait, maxBusyRetry)}
+}
+
 // notServed is the refusal of a request for which there is no upstream (any more).
 func (j *job) notServed() *refusal {
 	switch {
@@ -182,19 +208,19 @@
 	}
 	if failure.Progress == exchange.NotSent {
 		j.note(upstream, "not-sent", started)
-		visit.Unreachable()
+		j.gateway.unreachable(upstream, visit, err)
 		return false, j.again(false)
 	}
 	j.runs++
 	j.note(upstream, "no-answer", started)
-	if j.left() < minLeft {
-		visit.Failed()
-		return false, failedTimeout
-	}
-	if !failure.Reused {
-		visit.Unreachable()
+	timedOut := j.left() < minLeft
+	if failure.Silent() || !failure.Reused && !timedOut {
+		j.gateway.unreachable(upstream, visit, err)
 	}
 	visit.Failed()
+	if timedOut {
+		return false, failedTimeout
+	}
 	return false, j.again(true)
 }
 
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -50,9 +50,6 @@
 	failureWeight = 0.15
 	// failureHalfLife is how fast a failure is forgotten.
 	failureHalfLife = 1500 * time.Millisecond
-	// minRest and maxRest bound how long an upstream that could not be reached is left alone.
-	minRest = 250 * time.Millisecond
-	maxRest = 2 * time.Second
 )
 
 // Chooser keeps what is known of each upstream. It is safe for concurrent use.
@@ -143,6 +140,20 @@
 	c.state(id).heldUntil = until
 }
 
+// Reached notes that an upstream can be reached again.
+func (c *Chooser) Reached(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state(id).down = false
+}
+
+// Down reports whether an upstream could not be reached.
+func (c *Chooser) Down(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state(id).down
+}
+
 // Running returns the number of requests that this gateway has at an upstream.
 func (c *Chooser) Running(id string) int {
 	c.mu.Lock()
@@ -195,6 +206,8 @@
 	switch {
 	case u.Draining:
 		e.Draining++
+	case s.down:
+		e.Down++
 	case now.Before(s.restUntil):
 		e.Resting++
 	case now.Before(s.heldUntil):
--- a/internal/steer/upstream.go
+++ b/internal/steer/upstream.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"time"
 
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 )
@@ -13,9 +12,11 @@
 	backlog  int64
 	failures float64
 	// failedAt is when failures were counted last; they are forgotten with time.
-	failedAt  bootclock.Instant
-	rest      time.Duration
+	failedAt bootclock.Instant
+	// restUntil keeps new requests away after a refusal.
 	restUntil bootclock.Instant
+	// down says that the upstream could not be reached, and not since.
+	down bool
 	// heldUntil keeps new requests away while an order is carried out.
 	heldUntil bootclock.Instant
 	version   map[string]int64
@@ -45,7 +46,7 @@
 	s.born = born
 	clear(s.version)
 	clear(s.parts)
-	s.heldUntil, s.restUntil, s.rest, s.failures = 0, 0, 0, 0
+	s.heldUntil, s.restUntil, s.failures, s.down = 0, 0, 0, false
 }
 
 // noteVersion takes a version that the upstream told. It never goes back within
--- a/internal/steer/visit.go
+++ b/internal/steer/visit.go
@@ -51,7 +51,7 @@
 	v.chooser.mu.Lock()
 	defer v.chooser.mu.Unlock()
 	v.state.noteOutcome(false, v.chooser.now())
-	v.state.rest = 0
+	v.state.down = false
 }
 
 // Failed notes an answer that was lost or a failure of the upstream's own.
@@ -61,12 +61,14 @@
 	v.state.noteOutcome(true, v.chooser.now())
 }
 
-// Unreachable notes that the upstream could not be reached; it is left alone for a while.
-func (v *Visit) Unreachable() {
+// Unreachable notes that the upstream could not be reached. It gets nothing until
+// Reached is called. The result says that this is news.
+func (v *Visit) Unreachable() bool {
 	v.chooser.mu.Lock()
 	defer v.chooser.mu.Unlock()
-	v.state.rest = min(max(2*v.state.rest, minRest), maxRest)
-	v.state.restUntil = v.chooser.now().Add(v.state.rest)
+	former := v.state.down
+	v.state.down = true
+	return !former
 }
 
 // Full notes that the upstream refused the request, and is left alone for a moment.
--- a/internal/steer/work.go
+++ b/internal/steer/work.go
@@ -60,13 +60,13 @@
 
 // Excluded counts upstreams that can't take a request.
 type Excluded struct {
-	// Draining upstreams leave, Resting ones could not be reached or refused a
-	// request, Held ones are about to load weights, Old ones have weights that may
+	// Draining upstreams leave, Down ones could not be reached, Resting ones refused
+	// a request, Held ones are about to load weights, Old ones have weights that may
 	// not be used any more, and Tried ones were asked before.
-	Draining, Resting, Held, Old, Tried int
+	Draining, Down, Resting, Held, Old, Tried int
 }
 
 // String returns the counts for logs.
 func (e Excluded) String() string {
-	return fmt.Sprintf("draining=%d resting=%d held=%d old=%d tried=%d", e.Draining, e.Resting, e.Held, e.Old, e.Tried)
+	return fmt.Sprintf("draining=%d down=%d resting=%d held=%d old=%d tried=%d", e.Draining, e.Down, e.Resting, e.Held, e.Old, e.Tried)
 }
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -57,6 +57,8 @@
 	NoteVersion(id, model string, version int64)
 	// Hold keeps new requests away from an engine.
 	Hold(id string, until bootclock.Instant)
+	// Down reports whether an engine could not be reached.
+	Down(id string) bool
 	// Running returns the requests that this process has at an engine.
 	Running(id string) int
 }
@@ -272,7 +274,7 @@
 			state.Ready++
 			state.Running += m.options.Fleet.Running(engine.ID)
 			state.Slots += engine.Capacity
-		case !engine.Draining:
+		case !engine.Draining && !m.options.Fleet.Down(engine.ID):
 			candidates = append(candidates, Candidate{Upstream: engine, Running: m.options.Fleet.Running(engine.ID), Version: version})
 		}
 	}
