--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,88 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/bootclock"
+)
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	config := &Config{}
+	config.SetRoutes([]*Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "A.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/x/y/z/"},
+	})
+	for path, want := range map[string]string{"/x/1": "short", "/x/y/1": "long", "/x/y/z/1": "long", "/y/": ""} {
+		got := ""
+		if route := config.Route("a.Example", path); route != nil {
+			got = route.Name
+		}
+		if got != want {
+			t.Errorf("%s: route %q, want %q", path, got, want)
+		}
+	}
+}
+
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	c := New()
+	for _, step := range []struct {
+		version int64
+		taken   bool
+	}{{4, true}, {4, false}, {3, false}, {9, true}} {
+		if got := c.SetConfig(&Config{Version: step.version}); got != step.taken {
+			t.Errorf("version %d taken: %v", step.version, got)
+		}
+	}
+	if got := c.Config().Version; got != 9 {
+		t.Errorf("version %d in force", got)
+	}
+}
+
+func TestEvidenceOnlyGrows(t *testing.T) {
+	c := New()
+	c.Confirm(100)
+	c.Confirm(50)
+	if age := c.EvidenceAge(bootclock.Instant(100).Add(time.Second)); age != time.Second {
+		t.Errorf("age %v", age)
+	}
+}
+
+// Each version is judged from its own naming, also when a newer one followed.
+func TestFloorRemembersFormerVersions(t *testing.T) {
+	c := New()
+	start := bootclock.Instant(1_000_000_000_000)
+	at := func(s int) bootclock.Instant { return start.Add(time.Duration(s) * time.Second) }
+	c.SetWanted(nil, at(0))
+	c.SetWanted(map[string]int64{"m": 2}, at(1))
+	c.SetWanted(map[string]int64{"m": 3}, at(6))
+	c.SetWanted(map[string]int64{"m": 2}, at(7))
+	for second, want := range map[int]int64{5: 0, 10: 0, 12: 2, 16: 2, 18: 3} {
+		if got := c.Wanted("m").Floor(at(second), 11*time.Second); got != want {
+			t.Errorf("floor at %d s: %d, want %d", second, got, want)
+		}
+	}
+}
+
+// A version that was named before the start counts as old until somebody tells its age.
+func TestFirstVersionsAreTakenForOld(t *testing.T) {
+	c := New()
+	now := bootclock.Instant(1_000_000_000_000)
+	c.SetWanted(map[string]int64{"m": 5}, now)
+	if got := c.Wanted("m"); !got.Assumed || got.Floor(now, time.Minute) != 5 {
+		t.Errorf("%+v", got)
+	}
+	c.Age("m", 4, now)
+	if got := c.Wanted("m"); !got.Assumed {
+		t.Error("the age of another version was taken")
+	}
+	c.Age("m", 5, now.Add(-time.Second))
+	if got := c.Wanted("m"); got.Assumed || got.Floor(now, 2*time.Second) != 0 {
+		t.Errorf("%+v", got)
+	}
+	c.Age("m", 5, now)
+	if got := c.Wanted("m"); got.Known != now.Add(-time.Second) {
+		t.Error("a peer that learned later made the version younger")
+	}
+}
