--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -43,6 +43,7 @@
   history           list former publications
   status            show which revision each process runs by
   drain UPSTREAM    keep new work away from an upstream
+  explain ID FILE.. tell a request's story from gateways' logs
   key               make a new key: prints a secret and its Key object
   version           print the version
 
@@ -125,6 +126,8 @@
 		c.publishFlags()
 		c.flags.BoolVar(&c.undo, "undo", false, "let new work in again")
 		return c.drain
+	case "explain":
+		return c.explain
 	case "key":
 		c.flags.StringVar(&c.customer, "customer", "", "customer of the key (required)")
 		c.flags.StringVar(&c.name, "name", "", "name of the Key object (required)")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -114,7 +114,11 @@
 	flags.PrintDefaults()
 }
 
+// logTime tells milliseconds, so that lines of several processes can be ordered.
+const logTime = "2006-01-02T15:04:05.000Z07:00"
+
 func newLogger(w io.Writer, s Log, program string) zerolog.Logger {
+	zerolog.TimeFieldFormat = logTime
 	level, err := zerolog.ParseLevel(s.Level)
 	if err != nil {
 		level = zerolog.InfoLevel
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -63,3 +63,55 @@
 		}
 	})
 }
+
+// leaseTerm is long enough that no test passes by waiting for its end.
+const leaseTerm = time.Hour
+
+func TestReleasedLeaseIsTakenOverAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New()
+		first, second := New(s, "k", "a", leaseTerm, nil), New(s, "k", "b", leaseTerm, nil)
+		acquire(t, first)
+		if _, err := second.Acquire(t.Context()); !errors.Is(err, ErrHeld) {
+			t.Fatalf("second holder: %v", err)
+		}
+		if err := first.Release(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if first.Held() {
+			t.Error("held after its release")
+		}
+		acquire(t, second)
+		if got := second.Former(); got != "a" {
+			t.Errorf("taken over from %q", got)
+		}
+		if err := first.Release(t.Context()); err != nil || !second.Held() {
+			t.Errorf("a second release: %v", err)
+		}
+		acquire(t, second)
+	})
+}
+
+// A process that restarts under its name need not wait for its former life.
+func TestRestartedHolderGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New()
+		former := acquire(t, New(s, "k", "a", leaseTerm, nil))
+		again := New(s, "k", "a", leaseTerm, nil)
+		if fence := acquire(t, again); fence <= former {
+			t.Errorf("fence %d after %d", fence, former)
+		}
+		if got := again.Former(); got != "a" {
+			t.Errorf("taken over from %q", got)
+		}
+	})
+}
+
+func acquire(t *testing.T, l *Lease) int64 {
+	t.Helper()
+	fence, err := l.Acquire(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fence
+}
