--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -83,8 +83,9 @@
 	Codec() gateway.Codec
 	Engines() weights.Engines
 	CacheEvents() cachestore.Events
-	// Followed returns the prefixes that fill the catalog.
-	Followed(c *catalog.Catalog, log zerolog.Logger) []Followed
+	// Followed returns the prefixes that fill the catalog. An upstream that
+	// vanishes from the store in an outage is still used for lapseHold.
+	Followed(c *catalog.Catalog, lapseHold time.Duration, log zerolog.Logger) []Followed
 }
 
 // Gateway returns the application of a gateway on a platform.
@@ -260,8 +261,8 @@
 	}
 }
 
-func followPlatform(lifecycle fx.Lifecycle, p Platform, st FollowedStore, known *catalog.Catalog, log zerolog.Logger) {
-	for _, followed := range p.Followed(known, log) {
+func followPlatform(lifecycle fx.Lifecycle, s *GatewaySettings, p Platform, st FollowedStore, known *catalog.Catalog, log zerolog.Logger) {
+	for _, followed := range p.Followed(known, s.Bounds.lapseHold(), log) {
 		wait := listWait
 		if followed.Evidence {
 			wait = configWait
--- a/internal/app/gatewaysettings.go
+++ b/internal/app/gatewaysettings.go
@@ -24,6 +24,8 @@
 	Revoke time.Duration `ini:"revoke"`
 	// Lease is the least time between the orders of two holders.
 	Lease time.Duration `ini:"lease"`
+	// Drain is how long an upstream may get requests after it was said to leave.
+	Drain time.Duration `ini:"drain"`
 	// Weights is how long older weights may be used after newer ones were named.
 	Weights time.Duration `ini:"weights"`
 	// RetryRatio is the part of a pool's requests that repeats may add.
@@ -50,6 +52,20 @@
 	return "", nil
 }
 
+const (
+	// comeBack is the time within which upstreams that live are listed again after
+	// an outage of the store.
+	comeBack = 2300 * time.Millisecond
+	// drainMargin covers a request's way to an upstream.
+	drainMargin = 400 * time.Millisecond
+)
+
+// lapseHold is how long an upstream is used that vanished in an outage. It may
+// have left as well, so that the bound for leaving upstreams goes first.
+func (b *Bounds) lapseHold() time.Duration {
+	return max(0, min(comeBack, b.Drain-drainMargin))
+}
+
 // Memory holds the settings of the process's memory.
 type Memory struct {
 	// LimitMB is what the process may use, in 1,000,000 bytes; 0 means no limit.
@@ -93,7 +109,7 @@
 	return &GatewaySettings{
 		Readiness: Readiness{Path: "/readyz"},
 		Bounds: Bounds{
-			Revoke: 5 * time.Second, Lease: 3 * time.Second, Weights: 12 * time.Second,
+			Revoke: 5 * time.Second, Drain: 2 * time.Second, Lease: 3 * time.Second, Weights: 12 * time.Second,
 			RetryRatio: 0.2, RetrySlack: 50,
 		},
 		Stop:    Stop{DrainDelay: 2800 * time.Millisecond, Timeout: 7500 * time.Millisecond},
