Ask the store less often: peers vouch for evidence and for the holder of orders

Change: a gateway asks for the configuration only when neither an answer of the store nor a peer's answer shows that it is the newest, the first by name first; nobody tries the lease while its holder is heard; changes of the lists gather for 0.4 s. A peer's evidence counts from when the peer was asked.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -36,11 +36,10 @@
 	// stalenessPart is the part of the time that a withdrawn key may work after
 	// which evidence is too old. The rest covers a request's way to an upstream.
 	stalenessPart = 0.75
-	// configWait is how long the store may hold a poll for the configuration. The
-	// evidence for withdrawn keys is at most about this old.
-	configWait = time.Second
-	// listWait is how long it may hold the other polls.
+	// listWait is how long the store may hold a poll.
 	listWait = 10 * time.Second
+	// gatherPause is the pause after changes of the lists.
+	gatherPause = 400 * time.Millisecond
 	// weightsGrace is how long older weights serve without harm.
 	weightsGrace = 1200 * time.Millisecond
 	// weightsMargin is how long before their limit older weights are given up.
@@ -73,8 +72,11 @@
 type Followed struct {
 	Prefix string
 	Sink   mirror.Sink
-	// Evidence says that the prefix tells withdrawn keys, so that its age matters.
-	Evidence bool
+	// Evidence is the object that tells withdrawn keys, whose age matters; empty for
+	// none. Its sink is then safe for concurrent use.
+	Evidence string
+	// Gather says that changes which come close together may wait for each other.
+	Gather bool
 }
 
 // Platform is what a gateway needs of the platform that it runs on.
@@ -103,6 +105,7 @@
 			catalog.New,
 			exchange.NewPool,
 			func() *admin.Readiness { return new(admin.Readiness) },
+			func() *rank { return new(rank) },
 			func() *share.Manager { return share.New(s.Bounds.QuotaSlack*slackPart, nil) },
 			func() *steer.Chooser { return steer.New(s.Identity.Zone, nil) },
 			newAllowance, newGatewayNode, newGateway, newOrders, newPeering, newRoster,
@@ -191,6 +194,7 @@
 	shares *share.Manager,
 	chooser *steer.Chooser,
 	allowance *retry.Allowance,
+	rank *rank,
 	log zerolog.Logger,
 ) *roster.Roster {
 	changed := func(others []peering.Peer) {
@@ -199,6 +203,7 @@
 		for i, other := range others {
 			names[i] = other.Name
 		}
+		rank.set(s.Identity.Name, names)
 		shares.SetPeers(names)
 		chooser.SetGateways(1 + len(others))
 		allowance.SetSlack(s.Bounds.RetrySlack * slackPart / float64(1+len(others)))
@@ -261,18 +266,22 @@
 	}
 }
 
-func followPlatform(lifecycle fx.Lifecycle, s *GatewaySettings, p Platform, st FollowedStore, known *catalog.Catalog, log zerolog.Logger) {
+func followPlatform(lifecycle fx.Lifecycle, s *GatewaySettings, p Platform, st FollowedStore, known *catalog.Catalog, rank *rank, log zerolog.Logger) {
 	for _, followed := range p.Followed(known, s.Bounds.lapseHold(), log) {
-		wait := listWait
-		if followed.Evidence {
-			wait = configWait
+		gather := time.Duration(0)
+		if followed.Gather {
+			gather = gatherPause
+		}
+		follow(lifecycle, st, followed.Prefix, followed.Sink, gather, log)
+		if followed.Evidence != "" {
+			keeper := &evidenceKeeper{store: st, key: followed.Evidence, sink: followed.Sink, known: known, rank: rank, log: log}
+			appendBackground(lifecycle, keeper.run)
 		}
-		follow(lifecycle, st, followed.Prefix, followed.Sink, wait, log)
 	}
 }
 
-func follow(lifecycle fx.Lifecycle, st FollowedStore, prefix string, sink mirror.Sink, wait time.Duration, log zerolog.Logger) {
-	m := mirror.New(mirror.Options{Store: st, Prefix: prefix, Sink: sink, Wait: wait, Log: log})
+func follow(lifecycle fx.Lifecycle, st FollowedStore, prefix string, sink mirror.Sink, gather time.Duration, log zerolog.Logger) {
+	m := mirror.New(mirror.Options{Store: st, Prefix: prefix, Sink: sink, Wait: listWait, Gather: gather, Log: log})
 	appendBackground(lifecycle, m.Run)
 }
 
@@ -282,7 +291,7 @@
 		r.Leave(ctx)
 		return nil
 	})
-	follow(lifecycle, st, roster.Prefix, r, listWait, log)
+	follow(lifecycle, st, roster.Prefix, r, gatherPause, log)
 	appendBackground(lifecycle, r.Join)
 }
 
--- a/internal/app/gatewaynews.go
+++ b/internal/app/gatewaynews.go
@@ -31,7 +31,9 @@
 	news := &wirepb.GatewayNews{Name: n.name}
 	if config := n.known.Config(); config != nil {
 		news.ConfigVersion = config.Version
+		news.EvidenceMs = n.known.EvidenceAge(bootclock.Now()).Milliseconds() + 1
 	}
+	news.HoldsOrders = n.orders.Holds()
 	for customer, rate := range n.shares.Demand() {
 		news.Demands = append(news.Demands, &wirepb.CustomerDemand{Customer: customer, TokensPerSecond: rate})
 	}
@@ -67,12 +69,16 @@
 	return readings
 }
 
-func (n *gatewayNews) hear(news *wirepb.GatewayNews) {
+func (n *gatewayNews) hear(news *wirepb.GatewayNews, asked bootclock.Instant) {
 	demand := make(share.Demand, len(news.Demands))
 	for _, d := range news.Demands {
 		demand[d.Customer] = d.TokensPerSecond
 	}
 	n.shares.Hear(news.Name, demand)
+	if news.HoldsOrders {
+		n.orders.HearHolder()
+	}
+	n.hearEvidence(news, asked)
 	for _, reading := range news.Readings {
 		n.chooser.Hear(steer.Reading{Upstream: reading.Upstream, Salt: reading.Salt, Parts: reading.Parts})
 	}
@@ -85,6 +91,16 @@
 	}
 }
 
+// hearEvidence takes a peer's evidence that a configuration was the newest, when
+// that configuration is in force here. It counts from when the peer was asked.
+func (n *gatewayNews) hearEvidence(news *wirepb.GatewayNews, asked bootclock.Instant) {
+	config := n.known.Config()
+	if asked == 0 || config == nil || config.Version != news.ConfigVersion {
+		return
+	}
+	n.known.Confirm(asked.Add(-time.Duration(news.EvidenceMs) * time.Millisecond))
+}
+
 // hearUpstream takes what the holder of the orders lease knows of an upstream. A
 // hold may be told after the version that ends it was learned in another way.
 func (n *gatewayNews) hearUpstream(note *wirepb.UpstreamNote, now bootclock.Instant) {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -10,6 +10,7 @@
 
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/fault"
+	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/store"
 	"github.com/rs/zerolog"
 )
@@ -42,9 +43,12 @@
 	Store  store.Poller
 	Prefix string
 	Sink   Sink
-	// Wait is how long the store may hold a poll. Evidence is at most about this old.
+	// Wait is how long the store may hold a poll.
 	Wait time.Duration
-	Log  zerolog.Logger
+	// Gather is the pause after changes, so that changes which come close together
+	// take one poll.
+	Gather time.Duration
+	Log    zerolog.Logger
 }
 
 // Mirror follows one prefix.
@@ -116,6 +120,9 @@
 	}
 	m.options.Sink.Confirm(asked)
 	m.version = max(m.version, changes.Version)
+	if len(changes.Objects) > 0 {
+		_ = pause.For(ctx, m.options.Gather)
+	}
 	return nil
 }
 
@@ -126,12 +133,7 @@
 		m.options.Log.Warn().Err(err).Str("prefix", m.options.Prefix).Msg("mirror: store lost")
 	}
 	m.options.Sink.Interrupted()
-	timer := time.NewTimer(m.pause/2 + rand.N(m.pause/2))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	_ = pause.For(ctx, m.pause/2+rand.N(m.pause/2))
 	m.pause = min(2*m.pause, maxPause)
 }
 
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/wire"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 	"github.com/rs/zerolog"
@@ -37,8 +38,9 @@
 	Pool *wire.Pool
 	// News returns what this gateway tells a peer.
 	News func(peer string) *wirepb.GatewayNews
-	// Hear takes what a peer told.
-	Hear func(*wirepb.GatewayNews)
+	// Hear takes what a peer told. asked is when this gateway sent the question that
+	// the news answer; 0 when they came unasked.
+	Hear func(news *wirepb.GatewayNews, asked bootclock.Instant)
 	Log  zerolog.Logger
 }
 
@@ -75,7 +77,7 @@
 		m.options.Log.Debug().Err(err).Str("peer", stream.Peer()).Msg("peering: news not read")
 		return
 	}
-	m.options.Hear(&news)
+	m.options.Hear(&news, 0)
 	if err := stream.Send(m.options.News(news.Name)); err != nil {
 		m.options.Log.Debug().Err(err).Str("peer", stream.Peer()).Msg("peering: news not answered")
 	}
@@ -130,10 +132,9 @@
 	m.done.Wait()
 }
 
-// run exchanges news with one peer until ctx ends. Of two gateways the one whose
-// name is smaller asks in turn; both ask when there is something urgent.
+// run exchanges news with one peer until ctx ends. Each of two gateways asks the
+// other, since only an answer tells how old it is at the most.
 func (m *Manager) run(ctx context.Context, peer Peer, l *link) {
-	asks := m.options.Name < peer.Name
 	lost := false
 	for ctx.Err() == nil {
 		err := m.ask(ctx, peer)
@@ -144,7 +145,7 @@
 			lost = err != nil
 			m.report(peer, err)
 		}
-		m.wait(ctx, l, asks || lost)
+		m.wait(ctx, l)
 	}
 }
 
@@ -156,17 +157,12 @@
 	m.options.Log.Info().Str("peer", peer.Name).Str("address", peer.Address).Msg("peering: peer regained")
 }
 
-// wait pauses until the next exchange. Without a turn of its own it waits for
-// something urgent.
-func (m *Manager) wait(ctx context.Context, l *link, ownTurn bool) {
-	var tick <-chan time.Time
-	if ownTurn {
-		timer := time.NewTimer(m.interval())
-		defer timer.Stop()
-		tick = timer.C
-	}
+// wait pauses until the next exchange, which something urgent brings forward.
+func (m *Manager) wait(ctx context.Context, l *link) {
+	timer := time.NewTimer(m.interval())
+	defer timer.Stop()
 	select {
-	case <-tick:
+	case <-timer.C:
 	case <-l.urgent:
 	case <-ctx.Done():
 	}
@@ -185,10 +181,11 @@
 func (m *Manager) ask(ctx context.Context, peer Peer) error {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
+	asked := bootclock.Now()
 	var news wirepb.GatewayNews
 	if err := m.options.Pool.Ask(ctx, peer.Address, wirepb.Kind_KIND_GATEWAY, "", m.options.News(peer.Name), &news); err != nil {
 		return err
 	}
-	m.options.Hear(&news)
+	m.options.Hear(&news, asked)
 	return nil
 }
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/testhost"
 	"github.com/greengagegate/greengagegate/internal/wire"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
@@ -19,6 +20,8 @@
 	address string
 	mu      sync.Mutex
 	heard   map[string]int
+	// answers counts the news that answered a question.
+	answers int
 }
 
 func newGateway(t *testing.T, name string) *gateway {
@@ -43,10 +46,13 @@
 	return g
 }
 
-func (g *gateway) hear(news *wirepb.GatewayNews) {
+func (g *gateway) hear(news *wirepb.GatewayNews, asked bootclock.Instant) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.heard[news.Name]++
+	if asked > 0 {
+		g.answers++
+	}
 }
 
 func (g *gateway) count(name string) int {
@@ -55,6 +61,12 @@
 	return g.heard[name]
 }
 
+func (g *gateway) answered() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.answers
+}
+
 func eventually(t *testing.T, what string, holds func() bool) {
 	t.Helper()
 	for range 1000 {
@@ -81,15 +93,22 @@
 	}
 }
 
-// The side that does not ask in turn sends urgent news itself.
+// Urgent news go out before the next turn.
 func TestUrgentNewsDoNotWaitForTheirTurn(t *testing.T) {
 	a, b := newGateway(t, "a"), newGateway(t, "b")
 	b.SetPeers([]Peer{{"a", a.address}})
 	eventually(t, "the first news are there", func() bool { return a.count("b") == 1 })
-	time.Sleep(2 * baseInterval)
-	if got := a.count("b"); got != 1 {
-		t.Fatalf("%d news without a turn, want 1", got)
+	started := time.Now()
+	for range 50 {
+		before := a.count("b")
+		b.Urge()
+		eventually(t, "urgent news are there", func() bool { return a.count("b") > before })
+	}
+	turns := int(time.Since(started)/baseInterval) + 2
+	if got := a.count("b"); got < 50 || got > 51+turns {
+		t.Errorf("%d news after 50 urgent ones", got)
+	}
+	if a.answered() != 0 || b.answered() == 0 {
+		t.Errorf("%d and %d answers, only the second side has asked", a.answered(), b.answered())
 	}
-	b.Urge()
-	eventually(t, "urgent news are there", func() bool { return a.count("b") == 2 })
 }
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -108,6 +108,8 @@
 	loadsAtOnce map[string]int
 	retired     bool
 	done        sync.WaitGroup
+	// otherHeard is when another gateway last told that it holds the lease.
+	otherHeard bootclock.Instant
 	// onNews is called when there are news of engines for other gateways.
 	onNews func()
 }
@@ -147,6 +149,9 @@
 		if m.isRetired() {
 			return
 		}
+		if m.otherHolds() {
+			continue
+		}
 		asked := bootclock.Now()
 		callCtx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
 		fence, err := m.options.Lease.Acquire(callCtx)
@@ -196,6 +201,28 @@
 	m.options.Log.Info().Err(err).Msg("weights: orders lease released")
 }
 
+// HearHolder notes that another gateway says that it holds the lease. As long as
+// it does, this one spares the store its attempts.
+func (m *Manager) HearHolder() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.otherHeard = bootclock.Now()
+}
+
+func (m *Manager) otherHolds() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := bootclock.Now()
+	return !m.holds(now) && now.Sub(m.otherHeard) < term
+}
+
+// Holds reports whether this gateway holds the lease.
+func (m *Manager) Holds() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.holds(bootclock.Now())
+}
+
 func (m *Manager) isRetired() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
