Pool half of each customer's limit at one gateway

Change: half of each limit is kept in a pool at the customer's owner, which is asked when a gateway's own part is short; pools shrink with the gateways that are not heard, so that parts of a fleet which are cut off keep the limit together. The test of 26 gateways refuses at most 0.5% within the limit; limits hold over cuts with 5 and 20 gateways.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/greengagegate/greengagegate/internal/retry"
 	"github.com/greengagegate/greengagegate/internal/roster"
 	"github.com/greengagegate/greengagegate/internal/share"
+	"github.com/greengagegate/greengagegate/internal/sharelink"
 	"github.com/greengagegate/greengagegate/internal/steer"
 	"github.com/greengagegate/greengagegate/internal/tlsconf"
 	"github.com/greengagegate/greengagegate/internal/weights"
@@ -106,9 +107,9 @@
 			exchange.NewPool,
 			func() *admin.Readiness { return new(admin.Readiness) },
 			func() *rank { return new(rank) },
-			func() *share.Manager { return share.New(s.Bounds.QuotaSlack*slackPart, nil) },
+			func() *share.Manager { return share.New(s.Identity.Name, s.Bounds.QuotaSlack*slackPart, nil) },
 			func() *steer.Chooser { return steer.New(s.Identity.Zone, nil) },
-			newAllowance, newGatewayNode, newGateway, newOrders, newPeering, newRoster,
+			newAllowance, newGatewayNode, newGateway, newOrders, newPeering, newRoster, newShareLink,
 		),
 		fx.Invoke(
 			serveGatewayAdmin, serveReadiness, startPeering, followCatalog, followPlatform, followRoster,
@@ -136,6 +137,7 @@
 	pool *exchange.Pool,
 	chooser *steer.Chooser,
 	shares *share.Manager,
+	owners *sharelink.Link,
 	allowance *retry.Allowance,
 	log zerolog.Logger,
 ) *gateway.Gateway {
@@ -145,6 +147,7 @@
 		Pool:      pool,
 		Chooser:   chooser,
 		Shares:    shares,
+		Owners:    owners,
 		Allowance: allowance,
 		Bounds: gateway.Bounds{
 			KeyStaleness: time.Duration(stalenessPart * float64(s.Bounds.Revoke)),
@@ -186,6 +189,12 @@
 	return manager
 }
 
+func newShareLink(n *node.Node, known *catalog.Catalog, shares *share.Manager, peers *peering.Manager, log zerolog.Logger) *sharelink.Link {
+	link := sharelink.New(sharelink.Options{Pool: n.Pool, Catalog: known, Shares: shares, Address: peers.Address, Log: log})
+	link.Register(n.Server)
+	return link
+}
+
 func newRoster(
 	s *GatewaySettings,
 	st FollowedStore,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -44,6 +45,11 @@
 	MaxBuffered int64
 }
 
+// Owners asks other gateways for tokens of the customers whose pools they keep.
+type Owners interface {
+	Ask(ctx context.Context, owner, customer string, tokens float64) (share.Answer, error)
+}
+
 // Options configures a Gateway. All fields are required.
 type Options struct {
 	Catalog   *catalog.Catalog
@@ -51,6 +57,7 @@
 	Pool      *exchange.Pool
 	Chooser   *steer.Chooser
 	Shares    *share.Manager
+	Owners    Owners
 	Allowance *retry.Allowance
 	Bounds    Bounds
 	Log       zerolog.Logger
@@ -293,12 +300,26 @@
 		j.cost = float64(j.customer.PlainTokens)
 	}
 	limit := share.Limit{Rate: j.customer.Rate, Burst: j.customer.Burst}
-	ok, wait := j.gateway.Shares.Admit(j.customer.Name, limit, j.cost)
-	if ok {
+	answer := j.gateway.Shares.Admit(j.customer.Name, limit, j.cost)
+	if answer.Owner != "" {
+		answer = j.askOwner(answer)
+	}
+	if answer.Admitted {
 		return nil
 	}
 	j.cost = 0
-	return &refusal{http.StatusTooManyRequests, "customer-limit", wait}
+	return &refusal{http.StatusTooManyRequests, "customer-limit", answer.RetryAfter}
+}
+
+// askOwner asks the owner of the customer's pool. Without an answer the request
+// is refused, as if the pool were empty.
+func (j *job) askOwner(short share.Answer) share.Answer {
+	answer, err := j.gateway.Owners.Ask(j.r.Context(), short.Owner, j.customer.Name, j.cost)
+	if err != nil {
+		j.outcome.err = err
+		return share.Answer{RetryAfter: short.RetryAfter}
+	}
+	return answer
 }
 
 // refund gives back the tokens of a request that certainly did not run.
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -114,6 +114,18 @@
 	}()
 }
 
+// Address returns the inner address of a peer, or "".
+func (m *Manager) Address(name string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for peer := range m.peers {
+		if peer.Name == name {
+			return peer.Address
+		}
+	}
+	return ""
+}
+
 // Urge makes news go out at once.
 func (m *Manager) Urge() {
 	m.mu.Lock()
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -1,7 +1,9 @@
 // Package share divides each customer's limit among gateways by demand. A
 // gateway spends from a bucket of its own, whose rate is its share of the
 // customer's rate. Shares follow from the demands that gateways tell each other
-// a few times a second: nobody is asked when a request arrives.
+// a few times a second. Half of each limit is not divided but pooled at one of
+// the gateways, the customer's owner, which is asked when a bucket is short: with
+// many gateways a bucket alone is less than a single request.
 //
 // Load pattern: connections are spread unevenly over few gateways, and one
 // customer sends several times its rate for some seconds, often through one
@@ -14,6 +16,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 )
 
@@ -22,6 +25,8 @@
 	demandWindow = time.Second
 	// headroom is how much more than its demand a gateway is given first.
 	headroom = 1.25
+	// pooledPart is the part of each limit that is kept at the customer's owner.
+	pooledPart = 0.5
 	// StaleAfter is how long a peer's demand is relied on.
 	StaleAfter = 1200 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound what refused callers are told.
@@ -100,25 +105,30 @@
 
 // Manager keeps this gateway's shares. It is safe for concurrent use.
 type Manager struct {
-	now func() bootclock.Instant
+	name string
+	now  func() bootclock.Instant
 	// slack is what may be spent beyond a customer's limit over all gateways.
 	slack float64
 
 	mu       sync.Mutex
 	accounts map[string]*account
-	reports  map[string]report
+	// pools are the pooled parts of the customers that this gateway owns, or has owned.
+	pools   map[string]*account
+	reports map[string]report
 	// registered are the names of the other gateways that may be at work.
 	registered map[string]bool
 }
 
-// New returns a manager without peers. slack is the number of tokens that all
+// New returns a manager of the gateway with a name, without peers. slack is the number of tokens that all
 // gateways together may spend beyond a customer's limit in any window. A nil now
 // stands for bootclock.Now.
-func New(slack float64, now func() bootclock.Instant) *Manager {
+func New(name string, slack float64, now func() bootclock.Instant) *Manager {
 	if now == nil {
 		now = bootclock.Now
 	}
 	return &Manager{
+		name:       name,
+		pools:      make(map[string]*account),
 		now:        now,
 		slack:      slack,
 		accounts:   make(map[string]*account),
@@ -171,30 +181,104 @@
 	a.asked, a.counted = 0, now
 }
 
-// Admit spends tokens of a customer. When there are too few it returns when
-// there may be enough. The slack makes the bucket deeper: a gateway's part of the
-// burst alone may be less than a single large request. One that is larger than
-// the bucket waits until the bucket is full, and takes it below zero.
-func (m *Manager) Admit(customer string, limit Limit, tokens float64) (ok bool, retryAfter time.Duration) {
+// Answer is the decision on a request.
+type Answer struct {
+	Admitted bool
+	// Owner is the gateway that may grant the tokens from the customer's pool; empty
+	// when the decision is final.
+	Owner string
+	// RetryAfter is when there may be enough tokens.
+	RetryAfter time.Duration
+}
+
+// Admit spends tokens of a customer, or names the owner who may grant them. The
+// slack makes the buckets deeper. A request that is larger than a bucket waits
+// until the bucket is full, and takes it below zero.
+func (m *Manager) Admit(customer string, limit Limit, tokens float64) Answer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.now()
 	a := m.accounts[customer]
-	fraction := m.fraction(customer, limit, a, now)
-	rate, burst := limit.Rate*fraction, (limit.Burst+m.slack)*fraction
+	own := limit.part((1-pooledPart)*m.fraction(customer, limit, a, now), m.slack)
 	if a == nil {
-		a = &account{tokens: burst, filled: now, counted: now}
+		a = newAccount(own, now)
 		m.accounts[customer] = a
 	}
 	a.asked += tokens
 	a.count(now)
-	a.fill(rate, burst, now)
-	missing := a.take(tokens, burst, now)
+	a.fill(own.Rate, own.Burst, now)
+	missing := a.take(tokens, own.Burst, now)
+	if missing <= 0 {
+		return Answer{Admitted: true}
+	}
+	if owner := m.owner(customer, now); owner != m.name {
+		return Answer{Owner: owner, RetryAfter: waitFor(missing, own.Rate)}
+	}
+	return m.grant(customer, limit, tokens, now)
+}
+
+// Grant spends tokens of the pool of a customer, for another gateway.
+func (m *Manager) Grant(customer string, limit Limit, tokens float64) Answer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.grant(customer, limit, tokens, m.now())
+}
+
+// grant spends tokens of a pool; m.mu is held. The pool shrinks with the number
+// of gateways that are heard, so that the pools of parts of the fleet which are
+// cut off from each other stay within the limit together.
+func (m *Manager) grant(customer string, limit Limit, tokens float64, now bootclock.Instant) Answer {
+	heard, total := 1, 1+len(m.registered)
+	for name := range m.registered {
+		if m.isHeard(name, now) {
+			heard++
+		}
+	}
+	pooled := limit.part(pooledPart*float64(heard)/float64(total), m.slack)
+	p := m.pools[customer]
+	if p == nil {
+		// A former owner may have spent the burst a moment ago.
+		p = newAccount(Limit{}, now)
+		m.pools[customer] = p
+	}
+	p.fill(pooled.Rate, pooled.Burst, now)
+	missing := p.take(tokens, pooled.Burst, now)
 	if missing <= 0 {
-		return true, 0
+		return Answer{Admitted: true}
+	}
+	return Answer{RetryAfter: waitFor(missing, pooled.Rate)}
+}
+
+func (m *Manager) isHeard(name string, now bootclock.Instant) bool {
+	r, ok := m.reports[name]
+	return ok && now.Sub(r.heard) <= StaleAfter
+}
+
+// owner returns the gateway that keeps a customer's pool, among those that are
+// heard; m.mu is held.
+func (m *Manager) owner(customer string, now bootclock.Instant) string {
+	best, weight := m.name, xxhash.Sum64String(customer+m.name)
+	for name := range m.registered {
+		if w := xxhash.Sum64String(customer + name); w > weight && m.isHeard(name, now) {
+			best, weight = name, w
+		}
 	}
+	return best
+}
+
+// part returns a part of a limit, with that part of the slack in its burst.
+func (l Limit) part(fraction, slack float64) Limit {
+	return Limit{Rate: l.Rate * fraction, Burst: (l.Burst + slack) * fraction}
+}
+
+func newAccount(limit Limit, now bootclock.Instant) *account {
+	return &account{tokens: limit.Burst, filled: now, counted: now}
+}
+
+// waitFor returns when tokens that are missing may be there.
+func waitFor(missing, rate float64) time.Duration {
 	wait := time.Duration(missing / max(rate, 1) * float64(time.Second))
-	return false, min(max(wait, minRetryAfter), maxRetryAfter)
+	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
 // Refund gives back tokens of a request that has not run.
@@ -215,12 +299,11 @@
 	}
 	silent := 0
 	for name := range m.registered {
-		r, heard := m.reports[name]
-		if !heard || now.Sub(r.heard) > StaleAfter {
+		if !m.isHeard(name, now) {
 			silent++
 			continue
 		}
-		demands = append(demands, r.demand[customer])
+		demands = append(demands, m.reports[name].demand[customer])
 	}
 	rate := limit.Rate * float64(total-silent) / float64(total)
 	if limit.Rate <= 0 || rate <= 0 {
--- a/internal/share/share_test.go
+++ b/internal/share/share_test.go
@@ -64,8 +64,9 @@
 func newFleet(count int, slack float64) *fleet {
 	f := &fleet{clock: &clock{now: 1_000_000_000_000}, cut: make(map[int]bool)}
 	for i := range count {
-		f.gateways = append(f.gateways, New(slack, f.clock.read))
-		f.names = append(f.names, string(rune('a'+i)))
+		name := string(rune('a' + i))
+		f.gateways = append(f.gateways, New(name, slack, f.clock.read))
+		f.names = append(f.names, name)
 	}
 	for i, g := range f.gateways {
 		var others []string
@@ -89,6 +90,17 @@
 	}
 }
 
+// admit asks a gateway, and the owner of the customer's pool if it can be reached.
+func (f *fleet) admit(gateway int, limit Limit, tokens float64) bool {
+	answer := f.gateways[gateway].Admit("c", limit, tokens)
+	for i, name := range f.names {
+		if name == answer.Owner && !f.cut[gateway] && !f.cut[i] {
+			return f.gateways[i].Grant("c", limit, tokens).Admitted
+		}
+	}
+	return answer.Admitted
+}
+
 // admitted is a request that was admitted.
 type admitted struct {
 	at     bootclock.Instant
@@ -116,7 +128,7 @@
 			if random.Float64() > 0.5 {
 				gateway = random.IntN(len(f.gateways))
 			}
-			if ok, _ := f.gateways[gateway].Admit("c", limit, tokens); ok {
+			if f.admit(gateway, limit, tokens) {
 				all = append(all, admitted{f.clock.now, tokens})
 			}
 		}
@@ -159,7 +171,7 @@
 	for _, limit := range []Limit{{100_000, 100_000}, {600_000, 600_000}, {20_000, 20_000}} {
 		for seed := range uint64(6) {
 			random := rand.New(rand.NewPCG(seed, 7))
-			f := newFleet(5, 0.7*testSlack)
+			f := newFleet(5+int(seed%2)*15, 0.7*testSlack)
 			all, _ := f.play(random, limit, 6*limit.Rate, 40*time.Second, func(passed time.Duration) {
 				f.cut[0] = passed > 10*time.Second && passed < 18*time.Second
 				f.cut[1] = passed > 14*time.Second && passed < 25*time.Second
@@ -171,16 +183,21 @@
 }
 
 func TestCustomerWithinItsLimitIsHardlyRefused(t *testing.T) {
-	limit := Limit{400_000, 400_000}
+	for count, limit := range map[int]Limit{5: {400_000, 400_000}, 26: {120_000, 120_000}} {
+		testHardlyRefused(t, count, limit)
+	}
+}
+
+func testHardlyRefused(t *testing.T, count int, limit Limit) {
 	random := rand.New(rand.NewPCG(3, 7))
-	f := newFleet(5, 0.7*testSlack)
+	f := newFleet(count, 0.7*testSlack)
 	all, asked := f.play(random, limit, 0.55*limit.Rate, 60*time.Second, nil)
 	sum := 0.0
 	for _, a := range all {
 		sum += a.tokens
 	}
 	if refused := 1 - sum/asked; refused > 0.005 {
-		t.Errorf("%.4f of the tokens within the limit were refused, want at most 0.005", refused)
+		t.Errorf("%d gateways: %.4f of the tokens within the limit were refused, want at most 0.005", count, refused)
 	}
 }
 
@@ -197,7 +214,7 @@
 		if random.IntN(4) == 0 {
 			tokens = 45_000
 		}
-		if ok, _ := f.gateways[0].Admit("c", limit, tokens); ok {
+		if f.admit(0, limit, tokens) {
 			sum[tokens] += tokens
 		}
 	}
@@ -208,15 +225,17 @@
 
 func TestRefusalTellsWhenTokensMayBeThere(t *testing.T) {
 	c := &clock{now: 1_000_000_000_000}
-	m := New(0, c.read)
+	m := New("a", 0, c.read)
 	limit := Limit{Rate: 1000, Burst: 1000}
-	m.Admit("c", limit, 1000)
-	ok, wait := m.Admit("c", limit, 500)
-	if ok || wait < 400*time.Millisecond || wait > 600*time.Millisecond {
-		t.Fatalf("got %v and %v, want a refusal for half a second", ok, wait)
+	for m.Admit("c", limit, 400).Admitted {
+		c.advance(time.Millisecond)
+	}
+	answer := m.Admit("c", limit, 400)
+	if answer.Admitted || answer.Owner != "" || answer.RetryAfter < 100*time.Millisecond || answer.RetryAfter > time.Second {
+		t.Fatalf("got %+v", answer)
 	}
-	c.advance(wait)
-	if ok, _ := m.Admit("c", limit, 500); !ok {
+	c.advance(answer.RetryAfter)
+	if !m.Admit("c", limit, 400).Admitted {
 		t.Error("refused again after the time that was told")
 	}
 }
@@ -233,7 +252,7 @@
 	f.clock.advance(10 * time.Second)
 	sum := 0.0
 	for range 1000 {
-		if ok, _ := f.gateways[0].Admit("c", limit, 100); ok {
+		if f.gateways[0].Admit("c", limit, 100).Admitted {
 			sum += 100
 		}
 	}
