--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -170,7 +170,9 @@
 
 func TestLeavingEndsTheExchange(t *testing.T) {
 	gone := make(chan struct{})
-	u := serve(t, func(int, int, *http.Request) []byte { return []byte("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\npart") })
+	u := serve(t, func(int, int, *http.Request) []byte {
+		return []byte("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\npart")
+	})
 	ctx, cancel := context.WithCancel(t.Context())
 	response, err := NewPool().Do(ctx, u.address(), request(""))
 	if err != nil {
