Give each gateway its turn at the store of cached parts

With 26 gateways before a store that holds 12 questions at once, some were always refused. Each now pauses after an answer in proportion to the fleet's size. The test of 26 followers shows that each hears the store.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -317,7 +317,7 @@
 }
 
 func followCacheStore(lifecycle fx.Lifecycle, p Platform, known *catalog.Catalog, chooser *steer.Chooser, log zerolog.Logger) {
-	follower := cachestore.New(cachestore.Options{Catalog: known, Events: p.CacheEvents(), Sink: chooser, Log: log})
+	follower := cachestore.New(cachestore.Options{Catalog: known, Events: p.CacheEvents(), Sink: chooser, Gateways: chooser.Gateways, Log: log})
 	appendBackground(lifecycle, follower.Run)
 }
 
--- a/internal/cachestore/cachestore.go
+++ b/internal/cachestore/cachestore.go
@@ -27,6 +27,9 @@
 	// crowdedPause is the pause after the store refused a question because too
 	// many others were waiting.
 	crowdedPause = time.Second
+	// gatherPause is the pause after an answer for each gateway of the fleet. The
+	// store holds few questions at once, and each gateway is to have its turn.
+	gatherPause = 60 * time.Millisecond
 	// lookEvery is the pause between two looks for a store in the configuration.
 	lookEvery = 200 * time.Millisecond
 )
@@ -71,7 +74,9 @@
 	Catalog *catalog.Catalog
 	Events  Events
 	Sink    Sink
-	Log     zerolog.Logger
+	// Gateways returns the number of gateways that follow the store.
+	Gateways func() int
+	Log      zerolog.Logger
 }
 
 // Follower follows the store that the configuration names.
@@ -113,8 +118,8 @@
 
 func (f *Follower) ask(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	batch, err := f.options.Events.Changes(callCtx, f.store.Address, f.next, wait)
+	cancel()
 	if ctx.Err() != nil {
 		return
 	}
@@ -138,6 +143,7 @@
 		f.options.Sink.NoteStored(change.Salt, change.Part, change.Held)
 	}
 	f.setUsable(true, nil)
+	_ = pause.For(ctx, time.Duration(f.options.Gateways())*gatherPause)
 }
 
 func (f *Follower) setUsable(usable bool, err error) {
--- a/internal/cachestore/cachestore_test.go
+++ b/internal/cachestore/cachestore_test.go
@@ -80,7 +80,7 @@
 		known.SetConfig(&catalog.Config{Version: 1, CacheStores: []catalog.CacheStore{{Address: "s"}}})
 		sink := &notes{}
 		ctx, cancel := context.WithCancel(t.Context())
-		go New(Options{Catalog: known, Events: source, Sink: sink, Log: zerolog.Nop()}).Run(ctx)
+		go New(Options{Catalog: known, Events: source, Sink: sink, Gateways: func() int { return 5 }, Log: zerolog.Nop()}).Run(ctx)
 		time.Sleep(10 * time.Second)
 		cancel()
 		synctest.Wait()
@@ -90,3 +90,69 @@
 		}
 	})
 }
+
+// crowd is a store that holds few questions at once and refuses the others.
+type crowd struct {
+	mu      sync.Mutex
+	waiting int
+	refused int
+	heard   map[int]int
+}
+
+// asker is one gateway's view of a crowd.
+type asker struct {
+	*crowd
+	number int
+}
+
+func (a asker) Changes(ctx context.Context, _ string, since int64, wait time.Duration) (Batch, error) {
+	a.mu.Lock()
+	if a.waiting >= 12 {
+		a.refused++
+		a.mu.Unlock()
+		return Batch{Crowded: true}, nil
+	}
+	a.waiting++
+	a.mu.Unlock()
+	err := pauseIn(ctx, wait)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.waiting--
+	a.heard[a.number]++
+	return Batch{Epoch: 1, Next: since}, err
+}
+
+func pauseIn(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Many gateways before a store that holds 12 questions: each has its turn.
+func TestEachGatewayOfManyHearsTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const gateways = 26
+		known := catalog.New()
+		known.SetConfig(&catalog.Config{Version: 1, CacheStores: []catalog.CacheStore{{Address: "s"}}})
+		c := &crowd{heard: make(map[int]int)}
+		ctx, cancel := context.WithCancel(t.Context())
+		for i := range gateways {
+			f := New(Options{
+				Catalog: known, Events: asker{c, i}, Sink: &notes{}, Log: zerolog.Nop(),
+				Gateways: func() int { return gateways },
+			})
+			go f.Run(ctx)
+		}
+		time.Sleep(30 * time.Second)
+		cancel()
+		synctest.Wait()
+		for i := range gateways {
+			if c.heard[i] < 5 {
+				t.Errorf("gateway %d heard the store %d times in 30 s", i, c.heard[i])
+			}
+		}
+	})
+}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -86,6 +86,13 @@
 	c.gateways = max(1, count)
 }
 
+// Gateways returns how many gateways send to the upstreams.
+func (c *Chooser) Gateways() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gateways
+}
+
 // state returns what is known of an upstream; c.mu is held.
 func (c *Chooser) state(id string) *upstreamState {
 	s, ok := c.upstreams[id]
