Tell peers the ages of former versions, and keep the orders lease until the end of a stop

And the lease changed hands with each stop: three holders in 10 s gave two orders, since each waits 3.2 s.

Change: news carry the age of each version that may still matter; the lease is released when a stopping gateway has finished its requests, and peers hear at once that it is free.

Ruled out: late engines, whose orders took 1.9 s each.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -350,12 +350,15 @@
 		ready.Set(false)
 		g.Drain()
 		log.Info().Int64("active", g.Active()).Msg("app: not ready any more, finishing requests")
-		orders.Retire(ctx)
 		_ = pause.For(ctx, s.Stop.DrainDelay)
 		g.Close()
 		idle.expire()
 		_ = pause.For(ctx, closeDelay)
-		return fault.Wrap(server.Shutdown(ctx), "finish requests", s.Callers.Listen)
+		err := server.Shutdown(ctx)
+		// Each change of the holder costs a pause without orders, so that the lease
+		// is kept as long as possible.
+		orders.Retire(context.WithoutCancel(ctx))
+		return fault.Wrap(err, "finish requests", s.Callers.Listen)
 	}
 	appendHook(lifecycle, start, stop)
 }
--- a/internal/app/gatewaynews.go
+++ b/internal/app/gatewaynews.go
@@ -46,12 +46,11 @@
 		news.Upstreams = append(news.Upstreams, told)
 	}
 	for model, wanted := range n.known.Models() {
-		if wanted.Assumed {
-			continue
+		for _, named := range wanted.Ages() {
+			news.Wanted = append(news.Wanted, &wirepb.WantedWeights{
+				Model: model, Version: named.Version, AgeMs: now.Sub(named.Known).Milliseconds(),
+			})
 		}
-		news.Wanted = append(news.Wanted, &wirepb.WantedWeights{
-			Model: model, Version: wanted.Version, AgeMs: now.Sub(wanted.Known).Milliseconds(),
-		})
 	}
 	for _, reading := range n.readingsFor(peer) {
 		news.Readings = append(news.Readings, &wirepb.PromptReading{
@@ -75,16 +74,15 @@
 		demand[d.Customer] = d.TokensPerSecond
 	}
 	n.shares.Hear(news.Name, demand)
-	if news.HoldsOrders {
-		n.orders.HearHolder()
-	}
+	n.orders.HearHolder(news.Name, news.HoldsOrders)
 	n.hearEvidence(news, asked)
 	for _, reading := range news.Readings {
 		n.chooser.Hear(steer.Reading{Upstream: reading.Upstream, Salt: reading.Salt, Parts: reading.Parts})
 	}
 	now := bootclock.Now()
 	for _, wanted := range news.Wanted {
-		n.known.Age(wanted.Model, wanted.Version, now.Add(-time.Duration(wanted.AgeMs)*time.Millisecond))
+		known := now.Add(-time.Duration(wanted.AgeMs) * time.Millisecond)
+		n.known.Age(wanted.Model, catalog.Named{Version: wanted.Version, Known: known})
 	}
 	for _, note := range news.Upstreams {
 		n.hearUpstream(note, now)
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -73,16 +73,40 @@
 	if got := c.Wanted("m"); !got.Assumed || got.Floor(now, time.Minute) != 5 {
 		t.Errorf("%+v", got)
 	}
-	c.Age("m", 4, now)
+	c.Age("m", Named{4, now})
 	if got := c.Wanted("m"); !got.Assumed {
 		t.Error("the age of another version was taken")
 	}
-	c.Age("m", 5, now.Add(-time.Second))
+	c.Age("m", Named{5, now.Add(-time.Second)})
 	if got := c.Wanted("m"); got.Assumed || got.Floor(now, 2*time.Second) != 0 {
 		t.Errorf("%+v", got)
 	}
-	c.Age("m", 5, now)
+	c.Age("m", Named{5, now})
 	if got := c.Wanted("m"); got.Known != now.Add(-time.Second) {
 		t.Error("a peer that learned later made the version younger")
 	}
 }
+
+// A process that starts after a newer version was named learns of the one before
+// it from its peers.
+func TestAgesOfFormerVersionsAreTold(t *testing.T) {
+	start := bootclock.Instant(1_000_000_000_000)
+	at := func(s int) bootclock.Instant { return start.Add(time.Duration(s) * time.Second) }
+	old, restarted := New(), New()
+	old.SetWanted(nil, at(0))
+	old.SetWanted(map[string]int64{"m": 2}, at(2))
+	old.SetWanted(map[string]int64{"m": 3}, at(10))
+	restarted.SetWanted(map[string]int64{"m": 3}, at(11))
+	for _, named := range old.Wanted("m").Ages() {
+		restarted.Age("m", named)
+	}
+	for second, want := range map[int]int64{13: 0, 17: 2, 23: 2, 25: 3} {
+		if got := restarted.Wanted("m").Floor(at(second), 14*time.Second); got != want {
+			t.Errorf("floor at %d s: %d, want %d", second, got, want)
+		}
+	}
+	restarted.SetWanted(map[string]int64{"m": 4}, at(12))
+	if got := restarted.Wanted("m").Floor(at(17), 14*time.Second); got != 2 {
+		t.Errorf("floor after a newer version: %d, want 2", got)
+	}
+}
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -1,7 +1,9 @@
 package catalog
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -58,21 +60,48 @@
 	return 0
 }
 
-// aged returns the wanted version, known since an earlier instant.
-func (w Wanted) aged(known bootclock.Instant) Wanted {
-	if w.Assumed {
-		w.Known, w.Assumed = known, false
+// Ages returns the versions whose ages are known, oldest first.
+func (w Wanted) Ages() []Named {
+	ages := slices.Clone(w.former)
+	if w.Version > 0 && !w.Assumed {
+		ages = append(ages, w.Named)
+	}
+	return ages
+}
+
+// aged returns the wanted version with what another process knows of it, or of a
+// version before it. Of two instants the earlier one counts, unless the own one
+// was only assumed.
+func (w Wanted) aged(told Named) Wanted {
+	switch {
+	case told.Version > w.Version:
 		return w
+	case told.Version == w.Version && w.Assumed:
+		w.Known, w.Assumed = told.Known, false
+	case told.Version == w.Version:
+		w.Known = min(w.Known, told.Known)
+	default:
+		w.former = insertNamed(w.former, told)
 	}
-	w.Known = min(w.Known, known)
 	return w
 }
 
+// insertNamed returns a list, in the order of versions, with one more version.
+func insertNamed(list []Named, told Named) []Named {
+	list = slices.Clone(list)
+	i, known := slices.BinarySearchFunc(list, told, func(a, b Named) int { return cmp.Compare(a.Version, b.Version) })
+	if known {
+		list[i].Known = min(list[i].Known, told.Known)
+		return list
+	}
+	return slices.Insert(list, i, told)
+}
+
 // follow returns the wanted version after a newer one was named.
 func (w Wanted) follow(version int64, now bootclock.Instant) Wanted {
 	next := Wanted{Named: Named{Version: version, Known: now}}
-	for _, named := range append(append([]Named(nil), w.former...), w.Named) {
-		if named.Version > 0 && now.Sub(named.Known) < formerKept {
+	for _, named := range w.Ages() {
+		if now.Sub(named.Known) < formerKept {
 			next.former = append(next.former, named)
 		}
 	}
@@ -167,20 +196,17 @@
 	c.notify()
 }
 
-// Age corrects the instant at which a wanted version became known, when another
-// process has known it for longer.
-func (c *Catalog) Age(model string, version int64, known bootclock.Instant) {
+// Age takes what another process knows of the age of a version that is wanted, or
+// was wanted before.
+func (c *Catalog) Age(model string, told Named) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	former := c.wanted.Load()
-	if former == nil || (*former)[model].Version != version {
-		return
-	}
-	if wanted := (*former)[model]; !wanted.Assumed && wanted.Known <= known {
+	all := c.wanted.Load()
+	if all == nil || told.Version <= 0 {
 		return
 	}
-	merged := maps.Clone(*former)
-	merged[model] = merged[model].aged(known)
+	merged := maps.Clone(*all)
+	merged[model] = merged[model].aged(told)
 	c.wanted.Store(&merged)
 }
 
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -108,7 +108,8 @@
 	loadsAtOnce map[string]int
 	retired     bool
 	done        sync.WaitGroup
-	// otherHeard is when another gateway last told that it holds the lease.
+	// other is the gateway that last told that it holds the lease, and otherHeard when.
+	other      string
 	otherHeard bootclock.Instant
 	// onNews is called when there are news of engines for other gateways.
 	onNews func()
@@ -199,14 +200,22 @@
 	defer cancel()
 	err := m.options.Lease.Release(ctx)
 	m.options.Log.Info().Err(err).Msg("weights: orders lease released")
+	if m.onNews != nil {
+		m.onNews()
+	}
 }
 
-// HearHolder notes that another gateway says that it holds the lease. As long as
-// it does, this one spares the store its attempts.
-func (m *Manager) HearHolder() {
+// HearHolder notes whether another gateway says that it holds the lease. As long
+// as one does, this one spares the store its attempts.
+func (m *Manager) HearHolder(name string, holds bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.otherHeard = bootclock.Now()
+	switch {
+	case holds:
+		m.other, m.otherHeard = name, bootclock.Now()
+	case name == m.other:
+		m.otherHeard = 0
+	}
 }
 
 func (m *Manager) otherHolds() bool {
