--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -122,12 +122,8 @@
 	return retry.NewAllowance(s.Bounds.RetryRatio*ratioPart, s.Bounds.RetrySlack*slackPart)
 }
 
-func newGatewayNode(lifecycle fx.Lifecycle, s *GatewaySettings, log zerolog.Logger) (*node.Node, error) {
-	n, err := node.New(s.Identity, s.Inner, tlsconf.Files{}, log)
-	if err != nil {
-		return nil, err
-	}
-	return n, nil
+func newGatewayNode(s *GatewaySettings, log zerolog.Logger) (*node.Node, error) {
+	return node.New(s.Identity, s.Inner, tlsconf.Files{}, log)
 }
 
 func newGateway(
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -68,8 +68,6 @@
 	Status int
 	Header http.Header
 	Body   io.Reader
-	// Fresh says that the connection was opened for this exchange.
-	Fresh bool
 	// Delimited says that the body has a length or is chunked. Others end with
 	// the connection.
 	Delimited bool
@@ -160,7 +158,6 @@
 		Status:    response.StatusCode,
 		Header:    response.Header,
 		Body:      response.Body,
-		Fresh:     c.uses == 0,
 		Delimited: response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
 		conn:      c,
 		response:  response,
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -56,8 +56,6 @@
 	NotRun bool
 	// Misdirected says that the upstream is another one, or has other weights.
 	Misdirected bool
-	// Upstream is the id that a misdirected answer tells; may be empty.
-	Upstream string
 	// Sound says that a success carries all that a caller needs to rely on it.
 	Sound bool
 	// Version is the weights version that the answer tells; 0 when it tells none.
