--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -39,12 +39,15 @@
 type Log struct {
 	// Level is the least severity that is logged: debug, info, warn or error.
 	Level string `ini:"level"`
-	// Output is stderr or stdout.
+	// Output is stderr or stdout; stderr when empty.
 	Output string `ini:"output"`
 }
 
 // Validate implements settings.Validator.
 func (l *Log) Validate() (string, error) {
+	if l.Output == "" {
+		l.Output = outputStderr
+	}
 	if l.Output != outputStderr && l.Output != outputStdout {
 		return "output", fmt.Errorf("%q is neither %s nor %s", l.Output, outputStderr, outputStdout)
 	}
