--- a/internal/bootclock/bootclock.go
+++ b/internal/bootclock/bootclock.go
@@ -1,5 +1,5 @@
 // Package bootclock reads a clock that neither jumps with the time of day nor
-// stands still while the machine is suspended. Terms and ages that bound safety
+// stands still while the host is suspended. Terms and ages that bound safety
 // are counted on it, since Go's monotonic clock does not count a suspension.
 package bootclock
 
@@ -9,7 +9,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// Instant is a reading of the clock, as the time since the machine's start. The
+// Instant is a reading of the clock, as the time since the host's start. The
 // zero Instant is before every reading.
 type Instant time.Duration
 
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -41,7 +41,7 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.cause }
 
-// Silent reports whether the upstream's machine acknowledged nothing.
+// Silent reports whether the upstream's host acknowledged nothing.
 func (e *Error) Silent() bool { return errors.Is(e.cause, unix.ETIMEDOUT) }
 
 // Request is what an upstream gets, byte for byte but for the framing.
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// dialTimeout bounds the opening of a connection; a machine without power does not answer.
+	// dialTimeout bounds the opening of a connection; a host without power does not answer.
 	dialTimeout = 400 * time.Millisecond
 	// unackedTimeout ends a connection whose peer acknowledges nothing that was sent.
 	unackedTimeout = time.Second
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -18,7 +18,7 @@
 )
 
 // unreachable keeps requests from an upstream until a connection to it succeeds,
-// so that no request waits for a machine that does not answer.
+// so that no request waits for a host that does not answer.
 func (g *Gateway) unreachable(upstream *catalog.Upstream, visit *steer.Visit, cause error) {
 	g.Pool.Forget(upstream.Address)
 	if !visit.Unreachable() {
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -1,7 +1,7 @@
 // Package weights brings model engines to the weights that are wanted. One
 // gateway at a time, the holder of a lease in the platform's store, gives the
 // orders; it carries a fencing number and counts its term on a clock that does
-// not stand still while the machine is suspended.
+// not stand still while the host is suspended.
 //
 // Load pattern: a version is named every few seconds, an engine needs a second
 // or two to load it and serves nothing meanwhile, and loads slow each other down
