--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -361,11 +361,7 @@
 
 // gatewayReady waits until the configuration and the lists are known.
 func gatewayReady(ctx context.Context, known *catalog.Catalog, ready *admin.Readiness, log zerolog.Logger) {
-	for !known.Known() {
-		changed := known.Changed()
-		if known.Known() {
-			break
-		}
+	for changed := known.Changed(); !known.Known(); changed = known.Changed() {
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -57,7 +57,6 @@
 
 // prepareWork describes the request to the choice of upstreams.
 func (j *job) prepareWork() {
-	j.work = steer.Work{Pool: j.pool.Name}
 	if j.pool.Engine == nil {
 		return
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -89,7 +89,9 @@
 		}
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			return j.endStream(response, headOut)
+			// A stream without events has its head here.
+			j.sendHead(response, headOut)
+			return nil
 		}
 		if err != nil {
 			return err
@@ -120,12 +122,6 @@
 	}
 }
 
-// endStream passes on the end of a stream, also of one without events.
-func (j *job) endStream(response *exchange.Response, headOut *bool) error {
-	j.sendHead(response, headOut)
-	return nil
-}
-
 func (j *job) sendHead(response *exchange.Response, headOut *bool) {
 	if *headOut {
 		return
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -119,9 +119,9 @@
 	registered map[string]bool
 }
 
-// New returns a manager of the gateway with a name, without peers. slack is the number of tokens that all
-// gateways together may spend beyond a customer's limit in any window. A nil now
-// stands for bootclock.Now.
+// New returns a manager of the gateway with a name, without peers. slack is the
+// number of tokens that all gateways together may spend beyond a customer's limit
+// in any window. A nil now stands for bootclock.Now.
 func New(name string, slack float64, now func() bootclock.Instant) *Manager {
 	if now == nil {
 		now = bootclock.Now
--- a/internal/steer/work.go
+++ b/internal/steer/work.go
@@ -14,7 +14,6 @@
 
 // Work describes a request to the choice.
 type Work struct {
-	Pool  string
 	Model string
 	// Salt names what cached parts belong to; it differs by weights and by isolated customer.
 	Salt func(version int64) string
