--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,16 +91,10 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	j := &job{gateway: g, w: w, r: r, arrived: bootclock.Now()}
-	defer j.finish()
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if refused := j.admit(); refused != nil {
-		j.refuse(refused)
-		return
-	}
-	j.run()
+	newJob(g, w, r).serve()
 }
 
 // refusal is an answer of the gateway's own.
@@ -152,6 +146,20 @@
 	outcome outcome
 }
 
+func newJob(g *Gateway, w http.ResponseWriter, r *http.Request) *job {
+	return &job{gateway: g, w: w, r: r, arrived: bootclock.Now()}
+}
+
+// serve answers the request, and writes its line.
+func (j *job) serve() {
+	defer j.finish()
+	if refused := j.admit(); refused != nil {
+		j.refuse(refused)
+		return
+	}
+	j.run()
+}
+
 // admit reads the request and decides whether it may run at all.
 func (j *job) admit() *refusal {
 	g := j.gateway
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -40,7 +40,7 @@
 			return true, nil
 		}
 		j.outcome.err = err
-		if j.gone() {
+		if j.gone() || isCallerError(err) {
 			j.note(choice.Upstream, "caller-left", started)
 			j.outcome.reason = "caller-left"
 			return true, nil
@@ -65,6 +65,21 @@
 	}
 }
 
+// callerError is a failed write to the caller, which has left or takes nothing
+// more. It says nothing about the upstream.
+type callerError struct{ cause error }
+
+// Error implements error.
+func (e *callerError) Error() string { return "write to caller: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *callerError) Unwrap() error { return e.cause }
+
+func isCallerError(err error) bool {
+	var failed *callerError
+	return errors.As(err, &failed)
+}
+
 // breakOff closes the caller's connection, so that the answer can't look complete.
 func (j *job) breakOff() {
 	j.outcome.status, j.outcome.reason = http.StatusOK, "broken-off"
@@ -105,7 +120,7 @@
 		j.sendHead(response, headOut)
 		_ = control.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if _, err := j.w.Write(event.Raw); err != nil {
-			return err
+			return &callerError{cause: err}
 		}
 		if event.ID != "" {
 			*lastEvent = event.ID
@@ -114,7 +129,7 @@
 			continue
 		}
 		if err := control.Flush(); err != nil {
-			return err
+			return &callerError{cause: err}
 		}
 		if ctx.Err() != nil {
 			return ctx.Err()
