--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -180,7 +180,6 @@
 ) *peering.Manager {
 	news := &gatewayNews{name: s.Identity.Name, shares: shares, orders: orders, known: known, chooser: chooser, told: make(map[string]uint64)}
 	manager := peering.New(peering.Options{Name: s.Identity.Name, Pool: n.Pool, News: news.compose, Hear: news.hear, Log: log})
-	manager.Register(n.Server)
 	orders.OnNews(manager.Urge)
 	return manager
 }
@@ -213,9 +212,11 @@
 		chooser.SetGateways(1 + len(others))
 		allowance.SetSlack(s.Bounds.RetrySlack * slackPart / float64(1+len(others)))
 	}
-	return roster.New(roster.Options{
+	r := roster.New(roster.Options{
 		Store: st, Name: s.Identity.Name, Address: n.Address, Zone: s.Identity.Zone, Changed: changed, Log: log,
 	})
+	peers.OnHeard(r.Heard)
+	return r
 }
 
 func serveGatewayAdmin(lifecycle fx.Lifecycle, s *GatewaySettings, ready *admin.Readiness, log zerolog.Logger) {
@@ -231,7 +232,10 @@
 	serveHTTP(lifecycle, server, s.Readiness.Listen, nil, log)
 }
 
-func startPeering(lifecycle fx.Lifecycle, n *node.Node, peers *peering.Manager) {
+// startPeering answers peers from now on. The roster is made before, as it notes
+// which of them are heard.
+func startPeering(lifecycle fx.Lifecycle, n *node.Node, peers *peering.Manager, _ *roster.Roster) {
+	peers.Register(n.Server)
 	stop := func(ctx context.Context) error {
 		peers.Stop()
 		return n.Stop(ctx)
@@ -298,6 +302,7 @@
 	})
 	follow(lifecycle, st, roster.Prefix, r, gatherPause, log)
 	appendBackground(lifecycle, r.Join)
+	appendBackground(lifecycle, r.Keep)
 }
 
 func sweepConnections(lifecycle fx.Lifecycle, pool *exchange.Pool) {
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -48,6 +48,9 @@
 type Manager struct {
 	options Options
 
+	// onHeard is called when a peer was heard.
+	onHeard func(peer string)
+
 	mu    sync.Mutex
 	peers map[Peer]*link
 	ctx   context.Context
@@ -66,6 +69,9 @@
 	return &Manager{options: options, peers: make(map[Peer]*link), ctx: ctx, stop: stop}
 }
 
+// OnHeard sets what is called when a peer was heard. It is called before Register.
+func (m *Manager) OnHeard(call func(peer string)) { m.onHeard = call }
+
 // Register makes the server answer peers.
 func (m *Manager) Register(server *wire.Server) {
 	server.Handle(wirepb.Kind_KIND_GATEWAY, m.handle)
@@ -77,7 +83,7 @@
 		m.options.Log.Debug().Err(err).Str("peer", stream.Peer()).Msg("peering: news not read")
 		return
 	}
-	m.options.Hear(&news, 0)
+	m.hear(&news, 0)
 	if err := stream.Send(m.options.News(news.Name)); err != nil {
 		m.options.Log.Debug().Err(err).Str("peer", stream.Peer()).Msg("peering: news not answered")
 	}
@@ -198,6 +204,13 @@
 	if err := m.options.Pool.Ask(ctx, peer.Address, wirepb.Kind_KIND_GATEWAY, "", m.options.News(peer.Name), &news); err != nil {
 		return err
 	}
-	m.options.Hear(&news, asked)
+	m.hear(&news, asked)
 	return nil
 }
+
+func (m *Manager) hear(news *wirepb.GatewayNews, asked bootclock.Instant) {
+	m.options.Hear(news, asked)
+	if m.onHeard != nil {
+		m.onHeard(news.Name)
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -11,6 +11,7 @@
 
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/fault"
+	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/internal/peering"
 	"github.com/greengagegate/greengagegate/store"
 	"github.com/rs/zerolog"
@@ -41,6 +42,16 @@
 	// Changed takes the other gateways after each change.
 	Changed func([]peering.Peer)
 	Log     zerolog.Logger
+	// Now reads the clock; nil stands for bootclock.Now.
+	Now func() bootclock.Instant
+}
+
+// listed is another gateway's entry, or the own one, as this process knows it.
+type listed struct {
+	entry
+	version int64
+	// since is when this version of the entry was seen first.
+	since bootclock.Instant
 }
 
 // Roster is the list of gateways. It implements mirror.Sink.
@@ -48,63 +59,92 @@
 	options Options
 
 	mu      sync.Mutex
-	entries map[string]entry
-	own     int64
+	entries map[string]listed
+	// heard is when each gateway was heard last.
+	heard map[string]bootclock.Instant
+	// own is the version of the own entry; 0 before it was written and after it left.
+	own  int64
+	left bool
 }
 
 // New returns an empty roster.
 func New(options Options) *Roster {
-	return &Roster{options: options, entries: make(map[string]entry)}
+	if options.Now == nil {
+		options.Now = bootclock.Now
+	}
+	return &Roster{options: options, entries: make(map[string]listed), heard: make(map[string]bootclock.Instant)}
 }
 
 // Join writes this gateway's entry and repeats that until it succeeds or ctx ends.
 func (r *Roster) Join(ctx context.Context) {
-	value, err := json.Marshal(entry{Address: r.options.Address, Zone: r.options.Zone})
-	if err != nil {
-		r.options.Log.Error().Err(err).Msg("roster: entry can't be encoded")
-		return
-	}
-	for pause := firstPause; ; pause = min(2*pause, lastPause) {
-		err := r.write(ctx, value)
+	for wait := firstPause; ; wait = min(2*wait, lastPause) {
+		err := r.write(ctx)
 		if err == nil || ctx.Err() != nil {
 			return
 		}
 		r.options.Log.Warn().Err(err).Msg("roster: entry not written")
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
+		if pause.For(ctx, wait) != nil {
 			return
 		}
 	}
 }
 
 // write creates the entry, or replaces the one of a former life.
-func (r *Roster) write(ctx context.Context, value []byte) error {
+func (r *Roster) write(ctx context.Context) error {
+	value, err := json.Marshal(entry{Address: r.options.Address, Zone: r.options.Zone})
+	if err != nil {
+		return fault.Wrap(err, "encode own entry", r.options.Name)
+	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	key := Prefix + r.options.Name
-	version, err := r.options.Store.Put(ctx, key, value, store.VersionAbsent)
+	r.mu.Lock()
+	expected := r.own
+	r.mu.Unlock()
+	version, err := r.options.Store.Put(ctx, key, value, expected)
 	if errors.Is(err, store.ErrConflict) {
-		var current store.Object
-		if current, err = r.options.Store.Get(ctx, key); err != nil {
-			return fault.Wrap(err, "read own entry", key)
+		if expected, err = r.current(ctx, key); err != nil {
+			return err
 		}
-		version, err = r.options.Store.Put(ctx, key, value, current.Version)
+		version, err = r.options.Store.Put(ctx, key, value, expected)
 	}
 	if err != nil {
 		return fault.Wrap(err, "write own entry", key)
 	}
 	r.mu.Lock()
+	message := "roster: joined"
+	if r.own != 0 {
+		message = "roster: entry renewed"
+	}
 	r.own = version
 	r.mu.Unlock()
-	r.options.Log.Info().Str("address", r.options.Address).Int64("version", version).Msg("roster: joined")
+	r.options.Log.Info().Str("address", r.options.Address).Int64("version", version).Msg(message)
 	return nil
 }
 
+// current returns the version of the own entry in the store.
+func (r *Roster) current(ctx context.Context, key string) (int64, error) {
+	r.mu.Lock()
+	left := r.left
+	r.mu.Unlock()
+	if left {
+		return 0, errLeft
+	}
+	object, err := r.options.Store.Get(ctx, key)
+	if errors.Is(err, store.ErrNotFound) {
+		return store.VersionAbsent, nil
+	}
+	return object.Version, fault.Wrap(err, "read own entry", key)
+}
+
+// errLeft ends the writing of an entry that is not wanted any more.
+var errLeft = errors.New("roster: this gateway has left")
+
 // Leave removes this gateway's entry.
 func (r *Roster) Leave(ctx context.Context) {
 	r.mu.Lock()
 	own := r.own
+	r.left = true
 	r.mu.Unlock()
 	if own == 0 {
 		return
@@ -121,7 +161,14 @@
 // Replace implements mirror.Sink.
 func (r *Roster) Replace(objects []store.Object) {
 	r.mu.Lock()
-	r.entries = make(map[string]entry, len(objects))
+	former := r.entries
+	r.entries = make(map[string]listed, len(objects))
+	for _, object := range objects {
+		name := object.Key[len(Prefix):]
+		if known, ok := former[name]; ok && known.version == object.Version {
+			r.entries[name] = known
+		}
+	}
 	r.mu.Unlock()
 	r.Apply(objects)
 }
@@ -141,6 +188,7 @@
 	name := object.Key[len(Prefix):]
 	if object.Deleted {
 		delete(r.entries, name)
+		delete(r.heard, name)
 		return
 	}
 	var e entry
@@ -148,7 +196,10 @@
 		r.options.Log.Warn().Err(err).Str("name", name).Msg("roster: entry can't be read")
 		return
 	}
-	r.entries[name] = e
+	if r.entries[name].version == object.Version {
+		return
+	}
+	r.entries[name] = listed{entry: e, version: object.Version, since: r.options.Now()}
 }
 
 // peers returns the other gateways; r.mu is held.
