--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -39,6 +39,7 @@
 	router.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	router.GET("/readyz", ready.Handle)
 	router.GET("/metrics", gin.WrapH(metrics.Handler()))
+	router.GET("/metrics/text", gin.WrapH(metrics.TextHandler()))
 	router.GET("/debug/pprof/*profile", func(c *gin.Context) {
 		switch c.Param("profile") {
 		case "/profile":
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -113,7 +113,7 @@
 		),
 		fx.Invoke(
 			serveGatewayAdmin, serveReadiness, startPeering, followCatalog, followPlatform, followRoster,
-			sweepConnections, startOrders, followCacheStore, serveGatewayCallers,
+			sweepConnections, startOrders, followCacheStore, showGatewayState, serveGatewayCallers,
 		),
 	)
 }
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -116,6 +116,10 @@
 	wanted    atomic.Pointer[map[string]Wanted]
 	evidence  atomic.Int64
 	trouble   atomic.Int64
+	// configSince is when the configuration in force was taken, listConfirmed when
+	// the list of upstreams was last known to be complete.
+	configSince   atomic.Int64
+	listConfirmed atomic.Int64
 
 	mu      sync.Mutex
 	changed chan struct{}
@@ -162,6 +166,7 @@
 		return false
 	}
 	c.config.Store(config)
+	c.configSince.Store(int64(bootclock.Now()))
 	c.notify()
 	return true
 }
@@ -224,10 +229,16 @@
 }
 
 // Confirm notes that the configuration in force was the newest at an instant.
-func (c *Catalog) Confirm(at bootclock.Instant) {
+func (c *Catalog) Confirm(at bootclock.Instant) { raise(&c.evidence, at) }
+
+// ConfirmList notes that the list of upstreams was complete at an instant.
+func (c *Catalog) ConfirmList(at bootclock.Instant) { raise(&c.listConfirmed, at) }
+
+// raise stores an instant unless a later one is there.
+func raise(to *atomic.Int64, at bootclock.Instant) {
 	for {
-		former := c.evidence.Load()
-		if int64(at) <= former || c.evidence.CompareAndSwap(former, int64(at)) {
+		former := to.Load()
+		if int64(at) <= former || to.CompareAndSwap(former, int64(at)) {
 			return
 		}
 	}
@@ -244,3 +255,13 @@
 func (c *Catalog) EvidenceAge(now bootclock.Instant) time.Duration {
 	return now.Sub(bootclock.Instant(c.evidence.Load()))
 }
+
+// ConfigAge returns how long ago the configuration in force was taken.
+func (c *Catalog) ConfigAge(now bootclock.Instant) time.Duration {
+	return now.Sub(bootclock.Instant(c.configSince.Load()))
+}
+
+// ListAge returns how long ago the list of upstreams was last known to be complete.
+func (c *Catalog) ListAge(now bootclock.Instant) time.Duration {
+	return now.Sub(bootclock.Instant(c.listConfirmed.Load()))
+}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -83,6 +83,19 @@
 	return p.open[address]
 }
 
+// Connections returns the number of connections, and of those that are idle.
+func (p *Pool) Connections() (open, idle int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, count := range p.open {
+		open += count
+	}
+	for _, list := range p.idle {
+		idle += len(list)
+	}
+	return open, idle
+}
+
 // take returns an idle connection that is still sound, or a new one.
 func (p *Pool) take(ctx context.Context, address string) (*conn, error) {
 	for c := p.pop(address); c != nil; c = p.pop(address) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -96,6 +96,8 @@
 
 // choose waits a little for a usable upstream.
 func (j *job) choose() (steer.Choice, *refusal) {
+	j.gateway.waiting.Add(1)
+	defer j.gateway.waiting.Add(-1)
 	waitUntil := bootclock.Now().Add(time.Duration(choiceWait * float64(j.route.Objective)))
 	for {
 		if j.gone() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/exchange"
+	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/retry"
 	"github.com/greengagegate/greengagegate/internal/share"
 	"github.com/greengagegate/greengagegate/internal/steer"
@@ -70,6 +71,7 @@
 	draining atomic.Bool
 	closed   atomic.Bool
 	active   atomic.Int64
+	waiting  atomic.Int64
 	buffered atomic.Int64
 }
 
@@ -87,6 +89,12 @@
 // Active returns the number of requests that have no final answer yet.
 func (g *Gateway) Active() int64 { return g.active.Load() }
 
+// Waiting returns the number of requests that wait for a usable upstream.
+func (g *Gateway) Waiting() int64 { return g.waiting.Load() }
+
+// Buffered returns the number of bytes of bodies that are held.
+func (g *Gateway) Buffered() int64 { return g.buffered.Load() }
+
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
@@ -327,6 +335,9 @@
 		j.outcome.err = err
 		return share.Answer{RetryAfter: short.RetryAfter}
 	}
+	if answer.Admitted {
+		metrics.Counter("share.borrowed_tokens", "customer", j.customer.Name).Inc(int64(j.cost))
+	}
 	return answer
 }
 
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -56,6 +56,7 @@
 		return true
 	}
 	r.suppressed.Add(1)
+	metrics.Counter("gateway.lines_left_out").Inc(1)
 	return false
 }
 
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -51,10 +51,19 @@
 	return b.String()
 }
 
+// TextHandler serves all metrics as Prometheus text.
+func TextHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		collect()
+		writePrometheus(w)
+	})
+}
+
 // Handler serves all metrics: JSON by default, Prometheus text with
 // ?format=prometheus or an Accept header that asks for text/plain.
 func Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		collect()
 		if r.URL.Query().Get("format") == "prometheus" || strings.Contains(r.Header.Get("Accept"), "text/plain") {
 			writePrometheus(w)
 			return
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -27,3 +27,33 @@
 		t.Errorf("no JSON counter in %s", recorder.Body.String())
 	}
 }
+
+func TestGaugesAreCollectedWhenTheyAreRead(t *testing.T) {
+	family := NewFamily("test.version")
+	upstreams := map[string]int64{"a": 3, "b": 4}
+	withdraw := OnRead(func() {
+		family.Begin()
+		for name, version := range upstreams {
+			family.Set(version, "upstream", name)
+		}
+		family.End()
+	})
+	defer withdraw()
+	read := func() string {
+		recorder := httptest.NewRecorder()
+		Handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics?format=prometheus", nil))
+		return recorder.Body.String()
+	}
+	if body := read(); !strings.Contains(body, `greengage_test_version{upstream="a"} 3`) || !strings.Contains(body, `upstream="b"`) {
+		t.Errorf("members are missing in:\n%s", body)
+	}
+	upstreams = map[string]int64{"a": 5}
+	if body := read(); !strings.Contains(body, `greengage_test_version{upstream="a"} 5`) || strings.Contains(body, `upstream="b"`) {
+		t.Errorf("want a with 5 and no b in:\n%s", body)
+	}
+	withdraw()
+	upstreams = map[string]int64{"a": 6}
+	if body := read(); !strings.Contains(body, `greengage_test_version{upstream="a"} 5`) {
+		t.Errorf("a withdrawn collector still runs:\n%s", body)
+	}
+}
--- a/internal/retry/allowance.go
+++ b/internal/retry/allowance.go
@@ -1,6 +1,9 @@
 package retry
 
-import "sync"
+import (
+	"maps"
+	"sync"
+)
 
 // Allowance bounds the repeats that all gateways together send to a pool, as a
 // part of the pool's requests and a fixed slack. Each gateway has an equal part
@@ -56,3 +59,10 @@
 	}
 	return balance
 }
+
+// Balances returns the repeats that may be sent at once, by pool.
+func (a *Allowance) Balances() map[string]float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return maps.Clone(a.balances)
+}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -18,6 +18,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/greengagegate/greengagegate/internal/bootclock"
+	"github.com/greengagegate/greengagegate/internal/metrics"
 )
 
 const (
@@ -221,7 +222,11 @@
 func (m *Manager) Grant(customer string, limit Limit, tokens float64) Answer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.grant(customer, limit, tokens, m.now())
+	answer := m.grant(customer, limit, tokens, m.now())
+	if answer.Admitted {
+		metrics.Counter("share.lent_tokens", "customer", customer).Inc(int64(tokens))
+	}
+	return answer
 }
 
 // grant spends tokens of a pool; m.mu is held. The pool shrinks with the number
--- a/internal/weights/tenure.go
+++ b/internal/weights/tenure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/pause"
@@ -114,3 +115,11 @@
 	}
 	return m.fence, m.options.Lease.Held()
 }
+
+// LeaseLeft returns the time until the lease ends unless it is renewed; 0 when it
+// is not held.
+func (m *Manager) LeaseLeft() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(0, m.until.Sub(bootclock.Now()))
+}
