--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -59,10 +59,14 @@
 	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBytes)); err == nil {
 		response.Finished()
 	}
-	if verdict.Misdirected {
+	switch {
+	case verdict.Misdirected && verdict.Life != "" && verdict.Life != choice.Upstream.ID:
+		j.note(choice.Upstream, "ended", started)
+		j.gateway.ended(choice.Upstream, visit, verdict.Life)
+	case verdict.Misdirected:
 		j.note(choice.Upstream, "misdirected", started)
 		visit.Full(misdirectedPause)
-	} else {
+	default:
 		j.note(choice.Upstream, "rejected-"+strconv.Itoa(response.Status), started)
 		visit.Full(fullPause)
 	}
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -56,6 +56,8 @@
 	NotRun bool
 	// Misdirected says that the upstream is another one, or has other weights.
 	Misdirected bool
+	// Life is the upstream that answered; empty when it does not tell.
+	Life string
 	// Sound says that a success carries all that a caller needs to rely on it.
 	Sound bool
 	// Version is the weights version that the answer tells; 0 when it tells none.
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -28,6 +28,14 @@
 	go g.probe(upstream)
 }
 
+// ended keeps requests from an upstream whose address answers for another life.
+// The list may hold the former one for some seconds.
+func (g *Gateway) ended(upstream *catalog.Upstream, visit *steer.Visit, life string) {
+	if visit.Ended() {
+		g.Log.Info().Str("upstream", upstream.ID).Str("address", upstream.Address).Str("life", life).Msg("gateway: upstream ended")
+	}
+}
+
 // probe tries connections until one succeeds or the upstream is no longer listed.
 func (g *Gateway) probe(upstream *catalog.Upstream) {
 	lost := bootclock.Now()
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -26,13 +26,18 @@
 
 func (plainCodec) Headers(in http.Header, _ *Call, send *Send) http.Header {
 	out := in.Clone()
+	out.Set("Upstream", send.Upstream)
 	if send.LastEvent != "" {
 		out.Set("Last-Event-Id", send.LastEvent)
 	}
 	return out
 }
 
-func (plainCodec) Judge(int, http.Header) Verdict  { return Verdict{Sound: true} }
+func (plainCodec) Judge(status int, header http.Header) Verdict {
+	misdirected := status == http.StatusMisdirectedRequest
+	return Verdict{Sound: true, NotRun: misdirected, Misdirected: misdirected, Life: header.Get("Life")}
+}
+
 func (plainCodec) Belongs(*Call, http.Header) bool { return true }
 func (plainCodec) Version([]byte) int64            { return 0 }
 
--- a/internal/steer/source.go
+++ b/internal/steer/source.go
@@ -24,7 +24,7 @@
 	var found []source
 	for _, upstream := range list {
 		s := c.state(upstream.ID)
-		if len(s.parts) == 0 || s.down || now.Before(s.restUntil) || now.Before(s.heldUntil) {
+		if len(s.parts) == 0 || s.down || s.ended || now.Before(s.restUntil) || now.Before(s.heldUntil) {
 			continue
 		}
 		version := s.version[work.Model]
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -113,9 +113,13 @@
 		}
 	}
 	for id, upstream := range listed.ByID {
-		if s := c.state(id); s.born != upstream.BornMillis {
+		s := c.state(id)
+		if s.born != upstream.BornMillis {
 			s.reset(upstream.BornMillis)
 		}
+		if s.address != upstream.Address {
+			s.address, s.ended = upstream.Address, false
+		}
 		for model, version := range upstream.Weights {
 			c.state(id).noteVersion(model, version)
 		}
@@ -161,6 +165,23 @@
 	return c.state(id).down
 }
 
+// Ended reports whether an upstream's address answers for another life.
+func (c *Chooser) Ended(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state(id).ended
+}
+
+// End notes that an upstream's address answers for another life than the one that
+// was born at a time. It gets nothing until it is listed anew.
+func (c *Chooser) End(id string, born int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s := c.state(id); s.born == born {
+		s.ended = true
+	}
+}
+
 // Running returns the number of requests that this gateway has at an upstream.
 func (c *Chooser) Running(id string) int {
 	c.mu.Lock()
@@ -187,7 +208,7 @@
 
 // choose compares the upstreams that can take the work; c.mu is held.
 func (c *Chooser) choose(list []*catalog.Upstream, work *Work, now bootclock.Instant) Choice {
-	home := homeOf(list, work)
+	home := c.homeOf(list, work)
 	sources := c.sources(list, work, now)
 	best := Choice{}
 	usable := 0
@@ -213,6 +234,8 @@
 	switch {
 	case u.Draining:
 		e.Draining++
+	case s.ended:
+		e.Ended++
 	case s.down:
 		e.Down++
 	case now.Before(s.restUntil):
@@ -260,8 +283,8 @@
 	return Choice{Upstream: u, Version: version, Missing: missing, Cost: cost, Source: from, Copied: copied}
 }
 
-// homeOf returns the upstream that ranks first for the deepest shared part.
-func homeOf(list []*catalog.Upstream, work *Work) string {
+// homeOf returns the upstream that ranks first for the deepest shared part; c.mu is held.
+func (c *Chooser) homeOf(list []*catalog.Upstream, work *Work) string {
 	if len(work.Parts) < 2 {
 		return ""
 	}
@@ -269,7 +292,7 @@
 	var best string
 	var weight uint64
 	for _, upstream := range list {
-		if upstream.Draining {
+		if upstream.Draining || c.state(upstream.ID).ended {
 			continue
 		}
 		if w := xxhash.Sum64String(key + upstream.ID); best == "" || w > weight {
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -187,6 +187,38 @@
 	}
 }
 
+// An upstream whose address answers for another life gets nothing more until it
+// is listed anew.
+func TestEndedLifeIsLeftOut(t *testing.T) {
+	b := newBench(2)
+	visit := b.chooser.Sent(Choice{Upstream: b.list[0]}, work("x"))
+	if !visit.Ended() || visit.Ended() {
+		t.Error("the end of a life is news once")
+	}
+	b.now = b.now.Add(time.Hour)
+	choice := b.choose(t, work("x"))
+	if choice.Upstream.ID != "e01" || choice.Excluded != (Excluded{Ended: 1}) || !b.chooser.Ended("e00") {
+		t.Errorf("chose %s, excluded %v", choice.Upstream.ID, choice.Excluded)
+	}
+	again := *b.list[0]
+	again.BornMillis = 2
+	b.chooser.Retain(catalog.NewUpstreams([]*catalog.Upstream{&again, b.list[1]}))
+	if choice := b.choose(t, work("x")); choice.Usable != 2 {
+		t.Errorf("%d usable after a new life was listed: %v", choice.Usable, choice.Excluded)
+	}
+	b.chooser.End("e01", 7)
+	if b.chooser.Ended("e01") {
+		t.Error("the end of a life that is not listed ended the one that is")
+	}
+	b.chooser.End("e01", 1)
+	moved := *b.list[1]
+	moved.Address = "10.0.0.9:1"
+	b.chooser.Retain(catalog.NewUpstreams([]*catalog.Upstream{&moved}))
+	if b.chooser.Ended("e01") {
+		t.Error("an upstream with a new address is still left out")
+	}
+}
+
 // A floor that is only assumed does not refuse what could be served.
 func TestAssumedFloorYields(t *testing.T) {
 	b := newBench(2)
--- a/internal/steer/upstream.go
+++ b/internal/steer/upstream.go
@@ -17,6 +17,8 @@
 	restUntil bootclock.Instant
 	// down says that the upstream could not be reached, and not since.
 	down bool
+	// ended says that the upstream's address answers for another life.
+	ended bool
 	// heldUntil keeps new requests away while an order is carried out.
 	heldUntil bootclock.Instant
 	version   map[string]int64
@@ -25,7 +27,8 @@
 	// into the engine's memory.
 	turnover float64
 	// born tells lives of an upstream apart that keep its id.
-	born int64
+	born    int64
+	address string
 }
 
 // held is what is known of a cached part.
@@ -44,6 +47,7 @@
 // reset begins a new life, which holds and knows nothing of the former one.
 func (s *upstreamState) reset(born int64) {
 	s.born = born
+	s.ended = false
 	clear(s.version)
 	clear(s.parts)
 	s.heldUntil, s.restUntil, s.failures, s.down = 0, 0, 0, false
--- a/internal/steer/visit.go
+++ b/internal/steer/visit.go
@@ -71,6 +71,16 @@
 	return !former
 }
 
+// Ended notes that another life answered at the upstream's address. It gets
+// nothing until it is listed anew. The result says that this is news.
+func (v *Visit) Ended() bool {
+	v.chooser.mu.Lock()
+	defer v.chooser.mu.Unlock()
+	former := v.state.ended
+	v.state.ended = true
+	return !former
+}
+
 // Full notes that the upstream refused the request, and is left alone for a moment.
 func (v *Visit) Full(pause time.Duration) {
 	v.chooser.mu.Lock()
--- a/internal/steer/work.go
+++ b/internal/steer/work.go
@@ -59,13 +59,14 @@
 
 // Excluded counts upstreams that can't take a request.
 type Excluded struct {
-	// Draining upstreams leave, Down ones could not be reached, Resting ones refused
-	// a request, Held ones are about to load weights, Old ones have weights that may
-	// not be used any more, and Tried ones were asked before.
-	Draining, Down, Resting, Held, Old, Tried int
+	// Draining upstreams leave, Ended ones have another life at their address, Down
+	// ones could not be reached, Resting ones refused a request, Held ones are about
+	// to load weights, Old ones have weights that may not be used any more, and Tried
+	// ones were asked before.
+	Draining, Ended, Down, Resting, Held, Old, Tried int
 }
 
 // String returns the counts for logs.
 func (e Excluded) String() string {
-	return fmt.Sprintf("draining=%d down=%d resting=%d held=%d old=%d tried=%d", e.Draining, e.Down, e.Resting, e.Held, e.Old, e.Tried)
+	return fmt.Sprintf("draining=%d ended=%d down=%d resting=%d held=%d old=%d tried=%d", e.Draining, e.Ended, e.Down, e.Resting, e.Held, e.Old, e.Tried)
 }
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -59,6 +59,10 @@
 	Hold(id string, until bootclock.Instant)
 	// Down reports whether an engine could not be reached.
 	Down(id string) bool
+	// Ended reports whether another life answers at an engine's address.
+	Ended(id string) bool
+	// End notes that the life of an engine that was born at a time has ended.
+	End(id string, born int64)
 	// Running returns the requests that this process has at an engine.
 	Running(id string) int
 }
@@ -182,6 +186,9 @@
 
 // planPool starts orders for the next engines of a pool.
 func (m *Manager) planPool(ctx context.Context, engines []*catalog.Upstream, model string, wanted catalog.Wanted) {
+	engines = slices.DeleteFunc(slices.Clone(engines), func(engine *catalog.Upstream) bool {
+		return m.options.Fleet.Ended(engine.ID)
+	})
 	if len(engines) == 0 {
 		return
 	}
@@ -346,6 +353,9 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	report, err := m.options.Engines.Report(ctx, engine)
+	if errors.Is(err, ErrOtherLife) {
+		m.options.Fleet.End(engine.ID, engine.BornMillis)
+	}
 	if err != nil {
 		m.options.Log.Warn().Err(err).Str("upstream", engine.ID).Msg("weights: engine did not report")
 		return report, err
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -69,6 +69,7 @@
 	version map[string]int64
 	orders  map[string]int64
 	busy    map[string]bool
+	reports map[string]int
 	loading int
 	most    int
 	seen    []Order
@@ -77,7 +78,7 @@
 }
 
 func newEngines(load time.Duration) *engines {
-	return &engines{load: load, version: make(map[string]int64), orders: make(map[string]int64), busy: make(map[string]bool)}
+	return &engines{load: load, version: make(map[string]int64), orders: make(map[string]int64), busy: make(map[string]bool), reports: make(map[string]int)}
 }
 
 func (e *engines) Order(_ context.Context, order *Order) (Result, error) {
@@ -111,6 +112,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	id := upstream.ID
+	e.reports[id]++
+	if id == "former" {
+		return Report{}, ErrOtherLife
+	}
 	return Report{Versions: map[string]int64{testModel: e.version[id]}, Busy: e.busy[id], Orders: e.orders[id]}, nil
 }
 
@@ -132,10 +137,11 @@
 	mu      sync.Mutex
 	version map[string]int64
 	held    map[string]bootclock.Instant
+	ended   map[string]bool
 }
 
 func newKnowledge() *knowledge {
-	return &knowledge{version: make(map[string]int64), held: make(map[string]bootclock.Instant)}
+	return &knowledge{version: make(map[string]int64), held: make(map[string]bootclock.Instant), ended: make(map[string]bool)}
 }
 
 func (k *knowledge) Version(id, _ string) int64 {
@@ -160,6 +166,18 @@
 
 func (k *knowledge) Down(id string) bool { return id == "dark" }
 
+func (k *knowledge) Ended(id string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.ended[id]
+}
+
+func (k *knowledge) End(id string, _ int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.ended[id] = true
+}
+
 // testFleet is a pool of engines and some gateways that compete for the lease.
 type testFleet struct {
 	store   store.Store
@@ -253,6 +271,25 @@
 	}
 }
 
+// Engines that came back under another name stay listed for some seconds. They are
+// found out once, and keep no place among those that load.
+func TestFormerLivesTakeNoTurn(t *testing.T) {
+	f := newTestFleet(4, 20*time.Millisecond)
+	defer f.stopAll()
+	upstreams := f.known.Upstreams().ByPool["llm"]
+	f.known.SetUpstreams(append([]*catalog.Upstream{{ID: "former", Pool: "llm", Zone: "z"}}, upstreams...))
+	f.start("g0")
+	for version := int64(2); version < 6; version++ {
+		f.want(version)
+		eventually(t, "all have the version", func() bool { return f.engines.reached(version) == 4 })
+	}
+	f.engines.mu.Lock()
+	defer f.engines.mu.Unlock()
+	if got := f.engines.reports["former"]; got != 1 {
+		t.Errorf("the former life was asked %d times, want once", got)
+	}
+}
+
 func TestAnotherHolderTakesOverWithAHigherFence(t *testing.T) {
 	f := newTestFleet(6, 20*time.Millisecond)
 	defer f.stopAll()
