--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// sampleEvery is the number of served requests for each that is logged.
+	// sampleEvery is the number of requests served at the first attempt for each
+	// that is logged.
 	sampleEvery = 16
-	// maxLinesPerSecond bounds the lines on requests that were not served.
+	// maxLinesPerSecond bounds the lines on other requests.
 	maxLinesPerSecond = 100
 )
 
@@ -32,8 +33,8 @@
 	err      error
 }
 
-// recorder writes a line on each request that was not served, and on a sample of
-// the others, within a bound.
+// recorder writes a line on each request that was not served or took more than one
+// attempt, and on a sample of the others, within a bound.
 type recorder struct {
 	log        zerolog.Logger
 	second     atomic.Int64
@@ -78,10 +79,11 @@
 		metrics.Histogram("gateway.first_event_us", "customer", customer).Update(j.outcome.firstByte.Microseconds())
 	}
 	served := j.outcome.reason == "answered" && j.outcome.status < 500
-	if served && (j.call == nil || xxhash.Sum64String(j.call.ID)%sampleEvery != 0) {
+	ordinary := served && len(j.sends) <= 1
+	if ordinary && (j.call == nil || xxhash.Sum64String(j.call.ID)%sampleEvery != 0) {
 		return
 	}
-	if !served && !j.gateway.records.allow(time.Now()) {
+	if !ordinary && !j.gateway.records.allow(time.Now()) {
 		return
 	}
 	j.writeLine(customer, took, served)
