--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -25,11 +24,6 @@
 	fullPause = 60 * time.Millisecond
 	// misdirectedPause is how long an upstream with unknown weights is left alone.
 	misdirectedPause = 150 * time.Millisecond
-	// busyFactor is the expected time to the first event, in terms of the route's
-	// objective, above which a request is refused.
-	busyFactor = 1
-	// maxBusyRetry bounds what callers are told to wait.
-	maxBusyRetry = 1500 * time.Millisecond
 	// maxSends bounds the sends of one request, refused ones included.
 	maxSends = 4
 )
@@ -124,24 +118,17 @@
 	}
 }
 
-// tooBusy refuses a request whose first event is expected so late that it would
-// only make others late too. Such a request has not been sent; the caller is told
-// to come back after the work that is ahead of it.
-//
-// Load pattern: a burst, or a third of the engines gone, while new weights make
-// all prefixes cold. Engines share their time among all prompts, so that without
-// a bound all are late and callers repeat them.
+// tooBusy refuses a request that would be late. One that was sent before has
+// waited already, and goes on.
 func (j *job) tooBusy(costMS float64) *refusal {
-	if j.pool.Engine == nil || j.route.Objective <= 0 || len(j.sends) > 0 {
+	if j.pool.Engine == nil || len(j.sends) > 0 {
 		return nil
 	}
-	expected := time.Duration(costMS * float64(time.Millisecond))
-	limit := busyFactor * j.route.Objective
-	if expected <= limit {
+	wait := busyWait(time.Duration(costMS*float64(time.Millisecond)), j.route.Objective)
+	if wait <= 0 {
 		return nil
 	}
-	wait := expected - limit + time.Duration(rand.Int64N(int64(j.route.Objective)))
-	return &refusal{http.StatusServiceUnavailable, "upstreams-busy", min(wait, maxBusyRetry)}
+	return &refusal{http.StatusServiceUnavailable, "upstreams-busy", wait}
 }
 
 // notServed is the refusal of a request for which there is no upstream (any more).
