--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -135,7 +135,7 @@
 	}
 	response.Close()
 	response.Close()
-	if open := pool.Open(u.address()); open != 0 {
+	if open, _ := pool.Connections(); open != 0 {
 		t.Errorf("%d connections are open", open)
 	}
 }
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -76,13 +76,6 @@
 // abort ends an exchange at once.
 func (c *conn) abort() { _ = c.net.Close() }
 
-// Open returns the number of open connections to an address.
-func (p *Pool) Open(address string) int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open[address]
-}
-
 // Connections returns the number of connections, and of those that are idle.
 func (p *Pool) Connections() (open, idle int) {
 	p.mu.Lock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -51,6 +51,7 @@
 
 // prepareWork describes the request to the choice of upstreams.
 func (j *job) prepareWork() {
+	j.work.MaxConnections = j.pool.MaxConnections
 	if j.pool.Engine == nil {
 		return
 	}
--- /dev/null
+++ b/internal/steer/holding.go
@@ -0,0 +1,52 @@
+package steer
+
+import (
+	"github.com/greengagegate/greengagegate/internal/bootclock"
+	"github.com/greengagegate/greengagegate/internal/catalog"
+)
+
+// holding is what one upstream has of a work's parts.
+type holding struct {
+	state   *upstreamState
+	version int64
+	// own is the number of leading tokens that are cached there, copyable of those
+	// that others can copy.
+	own, copyable int64
+}
+
+// partKeys names the parts of a work under each version of the weights, which
+// differ between few upstreams only.
+type partKeys struct {
+	work     *Work
+	versions []int64
+	keys     [][]string
+}
+
+// of returns the keys under a version, in the order of the parts.
+func (k *partKeys) of(version int64) []string {
+	for i, known := range k.versions {
+		if known == version {
+			return k.keys[i]
+		}
+	}
+	salt := k.work.Salt(version)
+	keys := make([]string, len(k.work.Parts))
+	for i, part := range k.work.Parts {
+		keys[i] = salt + part.ID
+	}
+	k.versions, k.keys = append(k.versions, version), append(k.keys, keys)
+	return keys
+}
+
+// holdings returns what each upstream of a list has of the work; c.mu is held.
+func (c *Chooser) holdings(list []*catalog.Upstream, work *Work, keys *partKeys, now bootclock.Instant) []holding {
+	all := make([]holding, len(list))
+	for i, upstream := range list {
+		s := c.state(upstream.ID)
+		all[i].state, all[i].version = s, s.version[work.Model]
+		if len(work.Parts) > 0 && len(s.parts) > 0 {
+			all[i].own, all[i].copyable = s.cached(work, keys.of(all[i].version), now)
+		}
+	}
+	return all
+}
--- a/internal/steer/source.go
+++ b/internal/steer/source.go
@@ -9,60 +9,82 @@
 
 // source is a place that holds leading parts of a prompt.
 type source struct {
-	id      string
 	address string
 	zone    string
 	version int64
 	tokens  int64
 }
 
-// sources lists the places from which parts of the work can be copied; c.mu is held.
-func (c *Chooser) sources(list []*catalog.Upstream, work *Work, now bootclock.Instant) []source {
-	if len(work.Parts) == 0 {
-		return nil
-	}
+// sources lists the places from which parts of the work can be copied: for each
+// zone and version of the weights the one that has the most.
+func sources(list []*catalog.Upstream, holdings []holding, now bootclock.Instant) []source {
 	var found []source
-	for _, upstream := range list {
-		s := c.state(upstream.ID)
-		if len(s.parts) == 0 || s.down || s.ended || now.Before(s.restUntil) || now.Before(s.heldUntil) {
+	for i, upstream := range list {
+		if holdings[i].copyable == 0 {
 			continue
 		}
-		version := s.version[work.Model]
-		if _, tokens := s.cached(work, work.Salt(version), now); tokens > 0 {
-			found = append(found, source{id: upstream.ID, address: upstream.Address, zone: upstream.Zone, version: version, tokens: tokens})
+		s := holdings[i].state
+		if s.ended || s.down || now.Before(s.restUntil) || now.Before(s.heldUntil) {
+			continue
 		}
+		found = keepLargest(found, source{
+			address: upstream.Address, zone: upstream.Zone, version: holdings[i].version, tokens: holdings[i].copyable,
+		})
 	}
 	return found
 }
 
-// bestSource returns the address that has the most beyond what an upstream has,
-// the number of tokens that it saves, and the time that the copy takes in
-// milliseconds. Among engines one in the upstream's zone goes first. The store is
-// asked when it has more than any engine. c.mu is held.
-func (c *Chooser) bestSource(sources []source, work *Work, to *catalog.Upstream, version, cached int64, now bootclock.Instant) (address string, tokens int64, ms float64) {
+// keepLargest adds a source unless there is one as large of its zone and version,
+// whose place it takes otherwise.
+func keepLargest(found []source, s source) []source {
+	for i, other := range found {
+		if other.zone != s.zone || other.version != s.version {
+			continue
+		}
+		if s.tokens > other.tokens {
+			found[i] = s
+		}
+		return found
+	}
+	return append(found, s)
+}
+
+// copying is a copy of parts that an upstream lacks.
+type copying struct {
+	address string
+	tokens  int64
+	ms      float64
+}
+
+// bestCopy returns the copy that brings an upstream the most beyond what it has.
+// Among engines one in the upstream's zone goes first. The store is asked when it
+// has more than any engine. c.mu is held.
+func (c *Chooser) bestCopy(sources []source, keys *partKeys, to *catalog.Upstream, has holding, now bootclock.Instant) copying {
 	zone := ""
+	var best copying
 	for _, s := range sources {
-		saved := s.tokens - cached
-		if s.version != version || s.id == to.ID || saved < minCopied {
+		saved := s.tokens - has.own
+		// An upstream that is itself the source saves nothing by it.
+		if s.version != has.version || saved < minCopied {
 			continue
 		}
-		if saved > tokens || saved == tokens && s.zone == to.Zone && zone != to.Zone {
-			address, zone, tokens = s.address, s.zone, saved
+		if saved > best.tokens || saved == best.tokens && s.zone == to.Zone && zone != to.Zone {
+			best.address, zone, best.tokens = s.address, s.zone, saved
 		}
 	}
-	ms = float64(tokens) / copyTokensPerMS
+	best.ms = float64(best.tokens) / copyTokensPerMS
 	if c.store == nil {
-		return address, tokens, ms
+		return best
 	}
-	saved := c.stored.leading(work, work.Salt(version)) - cached
-	if saved < minCopied || saved <= tokens {
-		return address, tokens, ms
+	saved := c.stored.leading(keys.work, keys.of(has.version)) - has.own
+	if saved < minCopied || saved <= best.tokens {
+		return best
 	}
 	wait := float64(c.storeBusyUntil.Sub(now)) / float64(time.Millisecond)
 	if wait > maxStoreWaitMS {
-		return address, tokens, ms
+		return best
 	}
-	return c.store.Address, saved, max(wait, 0) + float64(saved)/c.store.TokensPerMS
+	return copying{address: c.store.Address, tokens: saved, ms: max(wait, 0) + float64(saved)/c.store.TokensPerMS}
 }
 
 // noteCopy counts a copy from the store against its link, which all gateways
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -10,6 +10,7 @@
 package steer
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -208,19 +209,28 @@
 
 // choose compares the upstreams that can take the work; c.mu is held.
 func (c *Chooser) choose(list []*catalog.Upstream, work *Work, now bootclock.Instant) Choice {
-	home := c.homeOf(list, work)
-	sources := c.sources(list, work, now)
+	keys := partKeys{work: work}
+	holdings := c.holdings(list, work, &keys, now)
+	home := homeOf(list, holdings, work)
+	sources := sources(list, holdings, now)
 	best := Choice{}
 	usable := 0
+	connections := c.connections(work)
 	var excluded Excluded
-	for _, upstream := range list {
-		s := c.state(upstream.ID)
-		version := s.version[work.Model]
-		if !excluded.usable(upstream, s, work, version, now) {
+	for i, upstream := range list {
+		has := holdings[i]
+		if !excluded.usable(upstream, has, work, now) {
+			continue
+		}
+		if has.state.running >= connections {
+			excluded.Full++
 			continue
 		}
 		usable++
-		candidate := c.price(upstream, s, work, version, upstream.ID == home, sources, now)
+		candidate := c.price(upstream, has, sources, &keys, now)
+		if upstream.ID == home {
+			candidate.Cost -= homeBonus
+		}
 		if best.Upstream == nil || candidate.Cost < best.Cost {
 			best = candidate
 		}
@@ -229,8 +239,17 @@
 	return best
 }
 
+// connections is how many connections to one upstream this gateway may use; c.mu is held.
+func (c *Chooser) connections(work *Work) int {
+	if work.MaxConnections <= 0 {
+		return math.MaxInt
+	}
+	return max(1, work.MaxConnections/c.gateways)
+}
+
 // usable reports whether an upstream can take a request, and counts the reason if not.
-func (e *Excluded) usable(u *catalog.Upstream, s *upstreamState, work *Work, version int64, now bootclock.Instant) bool {
+func (e *Excluded) usable(u *catalog.Upstream, has holding, work *Work, now bootclock.Instant) bool {
+	s := has.state
 	switch {
 	case u.Draining:
 		e.Draining++
@@ -242,7 +261,7 @@
 		e.Resting++
 	case now.Before(s.heldUntil):
 		e.Held++
-	case version < work.Floor:
+	case has.version < work.Floor:
 		e.Old++
 	case slices.Contains(work.Tried, u.ID):
 		e.Tried++
@@ -253,7 +272,8 @@
 }
 
 // price estimates the wait at an upstream; c.mu is held.
-func (c *Chooser) price(u *catalog.Upstream, s *upstreamState, work *Work, version int64, home bool, sources []source, now bootclock.Instant) Choice {
+func (c *Chooser) price(u *catalog.Upstream, has holding, sources []source, keys *partKeys, now bootclock.Instant) Choice {
+	work, s := keys.work, has.state
 	others := float64(c.gateways)
 	running := float64(s.running) * others
 	cost := running*runningCost + failureCost*s.failureRate(now) + rand.Float64()
@@ -265,34 +285,29 @@
 		cost += zoneCost
 	}
 	missing := work.Prefill
-	from, copied, copyCost := "", int64(0), 0.0
+	var from copying
 	if len(work.Parts) > 0 {
-		own, _ := s.cached(work, work.Salt(version), now)
-		missing -= own
-		from, copied, copyCost = c.bestSource(sources, work, u, version, own, now)
-		missing = max(0, missing-copied)
-		cost += copyCost
-		if home {
-			cost -= homeBonus
-		}
+		from = c.bestCopy(sources, keys, u, has, now)
+		missing = max(0, missing-has.own-from.tokens)
+		cost += from.ms
 		cost += (float64(missing) + float64(s.backlog)*others) / prefillTokensPerMS
 	}
-	if version < work.Wanted {
+	if has.version < work.Wanted {
 		cost += oldWeightsCost
 	}
-	return Choice{Upstream: u, Version: version, Missing: missing, Cost: cost, Source: from, Copied: copied}
+	return Choice{Upstream: u, Version: has.version, Missing: missing, Cost: cost, Source: from.address, Copied: from.tokens}
 }
 
-// homeOf returns the upstream that ranks first for the deepest shared part; c.mu is held.
-func (c *Chooser) homeOf(list []*catalog.Upstream, work *Work) string {
+// homeOf returns the upstream that ranks first for the deepest shared part.
+func homeOf(list []*catalog.Upstream, holdings []holding, work *Work) string {
 	if len(work.Parts) < 2 {
 		return ""
 	}
 	key := work.Parts[len(work.Parts)-2].ID
 	var best string
 	var weight uint64
-	for _, upstream := range list {
-		if upstream.Draining || c.state(upstream.ID).ended {
+	for i, upstream := range list {
+		if upstream.Draining || holdings[i].state.ended {
 			continue
 		}
 		if w := xxhash.Sum64String(key + upstream.ID); best == "" || w > weight {
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -187,6 +187,34 @@
 	}
 }
 
+// What an upstream accepts in connections is divided among the gateways, each of
+// which may open one at least.
+func TestConnectionsAreDividedAmongGateways(t *testing.T) {
+	b := newBench(2)
+	b.chooser.SetGateways(4)
+	w := &Work{MaxConnections: 8}
+	var visits []*Visit
+	for range 4 {
+		_, visit := b.run(t, w)
+		visits = append(visits, visit)
+	}
+	choice, ok := b.chooser.Choose(b.list, w)
+	if ok || choice.Excluded != (Excluded{Full: 2}) {
+		t.Errorf("a fifth connection was allowed, or excluded %v", choice.Excluded)
+	}
+	visits[0].Left()
+	b.choose(t, w)
+	b.chooser.SetGateways(100)
+	visits[1].Left()
+	visits[2].Left()
+	visits[3].Left()
+	_, visit := b.run(t, w)
+	defer visit.Left()
+	if choice := b.choose(t, w); choice.Usable != 1 {
+		t.Errorf("%d usable with one connection for each of many gateways: %v", choice.Usable, choice.Excluded)
+	}
+}
+
 // An upstream whose address answers for another life gets nothing more until it
 // is listed anew.
 func TestEndedLifeIsLeftOut(t *testing.T) {
@@ -291,3 +319,20 @@
 		t.Errorf("%d readings were told twice", len(again))
 	}
 }
+
+// BenchmarkChoose tells what a choice among the engines of a large fleet costs.
+func BenchmarkChoose(b *testing.B) {
+	bench := newBench(60)
+	for i := range 200 {
+		w := work(fmt.Sprint("thing", i))
+		choice, _ := bench.chooser.Choose(bench.list, w)
+		visit := bench.chooser.Sent(choice, w)
+		visit.Started()
+		visit.Left()
+	}
+	w := work("thing7")
+	b.ReportAllocs()
+	for b.Loop() {
+		bench.chooser.Choose(bench.list, w)
+	}
+}
--- a/internal/steer/store.go
+++ b/internal/steer/store.go
@@ -29,10 +29,10 @@
 }
 
 // leading returns the number of leading tokens of the work that the store holds.
-func (p storedParts) leading(work *Work, salt string) int64 {
+func (p storedParts) leading(work *Work, keys []string) int64 {
 	tokens := int64(0)
-	for _, part := range work.Parts {
-		if !p.held[salt+part.ID] {
+	for i, part := range work.Parts {
+		if !p.held[keys[i]] {
 			break
 		}
 		tokens += part.Tokens
--- a/internal/steer/upstream.go
+++ b/internal/steer/upstream.go
@@ -94,10 +94,10 @@
 
 // cached returns the number of leading tokens of the work that are expected to be
 // cached, and of those that other engines can copy.
-func (s *upstreamState) cached(work *Work, salt string, now bootclock.Instant) (own, copyable int64) {
+func (s *upstreamState) cached(work *Work, keys []string, now bootclock.Instant) (own, copyable int64) {
 	all := true
-	for _, part := range work.Parts {
-		known, ok := s.parts[salt+part.ID]
+	for i, part := range work.Parts {
+		known, ok := s.parts[keys[i]]
 		if !ok || !s.keeps(known, work.CacheTokens, now) {
 			break
 		}
--- a/internal/steer/work.go
+++ b/internal/steer/work.go
@@ -30,6 +30,9 @@
 	Prefill int64
 	// CacheTokens is the memory of an engine of the pool.
 	CacheTokens int64
+	// MaxConnections is what one upstream accepts from all gateways together; 0 means
+	// no bound.
+	MaxConnections int
 	// Tried are the upstreams that are not to be asked again.
 	Tried []string
 }
@@ -61,12 +64,13 @@
 type Excluded struct {
 	// Draining upstreams leave, Ended ones have another life at their address, Down
 	// ones could not be reached, Resting ones refused a request, Held ones are about
-	// to load weights, Old ones have weights that may not be used any more, and Tried
-	// ones were asked before.
-	Draining, Ended, Down, Resting, Held, Old, Tried int
+	// to load weights, Old ones have weights that may not be used any more, Tried ones
+	// were asked before, and Full ones have this gateway's part of their connections.
+	Draining, Ended, Down, Resting, Held, Old, Tried, Full int
 }
 
 // String returns the counts for logs.
 func (e Excluded) String() string {
-	return fmt.Sprintf("draining=%d ended=%d down=%d resting=%d held=%d old=%d tried=%d", e.Draining, e.Ended, e.Down, e.Resting, e.Held, e.Old, e.Tried)
+	return fmt.Sprintf("draining=%d ended=%d down=%d resting=%d held=%d old=%d tried=%d full=%d",
+		e.Draining, e.Ended, e.Down, e.Resting, e.Held, e.Old, e.Tried, e.Full)
 }
