--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -52,6 +52,8 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Once says that the request may not be sent again when its outcome is unknown.
+	Once bool
 	// Matches tells whether an answer belongs to this request. Others are dropped.
 	Matches func(http.Header) bool
 }
@@ -60,6 +62,10 @@
 // Longer ones are written beside, since an upstream may answer before it has read them.
 const inlineBody = 4 << 10
 
+// writtenGrace is how long the writer of a body may take to notice that it is done,
+// after the whole answer has come. One that still writes then was answered early.
+const writtenGrace = 10 * time.Millisecond
+
 // maxStrayAnswers bounds the answers to other requests that are skipped.
 const maxStrayAnswers = 2
 
@@ -83,7 +89,7 @@
 // Do sends the request to the upstream at address. When ctx ends the connection
 // is closed, also while the body is read. An error is an *Error.
 func (p *Pool) Do(ctx context.Context, address string, request *Request) (*Response, error) {
-	c, err := p.take(ctx, address)
+	c, err := p.take(ctx, address, request.Once)
 	if err != nil {
 		return nil, &Error{Progress: NotSent, cause: fault.Wrap(err, "connect", address)}
 	}
@@ -97,6 +103,8 @@
 	c.discard()
 	if ctx.Err() != nil {
 		err = errors.Join(ctx.Err(), err)
+	} else {
+		p.noteLost(c)
 	}
 	return nil, &Error{Progress: progress, Reused: c.uses > 0, cause: fault.Wrap(err, "exchange", address)}
 }
@@ -196,7 +204,7 @@
 	select {
 	case err := <-r.written:
 		return err == nil
-	default:
+	case <-time.After(writtenGrace):
 		return false
 	}
 }
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -238,3 +238,59 @@
 		t.Errorf("got %q, %v", got, err)
 	}
 }
+
+// rest makes the idle connections to an address look as if they had rested.
+func rest(pool *Pool, address string, rested time.Duration) {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	for _, c := range pool.idle[address] {
+		c.since = c.since.Add(-rested)
+		c.expires = time.Now().Add(time.Hour)
+	}
+}
+
+// An upstream forgets connections that rest, without notice: what comes next on
+// one is reset. A request that may not be repeated gets a new connection, since
+// nobody could tell whether it ran; others may use the one that rested, until one
+// is found forgotten.
+func TestRequestsThatRunOnceAvoidRestedConnections(t *testing.T) {
+	u := serve(t, func(_, request int, _ *http.Request) []byte {
+		if request > 0 {
+			return nil
+		}
+		return []byte(sound)
+	})
+	pool := NewPool()
+	send := func(once bool) error {
+		r := request("body")
+		r.Once = once
+		response, err := pool.Do(t.Context(), u.address(), r)
+		if err != nil {
+			return err
+		}
+		defer response.Close()
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return err
+		}
+		response.Finished()
+		return nil
+	}
+	if err := send(true); err != nil {
+		t.Fatal(err)
+	}
+	rest(pool, u.address(), 2*maxRestOnce)
+	if err := send(true); err != nil {
+		t.Errorf("a request that runs once met a connection that was forgotten: %v", err)
+	}
+	rest(pool, u.address(), 2*maxRestOnce)
+	var failure *Error
+	if err := send(false); !errors.As(err, &failure) || !failure.Reused {
+		t.Errorf("a repeatable request got %v, want a failure on a connection that was used before", err)
+	}
+	for range 3 {
+		if err := send(false); err != nil {
+			t.Errorf("a connection that rested was used again after one was found forgotten: %v", err)
+		}
+		rest(pool, u.address(), 2*maxRestOnce)
+	}
+}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"math"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -21,6 +22,13 @@
 	// defaultIdle is how long a connection is kept whose upstream tells no timeout.
 	// Such timeouts are below a second.
 	defaultIdle = 400 * time.Millisecond
+	// maxRestOnce is how long a connection may have rested that is used for a request
+	// which may not be repeated. An upstream may forget a connection without notice;
+	// whether such a request ran could not be told then.
+	maxRestOnce = 100 * time.Millisecond
+	// forgottenFor is how long all requests avoid connections that rested, after one
+	// of them turned out to be forgotten.
+	forgottenFor = 30 * time.Second
 	// idleMargin is subtracted from a timeout that the upstream tells in whole seconds.
 	idleMargin = 300 * time.Millisecond
 	// maxIdle is how long a connection is kept at the most.
@@ -54,6 +62,8 @@
 	idle map[string][]*conn
 	// open counts the connections to each address, idle ones included.
 	open map[string]int
+	// forgottenUntil is how long connections that rested are not trusted.
+	forgottenUntil time.Time
 }
 
 // NewPool returns an empty pool.
@@ -68,8 +78,12 @@
 	net     net.Conn
 	reader  *bufio.Reader
 	// uses counts the exchanges that were completed.
-	uses    int
+	uses int
+	// since is when the connection began to rest, expires when it is closed then.
+	since   time.Time
 	expires time.Time
+	// rested is how long it rested before the exchange that it is used for.
+	rested time.Duration
 	closed  atomic.Bool
 }
 
@@ -90,8 +104,9 @@
 }
 
 // take returns an idle connection that is still sound, or a new one.
-func (p *Pool) take(ctx context.Context, address string) (*conn, error) {
-	for c := p.pop(address); c != nil; c = p.pop(address) {
+func (p *Pool) take(ctx context.Context, address string, once bool) (*conn, error) {
+	rested := p.maxRest(once)
+	for c := p.pop(address, rested); c != nil; c = p.pop(address, rested) {
 		if time.Now().Before(c.expires) && c.quiet() {
 			return c, nil
 		}
@@ -100,6 +115,28 @@
 	return p.connect(ctx, address)
 }
 
+// maxRest is how long a connection may have rested to be used again.
+func (p *Pool) maxRest(once bool) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if once || time.Now().Before(p.forgottenUntil) {
+		return maxRestOnce
+	}
+	return forever
+}
+
+// noteLost notes that an exchange failed without an answer. After a rest that says
+// that the upstream had forgotten the connection, and that others may as well.
+func (p *Pool) noteLost(c *conn) {
+	if c.uses == 0 || c.rested <= maxRestOnce {
+		return
+	}
+	metrics.Counter("exchange.connections_forgotten").Inc(1)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forgottenUntil = time.Now().Add(forgottenFor)
+}
+
 // connect opens a connection.
 func (p *Pool) connect(ctx context.Context, address string) (*conn, error) {
 	connection, err := dial(ctx, address)
@@ -124,8 +161,9 @@
 	return nil
 }
 
-// pop removes the connection to an address that was used last.
-func (p *Pool) pop(address string) *conn {
+// pop removes the connection to an address that was used last, if it has not
+// rested for longer than a time.
+func (p *Pool) pop(address string, rested time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
@@ -133,6 +171,9 @@
 		return nil
 	}
 	c := list[len(list)-1]
+	if c.rested = time.Since(c.since); c.rested > rested {
+		return nil
+	}
 	list[len(list)-1] = nil
 	p.idle[address] = list[:len(list)-1]
 	return c
@@ -149,7 +190,8 @@
 	if timeout > 0 {
 		idle = min(timeout-idleMargin, maxIdle)
 	}
-	c.expires = time.Now().Add(idle)
+	c.since = time.Now()
+	c.expires = c.since.Add(idle)
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
 	c.pool.idle[c.address] = append(c.pool.idle[c.address], c)
@@ -221,7 +263,10 @@
 
 // Forget closes the idle connections to an address, whose upstream is gone.
 func (p *Pool) Forget(address string) {
-	for c := p.pop(address); c != nil; c = p.pop(address) {
+	for c := p.pop(address, forever); c != nil; c = p.pop(address, forever) {
 		c.discard()
 	}
 }
+
+// forever is longer than any connection rests.
+const forever = time.Duration(math.MaxInt64)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -177,6 +177,7 @@
 		Host:    j.r.Host,
 		Header:  codec.Headers(j.r.Header, call, send),
 		Body:    j.body,
+		Once:    j.route.Kind == catalog.NonIdempotent,
 		Matches: func(header http.Header) bool { return codec.Belongs(call, header) },
 	}
 }
