--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -84,7 +84,7 @@
 	expires time.Time
 	// rested is how long it rested before the exchange that it is used for.
 	rested time.Duration
-	closed  atomic.Bool
+	closed atomic.Bool
 }
 
 // abort ends an exchange at once.
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -47,6 +47,9 @@
 	failureCost = 400.0
 	// slotCost is the price of a full batch or a full service, in milliseconds.
 	slotCost = 300.0
+	// smallFleet is the number of gateways up to which the load of the moment is
+	// taken for that of the others.
+	smallFleet = 8.0
 	// failureWeight is the part that the newest outcome has in the failure rate.
 	failureWeight = 0.15
 	// failureHalfLife is how fast a failure is forgotten.
@@ -62,6 +65,8 @@
 	// gateways is the number of gateways that send to the upstreams, this one included.
 	gateways  int
 	upstreams map[string]*upstreamState
+	// pace is what this gateway has engines read.
+	pace pace
 	// store is where cached parts are kept beside the engines; nil when it can't be used.
 	store  *catalog.CacheStore
 	stored storedParts
@@ -216,6 +221,7 @@
 	best := Choice{}
 	usable := 0
 	connections := c.connections(work)
+	preferNew := c.prefersNew(list, holdings, work, now)
 	var excluded Excluded
 	for i, upstream := range list {
 		has := holdings[i]
@@ -228,6 +234,9 @@
 		}
 		usable++
 		candidate := c.price(upstream, has, sources, &keys, now)
+		if preferNew && has.version < work.Wanted {
+			candidate.Cost += oldWeightsCost
+		}
 		if upstream.ID == home {
 			candidate.Cost -= homeBonus
 		}
@@ -274,8 +283,8 @@
 // price estimates the wait at an upstream; c.mu is held.
 func (c *Chooser) price(u *catalog.Upstream, has holding, sources []source, keys *partKeys, now bootclock.Instant) Choice {
 	work, s := keys.work, has.state
-	others := float64(c.gateways)
-	running := float64(s.running) * others
+	othersRunning, othersBacklog := c.others(s, now)
+	running := float64(s.running) + othersRunning
 	cost := running*runningCost + failureCost*s.failureRate(now) + rand.Float64()
 	if u.Capacity > 0 {
 		load := running / float64(u.Capacity)
@@ -290,14 +299,24 @@
 		from = c.bestCopy(sources, keys, u, has, now)
 		missing = max(0, missing-has.own-from.tokens)
 		cost += from.ms
-		cost += (float64(missing) + float64(s.backlog)*others) / prefillTokensPerMS
-	}
-	if has.version < work.Wanted {
-		cost += oldWeightsCost
+		cost += (float64(missing) + float64(s.backlog) + othersBacklog) / prefillTokensPerMS
 	}
 	return Choice{Upstream: u, Version: has.version, Missing: missing, Cost: cost, Source: from.address, Copied: from.tokens}
 }
 
+// others estimates the requests and the backlog that the other gateways have at an
+// upstream; c.mu is held. In a small fleet each is taken to have what this one has
+// there now. In a large one that tells little, since all find it empty at the same
+// time; what this one usually has there counts more.
+func (c *Chooser) others(s *upstreamState, now bootclock.Instant) (running, backlog float64) {
+	s.usual.note(s.running, s.backlog, now)
+	momentary := min(1, smallFleet/float64(c.gateways))
+	running = momentary*float64(s.running) + (1-momentary)*s.usual.running
+	backlog = momentary*float64(s.backlog) + (1-momentary)*s.usual.backlog
+	count := float64(c.gateways - 1)
+	return count * running, count * backlog
+}
+
 // homeOf returns the upstream that ranks first for the deepest shared part.
 func homeOf(list []*catalog.Upstream, holdings []holding, work *Work) string {
 	if len(work.Parts) < 2 {
@@ -322,6 +341,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.state(choice.Upstream.ID)
+	c.pace.note(float64(choice.Missing), c.now())
+	s.usual.note(s.running, s.backlog, c.now())
 	s.running++
 	s.backlog += choice.Missing
 	visit := &Visit{chooser: c, state: s, missing: choice.Missing, id: choice.Upstream.ID, parts: work.Parts}
--- a/internal/steer/upstream.go
+++ b/internal/steer/upstream.go
@@ -8,8 +8,10 @@
 
 // upstreamState is what is known of one life of an upstream.
 type upstreamState struct {
-	running  int
-	backlog  int64
+	running int
+	backlog int64
+	// usual are the running requests and the backlog as they were of late.
+	usual    usualLoad
 	failures float64
 	// failedAt is when failures were counted last; they are forgotten with time.
 	failedAt bootclock.Instant
--- a/internal/steer/visit.go
+++ b/internal/steer/visit.go
@@ -17,6 +17,7 @@
 func (v *Visit) Started() {
 	v.chooser.mu.Lock()
 	defer v.chooser.mu.Unlock()
+	v.state.usual.note(v.state.running, v.state.backlog, v.chooser.now())
 	v.state.backlog -= v.missing
 	v.missing = 0
 	if len(v.parts) == 0 {
@@ -42,6 +43,7 @@
 		return
 	}
 	v.left = true
+	v.state.usual.note(v.state.running, v.state.backlog, v.chooser.now())
 	v.state.running--
 	v.state.backlog -= v.missing
 }
