--- a/internal/cachestore/cachestore.go
+++ b/internal/cachestore/cachestore.go
@@ -1,4 +1,4 @@
-// Package cachestore follows the store of cached prompt parts: which parts it
+// Package cachestore follows the stores of cached prompt parts: which parts each
 // holds, and whether it answers at all. Engines copy parts from it that no other
 // engine is known to hold.
 //
@@ -10,6 +10,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/catalog"
@@ -59,17 +61,19 @@
 	Changes(ctx context.Context, address string, since int64, wait time.Duration) (Batch, error)
 }
 
-// Sink takes what is learned of the store. A nil store means that none can be used.
+// Sink takes what is learned of stores.
 type Sink interface {
-	// UseStore names the store that engines may copy from.
-	UseStore(store *catalog.CacheStore)
-	// NoteStored says that the store holds a part, or dropped it.
-	NoteStored(salt, part string, held bool)
-	// ForgetStored says that the store is empty.
-	ForgetStored()
+	// UseStore names a store that engines may copy from.
+	UseStore(store catalog.CacheStore)
+	// LeaveStore says that a store can't be used.
+	LeaveStore(address string)
+	// NoteStored says that a store holds a part, or dropped it.
+	NoteStored(address, salt, part string, held bool)
+	// ForgetStored says that a store is empty.
+	ForgetStored(address string)
 }
 
-// Options configures a Follower. All fields are required.
+// Options configures a Manager. All fields are required.
 type Options struct {
 	Catalog *catalog.Catalog
 	Events  Events
@@ -79,44 +83,70 @@
 	Log      zerolog.Logger
 }
 
-// Follower follows the store that the configuration names.
-type Follower struct {
+// Manager follows the stores that the configuration names.
+type Manager struct {
 	options Options
-	store   *catalog.CacheStore
-	epoch   int64
-	next    int64
-	usable  bool
+	stops   map[catalog.CacheStore]context.CancelFunc
+	done    sync.WaitGroup
 }
 
-// New returns a follower of no store.
-func New(options Options) *Follower { return &Follower{options: options} }
+// New returns a manager that follows no store.
+func New(options Options) *Manager {
+	return &Manager{options: options, stops: make(map[catalog.CacheStore]context.CancelFunc)}
+}
 
-// Run follows the store until ctx ends.
-func (f *Follower) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		store := f.configured()
-		if store == nil {
-			f.setUsable(false, nil)
-			_ = pause.For(ctx, lookEvery)
-			continue
+// Run follows the stores until ctx ends, with a goroutine for each.
+func (m *Manager) Run(ctx context.Context) {
+	for ok := true; ok; ok = pause.For(ctx, lookEvery) == nil {
+		m.adjust(ctx)
+	}
+	for _, stop := range m.stops {
+		stop()
+	}
+	m.done.Wait()
+}
+
+// adjust starts and stops followers after a change of the configuration.
+func (m *Manager) adjust(ctx context.Context) {
+	config := m.options.Catalog.Config()
+	if config == nil {
+		return
+	}
+	for store, stop := range m.stops {
+		if !slices.Contains(config.CacheStores, store) {
+			stop()
+			delete(m.stops, store)
+			m.options.Log.Info().Str("address", store.Address).Msg("cachestore: store no longer configured")
+			m.options.Sink.LeaveStore(store.Address)
 		}
-		if f.store == nil || *f.store != *store {
-			f.store, f.epoch, f.next = store, 0, 0
-			f.setUsable(false, nil)
+	}
+	for _, store := range config.CacheStores {
+		if m.stops[store] != nil {
+			continue
 		}
-		f.ask(ctx)
+		followCtx, stop := context.WithCancel(ctx)
+		m.stops[store] = stop
+		f := &follower{options: m.options, store: store}
+		m.done.Go(func() { f.run(followCtx) })
 	}
 }
 
-func (f *Follower) configured() *catalog.CacheStore {
-	config := f.options.Catalog.Config()
-	if config == nil || len(config.CacheStores) == 0 {
-		return nil
+// follower follows one store.
+type follower struct {
+	options Options
+	store   catalog.CacheStore
+	epoch   int64
+	next    int64
+	usable  bool
+}
+
+func (f *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		f.ask(ctx)
 	}
-	return &config.CacheStores[0]
 }
 
-func (f *Follower) ask(ctx context.Context) {
+func (f *follower) ask(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	batch, err := f.options.Events.Changes(callCtx, f.store.Address, f.next, wait)
 	cancel()
@@ -128,25 +158,24 @@
 		_ = pause.For(ctx, failurePause)
 		return
 	}
+	f.setUsable(true, nil)
 	if batch.Crowded {
-		f.setUsable(true, nil)
 		_ = pause.For(ctx, crowdedPause)
 		return
 	}
 	if batch.Epoch != f.epoch {
 		f.options.Log.Info().Str("address", f.store.Address).Int64("epoch", batch.Epoch).Msg("cachestore: new life of the store")
-		f.options.Sink.ForgetStored()
+		f.options.Sink.ForgetStored(f.store.Address)
 		f.epoch = batch.Epoch
 	}
 	f.next = batch.Next
 	for _, change := range batch.Changes {
-		f.options.Sink.NoteStored(change.Salt, change.Part, change.Held)
+		f.options.Sink.NoteStored(f.store.Address, change.Salt, change.Part, change.Held)
 	}
-	f.setUsable(true, nil)
 	_ = pause.For(ctx, time.Duration(f.options.Gateways())*gatherPause)
 }
 
-func (f *Follower) setUsable(usable bool, err error) {
+func (f *follower) setUsable(usable bool, err error) {
 	if usable == f.usable {
 		return
 	}
@@ -156,6 +185,6 @@
 		f.options.Sink.UseStore(f.store)
 		return
 	}
-	f.options.Log.Warn().Err(err).Msg("cachestore: store lost")
-	f.options.Sink.UseStore(nil)
+	f.options.Log.Warn().Err(err).Str("address", f.store.Address).Msg("cachestore: store lost")
+	f.options.Sink.LeaveStore(f.store.Address)
 }
--- a/internal/cachestore/cachestore_test.go
+++ b/internal/cachestore/cachestore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -48,15 +49,11 @@
 	n.list = append(n.list, text)
 }
 
-func (n *notes) UseStore(store *catalog.CacheStore) {
-	if store == nil {
-		n.add("lost")
-		return
-	}
-	n.add("use " + store.Address)
-}
+func (n *notes) UseStore(store catalog.CacheStore) { n.add("use " + store.Address) }
 
-func (n *notes) NoteStored(salt, part string, held bool) {
+func (n *notes) LeaveStore(string) { n.add("lost") }
+
+func (n *notes) NoteStored(_, salt, part string, held bool) {
 	if held {
 		n.add("+" + salt + part)
 		return
@@ -64,7 +61,7 @@
 	n.add("-" + salt + part)
 }
 
-func (n *notes) ForgetStored() { n.add("empty") }
+func (n *notes) ForgetStored(string) { n.add("empty") }
 
 func TestFollowerNoticesLossAndNewLife(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -84,13 +81,39 @@
 		time.Sleep(10 * time.Second)
 		cancel()
 		synctest.Wait()
-		want := "empty, +w1a, use s, -w1a, lost, use s, empty"
+		want := "use s, empty, +w1a, -w1a, lost, use s, empty"
 		if got := strings.Join(sink.list, ", "); got != want {
 			t.Errorf("told %q, want %q", got, want)
 		}
 	})
 }
 
+// Each store of the configuration is followed, and left when it is no longer there.
+func TestAllConfiguredStoresAreFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		known := catalog.New()
+		stores := []catalog.CacheStore{{Address: "s1"}, {Address: "s2"}, {Address: "s3"}}
+		known.SetConfig(&catalog.Config{Version: 1, CacheStores: stores})
+		sink := &notes{}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go New(Options{Catalog: known, Events: &answers{}, Sink: sink, Gateways: func() int { return 5 }, Log: zerolog.Nop()}).Run(ctx)
+		time.Sleep(10 * time.Second)
+		for _, store := range stores {
+			if !slices.Contains(sink.list, "use "+store.Address) {
+				t.Errorf("%s is not used: %v", store.Address, sink.list)
+			}
+		}
+		known.SetConfig(&catalog.Config{Version: 2, CacheStores: stores[:2]})
+		time.Sleep(10 * time.Second)
+		cancel()
+		synctest.Wait()
+		if got := sink.list[len(sink.list)-1]; got != "lost" {
+			t.Errorf("told %q after a store was taken away, want %q", got, "lost")
+		}
+	})
+}
+
 // crowd is a store that holds few questions at once and refuses the others.
 type crowd struct {
 	mu      sync.Mutex
--- a/internal/steer/holding.go
+++ b/internal/steer/holding.go
@@ -15,9 +15,11 @@
 }
 
 // partKeys names the parts of a work under each version of the weights, which
-// differ between few upstreams only.
+// differ between few upstreams only, and the store that may hold them.
 type partKeys struct {
-	work     *Work
+	work *Work
+	// store is where the shared parts are kept beside the engines; nil for nowhere.
+	store    *cacheStore
 	versions []int64
 	keys     [][]string
 }
--- a/internal/steer/source.go
+++ b/internal/steer/source.go
@@ -58,8 +58,8 @@
 
 // bestCopy returns the copy that brings an upstream the most beyond what it has.
 // Among engines one in the upstream's zone goes first. The store is asked when it
-// has more than any engine. c.mu is held.
-func (c *Chooser) bestCopy(sources []source, keys *partKeys, to *catalog.Upstream, has holding, now bootclock.Instant) copying {
+// has more than any engine.
+func bestCopy(sources []source, keys *partKeys, to *catalog.Upstream, has holding, now bootclock.Instant) copying {
 	zone := ""
 	var best copying
 	for _, s := range sources {
@@ -73,29 +73,17 @@
 		}
 	}
 	best.ms = float64(best.tokens) / copyTokensPerMS
-	if c.store == nil {
+	store := keys.store
+	if store == nil {
 		return best
 	}
-	saved := c.stored.leading(keys.work, keys.of(has.version)) - has.own
+	saved := store.leading(keys.work, keys.of(has.version)) - has.own
 	if saved < minCopied || saved <= best.tokens {
 		return best
 	}
-	wait := float64(c.storeBusyUntil.Sub(now)) / float64(time.Millisecond)
+	wait := float64(store.busyUntil.Sub(now)) / float64(time.Millisecond)
 	if wait > maxStoreWaitMS {
 		return best
 	}
-	return copying{address: c.store.Address, tokens: saved, ms: max(wait, 0) + float64(saved)/c.store.TokensPerMS}
+	return copying{address: store.Address, tokens: saved, ms: max(wait, 0) + store.takes(saved, to.Zone)}
 }
-
-// noteCopy counts a copy from the store against its link, which all gateways
-// share; c.mu is held.
-func (c *Chooser) noteCopy(choice Choice) {
-	if c.store == nil || choice.Source != c.store.Address {
-		return
-	}
-	took := time.Duration(float64(choice.Copied) / c.store.TokensPerMS * float64(c.gateways) * float64(time.Millisecond))
-	c.storeBusyUntil = max(c.storeBusyUntil, c.now()).Add(took)
-}
-
-// maxStoreWaitMS is the longest wait for the store's link that is worth a copy.
-const maxStoreWaitMS = 60
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -67,11 +67,8 @@
 	upstreams map[string]*upstreamState
 	// pace is what this gateway has engines read.
 	pace pace
-	// store is where cached parts are kept beside the engines; nil when it can't be used.
-	store  *catalog.CacheStore
-	stored storedParts
-	// storeBusyUntil is when the store's link has carried the copies asked for.
-	storeBusyUntil bootclock.Instant
+	// stores are where cached parts are kept beside the engines.
+	stores []*cacheStore
 	// readings are the newest ones of this gateway, numbered from firstReading.
 	readings     []Reading
 	firstReading uint64
@@ -82,7 +79,7 @@
 	if now == nil {
 		now = bootclock.Now
 	}
-	return &Chooser{zone: zone, now: now, gateways: 1, upstreams: make(map[string]*upstreamState), stored: newStoredParts()}
+	return &Chooser{zone: zone, now: now, gateways: 1, upstreams: make(map[string]*upstreamState)}
 }
 
 // SetGateways tells how many gateways send to the upstreams.
@@ -214,7 +211,7 @@
 
 // choose compares the upstreams that can take the work; c.mu is held.
 func (c *Chooser) choose(list []*catalog.Upstream, work *Work, now bootclock.Instant) Choice {
-	keys := partKeys{work: work}
+	keys := partKeys{work: work, store: c.storeOf(work)}
 	holdings := c.holdings(list, work, &keys, now)
 	home := homeOf(list, holdings, work)
 	sources := sources(list, holdings, now)
@@ -296,7 +293,7 @@
 	missing := work.Prefill
 	var from copying
 	if len(work.Parts) > 0 {
-		from = c.bestCopy(sources, keys, u, has, now)
+		from = bestCopy(sources, keys, u, has, now)
 		missing = max(0, missing-has.own-from.tokens)
 		cost += from.ms
 		cost += (float64(missing) + float64(s.backlog) + othersBacklog) / prefillTokensPerMS
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -136,7 +136,7 @@
 func TestStoreOfPartsIsUsedWhileItLives(t *testing.T) {
 	b := newBench(1)
 	store := &catalog.CacheStore{Address: "10.9.9.9:1", TokensPerMS: 1000}
-	b.chooser.UseStore(store)
+	b.chooser.UseStore(*store)
 	if choice := b.choose(t, work("x")); choice.Save != store.Address || choice.Source != "" {
 		t.Errorf("first prompt: %+v", choice)
 	}
@@ -144,22 +144,49 @@
 		t.Error("saved twice at once")
 	}
 	for _, part := range []string{"rules", "x"} {
-		b.chooser.NoteStored("w1", part, true)
+		b.chooser.NoteStored(store.Address, "w1", part, true)
 	}
 	if choice := b.choose(t, work("x")); choice.Source != store.Address || choice.Copied != 6300 {
 		t.Errorf("stored prompt: %+v", choice)
 	}
-	b.chooser.NoteStored("w1", "rules", false)
+	b.chooser.NoteStored(store.Address, "w1", "rules", false)
 	if choice := b.choose(t, work("x")); choice.Source != "" {
 		t.Error("copied although the first part was dropped")
 	}
-	b.chooser.NoteStored("w1", "rules", true)
-	b.chooser.UseStore(nil)
+	b.chooser.NoteStored(store.Address, "w1", "rules", true)
+	b.chooser.LeaveStore(store.Address)
 	if choice := b.choose(t, work("x")); choice.Source != "" || choice.Save != "" {
 		t.Error("a store that is gone is used")
 	}
 }
 
+// Several stores share the prompts, each of which has one store; a store that is
+// lost leaves the prompts of the others where they are.
+func TestStoresSharePrompts(t *testing.T) {
+	b := newBench(1)
+	for i := range 3 {
+		b.chooser.UseStore(catalog.CacheStore{Address: fmt.Sprintf("10.9.9.%d:1", i), TokensPerMS: 1000})
+	}
+	saved := make(map[string]string)
+	count := make(map[string]int)
+	for i := range 60 {
+		thing := fmt.Sprint("x", i)
+		saved[thing] = b.choose(t, work(thing)).Save
+		count[saved[thing]]++
+	}
+	if len(count) != 3 || count[""] > 0 {
+		t.Errorf("prompts are saved in %v, want three stores", count)
+	}
+	const lost = "10.9.9.0:1"
+	b.chooser.LeaveStore(lost)
+	b.now = b.now.Add(2 * saveAgain)
+	for thing, store := range saved {
+		if got := b.choose(t, work(thing)).Save; store != lost && got != store || got == lost || got == "" {
+			t.Errorf("%s moved from %s to %s after another store was lost", thing, store, got)
+		}
+	}
+}
+
 func TestUnusableUpstreamsAreLeftOut(t *testing.T) {
 	b := newBench(6)
 	b.list[0].Draining = true
--- a/internal/steer/store.go
+++ b/internal/steer/store.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/catalog"
 )
@@ -11,28 +12,36 @@
 	// saveAgain is how long after a save was asked for the parts are expected in
 	// the store's events.
 	saveAgain = 2 * time.Second
-	// maxStored bounds the parts that are remembered of the store.
+	// maxStored bounds the parts that are remembered of a store.
 	maxStored = 65536
 	// minSaved is the least number of shared tokens that are worth saving.
 	minSaved = 1000
+	// maxStoreWaitMS is the longest wait for a store's link that is worth a copy.
+	maxStoreWaitMS = 60
+	// otherZoneTimes is how much longer a copy between zones takes.
+	otherZoneTimes = 2
 )
 
-// storedParts is what is known of the store of cached parts.
-type storedParts struct {
-	held map[string]bool
+// cacheStore is a store of cached parts beside the engines, and what is known of it.
+type cacheStore struct {
+	catalog.CacheStore
+	usable bool
+	held   map[string]bool
 	// asked is when a save of a part was asked for.
 	asked map[string]bootclock.Instant
+	// busyUntil is when the store's link has carried the copies asked for.
+	busyUntil bootclock.Instant
 }
 
-func newStoredParts() storedParts {
-	return storedParts{held: make(map[string]bool), asked: make(map[string]bootclock.Instant)}
+func newCacheStore(store catalog.CacheStore) *cacheStore {
+	return &cacheStore{CacheStore: store, held: make(map[string]bool), asked: make(map[string]bootclock.Instant)}
 }
 
 // leading returns the number of leading tokens of the work that the store holds.
-func (p storedParts) leading(work *Work, keys []string) int64 {
+func (s *cacheStore) leading(work *Work, keys []string) int64 {
 	tokens := int64(0)
 	for i, part := range work.Parts {
-		if !p.held[keys[i]] {
+		if !s.held[keys[i]] {
 			break
 		}
 		tokens += part.Tokens
@@ -40,39 +49,100 @@
 	return tokens
 }
 
-// UseStore names the store that engines may copy from; nil means none.
-func (c *Chooser) UseStore(store *catalog.CacheStore) {
+// takes is how long the store's link carries a number of tokens to a zone.
+func (s *cacheStore) takes(tokens int64, zone string) float64 {
+	ms := float64(tokens) / s.TokensPerMS
+	if zone != s.Zone {
+		ms *= otherZoneTimes
+	}
+	return ms
+}
+
+// UseStore names a store that engines may copy from.
+func (c *Chooser) UseStore(store catalog.CacheStore) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.store = store
+	known := c.storeAt(store.Address)
+	if known == nil {
+		known = newCacheStore(store)
+		c.stores = append(c.stores, known)
+	}
+	known.CacheStore, known.usable = store, true
+}
+
+// LeaveStore says that a store can't be used. What it holds is remembered.
+func (c *Chooser) LeaveStore(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if store := c.storeAt(address); store != nil {
+		store.usable = false
+	}
+}
+
+// storeAt returns the store at an address, or nil; c.mu is held.
+func (c *Chooser) storeAt(address string) *cacheStore {
+	for _, store := range c.stores {
+		if store.Address == address {
+			return store
+		}
+	}
+	return nil
 }
 
-// NoteStored says that the store holds a part, or dropped it.
-func (c *Chooser) NoteStored(salt, part string, held bool) {
+// storeOf returns the store for the work's shared parts, or nil. Prompts that
+// share their deepest part use the same one; c.mu is held.
+func (c *Chooser) storeOf(work *Work) *cacheStore {
+	if len(work.Parts) < 2 {
+		return nil
+	}
+	key := work.Parts[len(work.Parts)-2].ID
+	var best *cacheStore
+	var weight uint64
+	for _, store := range c.stores {
+		if !store.usable {
+			continue
+		}
+		if w := xxhash.Sum64String(key + store.Address); best == nil || w > weight {
+			best, weight = store, w
+		}
+	}
+	return best
+}
+
+// NoteStored says that a store holds a part, or dropped it.
+func (c *Chooser) NoteStored(address, salt, part string, held bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	store := c.storeAt(address)
+	if store == nil {
+		return
+	}
 	key := salt + part
 	if !held {
-		delete(c.stored.held, key)
+		delete(store.held, key)
 		return
 	}
-	if len(c.stored.held) < maxStored {
-		c.stored.held[key] = true
+	if len(store.held) < maxStored {
+		store.held[key] = true
 	}
-	delete(c.stored.asked, key)
+	delete(store.asked, key)
 }
 
-// ForgetStored says that the store is empty.
-func (c *Chooser) ForgetStored() {
+// ForgetStored says that a store is empty.
+func (c *Chooser) ForgetStored(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.stored = newStoredParts()
+	if store := c.storeAt(address); store != nil {
+		clear(store.held)
+		clear(store.asked)
+	}
 }
 
 // saveTo returns the store's address when the shared parts of the work should be
 // saved there; c.mu is held. The last part belongs to the request alone.
 func (c *Chooser) saveTo(work *Work, version int64, now bootclock.Instant) string {
-	if c.store == nil || len(work.Parts) < 2 {
+	store := c.storeOf(work)
+	if store == nil {
 		return ""
 	}
 	shared := work.Parts[:len(work.Parts)-1]
@@ -81,15 +151,26 @@
 		tokens += part.Tokens
 	}
 	key := work.Salt(version) + shared[len(shared)-1].ID
-	if tokens < minSaved || c.stored.held[key] {
+	if tokens < minSaved || store.held[key] {
 		return ""
 	}
-	if asked, ok := c.stored.asked[key]; ok && now.Sub(asked) < saveAgain {
+	if asked, ok := store.asked[key]; ok && now.Sub(asked) < saveAgain {
 		return ""
 	}
-	if len(c.stored.asked) >= maxStored {
-		clear(c.stored.asked)
+	if len(store.asked) >= maxStored {
+		clear(store.asked)
+	}
+	store.asked[key] = now
+	return store.Address
+}
+
+// noteCopy counts a copy from a store against its link, which all gateways share;
+// c.mu is held.
+func (c *Chooser) noteCopy(choice Choice) {
+	store := c.storeAt(choice.Source)
+	if store == nil {
+		return
 	}
-	c.stored.asked[key] = now
-	return c.store.Address
+	took := time.Duration(store.takes(choice.Copied, choice.Upstream.Zone) * float64(c.gateways) * float64(time.Millisecond))
+	store.busyUntil = max(store.busyUntil, c.now()).Add(took)
 }
