--- a/internal/steer/holding.go
+++ b/internal/steer/holding.go
@@ -19,7 +19,9 @@
 type partKeys struct {
 	work *Work
 	// store is where the shared parts are kept beside the engines; nil for nowhere.
-	store    *cacheStore
+	store *cacheStore
+	// blind says that the store may hold more than is known.
+	blind    bool
 	versions []int64
 	keys     [][]string
 }
--- a/internal/steer/source.go
+++ b/internal/steer/source.go
@@ -54,6 +54,9 @@
 	address string
 	tokens  int64
 	ms      float64
+	// hoped is the number of tokens that may be copied although nobody said that the
+	// source has them.
+	hoped int64
 }
 
 // bestCopy returns the copy that brings an upstream the most beyond what it has.
@@ -77,13 +80,16 @@
 	if store == nil {
 		return best
 	}
-	saved := store.leading(keys.work, keys.of(has.version)) - has.own
-	if saved < minCopied || saved <= best.tokens {
-		return best
-	}
 	wait := float64(store.busyUntil.Sub(now)) / float64(time.Millisecond)
 	if wait > maxStoreWaitMS {
 		return best
 	}
+	saved := store.leading(keys.work, keys.of(has.version)) - has.own
+	if saved < minCopied && best.tokens == 0 && keys.blind {
+		return store.blindCopy(keys.work, has.own)
+	}
+	if saved < minCopied || saved <= best.tokens {
+		return best
+	}
 	return copying{address: store.Address, tokens: saved, ms: max(wait, 0) + store.takes(saved, to.Zone)}
 }
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -47,8 +47,8 @@
 	failureCost = 400.0
 	// slotCost is the price of a full batch or a full service, in milliseconds.
 	slotCost = 300.0
-	// smallFleet is the number of gateways up to which the load of the moment is
-	// taken for that of the others.
+	// smallFleet is the number of gateways up to which each sees and hears enough to
+	// tell the load of the others, and what stores hold, at any moment.
 	smallFleet = 8.0
 	// failureWeight is the part that the newest outcome has in the failure rate.
 	failureWeight = 0.15
@@ -211,7 +211,7 @@
 
 // choose compares the upstreams that can take the work; c.mu is held.
 func (c *Chooser) choose(list []*catalog.Upstream, work *Work, now bootclock.Instant) Choice {
-	keys := partKeys{work: work, store: c.storeOf(work)}
+	keys := partKeys{work: work, store: c.storeOf(work), blind: c.gateways > smallFleet}
 	holdings := c.holdings(list, work, &keys, now)
 	home := homeOf(list, holdings, work)
 	sources := sources(list, holdings, now)
@@ -298,7 +298,7 @@
 		cost += from.ms
 		cost += (float64(missing) + float64(s.backlog) + othersBacklog) / prefillTokensPerMS
 	}
-	return Choice{Upstream: u, Version: has.version, Missing: missing, Cost: cost, Source: from.address, Copied: from.tokens}
+	return Choice{Upstream: u, Version: has.version, Missing: missing, Cost: cost, Source: from.address, Copied: from.tokens, Hoped: from.hoped}
 }
 
 // others estimates the requests and the backlog that the other gateways have at an
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -187,6 +187,32 @@
 	}
 }
 
+// In a large fleet the news of a store come late, and it is asked for parts that it
+// is not known to hold, as far as its link allows.
+func TestStoresAreAskedBlindlyInLargeFleets(t *testing.T) {
+	b := newBench(4)
+	store := catalog.CacheStore{Address: "10.9.9.9:1", Zone: "a", TokensPerMS: 1000}
+	b.chooser.UseStore(store)
+	b.chooser.SetGateways(32)
+	choice, _ := b.run(t, work("x"))
+	if choice.Source != store.Address || choice.Copied != 0 || choice.Missing != 9000 {
+		t.Errorf("first prompt: %+v", choice)
+	}
+	if choice := b.choose(t, work("y")); choice.Source != "" {
+		t.Error("the store is asked while its link is busy with what was asked for")
+	}
+	b.now = b.now.Add(time.Second)
+	short := work("z")
+	short.Parts = []Part{{"style", 100}, {"z-own", 900}}
+	if choice := b.choose(t, short); choice.Source != "" {
+		t.Error("the store is asked for a short part")
+	}
+	b.chooser.SetGateways(5)
+	if choice := b.choose(t, work("z")); choice.Source != "" {
+		t.Error("the store is asked blindly in a small fleet")
+	}
+}
+
 func TestUnusableUpstreamsAreLeftOut(t *testing.T) {
 	b := newBench(6)
 	b.list[0].Draining = true
--- a/internal/steer/store.go
+++ b/internal/steer/store.go
@@ -18,6 +18,8 @@
 	minSaved = 1000
 	// maxStoreWaitMS is the longest wait for a store's link that is worth a copy.
 	maxStoreWaitMS = 60
+	// missMS is what asking in vain costs, in milliseconds.
+	missMS = 1
 	// otherZoneTimes is how much longer a copy between zones takes.
 	otherZoneTimes = 2
 )
@@ -171,6 +173,22 @@
 	if store == nil {
 		return
 	}
-	took := time.Duration(store.takes(choice.Copied, choice.Upstream.Zone) * float64(c.gateways) * float64(time.Millisecond))
+	took := time.Duration(store.takes(choice.Copied+choice.Hoped, choice.Upstream.Zone) * float64(c.gateways) * float64(time.Millisecond))
 	store.busyUntil = max(store.busyUntil, c.now()).Add(took)
 }
+
+// blindCopy asks the store for shared parts that it is not known to hold. Asking in
+// vain costs little.
+//
+// Load pattern: the store answers few gateways at once, so that each of many hears
+// its news after seconds, and some never; engines evict parts as fast.
+func (s *cacheStore) blindCopy(work *Work, own int64) copying {
+	shared := -own
+	for _, part := range work.Parts[:len(work.Parts)-1] {
+		shared += part.Tokens
+	}
+	if shared < minSaved {
+		return copying{}
+	}
+	return copying{address: s.Address, ms: missMS, hoped: shared / 2}
+}
--- a/internal/steer/work.go
+++ b/internal/steer/work.go
@@ -55,6 +55,8 @@
 	Source string
 	// Copied is the number of tokens that are expected to be copied.
 	Copied int64
+	// Hoped is the number of tokens that may be copied beside those.
+	Hoped int64
 	// Save is the address of the store that the parts should be saved in; empty
 	// when it has them.
 	Save string
