--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -62,9 +62,14 @@
 // Longer ones are written beside, since an upstream may answer before it has read them.
 const inlineBody = 4 << 10
 
-// writtenGrace is how long the writer of a body may take to notice that it is done,
-// after the whole answer has come. One that still writes then was answered early.
-const writtenGrace = 10 * time.Millisecond
+const (
+	// bufferedBody is the largest body that is written at once in any case, as the
+	// buffers of the connection hold it.
+	bufferedBody = 64 << 10
+	// writtenGrace is how long the writer of such a body may take to notice that it is
+	// done. A longer body that is still written was answered early.
+	writtenGrace = 10 * time.Millisecond
+)
 
 // maxStrayAnswers bounds the answers to other requests that are skipped.
 const maxStrayAnswers = 2
@@ -82,8 +87,10 @@
 	response *http.Response
 	stop     func() bool
 	written  <-chan error
-	eof      bool
-	stray    bool
+	// grace is how long written is waited for at the end.
+	grace time.Duration
+	eof   bool
+	stray bool
 }
 
 // Do sends the request to the upstream at address. When ctx ends the connection
@@ -94,6 +101,7 @@
 		return nil, &Error{Progress: NotSent, cause: fault.Wrap(err, "connect", address)}
 	}
 	stop := context.AfterFunc(ctx, c.abort)
+	began := time.Now()
 	response, progress, err := c.roundTrip(request)
 	if err == nil {
 		response.stop = stop
@@ -104,7 +112,7 @@
 	if ctx.Err() != nil {
 		err = errors.Join(ctx.Err(), err)
 	} else {
-		p.noteLost(c)
+		p.noteLost(c, time.Since(began), err)
 	}
 	return nil, &Error{Progress: progress, Reused: c.uses > 0, cause: fault.Wrap(err, "exchange", address)}
 }
@@ -131,7 +139,11 @@
 			return nil, MaybeSent, err
 		}
 		if request.Matches(response.Header) {
-			return c.accept(response, written, stray), MaybeSent, nil
+			accepted := c.accept(response, written, stray)
+			if len(request.Body) <= bufferedBody {
+				accepted.grace = writtenGrace
+			}
+			return accepted, MaybeSent, nil
 		}
 		stray = true
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
@@ -204,7 +216,7 @@
 	select {
 	case err := <-r.written:
 		return err == nil
-	case <-time.After(writtenGrace):
+	case <-time.After(r.grace):
 		return false
 	}
 }
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"math"
 	"net"
 	"sync"
@@ -26,9 +27,11 @@
 	// which may not be repeated. An upstream may forget a connection without notice;
 	// whether such a request ran could not be told then.
 	maxRestOnce = 100 * time.Millisecond
-	// forgottenFor is how long all requests avoid connections that rested, after one
-	// of them turned out to be forgotten.
+	// forgottenFor is how long all requests avoid connections that rested, after two
+	// upstreams were found to forget them.
 	forgottenFor = 30 * time.Second
+	// resetWithin is how soon a forgotten connection is reset after something was sent.
+	resetWithin = 50 * time.Millisecond
 	// idleMargin is subtracted from a timeout that the upstream tells in whole seconds.
 	idleMargin = 300 * time.Millisecond
 	// maxIdle is how long a connection is kept at the most.
@@ -64,6 +67,9 @@
 	open map[string]int
 	// forgottenUntil is how long connections that rested are not trusted.
 	forgottenUntil time.Time
+	// forgotAddress is the upstream that forgot a connection last, at forgotAt.
+	forgotAddress string
+	forgotAt      time.Time
 }
 
 // NewPool returns an empty pool.
@@ -125,16 +131,23 @@
 	return forever
 }
 
-// noteLost notes that an exchange failed without an answer. After a rest that says
-// that the upstream had forgotten the connection, and that others may as well.
-func (p *Pool) noteLost(c *conn) {
-	if c.uses == 0 || c.rested <= maxRestOnce {
+// noteLost notes that an exchange failed without an answer. A connection that had
+// rested and is reset at once was forgotten by its upstream. When that happens at
+// two upstreams, others may have forgotten theirs as well; at one it may have been
+// its crash.
+func (p *Pool) noteLost(c *conn, took time.Duration, cause error) {
+	reset := errors.Is(cause, unix.ECONNRESET) || errors.Is(cause, unix.EPIPE)
+	if !reset || took > resetWithin || c.uses == 0 || c.rested <= maxRestOnce {
 		return
 	}
 	metrics.Counter("exchange.connections_forgotten").Inc(1)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.forgottenUntil = time.Now().Add(forgottenFor)
+	now := time.Now()
+	if p.forgotAddress != c.address && now.Sub(p.forgotAt) < forgottenFor {
+		p.forgottenUntil = now.Add(forgottenFor)
+	}
+	p.forgotAddress, p.forgotAt = c.address, now
 }
 
 // connect opens a connection.
--- a/internal/roster/keep.go
+++ b/internal/roster/keep.go
@@ -13,7 +13,7 @@
 	keepEvery = 5 * time.Second
 	// silentAfter is how long a gateway is not heard until all that live renew their
 	// entries, so that one which only peers can't hear is told from one that is gone.
-	silentAfter = 10 * time.Second
+	silentAfter = 20 * time.Second
 	// goneAfter is how long a gateway is neither heard nor renews its entry until the
 	// entry is removed. Evidence for keys is long out of date then, so that a
 	// gateway that is cut off from all serves no customer with a limit.
