--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 export CGO_ENABLED := 1
 
-.PHONY: build test lint generate-check demo measure soak slopes fuzz
+.PHONY: build test lint generate-check demo measure soak randomised slopes fuzz
 
 build:
 	@mkdir -p $(BIN)
@@ -38,10 +38,15 @@
 demo: build
 	scripts/demo.sh
 
-# Runs the randomised tests for SOAK each, with a seed of the day's choosing.
-SOAK ?= 10m
+# Runs gateways as processes among the faults that SEED decides, for SOAK.
+SOAK ?= 20s
 soak:
-	GREENGAGE_SOAK=$(SOAK) go test -count=1 -timeout 0 -run 'Soak|Randomised' ./...
+	GREENGAGE_SOAK_SEED=$(SEED) GREENGAGE_SOAK_TIME=$(SOAK) go test -count=1 -timeout 0 -v -run 'TestSoak$$' ./platform/soak
+
+# Runs the randomised tests for RANDOMISED each, with a seed of the day's choosing.
+RANDOMISED ?= 10m
+randomised:
+	GREENGAGE_SOAK=$(RANDOMISED) go test -count=1 -timeout 0 -run 'Soak|Randomised' ./...
 
 # Fuzzes what comes from outside for FUZZTIME each.
 FUZZTIME ?= 30s
