--- a/internal/cachestore/cachestore_test.go
+++ b/internal/cachestore/cachestore_test.go
@@ -49,6 +49,13 @@
 	n.list = append(n.list, text)
 }
 
+// told returns what was told so far.
+func (n *notes) told() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.list)
+}
+
 func (n *notes) UseStore(store catalog.CacheStore) { n.add("use " + store.Address) }
 
 func (n *notes) LeaveStore(string) { n.add("lost") }
@@ -100,15 +107,16 @@
 		go New(Options{Catalog: known, Events: &answers{}, Sink: sink, Gateways: func() int { return 5 }, Log: zerolog.Nop()}).Run(ctx)
 		time.Sleep(10 * time.Second)
 		for _, store := range stores {
-			if !slices.Contains(sink.list, "use "+store.Address) {
-				t.Errorf("%s is not used: %v", store.Address, sink.list)
+			if !slices.Contains(sink.told(), "use "+store.Address) {
+				t.Errorf("%s is not used: %v", store.Address, sink.told())
 			}
 		}
 		known.SetConfig(&catalog.Config{Version: 2, CacheStores: stores[:2]})
 		time.Sleep(10 * time.Second)
 		cancel()
 		synctest.Wait()
-		if got := sink.list[len(sink.list)-1]; got != "lost" {
+		told := sink.told()
+		if got := told[len(told)-1]; got != "lost" {
 			t.Errorf("told %q after a store was taken away, want %q", got, "lost")
 		}
 	})
--- a/internal/steer/source.go
+++ b/internal/steer/source.go
@@ -91,5 +91,5 @@
 	if saved < minCopied || saved <= best.tokens {
 		return best
 	}
-	return copying{address: store.Address, tokens: saved, ms: max(wait, 0) + store.takes(saved, to.Zone)}
+	return copying{address: store.Address, tokens: saved, ms: max(wait, 0) + store.takes(saved)}
 }
--- a/internal/steer/store.go
+++ b/internal/steer/store.go
@@ -20,8 +20,6 @@
 	maxStoreWaitMS = 60
 	// missMS is what asking in vain costs, in milliseconds.
 	missMS = 1
-	// otherZoneTimes is how much longer a copy between zones takes.
-	otherZoneTimes = 2
 )
 
 // cacheStore is a store of cached parts beside the engines, and what is known of it.
@@ -51,14 +49,8 @@
 	return tokens
 }
 
-// takes is how long the store's link carries a number of tokens to a zone.
-func (s *cacheStore) takes(tokens int64, zone string) float64 {
-	ms := float64(tokens) / s.TokensPerMS
-	if zone != s.Zone {
-		ms *= otherZoneTimes
-	}
-	return ms
-}
+// takes is how long the store's link carries a number of tokens, in milliseconds.
+func (s *cacheStore) takes(tokens int64) float64 { return float64(tokens) / s.TokensPerMS }
 
 // UseStore names a store that engines may copy from.
 func (c *Chooser) UseStore(store catalog.CacheStore) {
@@ -173,7 +165,7 @@
 	if store == nil {
 		return
 	}
-	took := time.Duration(store.takes(choice.Copied+choice.Hoped, choice.Upstream.Zone) * float64(c.gateways) * float64(time.Millisecond))
+	took := time.Duration(store.takes(choice.Copied+choice.Hoped) * float64(c.gateways) * float64(time.Millisecond))
 	store.busyUntil = max(store.busyUntil, c.now()).Add(took)
 }
 
