--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"time"
@@ -13,8 +11,6 @@
 	"github.com/greengagegate/greengagegate/internal/cachestore"
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/exchange"
-	"github.com/greengagegate/greengagegate/internal/fault"
-	"github.com/greengagegate/greengagegate/internal/framing"
 	"github.com/greengagegate/greengagegate/internal/gateway"
 	"github.com/greengagegate/greengagegate/internal/mirror"
 	"github.com/greengagegate/greengagegate/internal/node"
@@ -53,12 +49,6 @@
 	sweepEvery = 200 * time.Millisecond
 	// headerTimeout bounds the reading of a request's head.
 	headerTimeout = 10 * time.Second
-	// callerIdle is how long an idle connection of a caller is kept.
-	callerIdle = 60 * time.Second
-	// maxHeaderBytes bounds a request's head.
-	maxHeaderBytes = 64 << 10
-	// closeDelay is the time in which idle connections close after they were told to.
-	closeDelay = 300 * time.Millisecond
 	// takeOverMargin is added to the time between the orders of two holders.
 	takeOverMargin = 200 * time.Millisecond
 )
@@ -321,58 +311,3 @@
 	follower := cachestore.New(cachestore.Options{Catalog: known, Events: p.CacheEvents(), Sink: chooser, Gateways: chooser.Gateways, Log: log})
 	appendBackground(lifecycle, follower.Run)
 }
-
-// serveGatewayCallers serves callers last of all, and stops first.
-func serveGatewayCallers(lifecycle fx.Lifecycle, s *GatewaySettings, g *gateway.Gateway, orders *weights.Manager, known *catalog.Catalog, ready *admin.Readiness, log zerolog.Logger) {
-	idle := newIdleTracker()
-	server := &http.Server{
-		Handler:           g,
-		ConnState:         idle.connState,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       callerIdle,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	start := func(context.Context) error {
-		listener, err := net.Listen("tcp", s.Callers.Listen)
-		if err != nil {
-			return fault.Wrap(err, "listen for callers", s.Callers.Listen)
-		}
-		go func() {
-			if err := server.Serve(framing.Listener{Listener: listener}); err != nil && !errors.Is(err, http.ErrServerClosed) {
-				log.Error().Err(err).Msg("app: callers' listener failed")
-			}
-		}()
-		go gatewayReady(ctx, known, ready, log)
-		return nil
-	}
-	stop := func(ctx context.Context) error {
-		cancel()
-		ready.Set(false)
-		g.Drain()
-		log.Info().Int64("active", g.Active()).Msg("app: not ready any more, finishing requests")
-		_ = pause.For(ctx, s.Stop.DrainDelay)
-		g.Close()
-		idle.expire()
-		_ = pause.For(ctx, closeDelay)
-		err := server.Shutdown(ctx)
-		// Each change of the holder costs a pause without orders, so that the lease
-		// is kept as long as possible.
-		orders.Retire(context.WithoutCancel(ctx))
-		return fault.Wrap(err, "finish requests", s.Callers.Listen)
-	}
-	appendHook(lifecycle, start, stop)
-}
-
-// gatewayReady waits until the configuration and the lists are known.
-func gatewayReady(ctx context.Context, known *catalog.Catalog, ready *admin.Readiness, log zerolog.Logger) {
-	for changed := known.Changed(); !known.Known(); changed = known.Changed() {
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return
-		}
-	}
-	ready.Set(true)
-	log.Info().Int64("config", known.Config().Version).Msg("app: ready")
-}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -62,8 +62,9 @@
 	entries map[string]listed
 	// heard is when each gateway was heard last.
 	heard map[string]bootclock.Instant
-	// own is the version of the own entry; 0 before it was written and after it left.
-	own  int64
+	// own is the version of the own entry; 0 before it was written.
+	own int64
+	// left says that this gateway has removed its entry.
 	left bool
 }
 
--- /dev/null
+++ b/internal/steer/price.go
@@ -0,0 +1,101 @@
+package steer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/greengagegate/greengagegate/internal/bootclock"
+	"github.com/greengagegate/greengagegate/internal/catalog"
+)
+
+const (
+	// prefillTokensPerMS is assumed of engines, which do not tell their rate.
+	prefillTokensPerMS = 130.0
+	// copyTokensPerMS is assumed of copies between engines.
+	copyTokensPerMS = 1000.0
+	// minCopied is the least number of tokens that is worth a copy.
+	minCopied = 200
+	// cacheKept is how long a cached part is expected to stay without use at the most.
+	cacheKept = 8 * time.Second
+	// keptPart is the part of an engine's memory that may be read anew before a
+	// cached part is expected to be evicted. The rest is taken by running requests.
+	keptPart = 0.3
+	// defaultCacheTokens is assumed of engines whose memory is not told.
+	defaultCacheTokens = 100_000
+	// homeBonus brings a prefix to its home, where other gateways send it at the same time.
+	homeBonus = 8.0
+	// zoneCost is the price of another zone, in milliseconds of waiting.
+	zoneCost = 25.0
+	// runningCost is what each running request adds, in milliseconds.
+	runningCost = 1.0
+	// oldWeightsCost is the price of weights that are no longer wanted.
+	oldWeightsCost = 90.0
+	// failureCost is the price of an upstream that fails all requests.
+	failureCost = 400.0
+	// slotCost is the price of a full batch or a full service, in milliseconds.
+	slotCost = 300.0
+	// smallFleet is the number of gateways up to which each sees and hears enough to
+	// tell the load of the others, and what stores hold, at any moment.
+	smallFleet = 8.0
+	// failureWeight is the part that the newest outcome has in the failure rate.
+	failureWeight = 0.15
+	// failureHalfLife is how fast a failure is forgotten.
+	failureHalfLife = 1500 * time.Millisecond
+)
+
+// price estimates the wait at an upstream; c.mu is held.
+func (c *Chooser) price(u *catalog.Upstream, has holding, sources []source, keys *partKeys, now bootclock.Instant) Choice {
+	work, s := keys.work, has.state
+	othersRunning, othersBacklog := c.others(s, now)
+	running := float64(s.running) + othersRunning
+	cost := running*runningCost + failureCost*s.failureRate(now) + rand.Float64()
+	if u.Capacity > 0 {
+		load := running / float64(u.Capacity)
+		cost += slotCost * load * load
+	}
+	if u.Zone != c.zone {
+		cost += zoneCost
+	}
+	missing := work.Prefill
+	var from copying
+	if len(work.Parts) > 0 {
+		from = bestCopy(sources, keys, u, has, now)
+		missing = max(0, missing-has.own-from.tokens)
+		cost += from.ms
+		cost += (float64(missing) + float64(s.backlog) + othersBacklog) / prefillTokensPerMS
+	}
+	return Choice{Upstream: u, Version: has.version, Missing: missing, Cost: cost, Source: from.address, Copied: from.tokens, Hoped: from.hoped}
+}
+
+// others estimates the requests and the backlog that the other gateways have at an
+// upstream; c.mu is held. In a small fleet each is taken to have what this one has
+// there now. In a large one that tells little, since all find it empty at the same
+// time; what this one usually has there counts more.
+func (c *Chooser) others(s *upstreamState, now bootclock.Instant) (running, backlog float64) {
+	s.usual.note(s.running, s.backlog, now)
+	momentary := min(1, smallFleet/float64(c.gateways))
+	running = momentary*float64(s.running) + (1-momentary)*s.usual.running
+	backlog = momentary*float64(s.backlog) + (1-momentary)*s.usual.backlog
+	count := float64(c.gateways - 1)
+	return count * running, count * backlog
+}
+
+// homeOf returns the upstream that ranks first for the deepest shared part.
+func homeOf(list []*catalog.Upstream, holdings []holding, work *Work) string {
+	if len(work.Parts) < 2 {
+		return ""
+	}
+	key := work.Parts[len(work.Parts)-2].ID
+	var best string
+	var weight uint64
+	for i, upstream := range list {
+		if upstream.Draining || holdings[i].state.ended {
+			continue
+		}
+		if w := xxhash.Sum64String(key + upstream.ID); best == "" || w > weight {
+			best, weight = upstream.ID, w
+		}
+	}
+	return best
+}
