--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -33,7 +33,7 @@
 	Zone    string `json:"zone"`
 }
 
-// Options configures a Roster. All fields are required.
+// Options configures a Roster. All fields but Now are required.
 type Options struct {
 	Store   store.Store
 	Name    string
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -16,9 +16,9 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/metrics"
+	"github.com/greengagegate/greengagegate/internal/rendezvous"
 )
 
 const (
@@ -262,13 +262,14 @@
 // owner returns the gateway that keeps a customer's pool, among those that are
 // heard; m.mu is held.
 func (m *Manager) owner(customer string, now bootclock.Instant) string {
-	best, weight := m.name, xxhash.Sum64String(customer+m.name)
+	contest := rendezvous.New[string](customer)
+	contest.Offer(m.name, m.name)
 	for name := range m.registered {
-		if w := xxhash.Sum64String(customer + name); w > weight && m.isHeard(name, now) {
-			best, weight = name, w
+		if m.isHeard(name, now) {
+			contest.Offer(name, name)
 		}
 	}
-	return best
+	return contest.Best()
 }
 
 // part returns a part of a limit, with that part of the slack in its burst.
--- a/internal/steer/pace.go
+++ b/internal/steer/pace.go
@@ -41,6 +41,9 @@
 // seconds of work before the first of them sees that. In a small fleet each gateway
 // has enough requests of its own to see it at once.
 func (c *Chooser) prefersNew(list []*catalog.Upstream, holdings []holding, work *Work, now bootclock.Instant) bool {
+	if c.gateways <= smallFleet {
+		return true
+	}
 	count := 0
 	for i, upstream := range list {
 		s := holdings[i].state
@@ -48,7 +51,7 @@
 			count++
 		}
 	}
-	if count == len(list) || c.gateways <= smallFleet {
+	if count == len(list) {
 		return true
 	}
 	load := c.pace.perMS(now) * float64(c.gateways)
--- a/internal/steer/price.go
+++ b/internal/steer/price.go
@@ -4,9 +4,9 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/catalog"
+	"github.com/greengagegate/greengagegate/internal/rendezvous"
 )
 
 const (
@@ -73,29 +73,28 @@
 // there now. In a large one that tells little, since all find it empty at the same
 // time; what this one usually has there counts more.
 func (c *Chooser) others(s *upstreamState, now bootclock.Instant) (running, backlog float64) {
+	count := float64(c.gateways - 1)
+	if c.gateways <= smallFleet {
+		return count * float64(s.running), count * float64(s.backlog)
+	}
 	s.usual.note(s.running, s.backlog, now)
-	momentary := min(1, smallFleet/float64(c.gateways))
+	momentary := smallFleet / float64(c.gateways)
 	running = momentary*float64(s.running) + (1-momentary)*s.usual.running
 	backlog = momentary*float64(s.backlog) + (1-momentary)*s.usual.backlog
-	count := float64(c.gateways - 1)
 	return count * running, count * backlog
 }
 
 // homeOf returns the upstream that ranks first for the deepest shared part.
 func homeOf(list []*catalog.Upstream, holdings []holding, work *Work) string {
-	if len(work.Parts) < 2 {
+	shared := work.shared()
+	if len(shared) == 0 {
 		return ""
 	}
-	key := work.Parts[len(work.Parts)-2].ID
-	var best string
-	var weight uint64
+	contest := rendezvous.New[string](shared[len(shared)-1].ID)
 	for i, upstream := range list {
-		if upstream.Draining || holdings[i].state.ended {
-			continue
-		}
-		if w := xxhash.Sum64String(key + upstream.ID); best == "" || w > weight {
-			best, weight = upstream.ID, w
+		if !upstream.Draining && !holdings[i].state.ended {
+			contest.Offer(upstream.ID, upstream.ID)
 		}
 	}
-	return best
+	return contest.Best()
 }
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -84,7 +84,7 @@
 			s.address, s.ended = upstream.Address, false
 		}
 		for model, version := range upstream.Weights {
-			c.state(id).noteVersion(model, version)
+			s.noteVersion(model, version)
 		}
 	}
 }
--- a/internal/steer/store.go
+++ b/internal/steer/store.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/catalog"
+	"github.com/greengagegate/greengagegate/internal/rendezvous"
 )
 
 const (
@@ -86,21 +86,17 @@
 // storeOf returns the store for the work's shared parts, or nil. Prompts that
 // share their deepest part use the same one; c.mu is held.
 func (c *Chooser) storeOf(work *Work) *cacheStore {
-	if len(work.Parts) < 2 {
+	shared := work.shared()
+	if len(shared) == 0 {
 		return nil
 	}
-	key := work.Parts[len(work.Parts)-2].ID
-	var best *cacheStore
-	var weight uint64
+	contest := rendezvous.New[*cacheStore](shared[len(shared)-1].ID)
 	for _, store := range c.stores {
-		if !store.usable {
-			continue
-		}
-		if w := xxhash.Sum64String(key + store.Address); best == nil || w > weight {
-			best, weight = store, w
+		if store.usable {
+			contest.Offer(store.Address, store)
 		}
 	}
-	return best
+	return contest.Best()
 }
 
 // NoteStored says that a store holds a part, or dropped it.
@@ -133,19 +129,15 @@
 }
 
 // saveTo returns the store's address when the shared parts of the work should be
-// saved there; c.mu is held. The last part belongs to the request alone.
+// saved there; c.mu is held.
 func (c *Chooser) saveTo(work *Work, version int64, now bootclock.Instant) string {
 	store := c.storeOf(work)
 	if store == nil {
 		return ""
 	}
-	shared := work.Parts[:len(work.Parts)-1]
-	tokens := int64(0)
-	for _, part := range shared {
-		tokens += part.Tokens
-	}
+	shared := work.shared()
 	key := work.Salt(version) + shared[len(shared)-1].ID
-	if tokens < minSaved || store.held[key] {
+	if tokensOf(shared) < minSaved || store.held[key] {
 		return ""
 	}
 	if asked, ok := store.asked[key]; ok && now.Sub(asked) < saveAgain {
@@ -175,12 +167,9 @@
 // Load pattern: the store answers few gateways at once, so that each of many hears
 // its news after seconds, and some never; engines evict parts as fast.
 func (s *cacheStore) blindCopy(work *Work, own int64) copying {
-	shared := -own
-	for _, part := range work.Parts[:len(work.Parts)-1] {
-		shared += part.Tokens
-	}
-	if shared < minSaved {
+	missing := tokensOf(work.shared()) - own
+	if missing < minSaved {
 		return copying{}
 	}
-	return copying{address: s.Address, ms: missMS, hoped: shared / 2}
+	return copying{address: s.Address, ms: missMS, hoped: missing / 2}
 }
--- a/internal/steer/work.go
+++ b/internal/steer/work.go
@@ -37,6 +37,19 @@
 	Tried []string
 }
 
+// shared returns the parts that other requests may share; the last part is the
+// request's own.
+func (w *Work) shared() []Part { return w.Parts[:max(0, len(w.Parts)-1)] }
+
+// tokensOf returns the number of tokens of some parts.
+func tokensOf(parts []Part) int64 {
+	tokens := int64(0)
+	for _, part := range parts {
+		tokens += part.Tokens
+	}
+	return tokens
+}
+
 // Choice is an upstream with what was decided on.
 type Choice struct {
 	Upstream *catalog.Upstream
