Mend four known reds: crashed stand-ins, chosen ports, early response

Cause of two (charges cut off after a crash): the stand-in's handler closed its connection before the server's listener was closed, so a repeat could connect and be cut off. Crash now closes the listener first.

Ports of the admission cluster: each was closed before the next was chosen. testhost.Free returns each port once.

Early response, traced: the upstream of the test read on at once, and 8 MB could cross loopback before the response was handled; no other bytes followed. The test now lets the upstream read only after the exchange has ended, so the outcome no longer depends on scheduling, and checks as well that no connection stays open. A second test covers the upstream that reads on.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -78,14 +78,8 @@
 	set.Upstreams["engine-1"] = &object.Upstream{Name: "engine-1", Address: c.serveWitness(t)}
 	var hosts []store.Host
 	for i := range 3 {
-		listener, err := net.Listen("tcp", testhost.AnyPort())
-		if err != nil {
-			t.Fatal(err)
-		}
-		address := listener.Addr().String()
-		_ = listener.Close()
 		c.members = append(c.members, membership.Member{
-			Process: fmt.Sprintf("router-%d", i), Address: address, Role: membership.RoleRouter, Region: "r1",
+			Process: fmt.Sprintf("router-%d", i), Address: testhost.Free(t), Role: membership.RoleRouter, Region: "r1",
 		})
 		hosts = append(hosts, store.Host{Address: testhost.Address()})
 	}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -204,15 +204,15 @@
 	<-connectionEnded
 }
 
-// An upstream may respond before it has read a large request body. The connection must
-// then be closed; if it were reused, the rest of the body would precede the next request.
-func TestEarlyResponseClosesConnection(t *testing.T) {
+// serveEarlyResponse serves one request: it responds when it has read the head, reads the
+// body only once readBody is closed, and returns what it read.
+func serveEarlyResponse(t *testing.T, readBody <-chan struct{}) (address string, received <-chan []byte) {
 	listener, err := net.Listen("tcp", testhost.AnyPort())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = listener.Close() }()
-	received := make(chan []byte, 1)
+	t.Cleanup(func() { _ = listener.Close() })
+	result := make(chan []byte, 1)
 	go func() {
 		connection, err := listener.Accept()
 		if err != nil {
@@ -223,18 +223,51 @@
 			return
 		}
 		_, _ = connection.Write([]byte(validResponse))
+		<-readBody
 		remaining, _ := io.ReadAll(reader)
-		received <- remaining
+		result <- remaining
 	}()
+	return listener.Addr().String(), result
+}
+
+// An upstream may respond before it has read the whole body. The rest of the body must not
+// be written then, and the connection must not be used again, because the upstream would
+// take the next request for the rest of the body.
+func TestEarlyResponseClosesConnection(t *testing.T) {
+	exchanged := make(chan struct{})
+	address, received := serveEarlyResponse(t, exchanged)
 	body := strings.Repeat("x", 8<<20)
-	if got, err := doExchange(t.Context(), NewPool(), listener.Addr().String(), body); err != nil || got != "ok" {
+	pool := NewPool()
+	got, err := doExchange(t.Context(), pool, address, body)
+	close(exchanged)
+	if err != nil || got != "ok" {
 		t.Fatalf("got %q, %v", got, err)
 	}
+	if open, _ := pool.Connections(); open != 0 {
+		t.Errorf("%d connections remain open, want none", open)
+	}
 	if remaining := <-received; len(remaining) >= len(body) || strings.Trim(string(remaining), "x") != "" {
 		t.Errorf("%d bytes followed the response, want only a part of the body", len(remaining))
 	}
 }
 
+// An upstream that responds early and reads on may get the whole body before the response
+// is handled. In either case it gets nothing but bytes of the body.
+func TestEarlyResponseIsFollowedByBodyOnly(t *testing.T) {
+	readNow := make(chan struct{})
+	close(readNow)
+	address, received := serveEarlyResponse(t, readNow)
+	body := strings.Repeat("x", 8<<20)
+	pool := NewPool()
+	if got, err := doExchange(t.Context(), pool, address, body); err != nil || got != "ok" {
+		t.Fatalf("got %q, %v", got, err)
+	}
+	pool.CloseIdle(address)
+	if remaining := <-received; len(remaining) > len(body) || strings.Trim(string(remaining), "x") != "" {
+		t.Errorf("%d bytes followed the response, want at most the body", len(remaining))
+	}
+}
+
 func TestUndelimitedBodyEndsWithConnection(t *testing.T) {
 	u := serve(t, func(connection, i int, _ *http.Request) []byte {
 		if i > 0 {
--- a/internal/standin/restart/restart.go
+++ b/internal/standin/restart/restart.go
@@ -39,8 +39,9 @@
 	stop    context.CancelFunc
 	tasks   sync.WaitGroup
 
-	mu             sync.Mutex
-	endIncarnation context.CancelFunc // ends the current incarnation; nil while the server is down
+	mu sync.Mutex
+	// endIncarnation ends the current incarnation; nil while the server is down.
+	endIncarnation func()
 }
 
 // New returns a server that is not started.
@@ -83,7 +84,12 @@
 func (s *Server) serve(listener net.Listener) {
 	ctx, cancel := context.WithCancel(s.ctx)
 	s.mu.Lock()
-	s.endIncarnation = cancel
+	s.endIncarnation = func() {
+		// The listener closes before the connections do: a caller that sees its connection
+		// close and connects again must be refused, not cut off a second time.
+		_ = listener.Close()
+		cancel()
+	}
 	s.mu.Unlock()
 	handler, waitTasks := s.options.StartIncarnation(ctx)
 	httpServer := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
