Count the wait at an upstream before older weights become too old

The margin for sending was 1 s whatever the queue. Retries and resumed streams used the oldest permitted version of the request's arrival, not of the moment of sending.

Change: an engine with older weights is excluded earlier by 1.5 times the delay that is expected there (the last observed one, the longest of the requests that still wait, or the backlog). The target version is read before each pick. A stream that may run again and has not begun shortly before its weights become too old is taken back. resume treats refusals that have not run like the first send does, and no longer spends two retries for one failure.

Siblings looked at: draining and withdrawn keys are bound by when a request reaches the upstream or is sent by the caller, limits by the same, and the route's timeout by the deadline that the upstream gets; a queue there changes none.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -41,10 +41,6 @@
 	// weightsGrace is the time after a new target version becomes known during which
 	// upstreams with older weights are picked like others.
 	weightsGrace = 1200 * time.Millisecond
-	// weightsMargin is subtracted from Bounds.Weights when upstreams are picked: the
-	// gateway stops using older weights that much earlier. The weights manager gets
-	// Bounds.Weights without the margin.
-	weightsMargin = time.Second
 	// slackFraction is the fraction of the configured slacks that is used. It keeps
 	// retries and tokens below their bounds while gateways start and stop.
 	slackFraction = 0.7
@@ -149,7 +145,7 @@
 		Bounds: gateway.Bounds{
 			MaxKeyEvidenceAge: time.Duration(stalenessFraction * float64(s.Bounds.Revoke)),
 			WeightsGrace:      weightsGrace,
-			StalenessLimit:    s.Bounds.Weights - weightsMargin,
+			StalenessLimit:    s.Bounds.Weights,
 			MaxBufferedBytes:  s.Memory.maxBufferedBytes(),
 		},
 		Log: log,
--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -24,6 +24,7 @@
 	a.state.meanLoad.update(a.state.running, a.state.backlogTokens, a.balancer.now())
 	a.state.backlogTokens -= a.backlogTokens
 	a.backlogTokens = 0
+	a.state.startDelay.observe(a, a.balancer.now())
 	if len(a.parts) == 0 {
 		return
 	}
@@ -50,6 +51,7 @@
 	a.state.meanLoad.update(a.state.running, a.state.backlogTokens, a.balancer.now())
 	a.state.running--
 	a.state.backlogTokens -= a.backlogTokens
+	a.state.startDelay.forget(a)
 }
 
 // RecordSuccess records a valid answer of the upstream and marks the upstream as
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -185,7 +185,7 @@
 	best := b.pickShortestWait(upstreams, request, now)
 	if best.Upstream == nil && best.Excluded.OldWeights > 0 && request.MinVersionAssumed {
 		relaxed := *request
-		relaxed.MinVersion = 0
+		relaxed.MinVersion = nil
 		best = b.pickShortestWait(upstreams, &relaxed, now)
 	}
 	if best.Upstream != nil {
@@ -208,7 +208,7 @@
 	var excluded Excluded
 	for i, upstream := range upstreams {
 		c := candidates[i]
-		if !excluded.checkUsable(upstream, c, request, now) {
+		if !excluded.checkUsable(upstream, c, b.hasOutdatedWeights(c, request, now), request, now) {
 			continue
 		}
 		if c.state.running >= connectionLimit {
@@ -242,6 +242,7 @@
 	s.running++
 	s.backlogTokens += choice.MissingTokens
 	attempt := &Attempt{balancer: b, state: s, backlogTokens: choice.MissingTokens, upstreamID: choice.Upstream.ID, parts: request.Parts}
+	s.startDelay.begin(attempt, b.now())
 	if len(request.Parts) > 0 {
 		attempt.salt = request.Salt(choice.Version)
 		s.recordUse(request, attempt.salt, float64(choice.MissingTokens+choice.CopyTokens)*float64(b.gatewayCount), b.now())
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -42,6 +42,11 @@
 	}
 }
 
+// always returns a Request.MinVersion that is the same at each instant.
+func always(version int64) func(bootclock.Instant) int64 {
+	return func(bootclock.Instant) int64 { return version }
+}
+
 // pick returns the choice for a request and fails the test when there is none.
 func (f *testFleet) pick(t *testing.T, r *Request) Choice {
 	t.Helper()
@@ -243,7 +248,7 @@
 	f.balancer.RecordVersion("e04", testModel, 2)
 	f.balancer.RecordVersion("e05", testModel, 2)
 	r := testRequest("x")
-	r.TargetVersion, r.MinVersion, r.TriedUpstreams = 2, 2, []string{"e05"}
+	r.TargetVersion, r.MinVersion, r.TriedUpstreams = 2, always(2), []string{"e05"}
 	choice := f.pick(t, r)
 	if want := (Excluded{Draining: 1, Unreachable: 1, BackingOff: 1, OnHold: 1, Tried: 1}); choice.Upstream.ID != "e04" || choice.Excluded != want {
 		t.Errorf("picked %s, want e04 and one draining, unreachable, backing off, held and tried upstream each; excluded upstreams: %v", choice.Upstream.ID, choice.Excluded)
@@ -254,7 +259,7 @@
 	}
 	f.balancer.MarkReachable("e02")
 	f.now = f.now.Add(2 * time.Second)
-	r.MinVersion = 0
+	r.MinVersion = nil
 	if choice := f.pick(t, r); choice.Usable != 3 {
 		t.Errorf("%d upstreams usable after the backoff and the hold, want 3: %v", choice.Usable, choice.Excluded)
 	}
@@ -326,7 +331,7 @@
 func TestAssumedMinVersionIsDroppedWhenNoUpstreamHasIt(t *testing.T) {
 	f := newTestFleet(2)
 	r := testRequest("x")
-	r.MinVersion, r.TargetVersion = 2, 2
+	r.MinVersion, r.TargetVersion = always(2), 2
 	if _, ok := f.balancer.Pick(f.upstreams, r); ok {
 		t.Error("an upstream with weights older than the minimum version was picked")
 	}
--- a/internal/balancer/eligibility.go
+++ b/internal/balancer/eligibility.go
@@ -9,9 +9,9 @@
 )
 
 // checkUsable reports whether an upstream can take the request as far as its state and
-// weights are concerned; the caller checks the connection limit. If not, it counts the
-// reason in e.
-func (e *Excluded) checkUsable(upstream *catalog.Upstream, c candidate, request *Request, now bootclock.Instant) bool {
+// weights are concerned; the caller checks the connection limit. outdated is the result of
+// hasOutdatedWeights. If the upstream cannot take the request, it counts the reason in e.
+func (e *Excluded) checkUsable(upstream *catalog.Upstream, c candidate, outdated bool, request *Request, now bootclock.Instant) bool {
 	s := c.state
 	switch {
 	case upstream.Draining:
@@ -24,7 +24,7 @@
 		e.BackingOff++
 	case now.Before(s.heldUntil):
 		e.OnHold++
-	case c.version < request.MinVersion:
+	case outdated:
 		e.OldWeights++
 	case slices.Contains(request.TriedUpstreams, upstream.ID):
 		e.Tried++
@@ -34,6 +34,16 @@
 	return false
 }
 
+// hasOutdatedWeights reports whether the request must not run with the weights of an
+// upstream, because they are too old now or will be when the request begins there. b.mu
+// must be held.
+func (b *Balancer) hasOutdatedWeights(c candidate, request *Request, now bootclock.Instant) bool {
+	if c.version >= request.minVersion(now.Add(maxStartDelay)) {
+		return false
+	}
+	return c.version < request.minVersion(now.Add(b.expectedStartDelay(c.state, now)))
+}
+
 // connectionLimit returns how many connections to one upstream this gateway may use: an
 // equal share of request.MaxConnections, but at least 1. Each running request counts as
 // one connection. b.mu must be held.
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/catalog"
 )
 
@@ -25,10 +26,12 @@
 	// target version, or 0 if none is known or it has become known too recently to matter
 	// (see gateway.Bounds.WeightsGrace).
 	TargetVersion int64
-	// MinVersion excludes upstreams with older weights.
-	MinVersion int64
-	// MinVersionAssumed is true if MinVersion may be too high. MinVersion is then ignored
-	// when no upstream with such weights can take the request.
+	// MinVersion returns the oldest weights version with which a request that begins at an
+	// instant may run. A later instant never has an older version. A nil MinVersion allows
+	// all versions.
+	MinVersion func(begin bootclock.Instant) int64
+	// MinVersionAssumed is true if the versions of MinVersion may be too high. MinVersion is
+	// then ignored when no upstream with such weights can take the request.
 	MinVersionAssumed bool
 	// PromptTokens is the number of prompt tokens.
 	PromptTokens int64
@@ -42,6 +45,15 @@
 	TriedUpstreams []string
 }
 
+// minVersion returns the oldest weights version with which the request may run if it begins
+// at an instant.
+func (r *Request) minVersion(begin bootclock.Instant) int64 {
+	if r.MinVersion == nil {
+		return 0
+	}
+	return r.MinVersion(begin)
+}
+
 // sharedParts returns the parts that other requests may share: all but the last one.
 func (r *Request) sharedParts() []Part { return r.Parts[:max(0, len(r.Parts)-1)] }
 
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -14,6 +14,8 @@
 	// backlogTokens is the number of prompt tokens of running requests that are not yet
 	// prefilled.
 	backlogTokens int64
+	// startDelay tracks how long requests wait at the upstream before they begin.
+	startDelay startDelay
 	// meanLoad averages running and backlogTokens over the recent past.
 	meanLoad meanLoad
 	// lastFailureRate is the failure rate after the newest outcome, which was recorded at
@@ -64,6 +66,7 @@
 	s.replaced = false
 	clear(s.versions)
 	clear(s.parts)
+	s.startDelay = startDelay{}
 	s.heldUntil, s.backoffUntil, s.lastFailureRate, s.unreachable = 0, 0, 0, false
 }
 
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -66,6 +66,18 @@
 	return 0
 }
 
+// OutdatedAt returns when weights of a version will have been out of date for age: age
+// after the first newer version became known. ok is false if no newer version is known, or
+// if it is only assumed when it became known.
+func (t TargetVersion) OutdatedAt(version int64, age time.Duration) (at bootclock.Instant, ok bool) {
+	for _, dated := range t.DatedVersions() {
+		if dated.Version > version {
+			return dated.KnownSince.Add(age), true
+		}
+	}
+	return 0, false
+}
+
 // DatedVersions returns the versions whose ages are known, oldest first, with the
 // target version last.
 func (t TargetVersion) DatedVersions() []DatedVersion {
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -9,8 +9,6 @@
 	"strconv"
 	"time"
 
-	"github.com/greengagegate/greengagegate/internal/balancer"
-	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/exchange"
 )
@@ -27,24 +25,25 @@
 
 // handleResponse classifies a response by its status and header and forwards it to the
 // caller, or decides whether another attempt may follow. The results are those of tryUpstream.
-func (j *job) handleResponse(ctx context.Context, choice *balancer.Choice, attempt *balancer.Attempt, response *exchange.Response, startedAt bootclock.Instant) (bool, *refusal) {
+func (j *job) handleResponse(ctx context.Context, s *send) (bool, *refusal) {
+	response := s.response
 	responseStatus := j.gateway.Codec.Classify(response.Status, response.Header)
 	if responseStatus.Version > 0 {
-		j.gateway.Balancer.RecordVersion(choice.Upstream.ID, j.call.Model, responseStatus.Version)
+		j.gateway.Balancer.RecordVersion(s.choice.Upstream.ID, j.call.Model, responseStatus.Version)
 	}
 	if responseStatus.NotRun {
-		return j.handleUpstreamRefusal(choice, attempt, response, &responseStatus, startedAt)
+		return j.handleUpstreamRefusal(s, &responseStatus)
 	}
 	j.possibleRuns++
 	if response.Status < http.StatusMultipleChoices && !responseStatus.IsComplete {
-		attempt.RecordFailure()
-		j.recordAttempt(choice.Upstream, "unsound", startedAt)
+		s.attempt.RecordFailure()
+		j.recordAttempt(s, "unsound")
 		return false, j.prepareRetry(true)
 	}
 	if j.route.Kind == catalog.Stream && isEventStream(response) {
-		return j.forwardStream(ctx, choice, attempt, response, startedAt)
+		return j.forwardStream(ctx, s)
 	}
-	return j.forwardBuffered(choice, attempt, response, startedAt)
+	return j.forwardBuffered(s)
 }
 
 func isEventStream(response *exchange.Response) bool {
@@ -58,21 +57,22 @@
 // handleUpstreamRefusal handles a response which states that the upstream did not and will
 // not run the request. It reads the body, up to maxResponseBytes, so that the connection
 // can be reused. The results are those of tryUpstream.
-func (j *job) handleUpstreamRefusal(choice *balancer.Choice, attempt *balancer.Attempt, response *exchange.Response, responseStatus *ResponseStatus, startedAt bootclock.Instant) (bool, *refusal) {
+func (j *job) handleUpstreamRefusal(s *send, responseStatus *ResponseStatus) (bool, *refusal) {
+	response, upstream := s.response, s.choice.Upstream
 	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxResponseBytes)); err == nil {
 		response.MarkBodyRead()
 	}
 	switch {
-	case responseStatus.Misdirected && responseStatus.InstanceID != "" && responseStatus.InstanceID != choice.Upstream.ID:
+	case responseStatus.Misdirected && responseStatus.InstanceID != "" && responseStatus.InstanceID != upstream.ID:
 		// Another incarnation answers at the upstream's address.
-		j.recordAttempt(choice.Upstream, "ended", startedAt)
-		j.gateway.markReplaced(choice.Upstream, attempt, responseStatus.InstanceID)
+		j.recordAttempt(s, "ended")
+		j.gateway.markReplaced(upstream, s.attempt, responseStatus.InstanceID)
 	case responseStatus.Misdirected:
-		j.recordAttempt(choice.Upstream, "misdirected", startedAt)
-		attempt.RecordRefusal(misdirectedPause)
+		j.recordAttempt(s, "misdirected")
+		s.attempt.RecordRefusal(misdirectedPause)
 	default:
-		j.recordAttempt(choice.Upstream, "rejected-"+strconv.Itoa(response.Status), startedAt)
-		attempt.RecordRefusal(refusalPause)
+		j.recordAttempt(s, "rejected-"+strconv.Itoa(response.Status))
+		s.attempt.RecordRefusal(refusalPause)
 	}
 	return false, j.prepareRetry(false)
 }
@@ -80,15 +80,16 @@
 // forwardBuffered reads the whole response before it sends the first byte to the
 // caller, so that another attempt remains possible if reading fails. The results are
 // those of tryUpstream.
-func (j *job) forwardBuffered(choice *balancer.Choice, attempt *balancer.Attempt, response *exchange.Response, startedAt bootclock.Instant) (bool, *refusal) {
+func (j *job) forwardBuffered(s *send) (bool, *refusal) {
+	response := s.response
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err == nil && len(body) > maxResponseBytes {
 		err = errors.New("response body exceeds the size limit")
 	}
 	if err != nil {
 		j.outcome.err = err
-		attempt.RecordFailure()
-		j.recordAttempt(choice.Upstream, "broken-off", startedAt)
+		s.attempt.RecordFailure()
+		j.recordAttempt(s, "broken-off")
 		if j.callerLeft() {
 			return true, nil
 		}
@@ -99,15 +100,15 @@
 	}
 	response.MarkBodyRead()
 	if response.Status >= http.StatusInternalServerError {
-		attempt.RecordFailure()
-		j.recordAttempt(choice.Upstream, "status-"+strconv.Itoa(response.Status), startedAt)
+		s.attempt.RecordFailure()
+		j.recordAttempt(s, "status-"+strconv.Itoa(response.Status))
 		// If no retry is allowed, the caller gets the upstream's response.
 		if j.mayRunAgain() && j.prepareRetry(true) == nil {
 			return false, nil
 		}
 	} else {
-		attempt.RecordSuccess()
-		j.recordAttempt(choice.Upstream, "answered", startedAt)
+		s.attempt.RecordSuccess()
+		j.recordAttempt(s, "answered")
 	}
 	copyHeaders(j.w.Header(), response.Header)
 	j.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -60,18 +60,28 @@
 	if j.pool.Engine == nil {
 		return
 	}
-	target := j.gateway.Catalog.TargetVersion(j.call.Model)
-	targetAge := bootclock.Since(target.KnownSince)
 	j.pickRequest.Model = j.call.Model
 	j.pickRequest.Parts = j.call.Parts
 	j.pickRequest.PromptTokens = j.call.PromptTokens
 	j.pickRequest.Salt = j.salt
 	j.pickRequest.CacheTokens = j.pool.Engine.CacheTokens
-	if targetAge > j.gateway.Bounds.WeightsGrace {
+}
+
+// updateTargetVersion sets the fields of j.pickRequest that depend on the target version of
+// the weights. It is called before each pick, because the version may have changed or
+// become too old since the previous attempt.
+func (j *job) updateTargetVersion() {
+	if j.pool.Engine == nil {
+		return
+	}
+	target := j.gateway.Catalog.TargetVersion(j.call.Model)
+	j.pickRequest.TargetVersion = 0
+	if bootclock.Since(target.KnownSince) > j.gateway.Bounds.WeightsGrace {
 		j.pickRequest.TargetVersion = target.Version
 	}
+	sendLimit := j.gateway.Bounds.StalenessLimit - sendMargin
 	j.pickRequest.MinVersionAssumed = target.AgeAssumed
-	j.pickRequest.MinVersion = target.MinVersion(bootclock.Now(), j.gateway.Bounds.StalenessLimit)
+	j.pickRequest.MinVersion = func(begin bootclock.Instant) int64 { return target.MinVersion(begin, sendLimit) }
 }
 
 // tryUpstream makes one attempt. done reports whether the caller has a response or has
@@ -82,17 +92,14 @@
 	if refused != nil {
 		return false, refused
 	}
-	attempt := j.gateway.Balancer.Begin(choice, &j.pickRequest)
-	defer attempt.Done()
-	startedAt := bootclock.Now()
 	ctx, cancel := context.WithTimeout(j.r.Context(), j.timeLeft())
 	defer cancel()
-	response, err := j.gateway.Pool.Do(ctx, choice.Upstream.Address, j.buildRequest(&choice, j.call.LastEventID))
+	s, err := j.send(ctx, &choice, j.call.LastEventID)
+	defer s.end()
 	if err != nil {
-		return j.handleSendError(choice.Upstream, attempt, err, startedAt)
+		return j.handleSendError(s, err)
 	}
-	defer response.Close()
-	return j.handleResponse(ctx, &choice, attempt, response, startedAt)
+	return j.handleResponse(ctx, s)
 }
 
 // pickUpstream picks an upstream for the next attempt. It blocks for up to
@@ -109,6 +116,7 @@
 		if j.timeLeft() < minTimeLeft {
 			return balancer.Choice{}, j.timeoutRefusal()
 		}
+		j.updateTargetVersion()
 		upstreams := j.gateway.Catalog.Upstreams()
 		if upstreams == nil {
 			return balancer.Choice{}, refusedNoConfig
@@ -201,40 +209,55 @@
 
 // handleSendError handles an attempt that got no response and decides whether another
 // attempt may follow. The results are those of tryUpstream.
-func (j *job) handleSendError(upstream *catalog.Upstream, attempt *balancer.Attempt, cause error, startedAt bootclock.Instant) (bool, *refusal) {
+func (j *job) handleSendError(s *send, cause error) (bool, *refusal) {
+	upstream := s.choice.Upstream
 	var failure *exchange.Error
 	if !errors.As(cause, &failure) {
 		failure = &exchange.Error{Progress: exchange.MaybeSent}
 	}
 	j.outcome.err = cause
 	if j.callerLeft() {
-		j.recordAttempt(upstream, "caller-left", startedAt)
+		j.recordAttempt(s, "caller-left")
 		if failure.Progress != exchange.NotSent {
 			j.possibleRuns++
 		}
 		return true, nil
 	}
+	if s.isTakenBack() {
+		return false, j.retryTakenBack(s, failure.Progress)
+	}
 	if failure.Progress == exchange.NotSent {
-		j.recordAttempt(upstream, "not-sent", startedAt)
-		j.gateway.markUnreachable(upstream, attempt, cause)
+		j.recordAttempt(s, "not-sent")
+		j.gateway.markUnreachable(upstream, s.attempt, cause)
 		return false, j.prepareRetry(false)
 	}
 	j.possibleRuns++
-	j.recordAttempt(upstream, "no-answer", startedAt)
+	j.recordAttempt(s, "no-answer")
 	timedOut := j.timeLeft() < minTimeLeft
 	// Unacknowledged data shows that the Host is unreachable. Other errors show it only on
 	// a new connection and before the deadline: the upstream may have closed a reused
 	// connection while it was idle, and after a timeout it may just be slow.
 	if failure.IsUnacknowledged() || !failure.Reused && !timedOut {
-		j.gateway.markUnreachable(upstream, attempt, cause)
+		j.gateway.markUnreachable(upstream, s.attempt, cause)
 	}
-	attempt.RecordFailure()
+	s.attempt.RecordFailure()
 	if timedOut {
 		return false, failedTimeout
 	}
 	return false, j.prepareRetry(true)
 }
 
+// retryTakenBack decides whether another attempt follows a send that was taken back, which
+// says nothing about the upstream's health.
+func (j *job) retryTakenBack(s *send, progress exchange.Progress) *refusal {
+	mayHaveRun := progress != exchange.NotSent
+	if mayHaveRun {
+		j.possibleRuns++
+	}
+	j.recordAttempt(s, "taken-back")
+	return j.prepareRetry(mayHaveRun)
+}
+
 // prepareRetry prepares another attempt. It returns nil if the attempt may be made, and
 // otherwise the refusal that ends the job. It excludes the upstream of the last recorded
 // attempt from further ones and spends one retry of the pool's budget, except after an
@@ -262,8 +285,8 @@
 }
 
 // recordAttempt adds an attempt and its result to the job's log line.
-func (j *job) recordAttempt(upstream *catalog.Upstream, result string, startedAt bootclock.Instant) {
-	j.attempts = append(j.attempts, attemptRecord{upstream: upstream.ID, result: result, duration: bootclock.Since(startedAt)})
+func (j *job) recordAttempt(s *send, result string) {
+	j.attempts = append(j.attempts, attemptRecord{upstream: s.choice.Upstream.ID, result: result, duration: bootclock.Since(s.startedAt)})
 }
 
 // salt returns the cache namespace of the request's parts for a version of the weights.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,8 +44,8 @@
 	// upstreams with older weights are picked like others, because older weights do no
 	// harm yet.
 	WeightsGrace time.Duration
-	// StalenessLimit is the time after a new target version becomes known during which
-	// upstreams with older weights may be used. After that they are excluded.
+	// StalenessLimit is the time after a new target version becomes known within which a
+	// request may begin to run on older weights.
 	StalenessLimit time.Duration
 	// MaxBufferedBytes bounds the request bodies that are buffered at once, in bytes.
 	MaxBufferedBytes int64
--- /dev/null
+++ b/internal/gateway/send.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/balancer"
+	"github.com/greengagegate/greengagegate/internal/bootclock"
+	"github.com/greengagegate/greengagegate/internal/catalog"
+	"github.com/greengagegate/greengagegate/internal/exchange"
+)
+
+const (
+	// sendMargin is how long before older weights become too old the gateway stops sending
+	// requests to upstreams that have them. The wait that is expected there is added.
+	sendMargin = time.Second
+	// takeBackMargin is how long before the weights of an upstream become too old a request
+	// that has not begun there is taken back. It covers the time until the upstream
+	// notices.
+	takeBackMargin = 300 * time.Millisecond
+)
+
+// errTakenBack is the cause of the end of a send that had not begun in time.
+var errTakenBack = errors.New("the request did not begin before the upstream's weights became too old")
+
+// send is one attempt of a request at an upstream: a request that was sent and, unless
+// sending failed, the response to it.
+type send struct {
+	choice    *balancer.Choice
+	attempt   *balancer.Attempt
+	startedAt bootclock.Instant
+	// response is nil if sending failed.
+	response *exchange.Response
+
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// takeBack ends the send unless it is stopped; nil if the send has no such limit.
+	takeBack *time.Timer
+}
+
+// send sends the request to the chosen upstream and returns when the header of the
+// response has arrived or sending has failed. lastEventID is the ID of the event after which
+// a stream resumes, or empty. The caller must call end in both cases.
+func (j *job) send(ctx context.Context, choice *balancer.Choice, lastEventID string) (*send, error) {
+	s := &send{choice: choice, attempt: j.gateway.Balancer.Begin(*choice, &j.pickRequest), startedAt: bootclock.Now()}
+	s.ctx, s.cancel = context.WithCancelCause(ctx)
+	if limit, ok := j.beginLimit(choice); ok {
+		s.takeBack = time.AfterFunc(limit.Sub(s.startedAt), func() { s.cancel(errTakenBack) })
+	}
+	var err error
+	s.response, err = j.gateway.Pool.Do(s.ctx, choice.Upstream.Address, j.buildRequest(choice, lastEventID))
+	return s, err
+}
+
+// beginLimit returns when the request must have begun at the chosen upstream, because the
+// upstream's weights become too old then. ok is false if there is no such limit or if the
+// request could not be sent again to another upstream.
+func (j *job) beginLimit(choice *balancer.Choice) (limit bootclock.Instant, ok bool) {
+	repeatable := j.route.Kind == catalog.Stream && j.mayRunAgain() && j.possibleRuns+1 < max(1, j.route.MaxRuns)
+	if j.pool.Engine == nil || !repeatable || j.pickRequest.MinVersionAssumed {
+		return 0, false
+	}
+	target := j.gateway.Catalog.TargetVersion(j.call.Model)
+	return target.OutdatedAt(choice.Version, j.gateway.Bounds.StalenessLimit-takeBackMargin)
+}
+
+// recordFirstEvent records that the upstream has begun to run the request.
+func (s *send) recordFirstEvent() {
+	s.attempt.RecordFirstResponse()
+	if s.takeBack != nil {
+		s.takeBack.Stop()
+	}
+}
+
+// isTakenBack reports whether the send ended because the request had not begun in time.
+func (s *send) isTakenBack() bool { return errors.Is(context.Cause(s.ctx), errTakenBack) }
+
+// end closes the response and records the end of the attempt. It may be called more than
+// once.
+func (s *send) end() {
+	if s.takeBack != nil {
+		s.takeBack.Stop()
+	}
+	if s.response != nil {
+		s.response.Close()
+	}
+	s.attempt.Done()
+	s.cancel(nil)
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -29,46 +29,58 @@
 // beginning. After that it resumes the stream at another upstream, and the response
 // either completes or ends with an aborted connection. The results are those of
 // tryUpstream.
-func (j *job) forwardStream(ctx context.Context, choice *balancer.Choice, attempt *balancer.Attempt, response *exchange.Response, startedAt bootclock.Instant) (bool, *refusal) {
-	responseController := http.NewResponseController(j.w)
-	headerSent := false
-	lastEventID := j.call.LastEventID
+func (j *job) forwardStream(ctx context.Context, s *send) (bool, *refusal) {
+	forwarding := &streamForwarding{controller: http.NewResponseController(j.w), lastEventID: j.call.LastEventID}
 	for {
-		err := j.forwardEvents(ctx, choice, attempt, response, responseController, &headerSent, &lastEventID)
-		j.outcome.lastEventID = lastEventID
+		err := j.forwardEvents(forwarding, s)
+		j.outcome.lastEventID = forwarding.lastEventID
 		if err == nil {
-			response.MarkBodyRead()
-			attempt.RecordSuccess()
-			j.recordAttempt(choice.Upstream, "answered", startedAt)
+			s.response.MarkBodyRead()
+			s.attempt.RecordSuccess()
+			j.recordAttempt(s, "answered")
 			j.outcome.status, j.outcome.reason = http.StatusOK, "answered"
 			return true, nil
 		}
 		j.outcome.err = err
 		if j.callerLeft() || isCallerError(err) {
-			j.recordAttempt(choice.Upstream, "caller-left", startedAt)
+			j.recordAttempt(s, "caller-left")
 			j.outcome.reason = "caller-left"
 			return true, nil
 		}
-		attempt.RecordFailure()
-		j.recordAttempt(choice.Upstream, "broken-off", startedAt)
-		response.Close()
-		attempt.Done()
-		if !headerSent {
+		j.recordBrokenStream(s)
+		s.end()
+		if !forwarding.headerSent {
 			if j.timeLeft() < minTimeLeft {
 				return false, failedTimeout
 			}
 			return false, j.prepareRetry(true)
 		}
-		next := j.resume(ctx, lastEventID)
-		if next == nil {
+		if s = j.resume(ctx, forwarding.lastEventID); s == nil {
 			j.abortResponse()
 		}
-		choice, attempt, response, startedAt = next.choice, next.attempt, next.response, next.startedAt
-		defer response.Close()
-		defer attempt.Done()
+		defer s.end()
 	}
 }
 
+// recordBrokenStream records the result of a send whose stream ended before its end mark.
+func (j *job) recordBrokenStream(s *send) {
+	if s.isTakenBack() {
+		j.recordAttempt(s, "taken-back")
+		return
+	}
+	s.attempt.RecordFailure()
+	j.recordAttempt(s, "broken-off")
+}
+
+// streamForwarding is the progress of a stream towards the caller.
+type streamForwarding struct {
+	controller *http.ResponseController
+	headerSent bool
+	// lastEventID is the ID of the last event that was written, or the ID with which the
+	// caller resumed the stream.
+	lastEventID string
+}
+
 // callerError is a failed write to the caller, which has disconnected or does not read.
 // It is not a failure of the upstream.
 type callerError struct{ cause error }
@@ -101,101 +113,97 @@
 	return max(minStallTimeout, stallPauseFactor*j.route.MaxPause)
 }
 
-// forwardEvents forwards complete events to the caller, after the header if it has not
-// been sent. It sets *headerSent when it sends the header, and *lastEventID to the last event
-// ID that it wrote. It returns nil at the end of the stream and a *callerError if
-// a write to the caller fails. Any other error is a failure of the upstream or the end of
-// ctx.
-func (j *job) forwardEvents(ctx context.Context, choice *balancer.Choice, attempt *balancer.Attempt, response *exchange.Response, responseController *http.ResponseController, headerSent *bool, lastEventID *string) error {
-	events := eventstream.NewReader(response.Body)
+// forwardEvents forwards complete events of a response to the caller, after the header if
+// it has not been sent. It returns nil at the end of the stream and a *callerError if a
+// write to the caller fails. Any other error is a failure of the upstream or the end of the
+// send's context.
+func (j *job) forwardEvents(forwarding *streamForwarding, s *send) error {
+	events := eventstream.NewReader(s.response.Body)
 	stallTimeout := j.stallTimeout()
 	for isFirst := true; ; isFirst = false {
 		if stallTimeout > 0 && !isFirst {
-			response.SetReadDeadline(time.Now().Add(stallTimeout))
+			s.response.SetReadDeadline(time.Now().Add(stallTimeout))
 		}
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) {
 			// A stream without events still needs its header.
-			j.sendHeader(response, headerSent)
+			j.sendHeader(s.response, forwarding)
 			return nil
 		}
 		if err != nil {
 			return err
 		}
 		if isFirst {
-			attempt.RecordFirstResponse()
+			s.recordFirstEvent()
 		}
 		if version := j.gateway.Codec.EventVersion(event.Raw); version > 0 {
-			j.gateway.Balancer.RecordVersion(choice.Upstream.ID, j.call.Model, version)
+			j.gateway.Balancer.RecordVersion(s.choice.Upstream.ID, j.call.Model, version)
 		}
-		j.sendHeader(response, headerSent)
-		_ = responseController.SetWriteDeadline(time.Now().Add(writeTimeout))
+		j.sendHeader(s.response, forwarding)
+		_ = forwarding.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if _, err := j.w.Write(event.Raw); err != nil {
 			return &callerError{cause: err}
 		}
 		if event.ID != "" {
-			*lastEventID = event.ID
+			forwarding.lastEventID = event.ID
 		}
 		if events.HasBuffered() {
 			continue
 		}
-		if err := responseController.Flush(); err != nil {
+		if err := forwarding.controller.Flush(); err != nil {
 			return &callerError{cause: err}
 		}
-		if ctx.Err() != nil {
-			return ctx.Err()
+		if s.ctx.Err() != nil {
+			return s.ctx.Err()
 		}
 	}
 }
 
-func (j *job) sendHeader(response *exchange.Response, headerSent *bool) {
-	if *headerSent {
+func (j *job) sendHeader(response *exchange.Response, forwarding *streamForwarding) {
+	if forwarding.headerSent {
 		return
 	}
-	*headerSent = true
+	forwarding.headerSent = true
 	j.outcome.timeToFirstEvent = bootclock.Since(j.arrivedAt)
 	copyHeaders(j.w.Header(), response.Header)
 	j.w.WriteHeader(response.Status)
 }
 
-// resumedStream is a stream that continues at another upstream.
-type resumedStream struct {
-	choice    *balancer.Choice
-	attempt   *balancer.Attempt
-	response  *exchange.Response
-	startedAt bootclock.Instant
-}
-
 // resume requests the part of the stream after lastEventID from another upstream. It
 // returns nil if no upstream could resume the stream, no further attempt is allowed or
-// the caller has disconnected.
-func (j *job) resume(ctx context.Context, lastEventID string) *resumedStream {
-	for j.prepareRetry(true) == nil {
-		choice, refused := j.pickUpstream()
-		if refused != nil {
+// the caller has disconnected. The caller must call end of the returned send.
+func (j *job) resume(ctx context.Context, lastEventID string) *send {
+	refused := j.prepareRetry(true)
+	for refused == nil && !j.callerLeft() {
+		var choice balancer.Choice
+		if choice, refused = j.pickUpstream(); refused != nil {
 			return nil
 		}
-		attempt := j.gateway.Balancer.Begin(choice, &j.pickRequest)
-		startedAt := bootclock.Now()
-		response, err := j.gateway.Pool.Do(ctx, choice.Upstream.Address, j.buildRequest(&choice, lastEventID))
+		s, err := j.send(ctx, &choice, lastEventID)
 		if err != nil {
-			attempt.Done()
-			if _, refused := j.handleSendError(choice.Upstream, attempt, err, startedAt); refused != nil || j.callerLeft() {
-				return nil
-			}
+			_, refused = j.handleSendError(s, err)
+			s.end()
 			continue
 		}
-		responseStatus := j.gateway.Codec.Classify(response.Status, response.Header)
-		if isEventStream(response) && responseStatus.IsComplete {
-			j.possibleRuns++
-			return &resumedStream{choice: &choice, attempt: attempt, response: response, startedAt: startedAt}
-		}
-		if !responseStatus.NotRun {
+		responseStatus := j.gateway.Codec.Classify(s.response.Status, s.response.Header)
+		if isEventStream(s.response) && responseStatus.IsComplete {
 			j.possibleRuns++
+			return s
 		}
-		j.recordAttempt(choice.Upstream, "not-resumed", startedAt)
-		response.Close()
-		attempt.Done()
+		refused = j.handleFailedResume(s, &responseStatus)
+		s.end()
 	}
 	return nil
 }
+
+// handleFailedResume handles a response that does not continue the stream. It returns nil
+// if another attempt may follow.
+func (j *job) handleFailedResume(s *send, responseStatus *ResponseStatus) *refusal {
+	if responseStatus.NotRun {
+		_, refused := j.handleUpstreamRefusal(s, responseStatus)
+		return refused
+	}
+	j.possibleRuns++
+	j.recordAttempt(s, "not-resumed")
+	return j.prepareRetry(true)
+}
--- /dev/null
+++ b/internal/gateway/takeback_test.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/bootclock"
+	"github.com/greengagegate/greengagegate/internal/catalog"
+)
+
+const takeBackModel = "m"
+
+// newTakeBackGateway returns a gateway with two engines: a has version 1 of the weights and
+// never begins a request, and b has version 2, which has just become the target version,
+// and gets no requests for the first 400 ms.
+func newTakeBackGateway(t *testing.T, route *catalog.Route, aborted chan<- bootclock.Instant) *Gateway {
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Upstream") == "a" {
+			<-r.Context().Done()
+			aborted <- bootclock.Now()
+			return
+		}
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = w.Write([]byte("id: 1\ndata: x\n\n"))
+	}
+	g := newTestGateway(t, route, 2, handler)
+	g.Catalog.Config().Pools["pool"].Engine = &catalog.Engine{Models: []string{takeBackModel}}
+	g.Codec = modelCodec{}
+	g.Bounds.StalenessLimit = 1500 * time.Millisecond
+	g.Catalog.SetTargetVersions(map[string]int64{takeBackModel: 1}, bootclock.Now())
+	g.Catalog.SetTargetVersions(map[string]int64{takeBackModel: 2}, bootclock.Now())
+	g.Balancer.RecordVersion("a", takeBackModel, 1)
+	g.Balancer.RecordVersion("b", takeBackModel, 2)
+	g.Balancer.HoldUntil("b", bootclock.Now().Add(400*time.Millisecond))
+	return g
+}
+
+// modelCodec is an idCodec whose calls name a model.
+type modelCodec struct{ idCodec }
+
+func (modelCodec) Describe(r *http.Request) (*Call, error) {
+	return &Call{ID: r.Header.Get("Id"), Model: takeBackModel}, nil
+}
+
+// Load pattern: the queue of an engine with older weights grows after a request was sent
+// to it, so that the request would begin when the weights are too old. It is taken back and
+// sent to an engine with newer weights.
+func TestWaitingRequestIsTakenBackFromOldWeights(t *testing.T) {
+	route := &catalog.Route{
+		Name: "draft", Host: "example.com", Prefix: "/", Kind: catalog.Stream, Timeout: 5 * time.Second,
+		LatencyObjective: 500 * time.Millisecond, MaxRuns: 3, Resumable: true, Open: true,
+	}
+	aborted := make(chan bootclock.Instant, 1)
+	g := newTakeBackGateway(t, route, aborted)
+	limit := bootclock.Now().Add(g.Bounds.StalenessLimit)
+	caller := httptest.NewRecorder()
+	j := newJob(g, caller, httptest.NewRequest(http.MethodPost, "/draft", nil))
+	j.serve()
+	if caller.Code != http.StatusOK || caller.Body.String() != "id: 1\ndata: x\n\n" {
+		t.Errorf("caller got status %d and %q, want the stream of b", caller.Code, caller.Body)
+	}
+	if len(j.attempts) != 2 || j.attempts[0].result != "taken-back" || j.attempts[1].result != "answered" {
+		t.Fatalf("got attempts %s, want one that is taken back and one that is answered", formatAttempts(j.attempts))
+	}
+	if at := <-aborted; !at.Before(limit) {
+		t.Errorf("the request was taken back %v after the weights had become too old", at.Sub(limit))
+	}
+	if g.Balancer.IsUnreachable("a") {
+		t.Error("the upstream counts as unreachable, although the request was taken back")
+	}
+}
+
+// A request that must not run twice is not taken back, since it may have begun.
+func TestRequestThatMayNotRunAgainIsNotTakenBack(t *testing.T) {
+	route := &catalog.Route{
+		Name: "check", Host: "example.com", Prefix: "/", Kind: catalog.Stream, Timeout: 2 * time.Second,
+		LatencyObjective: 500 * time.Millisecond, MaxRuns: 1, Open: true,
+	}
+	aborted := make(chan bootclock.Instant, 1)
+	g := newTakeBackGateway(t, route, aborted)
+	j := newJob(g, httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/check", nil))
+	j.serve()
+	if len(j.attempts) != 1 || j.attempts[0].result != "no-answer" {
+		t.Errorf("got attempts %s, want one without an answer", formatAttempts(j.attempts))
+	}
+}
