Act on Server-Leaving and Retry-After of upstreams

The decision is the balancer's: an incarnation that states that it is leaving, or wants no requests for a time, is excluded from first sends, retries, resumed streams, orders and reports. This holds by the incarnation, survives a list that drops and names it again, and does not need the store. Values that cannot be read are logged and count as missing; a huge time is honoured.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -79,7 +79,7 @@
 type Platform interface {
 	Store(address string) PolledStore
 	Codec() gateway.Codec
-	Engines() weights.Engines
+	Engines(notices *gateway.Notices) weights.Engines
 	CacheEvents() cachestore.Events
 	// MirroredPrefixes returns the prefixes that fill the catalog. An upstream that vanishes
 	// from the store in an outage is still used for unlistedRetention.
@@ -106,6 +106,9 @@
 			func() *gatewayRank { return new(gatewayRank) },
 			func() *share.Manager { return share.New(s.Identity.Name, s.Bounds.QuotaSlack*slackFraction, nil) },
 			func() *balancer.Balancer { return balancer.New(s.Identity.Zone, nil) },
+			func(b *balancer.Balancer, log zerolog.Logger) *gateway.Notices {
+				return &gateway.Notices{Balancer: b, Log: log}
+			},
 			newSharedBudget, newGatewayNode, newGateway, newWeightsManager, newPeering, newRoster, newShareLink,
 		),
 		fx.Invoke(
@@ -129,6 +132,7 @@
 	platformCatalog *catalog.Catalog,
 	pool *exchange.Pool,
 	upstreamBalancer *balancer.Balancer,
+	notices *gateway.Notices,
 	shares *share.Manager,
 	shareLink *sharelink.Link,
 	sharedBudget *retry.SharedBudget,
@@ -139,6 +143,7 @@
 		Codec:        p.Codec(),
 		Pool:         pool,
 		Balancer:     upstreamBalancer,
+		Notices:      notices,
 		Shares:       shares,
 		Owners:       shareLink,
 		SharedBudget: sharedBudget,
@@ -152,12 +157,12 @@
 	})
 }
 
-func newWeightsManager(s *GatewaySettings, p Platform, st PolledStore, platformCatalog *catalog.Catalog, upstreamBalancer *balancer.Balancer, log zerolog.Logger) *weights.Manager {
+func newWeightsManager(s *GatewaySettings, p Platform, st PolledStore, platformCatalog *catalog.Catalog, upstreamBalancer *balancer.Balancer, notices *gateway.Notices, log zerolog.Logger) *weights.Manager {
 	return weights.New(weights.Options{
 		Name:          s.Identity.Name,
 		Lease:         weights.NewLease(st, s.Identity.Name),
 		Catalog:       platformCatalog,
-		Engines:       p.Engines(),
+		Engines:       p.Engines(notices),
 		Fleet:         upstreamBalancer,
 		TakeoverDelay: s.Bounds.Lease + takeoverMargin,
 
--- a/internal/balancer/eligibility.go
+++ b/internal/balancer/eligibility.go
@@ -14,13 +14,13 @@
 func (e *Excluded) checkUsable(upstream *catalog.Upstream, c candidate, outdated bool, request *Request, now bootclock.Instant) bool {
 	s := c.state
 	switch {
-	case upstream.Draining:
+	case upstream.Draining, s.isLeaving():
 		e.Draining++
 	case s.replaced:
 		e.Replaced++
 	case s.unreachable:
 		e.Unreachable++
-	case now.Before(s.backoffUntil):
+	case now.Before(s.backoffUntil), now.Before(s.pausedUntil):
 		e.BackingOff++
 	case now.Before(s.heldUntil):
 		e.OnHold++
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -24,6 +24,10 @@
 	failureRateAt   bootclock.Instant
 	// The upstream gets no new requests before backoffUntil, which a refusal sets.
 	backoffUntil bootclock.Instant
+	// pausedUntil is the end of the time for which the upstream wants no requests.
+	pausedUntil bootclock.Instant
+	// leavingSince is when the upstream first stated that it is leaving, or 0.
+	leavingSince bootclock.Instant
 	// unreachable is true if the upstream could not be reached and has not been reached
 	// since.
 	unreachable bool
@@ -60,8 +64,11 @@
 
 // reset starts a new incarnation without the cached parts, versions, failures and
 // exclusions of the previous one. The load of running requests and the count of inserted
-// tokens are kept.
+// tokens are kept, and so is what an incarnation stated before it was first listed.
 func (s *upstreamState) reset(startedMillis int64) {
+	if s.startedMillis != 0 {
+		s.pausedUntil, s.leavingSince = 0, 0
+	}
 	s.startedMillis = startedMillis
 	s.replaced = false
 	clear(s.versions)
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -27,10 +27,7 @@
 // caller, or decides whether another attempt may follow. The results are those of tryUpstream.
 func (j *job) handleResponse(ctx context.Context, s *send) (bool, *refusal) {
 	response := s.response
-	responseStatus := j.gateway.Codec.Classify(response.Status, response.Header)
-	if responseStatus.Version > 0 {
-		j.gateway.Balancer.RecordVersion(s.choice.Upstream.ID, j.call.Model, responseStatus.Version)
-	}
+	responseStatus := j.classify(s)
 	if responseStatus.NotRun {
 		return j.handleUpstreamRefusal(s, &responseStatus)
 	}
@@ -46,6 +43,17 @@
 	return j.forwardBuffered(s)
 }
 
+// classify reads the header of the response to a send and records what it states about the
+// upstream.
+func (j *job) classify(s *send) ResponseStatus {
+	responseStatus := j.gateway.Codec.Classify(s.response.Status, s.response.Header)
+	j.applyNotice(s.choice.Upstream, &responseStatus)
+	if responseStatus.Version > 0 {
+		j.gateway.Balancer.RecordVersion(s.choice.Upstream.ID, j.call.Model, responseStatus.Version)
+	}
+	return responseStatus
+}
+
 func isEventStream(response *exchange.Response) bool {
 	if response.Status != http.StatusOK {
 		return false
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/balancer"
+	"github.com/greengagegate/greengagegate/internal/catalog"
 )
 
 // Call is the metadata that a caller sends with a request.
@@ -71,6 +72,11 @@
 	// Version is the version of the weights that the response reports; 0 if it reports
 	// none.
 	Version int64
+	// Notice is what the upstream states about itself.
+	Notice catalog.Notice
+	// NoticeError describes values of the notice that cannot be read and count as missing;
+	// nil if there are none.
+	NoticeError error
 }
 
 // Codec translates between HTTP headers and metadata. It must be safe for concurrent
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,6 +62,7 @@
 	Codec        Codec
 	Pool         *exchange.Pool
 	Balancer     *balancer.Balancer
+	Notices      *Notices
 	Shares       *share.Manager
 	Owners       TokenOwners
 	SharedBudget *retry.SharedBudget
--- /dev/null
+++ b/internal/gateway/notice.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"github.com/greengagegate/greengagegate/internal/balancer"
+	"github.com/greengagegate/greengagegate/internal/catalog"
+	"github.com/rs/zerolog"
+)
+
+// Notices applies what upstreams state about themselves, in responses to callers' requests
+// and to the gateway's own calls. It is safe for concurrent use.
+type Notices struct {
+	Balancer *balancer.Balancer
+	Log      zerolog.Logger
+}
+
+// Apply applies a notice of an upstream. err describes values that could not be read; it
+// is logged.
+func (n *Notices) Apply(upstream *catalog.Upstream, notice catalog.Notice, err error) {
+	if err != nil {
+		n.Log.Warn().Err(err).Str("upstream", upstream.ID).Msg("gateway: a value in the header of the upstream's response cannot be read; it counts as missing")
+	}
+	leaves, pauses := n.Balancer.ApplyNotice(upstream, notice)
+	if leaves {
+		n.Log.Info().Str("upstream", upstream.ID).Int64("born", upstream.StartedMillis).Msg("gateway: upstream states that it is leaving; this incarnation gets no more requests")
+	}
+	if pauses {
+		n.Log.Info().Str("upstream", upstream.ID).Dur("retry_after_ms", notice.RetryAfter).Msg("gateway: upstream wants no requests for a time; it gets none until then")
+	}
+}
+
+// applyNotice applies the notice in the header of a response. A misdirected request may
+// have been answered by another upstream than the addressed one; the notice is about the
+// upstream that answered.
+func (j *job) applyNotice(addressed *catalog.Upstream, responseStatus *ResponseStatus) {
+	answered := addressed
+	if id := responseStatus.InstanceID; id != "" && id != addressed.ID {
+		if answered = j.gateway.Catalog.Upstreams().ByID[id]; answered == nil {
+			answered = &catalog.Upstream{ID: id}
+		}
+	}
+	j.gateway.Notices.Apply(answered, responseStatus.Notice, responseStatus.NoticeError)
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -185,7 +185,7 @@
 			s.end()
 			continue
 		}
-		responseStatus := j.gateway.Codec.Classify(s.response.Status, s.response.Header)
+		responseStatus := j.classify(s)
 		if isEventStream(s.response) && responseStatus.IsComplete {
 			j.possibleRuns++
 			return s
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -62,9 +62,12 @@
 		listed = append(listed, &catalog.Upstream{ID: string(rune('a' + i)), Pool: "pool", Address: server.Listener.Addr().String()})
 	}
 	testCatalog.SetUpstreams(listed)
+	testBalancer := balancer.New("zone", nil)
+	testBalancer.SyncUpstreams(testCatalog.Upstreams())
 	return New(Options{
-		Catalog: testCatalog, Codec: idCodec{}, Pool: exchange.NewPool(), Balancer: balancer.New("zone", nil),
-		Shares: share.New("own", 0, nil), SharedBudget: retry.NewSharedBudget(1, 100),
+		Catalog: testCatalog, Codec: idCodec{}, Pool: exchange.NewPool(), Balancer: testBalancer,
+		Notices: &Notices{Balancer: testBalancer, Log: zerolog.Nop()},
+		Shares:  share.New("own", 0, nil), SharedBudget: retry.NewSharedBudget(1, 100),
 		Bounds: Bounds{MaxBufferedBytes: 1 << 20}, Log: zerolog.Nop(),
 	})
 }
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -71,6 +71,9 @@
 	// MarkReplaced records that another incarnation has replaced the one that
 	// started at startedMillis.
 	MarkReplaced(id string, startedMillis int64)
+	// MayCall reports whether an engine may be sent anything: it has not stated that it is
+	// leaving or wants no requests for a time.
+	MayCall(id string) bool
 	// RunningRequests returns the number of requests that this process has at an engine.
 	RunningRequests(id string) int
 }
@@ -233,7 +236,7 @@
 			state.Ready++
 			state.Running += m.options.Fleet.RunningRequests(engine.ID)
 			state.RequestSlots += engine.Capacity
-		case !engine.Draining && !m.options.Fleet.IsUnreachable(engine.ID):
+		case !engine.Draining && m.options.Fleet.MayCall(engine.ID) && !m.options.Fleet.IsUnreachable(engine.ID):
 			candidates = append(candidates, Candidate{Upstream: engine, Running: m.options.Fleet.RunningRequests(engine.ID), Version: version})
 		}
 	}
@@ -359,9 +362,13 @@
 	m.endHold(engine.ID, model)
 }
 
-// sendOrder orders an engine to load a version. It returns ErrOrdersNotPermitted, without
-// sending the order, when this process may not give orders now.
+// sendOrder orders an engine to load a version. Without sending the order, it returns
+// ErrOrdersNotPermitted when this process may not give orders now, and ErrEngineDeclines
+// when the engine wants none.
 func (m *Manager) sendOrder(ctx context.Context, engine *catalog.Upstream, model string, version, expected int64) (Result, error) {
+	if !m.options.Fleet.MayCall(engine.ID) {
+		return Rejected, ErrEngineDeclines
+	}
 	fencingToken, ok := m.orderFencingToken()
 	if !ok {
 		return Rejected, ErrOrdersNotPermitted
@@ -386,7 +393,11 @@
 
 // fetchReport queries an engine's state and records in the Fleet the version of the model
 // and whether the engine was replaced.
+// It returns ErrEngineDeclines, without a query, while the engine wants none.
 func (m *Manager) fetchReport(ctx context.Context, engine *catalog.Upstream, model string) (Report, error) {
+	if !m.options.Fleet.MayCall(engine.ID) {
+		return Report{}, ErrEngineDeclines
+	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	report, err := m.options.Engines.Report(ctx, engine)
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -101,6 +101,10 @@
 // the lease is about to expire, or that the wait after its acquisition is not over.
 var ErrOrdersNotPermitted = errors.New("the orders lease does not permit this process to give orders now")
 
+// ErrEngineDeclines reports that an engine is not called because it has stated that it is
+// leaving or wants no requests for a time.
+var ErrEngineDeclines = errors.New("the engine is leaving or wants no requests now")
+
 // ErrIncarnationChanged reports that another incarnation of an engine answers at
 // its address, so the one that was addressed has ended.
 var ErrIncarnationChanged = errors.New("another incarnation answers at the engine's address")
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -172,6 +172,9 @@
 	f.heldUntil[id] = until
 }
 
+// MayCall implements Fleet. The engine "declining" wants no requests.
+func (f *fakeFleet) MayCall(id string) bool { return id != "declining" }
+
 func (f *fakeFleet) RunningRequests(string) int { return 0 }
 
 func (f *fakeFleet) IsUnreachable(id string) bool { return id == "dark" }
