--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -30,7 +30,7 @@
 		peer := m.choose()
 		m.setFollowed(peer)
 		if peer == nil {
-			_ = pause.For(ctx, replyWait)
+			_ = pause.For(ctx, choiceInterval)
 			continue
 		}
 		if err := m.request(ctx, peer); err != nil && ctx.Err() == nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -46,6 +46,9 @@
 	followerTimeout = 2 * time.Second
 	// contactTimeout is how long after the last contact a gateway may be chosen.
 	contactTimeout = 2500 * time.Millisecond
+	// choiceInterval is the pause between two choices while this gateway reads from the
+	// store itself.
+	choiceInterval = 150 * time.Millisecond
 	// directPause is how long a gateway reads from the store itself after a failed request.
 	directPause = time.Second
 )
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -106,6 +106,13 @@
 	l.callMu.Lock()
 	defer l.callMu.Unlock()
 	requestedAt := l.now()
+	if l.Held() {
+		// A holder knows the record, so one call renews it unless it has changed.
+		token, err := l.renew(ctx, requestedAt)
+		if !errors.Is(err, ErrHeld) {
+			return token, err
+		}
+	}
 	current, version, err := l.read(ctx)
 	if err != nil {
 		return 0, err
@@ -130,6 +137,17 @@
 	return token, nil
 }
 
+// renew writes the record anew. It returns ErrHeld if the record has changed.
+func (l *Lease) renew(ctx context.Context, requestedAt time.Time) (int64, error) {
+	version := l.lastHeldVersion()
+	token, err := l.write(ctx, version, store.EraOf(version))
+	if err != nil {
+		return 0, err
+	}
+	l.setHeld(token, requestedAt)
+	return token, nil
+}
+
 // noteSeen records when a version of the record and an era of the store were first seen.
 func (l *Lease) noteSeen(version, era int64) {
 	now := l.now()
