--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -201,7 +201,6 @@
 	keys := partKeys{request: request, store: b.storeFor(request), mayHoldUnreported: b.gatewayCount > maxSmallFleetGateways}
 	candidates := b.candidates(upstreams, request, &keys, now)
 	homeID := homeUpstream(upstreams, candidates, request)
-	b.assumeCachedAtHome(upstreams, candidates, homeID, request)
 	sources := copySources(upstreams, candidates, now)
 	best := Choice{}
 	usableCount := 0
--- a/internal/balancer/cost.go
+++ b/internal/balancer/cost.go
@@ -29,9 +29,6 @@
 	// homeBonusMS is subtracted from the expected wait at the home upstream of a prefix,
 	// because other gateways send the same prefix there.
 	homeBonusMS = 8.0
-	// homeCachedShare is the share of a prompt's shared tokens that is assumed to be cached
-	// at its home upstream in a large fleet.
-	homeCachedShare = 0.7
 	// crossZoneCostMS is added to the expected wait at an upstream in another zone.
 	crossZoneCostMS = 25.0
 	// runningRequestCostMS is added to the expected wait for each running request.
@@ -98,24 +95,6 @@
 	return otherGateways * running, otherGateways * backlogTokens
 }
 
-// assumeCachedAtHome counts a part of the shared prompt tokens as cached at the home
-// upstream of a request, if this gateway knows of fewer. It does so in large fleets only,
-// where a gateway sends few of the requests with a prefix and the others send them to the
-// same home. b.mu must be held.
-func (b *Balancer) assumeCachedAtHome(upstreams []*catalog.Upstream, candidates []candidate, homeID string, request *Request) {
-	if homeID == "" || b.gatewayCount <= maxSmallFleetGateways {
-		return
-	}
-	assumed := int64(homeCachedShare * float64(totalTokens(request.sharedParts())))
-	for i, upstream := range upstreams {
-		if upstream.ID == homeID {
-			candidates[i].cachedTokens = max(candidates[i].cachedTokens, assumed)
-			candidates[i].copyableTokens = max(candidates[i].copyableTokens, assumed)
-			return
-		}
-	}
-}
-
 // homeUpstream returns the ID of the home upstream of the request's longest shared
 // prefix, or an empty string when there is none. Draining and replaced upstreams are left
 // out.
