relay: follow another gateway when the path to the store fails

Change: a gateway that does not reply, or whose path to the store has not worked for 1.5 s, is left out of the choice for 2 s, and so is this gateway itself. The next one by the hash that has a path reads for all.

--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -34,8 +35,7 @@
 			continue
 		}
 		if err := m.request(ctx, peer); err != nil && ctx.Err() == nil {
-			m.handleFailure(peer, err)
-			_ = pause.For(ctx, replyWait)
+			m.markUnfit(peer, err)
 		}
 	}
 }
@@ -75,11 +75,20 @@
 		return fault.Wrap(err, "request news", peer.Name)
 	}
 	metrics.Counter("relay.replies").Inc(1)
+	return m.recordReply(&reply, sentAt)
+}
+
+// errNoPath reports that a peer's path to the store has not worked for maxPathAge.
+var errNoPath = errors.New("the peer's path to the store does not work")
+
+// recordReply records the news in a reply to a request that was sent at sentAt.
+func (m *Manager) recordReply(reply *wirepb.RelayReply, sentAt bootclock.Instant) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	// The reply was made after the request was sent, so the path worked no earlier than
 	// this.
-	m.pathWorkedAt = max(m.pathWorkedAt, sentAt.Add(-time.Duration(reply.PathAgeMs)*time.Millisecond))
+	pathAge := time.Duration(reply.PathAgeMs) * time.Millisecond
+	m.pathWorkedAt = max(m.pathWorkedAt, sentAt.Add(-pathAge))
 	hasNews := false
 	for _, update := range reply.Updates {
 		decoded := decodeUpdate(update)
@@ -88,6 +97,9 @@
 	if hasNews {
 		m.notify()
 	}
+	if pathAge >= maxPathAge {
+		return errNoPath
+	}
 	return nil
 }
 
@@ -102,18 +114,15 @@
 	return positions
 }
 
-// handleFailure makes this gateway read from the store for directPause.
-func (m *Manager) handleFailure(peer *Peer, err error) {
+// markUnfit excludes a gateway from the choice for unfitPause.
+func (m *Manager) markUnfit(peer *Peer, err error) {
 	metrics.Counter("relay.failures").Inc(1)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := bootclock.Now()
-	if !now.Before(m.directUntil) {
-		m.options.Log.Warn().Err(err).Str("peer", peer.Name).Dur("path_age_ms", now.Sub(m.pathWorkedAt)).
-			Msg("relay: peer does not pass on the store's changes; reading from the store until it does")
-	}
-	m.directUntil = now.Add(directPause)
-	m.notify()
+	m.unfitUntil[peer.Name] = now.Add(unfitPause)
+	m.options.Log.Warn().Err(err).Str("peer", peer.Name).Dur("path_age_ms", now.Sub(m.pathWorkedAt)).
+		Msg("relay: peer does not pass on the store's changes; choosing another source")
 }
 
 // probePath tests the path to the store while other gateways follow this one and no other
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,8 +5,8 @@
 // Each gateway of a zone follows the same one: the first by rendezvous hashing of those that
 // it has heard from recently. It requests news from it a few times a second and learns with
 // each reply how long ago the path from there to the store last worked. When that is too
-// long ago, when the replies stop, or in a small fleet, a gateway reads from the store
-// itself. No gateway depends on the choice of another: gateways that choose differently
+// long ago or when the replies stop, it follows the next one; the first of those with a
+// path to the store reads from it, as does each gateway of a small fleet. No gateway depends on the choice of another: gateways that choose differently
 // only make more calls.
 //
 // A relayed copy is no evidence that it is the newest. That evidence has its own way
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -49,8 +50,9 @@
 	// choiceInterval is the pause between two choices while this gateway reads from the
 	// store itself.
 	choiceInterval = 150 * time.Millisecond
-	// directPause is how long a gateway reads from the store itself after a failed request.
-	directPause = time.Second
+	// unfitPause is how long a gateway is not chosen after it did not reply or its path to the
+	// store did not work.
+	unfitPause = 2 * time.Second
 )
 
 // Peer is another gateway.
@@ -92,8 +94,8 @@
 	pathWorkedAt bootclock.Instant
 	// followed is the gateway that this one follows; nil if it reads from the store itself.
 	followed *Peer
-	// directUntil is until when this gateway reads from the store after a failed request.
-	directUntil bootclock.Instant
+	// unfitUntil holds until when gateways are not chosen, by name. It may include this one.
+	unfitUntil map[string]bootclock.Instant
 	// askedAt is when another gateway last requested news.
 	askedAt bootclock.Instant
 }
@@ -101,7 +103,7 @@
 // New returns a manager that reads from the store until Run is called.
 func New(options Options) *Manager {
 	noContacts := func() map[string]time.Duration { return nil }
-	return &Manager{options: options, contacts: noContacts, copies: make(map[string]*prefixCopy), changed: make(chan struct{}), gateways: 1}
+	return &Manager{options: options, contacts: noContacts, copies: make(map[string]*prefixCopy), changed: make(chan struct{}), gateways: 1, unfitUntil: make(map[string]bootclock.Instant)}
 }
 
 // SetContacts sets the function that returns how long ago each other gateway was last heard
@@ -161,11 +163,12 @@
 func (m *Manager) readStore(ctx context.Context, prefix string, after int64, wait time.Duration) (mirror.Update, error) {
 	sentAt := bootclock.Now()
 	update, err := mirror.StoreSource{Store: m.options.Store}.Read(ctx, prefix, after, wait)
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if err != nil {
+		m.noteFailedRead(err)
 		return update, err
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	// A poll proves the path when it is answered; a list does so as well.
 	m.pathWorkedAt = max(m.pathWorkedAt, sentAt)
 	if m.copyOf(prefix).record(&update) {
@@ -174,10 +177,20 @@
 	return update, nil
 }
 
+// noteFailedRead makes this gateway follow another if its own path to the store has not
+// worked for maxPathAge. It must be called with m.mu held.
+func (m *Manager) noteFailedRead(err error) {
+	now := bootclock.Now()
+	if errors.Is(err, store.ErrCompacted) || now.Sub(m.pathWorkedAt) < maxPathAge {
+		return
+	}
+	m.unfitUntil[m.options.Name] = now.Add(unfitPause)
+}
+
 // reliesOnRelay reports whether this gateway takes news from the gateway that it follows.
 // It must be called with m.mu held.
 func (m *Manager) reliesOnRelay(now bootclock.Instant) bool {
-	return m.followed != nil && now.Sub(m.pathWorkedAt) < maxPathAge && !now.Before(m.directUntil)
+	return m.followed != nil && now.Sub(m.pathWorkedAt) < maxPathAge
 }
 
 // reliableFor returns how much longer relayed news are relied on without another reply.
@@ -203,7 +216,8 @@
 	m.changed = make(chan struct{})
 }
 
-// choose returns the gateway to follow, or nil if this gateway reads from the store itself.
+// choose returns the gateway to follow, or nil if this gateway reads from the store itself:
+// in a small fleet, when it is the chosen one, and when no gateway is fit.
 func (m *Manager) choose() *Peer {
 	silences := m.contacts()
 	m.mu.Lock()
@@ -212,10 +226,14 @@
 		return nil
 	}
 	selector := rendezvous.New[*Peer](m.options.Zone)
-	selector.Add(m.options.Name, nil)
+	now := bootclock.Now()
+	if !now.Before(m.unfitUntil[m.options.Name]) {
+		selector.Add(m.options.Name, nil)
+	}
 	for i := range m.peers {
 		peer := &m.peers[i]
-		if silence, known := silences[peer.Name]; known && silence < contactTimeout {
+		silence, known := silences[peer.Name]
+		if known && silence < contactTimeout && !now.Before(m.unfitUntil[peer.Name]) {
 			selector.Add(peer.Name, peer)
 		}
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -261,8 +261,8 @@
 	}
 }
 
-// When the gateway that polls fails in any way, the others notice it and read from the
-// store.
+// When the gateway that polls fails in any way, the others notice it and follow another one.
+// A gateway that is only cut from the store does so as well.
 func TestGatewaysReadStoreWhenRelayingFails(t *testing.T) {
 	for name, fail := range map[string]func(f *relayFleet, watcher *gateway){
 		"stopped": func(_ *relayFleet, watcher *gateway) {
@@ -285,7 +285,11 @@
 			f.within(time.Second, "the change arrives", func() bool { return f.haveVersion(2, nil) })
 			fail(f, watcher)
 			f.store.set(3)
-			f.within(switchTime+500*time.Millisecond, "the change arrives at the others", func() bool { return f.haveVersion(3, watcher) })
+			lost := watcher
+			if watcher.link.cut.Load() {
+				lost = nil
+			}
+			f.within(switchTime+500*time.Millisecond, "the change arrives", func() bool { return f.haveVersion(3, lost) })
 		})
 	}
 }
