Keep a panic in one request, peer or task from ending the process

One malformed message that made a handler panic ended the whole process: wire streams, exchanges with peers, background tasks, rollouts and probes ran without recovery. internal/contain ends only the work in question, logs the cause with its stack, counts it, and starts background tasks again.

--- a/internal/app/agent.go
+++ b/internal/app/agent.go
@@ -83,7 +83,7 @@
 func newTransfers(lifecycle fx.Lifecycle, driver engine.Driver, state *enginestate.Poller, log zerolog.Logger) *transfer.Manager {
 	blockTokens := func() int64 { return state.Status().BlockTokens }
 	manager := transfer.New(transfer.Options{Driver: driver, BlockTokens: blockTokens, Log: log})
-	appendBackground(lifecycle, manager.Run)
+	appendBackground(lifecycle, log, "transfers", manager.Run)
 	return manager
 }
 
@@ -128,7 +128,7 @@
 		Upstream: s.Upstream.Name,
 		Log:      log,
 	})
-	appendBackground(lifecycle, manager.Run)
+	appendBackground(lifecycle, log, "rollout", manager.Run)
 	return manager
 }
 
--- a/internal/app/common.go
+++ b/internal/app/common.go
@@ -10,6 +10,7 @@
 
 	"github.com/greengagegate/greengagegate/internal/admin"
 	"github.com/greengagegate/greengagegate/internal/configsync"
+	"github.com/greengagegate/greengagegate/internal/contain"
 	"github.com/greengagegate/greengagegate/internal/fault"
 	"github.com/greengagegate/greengagegate/internal/invariant"
 	"github.com/greengagegate/greengagegate/internal/node"
@@ -141,8 +142,8 @@
 }
 
 // startRevisionReports runs reportRevisions in the background.
-func startRevisionReports(lifecycle fx.Lifecycle, source object.Source, members *membership.Manager) {
-	appendBackground(lifecycle, func(ctx context.Context) { reportRevisions(ctx, source, members) })
+func startRevisionReports(lifecycle fx.Lifecycle, source object.Source, members *membership.Manager, log zerolog.Logger) {
+	appendBackground(lifecycle, log, "report revisions", func(ctx context.Context) { reportRevisions(ctx, source, members) })
 }
 
 // reportRevisions passes the revision of the configuration to membership on every
@@ -161,15 +162,15 @@
 	}
 }
 
-// appendBackground runs a function in a goroutine while the application runs. The
-// stop cancels its context and waits until it returns.
-func appendBackground(lifecycle fx.Lifecycle, run func(ctx context.Context)) {
+// appendBackground runs a task in a goroutine while the application runs, and again after
+// a panic. The stop cancels its context and waits until it returns.
+func appendBackground(lifecycle fx.Lifecycle, log zerolog.Logger, task string, run func(ctx context.Context)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	start := func(context.Context) error {
 		go func() {
 			defer close(done)
-			run(ctx)
+			contain.Loop(ctx, log, "app", task, run)
 		}()
 		return nil
 	}
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -244,8 +244,8 @@
 }
 
 // runRelay depends on the roster, which tells the relay of the other gateways.
-func runRelay(lifecycle fx.Lifecycle, relayManager *relay.Manager, _ *roster.Roster) {
-	appendBackground(lifecycle, relayManager.Run)
+func runRelay(lifecycle fx.Lifecycle, relayManager *relay.Manager, _ *roster.Roster, log zerolog.Logger) {
+	appendBackground(lifecycle, log, "relay", relayManager.Run)
 }
 
 func serveGatewayAdmin(lifecycle fx.Lifecycle, s *GatewaySettings, ready *admin.Readiness, log zerolog.Logger) {
@@ -274,8 +274,8 @@
 
 // followCatalog passes changes of the list of upstreams to the balancer and the
 // connection pool.
-func followCatalog(lifecycle fx.Lifecycle, platformCatalog *catalog.Catalog, upstreamBalancer *balancer.Balancer, pool *exchange.Pool) {
-	appendBackground(lifecycle, func(ctx context.Context) {
+func followCatalog(lifecycle fx.Lifecycle, platformCatalog *catalog.Catalog, upstreamBalancer *balancer.Balancer, pool *exchange.Pool, log zerolog.Logger) {
+	appendBackground(lifecycle, log, "catalog", func(ctx context.Context) {
 		var previous *catalog.Upstreams
 		for {
 			changed := platformCatalog.Changed()
@@ -317,7 +317,7 @@
 		followPrefix(lifecycle, source, mirrored.Prefix, mirrored.Sink, batchDelay, log)
 		if mirrored.EvidenceKey != "" {
 			refresher := &evidenceRefresher{store: st, key: mirrored.EvidenceKey, sink: mirrored.Sink, catalog: platformCatalog, rank: ownRank, log: log}
-			appendBackground(lifecycle, refresher.run)
+			appendBackground(lifecycle, log, "evidence", refresher.run)
 		}
 	}
 }
@@ -326,7 +326,7 @@
 // changes.
 func followPrefix(lifecycle fx.Lifecycle, source mirror.Source, prefix string, sink mirror.Sink, batchDelay time.Duration, log zerolog.Logger) {
 	storeMirror := mirror.New(mirror.Options{Source: source, Prefix: prefix, Sink: sink, PollWait: pollWait, ChangeDelay: batchDelay, Log: log})
-	appendBackground(lifecycle, storeMirror.Run)
+	appendBackground(lifecycle, log, "mirror "+prefix, storeMirror.Run)
 }
 
 // followRoster joins the list of gateways, follows it, and leaves it when the
@@ -337,24 +337,24 @@
 		return nil
 	})
 	followPrefix(lifecycle, source, roster.Prefix, r, changeBatchDelay, log)
-	appendBackground(lifecycle, r.Join)
-	appendBackground(lifecycle, r.Maintain)
+	appendBackground(lifecycle, log, "roster join", r.Join)
+	appendBackground(lifecycle, log, "roster", r.Maintain)
 }
 
-func closeIdleConnections(lifecycle fx.Lifecycle, pool *exchange.Pool) {
-	appendBackground(lifecycle, func(ctx context.Context) {
+func closeIdleConnections(lifecycle fx.Lifecycle, pool *exchange.Pool, log zerolog.Logger) {
+	appendBackground(lifecycle, log, "idle connections", func(ctx context.Context) {
 		for pause.For(ctx, sweepInterval) == nil {
 			pool.Sweep()
 		}
 	})
 }
 
-func startWeightsManager(lifecycle fx.Lifecycle, weightsManager *weights.Manager) {
-	appendBackground(lifecycle, weightsManager.Run)
+func startWeightsManager(lifecycle fx.Lifecycle, weightsManager *weights.Manager, log zerolog.Logger) {
+	appendBackground(lifecycle, log, "weights", weightsManager.Run)
 }
 
 // followCacheStore passes the events of the cache store to the balancer.
 func followCacheStore(lifecycle fx.Lifecycle, p Platform, platformCatalog *catalog.Catalog, upstreamBalancer *balancer.Balancer, log zerolog.Logger) {
 	follower := cachestore.New(cachestore.Options{Catalog: platformCatalog, Events: p.CacheEvents(), Sink: upstreamBalancer, GatewayCount: upstreamBalancer.GatewayCount, Log: log})
-	appendBackground(lifecycle, follower.Run)
+	appendBackground(lifecycle, log, "cache store", follower.Run)
 }
--- /dev/null
+++ b/internal/contain/contain_test.go
@@ -0,0 +1,41 @@
+package contain
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/rs/zerolog"
+)
+
+// A task that panics starts again, until it returns.
+func TestLoopRestartsAfterPanic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		runs := 0
+		Loop(t.Context(), zerolog.New(&out), "mirror", "servers/", func(context.Context) {
+			if runs++; runs < 3 {
+				panic("malformed entry")
+			}
+		})
+		if runs != 3 {
+			t.Errorf("the task ran %d times, want 3", runs)
+		}
+		for _, want := range []string{"malformed entry", "servers/", "contain_test.go"} {
+			if !strings.Contains(out.String(), want) {
+				t.Errorf("the log lacks %q", want)
+			}
+		}
+	})
+}
+
+// A task that always panics ends with its context.
+func TestLoopEndsWithContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	Loop(ctx, zerolog.Nop(), "mirror", "servers/", func(context.Context) {
+		cancel()
+		panic("again")
+	})
+}
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -7,6 +7,7 @@
 	"github.com/greengagegate/greengagegate/internal/balancer"
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/catalog"
+	"github.com/greengagegate/greengagegate/internal/contain"
 	"github.com/greengagegate/greengagegate/internal/pause"
 )
 
@@ -41,6 +42,7 @@
 // probe tries to connect to the upstream until a connection succeeds or the catalog no
 // longer lists this incarnation.
 func (g *Gateway) probe(upstream *catalog.Upstream) {
+	defer contain.Panics(g.Log, "gateway", upstream.ID)
 	unreachableSince := bootclock.Now()
 	for delay := minProbeDelay; pause.For(context.Background(), delay) == nil; delay = min(2*delay, maxProbeDelay) {
 		listed := g.Catalog.Upstreams().ByID[upstream.ID]
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/bootclock"
+	"github.com/greengagegate/greengagegate/internal/contain"
 	"github.com/greengagegate/greengagegate/internal/wire"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 	"github.com/rs/zerolog"
@@ -129,7 +130,7 @@
 	m.wg.Add(1)
 	go func() {
 		defer m.wg.Done()
-		m.run(ctx, peer, l)
+		contain.Loop(ctx, m.options.Log, "peering", peer.Name, func(ctx context.Context) { m.run(ctx, peer, l) })
 	}()
 }
 
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -9,6 +9,7 @@
 
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/catalog"
+	"github.com/greengagegate/greengagegate/internal/contain"
 	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/lease"
@@ -245,14 +246,19 @@
 		m.rollouts.Add(1)
 		go func() {
 			defer m.rollouts.Done()
+			defer m.endRollout(next.Upstream.ID)
+			defer contain.Panics(m.options.Log, "weights", next.Upstream.ID)
 			m.rollOut(ctx, next.Upstream, model, target.Version)
-			m.mu.Lock()
-			defer m.mu.Unlock()
-			delete(m.inRollout, next.Upstream.ID)
 		}()
 	}
 }
 
+func (m *Manager) endRollout(id string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.inRollout, id)
+}
+
 // rollOut brings one engine to a version: it excludes the engine from new requests, waits
 // until the engine is idle, orders it to load the version, and polls it until it has the
 // version or the rollout has failed. The planner retries a failed rollout.
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/greengagegate/greengagegate/internal/contain"
 	"github.com/greengagegate/greengagegate/internal/fault"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 	"github.com/hashicorp/yamux"
@@ -115,6 +116,7 @@
 	defer cancel()
 	stream := newStream(ctx, conn, address, sessionConn)
 	defer func() { _ = stream.Close() }()
+	defer contain.Panics(s.log, "wire", address)
 	open := new(wirepb.Open)
 	if err := stream.Recv(open); err != nil {
 		return
