--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -116,10 +116,11 @@
 
 // Replace, Apply, Confirm, BeginEra and MarkUnreachable implement mirror.Sink.
 func (g *gateway) Replace(objects []store.Object) { g.version.Store(objects[0].Version) }
-func (g *gateway) Apply(objects []store.Object)   { g.version.Store(objects[len(objects)-1].Version) }
-func (g *gateway) Confirm(bootclock.Instant)      {}
-func (g *gateway) BeginEra()                      { g.eras.Add(1) }
-func (g *gateway) MarkUnreachable()               {}
+
+func (g *gateway) Apply(objects []store.Object) { g.version.Store(objects[len(objects)-1].Version) }
+func (g *gateway) Confirm(bootclock.Instant)    {}
+func (g *gateway) BeginEra()                    { g.eras.Add(1) }
+func (g *gateway) MarkUnreachable()             {}
 
 // relayFleet is a set of gateways in one zone that share a store.
 type relayFleet struct {
