--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -209,7 +209,7 @@
 ) *roster.Roster {
 	onChange := func(peers []peering.Peer) {
 		peerManager.SetPeers(peers)
-		relayManager.SetPeers(relayPeers(peers))
+		relayManager.SetPeers(peers)
 		peerNames := make([]string, len(peers))
 		for i, peer := range peers {
 			peerNames[i] = peer.Name
@@ -227,14 +227,6 @@
 	return r
 }
 
-func relayPeers(peers []peering.Peer) []relay.Peer {
-	converted := make([]relay.Peer, len(peers))
-	for i, peer := range peers {
-		converted[i] = relay.Peer{Name: peer.Name, Address: peer.Address, Zone: peer.Zone}
-	}
-	return converted
-}
-
 func newRelay(s *GatewaySettings, st PolledStore, n *node.Node, log zerolog.Logger) *relay.Manager {
 	manager := relay.New(relay.Options{
 		Name: s.Identity.Name, Zone: s.Identity.Zone, Store: st, Probe: st.Probe, Pool: n.Pool, Log: log,
--- a/internal/contain/contain.go
+++ b/internal/contain/contain.go
@@ -9,6 +9,7 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/greengagegate/greengagegate/internal/invariant"
 	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/rs/zerolog"
@@ -17,13 +18,17 @@
 // restartPause is the pause before a task that has panicked starts again.
 const restartPause = 500 * time.Millisecond
 
-// Panics must be deferred directly. It ends a panic of the function that defers it. part
-// names the part of the program, id the request, peer or task.
+// Panics must be deferred directly. It ends a panic of the function that defers it, except
+// that of a violated invariant, which occurs in tests only. part names the part of the
+// program, id the request, peer or task.
 func Panics(log zerolog.Logger, part, id string) {
 	cause := recover()
 	if cause == nil {
 		return
 	}
+	if violation, ok := cause.(invariant.Violation); ok {
+		panic(violation)
+	}
 	metrics.Counter("contain.panics", "part", part).Inc(1)
 	log.Error().Str("part", part).Str("id", id).Str("cause", fmt.Sprint(cause)).Bytes("stack", debug.Stack()).
 		Msg("contain: panic; the work it happened in has ended, everything else continues")
--- a/internal/contain/contain_test.go
+++ b/internal/contain/contain_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"testing/synctest"
 
+	"github.com/greengagegate/greengagegate/internal/invariant"
 	"github.com/rs/zerolog"
 )
 
@@ -39,3 +40,14 @@
 		panic("again")
 	})
 }
+
+// A violated invariant must still fail the test that violates it.
+func TestViolationIsNotContained(t *testing.T) {
+	defer func() {
+		if _, ok := recover().(invariant.Violation); !ok {
+			t.Error("the violation was contained")
+		}
+	}()
+	defer Panics(zerolog.Nop(), "test", "")
+	invariant.Check(false, "contain.test", "violated on purpose")
+}
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -11,6 +11,13 @@
 	"github.com/rs/zerolog"
 )
 
+// Violation is the value with which a violated invariant panics in tests. Code that recovers
+// from panics must pass it on.
+type Violation struct{ Name, Detail string }
+
+// Error implements error.
+func (v Violation) Error() string { return "invariant " + v.Name + " violated: " + v.Detail }
+
 var logger atomic.Pointer[zerolog.Logger]
 
 // SetLogger sets the logger for violations. Without one they are only counted.
@@ -39,6 +46,6 @@
 		log.Error().Str("invariant", name).Str("detail", detail).Msg("invariant: violated")
 	}
 	if testing.Testing() {
-		panic("invariant " + name + " violated: " + detail)
+		panic(Violation{Name: name, Detail: detail})
 	}
 }
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -11,6 +11,7 @@
 	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/mirror"
 	"github.com/greengagegate/greengagegate/internal/pause"
+	"github.com/greengagegate/greengagegate/internal/peering"
 	"github.com/greengagegate/greengagegate/internal/wire"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 	"github.com/greengagegate/greengagegate/store"
@@ -41,7 +42,7 @@
 }
 
 // setFollowed records which gateway this one follows and logs a change.
-func (m *Manager) setFollowed(peer *Peer) {
+func (m *Manager) setFollowed(peer *peering.Peer) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	formerName, name := nameOf(m.followed), nameOf(peer)
@@ -57,7 +58,7 @@
 	m.options.Log.Info().Str("peer", name).Str("former", formerName).Msg("relay: this gateway gets the store's changes from a peer")
 }
 
-func nameOf(peer *Peer) string {
+func nameOf(peer *peering.Peer) string {
 	if peer == nil {
 		return ""
 	}
@@ -65,7 +66,7 @@
 }
 
 // request requests news from a gateway and records them.
-func (m *Manager) request(ctx context.Context, peer *Peer) error {
+func (m *Manager) request(ctx context.Context, peer *peering.Peer) error {
 	ctx, cancel := context.WithTimeout(ctx, replyWait+requestMargin)
 	defer cancel()
 	request := &wirepb.RelayRequest{Positions: m.positions(), WaitMs: replyWait.Milliseconds()}
@@ -115,7 +116,7 @@
 }
 
 // markUnfit excludes a gateway from the choice for unfitPause.
-func (m *Manager) markUnfit(peer *Peer, err error) {
+func (m *Manager) markUnfit(peer *peering.Peer, err error) {
 	metrics.Counter("relay.failures").Inc(1)
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -21,6 +21,7 @@
 
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/mirror"
+	"github.com/greengagegate/greengagegate/internal/peering"
 	"github.com/greengagegate/greengagegate/internal/rendezvous"
 	"github.com/greengagegate/greengagegate/internal/wire"
 	"github.com/greengagegate/greengagegate/store"
@@ -55,13 +56,6 @@
 	unfitPause = 2 * time.Second
 )
 
-// Peer is another gateway.
-type Peer struct {
-	Name    string
-	Address string
-	Zone    string
-}
-
 // Options configures a Manager. All fields are required.
 type Options struct {
 	Name  string
@@ -88,12 +82,12 @@
 	// gateways is the number of gateways, including this one. peers are the others of the
 	// zone.
 	gateways int
-	peers    []Peer
+	peers    []peering.Peer
 	// pathWorkedAt is when the path to the store last worked, here or at the followed
 	// gateway.
 	pathWorkedAt bootclock.Instant
 	// followed is the gateway that this one follows; nil if it reads from the store itself.
-	followed *Peer
+	followed *peering.Peer
 	// unfitUntil holds until when gateways are not chosen, by name. It may include this one.
 	unfitUntil map[string]bootclock.Instant
 	// askedAt is when another gateway last requested news.
@@ -111,7 +105,7 @@
 func (m *Manager) SetContacts(contacts func() map[string]time.Duration) { m.contacts = contacts }
 
 // SetPeers replaces the list of other gateways.
-func (m *Manager) SetPeers(peers []Peer) {
+func (m *Manager) SetPeers(peers []peering.Peer) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.gateways = 1 + len(peers)
@@ -218,14 +212,14 @@
 
 // choose returns the gateway to follow, or nil if this gateway reads from the store itself:
 // in a small fleet, when it is the chosen one, and when no gateway is fit.
-func (m *Manager) choose() *Peer {
+func (m *Manager) choose() *peering.Peer {
 	silences := m.contacts()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.gateways <= smallFleet {
 		return nil
 	}
-	selector := rendezvous.New[*Peer](m.options.Zone)
+	selector := rendezvous.New[*peering.Peer](m.options.Zone)
 	now := bootclock.Now()
 	if !now.Before(m.unfitUntil[m.options.Name]) {
 		selector.Add(m.options.Name, nil)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/mirror"
+	"github.com/greengagegate/greengagegate/internal/peering"
 	"github.com/greengagegate/greengagegate/internal/testhost"
 	"github.com/greengagegate/greengagegate/internal/wire"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
@@ -104,7 +105,7 @@
 // gateway is a Manager with a Mirror that reads from it.
 type gateway struct {
 	*Manager
-	peer     Peer
+	peer     peering.Peer
 	link     *storeLink
 	server   *wire.Server
 	listener net.Listener
@@ -137,7 +138,7 @@
 		f.gateways = append(f.gateways, f.newGateway(i))
 	}
 	for i, g := range f.gateways {
-		var peers []Peer
+		var peers []peering.Peer
 		for k, other := range f.gateways {
 			if k != i {
 				peers = append(peers, other.peer)
@@ -170,7 +171,7 @@
 		f.t.Fatal(err)
 	}
 	g := &gateway{
-		peer: Peer{Name: fmt.Sprintf("gateway-%02d", i), Address: listener.Addr().String(), Zone: testZone},
+		peer: peering.Peer{Name: fmt.Sprintf("gateway-%02d", i), Address: listener.Addr().String(), Zone: testZone},
 		link: &storeLink{store: f.store}, listener: listener,
 	}
 	hello := &wirepb.Hello{Process: g.peer.Name, Address: g.peer.Address}
