Bound events of many short lines, refuse folded header lines

The new cases of TestNextRejectsOversizedEvent and TestScannerRejectsAmbiguousRequests failed before.

--- a/internal/eventstream/eventstream.go
+++ b/internal/eventstream/eventstream.go
@@ -9,9 +9,7 @@
 	"io"
 )
 
-// MaxEventBytes is the largest size of an event. Next checks it only in a line longer
-// than the Reader's buffer of 1,024 bytes and when the stream ends or fails. An event
-// that consists of shorter lines can therefore become larger.
+// MaxEventBytes is the largest size of an event.
 const MaxEventBytes = 1 << 20
 
 // ErrTooLarge is returned by Next for an event that it finds larger than MaxEventBytes.
@@ -70,10 +68,10 @@
 		chunk, err := r.source.ReadSlice('\n')
 		r.raw = append(r.raw, chunk...)
 		switch {
-		case err == nil:
-			return nil
 		case len(r.raw) > MaxEventBytes:
 			return ErrTooLarge
+		case err == nil:
+			return nil
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF) && len(r.raw) > 0:
--- a/internal/eventstream/eventstream_test.go
+++ b/internal/eventstream/eventstream_test.go
@@ -54,8 +54,13 @@
 }
 
 func TestNextRejectsOversizedEvent(t *testing.T) {
-	source := io.MultiReader(strings.NewReader("data: "), strings.NewReader(strings.Repeat("x", MaxEventBytes+10)))
-	if _, _, err := readAllEvents(source); !errors.Is(err, ErrTooLarge) {
-		t.Errorf("got %v, want ErrTooLarge", err)
+	for name, line := range map[string]string{
+		"one long line":    strings.Repeat("x", MaxEventBytes+10),
+		"many short lines": strings.Repeat("data: x\n", MaxEventBytes/8+10),
+	} {
+		source := io.MultiReader(strings.NewReader("data: "), strings.NewReader(line), strings.NewReader("\n\n"))
+		if _, _, err := readAllEvents(source); !errors.Is(err, ErrTooLarge) {
+			t.Errorf("%s: got %v, want ErrTooLarge", name, err)
+		}
 	}
 }
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -15,7 +15,7 @@
 
 // ErrAmbiguous is returned for a request that has both a Content-Length and a
 // Transfer-Encoding, more than one header of either kind, an invalid value of one of
-// them, or an invalid chunk size.
+// them, an invalid chunk size, or a header line that continues the one before it.
 var ErrAmbiguous = errors.New("ambiguous request framing")
 
 // state is the part of a request that a Scanner expects next.
@@ -122,6 +122,9 @@
 		}
 		return s.finishHeader()
 	}
+	if s.headerStarted && (line[0] == ' ' || line[0] == '\t') {
+		return ErrAmbiguous
+	}
 	s.headerStarted = true
 	name, value, found := strings.Cut(line, ":")
 	if !found {
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -47,6 +47,8 @@
 		"negative length":     "POST /a HTTP/1.1\r\nContent-Length: -5\r\n\r\n",
 		"chunk size not hex":  "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
 		"signed chunk size":   "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n",
+		"folded length":       "POST /a HTTP/1.1\r\nContent-Length\r\n : 5\r\n\r\n",
+		"folded value":        "POST /a HTTP/1.1\r\nContent-Length: 5\r\n\t0\r\n\r\n",
 		"after other request": lengthPost + "POST /a HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
 	}
 	for name, text := range cases {
