--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"sync"
+
 	"github.com/greengagegate/greengagegate/internal/balancer"
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/rs/zerolog"
@@ -11,13 +13,21 @@
 type Notices struct {
 	Balancer *balancer.Balancer
 	Log      zerolog.Logger
+
+	mu sync.Mutex
+	// loggedErrors holds the last logged error by upstream ID, so that an upstream whose
+	// responses are all malformed alike is logged once.
+	loggedErrors map[string]string
 }
 
+// maxLoggedErrors bounds Notices.loggedErrors. Beyond it, all are forgotten.
+const maxLoggedErrors = 1024
+
 // Apply applies a notice of an upstream. err describes values that could not be read; it
 // is logged.
 func (n *Notices) Apply(upstream *catalog.Upstream, notice catalog.Notice, err error) {
 	if err != nil {
-		n.Log.Warn().Err(err).Str("upstream", upstream.ID).Msg("gateway: a value in the header of the upstream's response cannot be read; it counts as missing")
+		n.logError(upstream.ID, err)
 	}
 	leaves, pauses := n.Balancer.ApplyNotice(upstream, notice)
 	if leaves {
@@ -28,6 +38,20 @@
 	}
 }
 
+// logError logs values that could not be read, unless they are those of the last time.
+func (n *Notices) logError(id string, err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.loggedErrors[id] == err.Error() {
+		return
+	}
+	if n.loggedErrors == nil || len(n.loggedErrors) >= maxLoggedErrors {
+		n.loggedErrors = make(map[string]string)
+	}
+	n.loggedErrors[id] = err.Error()
+	n.Log.Warn().Err(err).Str("upstream", id).Msg("gateway: a value in the header of the upstream's response cannot be read; it counts as missing")
+}
+
 // applyNotice applies the notice in the header of a response. A misdirected request may
 // have been answered by another upstream than the addressed one; the notice is about the
 // upstream that answered.
