--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -77,11 +77,11 @@
 	return s
 }
 
-// SyncUpstreams updates the state of the listed upstreams and removes that of all others, except
-// where requests of this gateway are still running or the upstream has stated something
-// that still holds. A listed upstream with another start
-// time is a new incarnation, for which reset is called. A listed upstream with another
-// address no longer counts as replaced.
+// SyncUpstreams updates the state of the listed upstreams and removes that of all others,
+// except where requests of this gateway are still running or the upstream has stated
+// something that still holds. A listed upstream with another start time is a new
+// incarnation, for which reset is called. A listed upstream with another address no longer
+// counts as replaced.
 func (b *Balancer) SyncUpstreams(listed *catalog.Upstreams) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -99,13 +99,11 @@
 // Excluded counts the upstreams that cannot take a request, by reason.
 type Excluded struct {
 	// Draining upstreams are listed as draining or have stated that they are leaving: they
-	// are going to stop. Replaced ones
-	// have another incarnation at their address. Unreachable ones could not be reached.
-	// BackingOff ones refused a request recently or want no requests for a time. OnHold ones
-	// are being updated to new
-	// weights. OldWeights ones have weights older than the minimum version. Tried ones
-	// were already tried for this request. AtConnectionLimit ones have all connections
-	// that this gateway may use.
+	// are going to stop. Replaced ones have another incarnation at their address.
+	// Unreachable ones could not be reached. BackingOff ones refused a request recently or
+	// want no requests for a time. OnHold ones are being updated to new weights. OldWeights
+	// ones have weights older than the minimum version. Tried ones were already tried for
+	// this request. AtConnectionLimit ones have all connections that this gateway may use.
 	Draining, Replaced, Unreachable, BackingOff, OnHold, OldWeights, Tried, AtConnectionLimit int
 }
 
