--- a/internal/relay/copy.go
+++ b/internal/relay/copy.go
@@ -21,15 +21,28 @@
 	logStart int64
 	// version is the store version up to which the copy is complete; 0 if nothing was read.
 	version int64
+	// list identifies the list of all objects on which the copy is based. The store can
+	// leave changes out of polls before it compacts its history, and only the next list
+	// shows them, so a copy that is based on an earlier list is not complete up to its
+	// version.
+	list uint64
 }
 
-// record adds an update and reports whether it was newer than the copy.
-func (c *prefixCopy) record(update *mirror.Update) bool {
-	if update.Version <= c.version {
+// position is how far a reader has read a copy.
+type position struct {
+	version int64
+	list    uint64
+}
+
+// record adds an update that is based on a list, and reports whether it was news.
+func (c *prefixCopy) record(update *mirror.Update, list uint64) bool {
+	isNewList := update.Full && list != c.list
+	if update.Version < c.version || update.Version == c.version && !isNewList {
 		return false
 	}
 	if update.Full {
 		c.replace(update)
+		c.list = list
 		return true
 	}
 	for _, object := range update.Objects {
@@ -68,19 +81,20 @@
 	c.changes = slices.Delete(c.changes, 0, excess)
 }
 
-// since returns what the copy has beyond a version. ok is false if it has nothing more. It
-// returns all objects if the copy does not have the changes since that version.
-func (c *prefixCopy) since(version int64) (update mirror.Update, ok bool) {
-	if c.version <= version {
+// since returns what the copy has beyond a position. ok is false if it has nothing more. It
+// returns all objects if the copy does not have the changes since that position.
+func (c *prefixCopy) since(from position) (update mirror.Update, ok bool) {
+	isOtherList := from.list != c.list
+	if c.version < from.version || c.version == from.version && !isOtherList {
 		return mirror.Update{}, false
 	}
 	update = mirror.Update{Version: c.version, Relayed: true}
-	if version < c.logStart {
+	if isOtherList || from.version < c.logStart {
 		update.Full = true
 		update.Objects = c.all()
 		return update, true
 	}
-	first, _ := slices.BinarySearchFunc(c.changes, version+1, func(object store.Object, target int64) int {
+	first, _ := slices.BinarySearchFunc(c.changes, from.version+1, func(object store.Object, target int64) int {
 		return cmp.Compare(object.Version, target)
 	})
 	update.Objects = slices.Clone(c.changes[first:])
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -23,7 +23,28 @@
 type pollStore struct {
 	mu      sync.Mutex
 	version int64
-	changed chan struct{}
+	// value is the value of the object; nil stands for its version.
+	value       []byte
+	compactions int64
+	changed     chan struct{}
+}
+
+// compact changes the object, as if the polls had left out a change that they counted, and
+// makes the polls of each caller fail until it has listed.
+func (s *pollStore) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.value = []byte("compacted")
+	s.compactions++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// compactionCount returns how often the store has compacted its history.
+func (s *pollStore) compactionCount() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.compactions
 }
 
 func newPollStore() *pollStore { return &pollStore{version: 1, changed: make(chan struct{})} }
@@ -40,7 +61,11 @@
 func (s *pollStore) state() (object store.Object, changed <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return store.Object{Key: testPrefix + "a", Value: fmt.Append(nil, s.version), Version: s.version}, s.changed
+	value := s.value
+	if value == nil {
+		value = fmt.Append(nil, s.version)
+	}
+	return store.Object{Key: testPrefix + "a", Value: value, Version: s.version}, s.changed
 }
 
 // storeLink is one gateway's access to the store.
@@ -49,6 +74,8 @@
 	// cut makes all calls fail.
 	cut   atomic.Bool
 	calls atomic.Int64
+	// listed is the number of compactions at the last list.
+	listed atomic.Int64
 }
 
 func (l *storeLink) begin() error {
@@ -63,6 +90,7 @@
 	if err := l.begin(); err != nil {
 		return nil, 0, err
 	}
+	l.listed.Store(l.store.compactionCount())
 	object, _ := l.store.state()
 	return []store.Object{object}, object.Version, nil
 }
@@ -77,7 +105,7 @@
 		switch {
 		case l.cut.Load():
 			return store.Changes{}, store.ErrUnavailable
-		case store.EraOf(object.Version) != store.EraOf(after):
+		case l.listed.Load() < l.store.compactionCount(), store.EraOf(object.Version) != store.EraOf(after):
 			return store.Changes{}, store.ErrCompacted
 		case object.Version > after:
 			return store.Changes{Objects: []store.Object{object}, Version: object.Version}, nil
@@ -105,15 +133,26 @@
 	// version is the version that the mirror has, eras the number of eras it has begun.
 	version atomic.Int64
 	eras    atomic.Int64
+	// lastValue is the value of the object that the mirror has.
+	lastValue atomic.Value
+}
+
+func (g *gateway) value() string {
+	value, _ := g.lastValue.Load().(string)
+	return value
 }
 
 // Replace, Apply, Confirm, BeginEra and MarkUnreachable implement mirror.Sink.
-func (g *gateway) Replace(objects []store.Object) { g.version.Store(objects[0].Version) }
+func (g *gateway) Replace(objects []store.Object) { g.Apply(objects) }
 
-func (g *gateway) Apply(objects []store.Object) { g.version.Store(objects[len(objects)-1].Version) }
-func (g *gateway) Confirm(bootclock.Instant)    {}
-func (g *gateway) BeginEra()                    { g.eras.Add(1) }
-func (g *gateway) MarkUnreachable()             {}
+func (g *gateway) Apply(objects []store.Object) {
+	last := objects[len(objects)-1]
+	g.version.Store(last.Version)
+	g.lastValue.Store(string(last.Value))
+}
+func (g *gateway) Confirm(bootclock.Instant) {}
+func (g *gateway) BeginEra()                 { g.eras.Add(1) }
+func (g *gateway) MarkUnreachable()          {}
 
 // relayFleet is a set of gateways in one zone that share a store.
 type relayFleet struct {
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -93,7 +93,7 @@
 	hasNews := false
 	for _, update := range reply.Updates {
 		decoded := decodeUpdate(update)
-		hasNews = m.copyOf(update.Prefix).record(&decoded) || hasNews
+		hasNews = m.copyOf(update.Prefix).record(&decoded, update.List) || hasNews
 	}
 	if hasNews {
 		m.notify()
@@ -110,7 +110,7 @@
 	defer m.mu.Unlock()
 	positions := make([]*wirepb.RelayPosition, 0, len(m.copies))
 	for prefix, c := range m.copies {
-		positions = append(positions, &wirepb.RelayPosition{Prefix: prefix, Version: c.version})
+		positions = append(positions, &wirepb.RelayPosition{Prefix: prefix, Version: c.version, List: c.list})
 	}
 	return positions
 }
@@ -186,20 +186,20 @@
 	defer m.mu.Unlock()
 	m.askedAt = now
 	reply := &wirepb.RelayReply{PathAgeMs: now.Sub(m.pathWorkedAt).Milliseconds() + 1}
-	for _, position := range request.Positions {
-		known, ok := m.copies[position.Prefix]
+	for _, asked := range request.Positions {
+		known, ok := m.copies[asked.Prefix]
 		if !ok {
 			continue
 		}
-		if update, ok := known.since(position.Version); ok {
-			reply.Updates = append(reply.Updates, encodeUpdate(position.Prefix, &update))
+		if update, ok := known.since(position{asked.Version, asked.List}); ok {
+			reply.Updates = append(reply.Updates, encodeUpdate(asked.Prefix, known.list, &update))
 		}
 	}
 	return reply, m.changed
 }
 
-func encodeUpdate(prefix string, update *mirror.Update) *wirepb.RelayUpdate {
-	encoded := &wirepb.RelayUpdate{Prefix: prefix, Full: update.Full, Version: update.Version}
+func encodeUpdate(prefix string, list uint64, update *mirror.Update) *wirepb.RelayUpdate {
+	encoded := &wirepb.RelayUpdate{Prefix: prefix, Full: update.Full, Version: update.Version, List: list}
 	for _, object := range update.Objects {
 		encoded.Objects = append(encoded.Objects, &wirepb.RelayObject{
 			Key: object.Key, Value: object.Value, Version: object.Version, Deleted: object.Deleted,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -77,6 +78,8 @@
 
 	mu     sync.Mutex
 	copies map[string]*prefixCopy
+	// readLists holds, by prefix, the list on which what Read has returned is based.
+	readLists map[string]uint64
 	// changed is closed and replaced when a copy has news or the source has changed.
 	changed chan struct{}
 	// gateways is the number of gateways, including this one. peers are the others of the
@@ -97,7 +100,7 @@
 // New returns a manager that reads from the store until Run is called.
 func New(options Options) *Manager {
 	noContacts := func() map[string]time.Duration { return nil }
-	return &Manager{options: options, contacts: noContacts, copies: make(map[string]*prefixCopy), changed: make(chan struct{}), gateways: 1, unfitUntil: make(map[string]bootclock.Instant)}
+	return &Manager{options: options, contacts: noContacts, copies: make(map[string]*prefixCopy), readLists: make(map[string]uint64), changed: make(chan struct{}), gateways: 1, unfitUntil: make(map[string]bootclock.Instant)}
 }
 
 // SetContacts sets the function that returns how long ago each other gateway was last heard
@@ -124,7 +127,11 @@
 	for {
 		m.mu.Lock()
 		follows := m.reliesOnRelay(bootclock.Now())
-		update, ok := m.copyOf(prefix).since(after)
+		known := m.copyOf(prefix)
+		update, ok := known.since(position{after, m.readLists[prefix]})
+		if follows && ok {
+			m.readLists[prefix] = known.list
+		}
 		changed := m.changed
 		m.mu.Unlock()
 		if !follows {
@@ -165,7 +172,13 @@
 	}
 	// A poll proves the path when it is answered; a list does so as well.
 	m.pathWorkedAt = max(m.pathWorkedAt, sentAt)
-	if m.copyOf(prefix).record(&update) {
+	known := m.copyOf(prefix)
+	list := known.list
+	if update.Full {
+		list = rand.Uint64() | 1
+		m.readLists[prefix] = list
+	}
+	if known.record(&update, list) {
 		m.notify()
 	}
 	return update, nil
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -114,14 +114,14 @@
 // A copy gives the changes since a version, or all objects to a reader that lacks more.
 func TestCopyGivesChangesOrAllObjects(t *testing.T) {
 	c := new(prefixCopy)
-	if _, ok := c.since(0); ok {
+	if _, ok := c.since(position{}); ok {
 		t.Error("an empty copy has news")
 	}
 	object := func(key string, version int64, deleted bool) store.Object {
 		return store.Object{Key: key, Version: version, Deleted: deleted}
 	}
-	c.record(&mirror.Update{Full: true, Version: 10, Objects: []store.Object{object("a", 3, false), object("b", 7, false)}})
-	c.record(&mirror.Update{Version: 14, Objects: []store.Object{object("a", 12, true), object("c", 13, false)}})
+	c.record(&mirror.Update{Full: true, Version: 10, Objects: []store.Object{object("a", 3, false), object("b", 7, false)}}, 1)
+	c.record(&mirror.Update{Version: 14, Objects: []store.Object{object("a", 12, true), object("c", 13, false)}}, 1)
 	for _, test := range []struct {
 		after int64
 		want  string
@@ -134,21 +134,42 @@
 		{14, "nothing"},
 		{store.MakeVersion(1, 2), "nothing"},
 	} {
-		if got := describe(c.since(test.after)); got != test.want {
+		if got := describe(c.since(position{test.after, 1})); got != test.want {
 			t.Errorf("since %d: got %s, want %s", test.after, got, test.want)
 		}
 	}
-	if c.record(&mirror.Update{Full: true, Version: 9}) {
+	if c.record(&mirror.Update{Full: true, Version: 9}, 2) {
 		t.Error("an older update was recorded")
 	}
 	for version := int64(20); version < 20+2*maxLoggedChanges; version++ {
-		c.record(&mirror.Update{Version: version, Objects: []store.Object{object("d", version, false)}})
+		c.record(&mirror.Update{Version: version, Objects: []store.Object{object("d", version, false)}}, 1)
 	}
-	if update, _ := c.since(14); !update.Full || len(c.changes) > maxLoggedChanges {
+	if update, _ := c.since(position{14, 1}); !update.Full || len(c.changes) > maxLoggedChanges {
 		t.Errorf("full %v with %d changes kept, want all objects and at most %d", update.Full, len(c.changes), maxLoggedChanges)
 	}
 }
 
+// The store can leave changes out of polls and then compact its history, so that the next
+// list has the version that the polls had. The followers must get that list too.
+func TestListAfterCompactionIsRelayed(t *testing.T) {
+	f := newRelayFleet(t, smallFleet+2)
+	watcher := f.watcher()
+	f.store.set(2)
+	f.within(time.Second, "the change arrives", func() bool { return f.haveVersion(2, nil) })
+	f.store.compact()
+	f.within(time.Second, "the list arrives at all gateways", func() bool {
+		for _, g := range f.gateways {
+			if g.value() != "compacted" {
+				return false
+			}
+		}
+		return true
+	})
+	if watcher.choose() != nil {
+		t.Error("the gateway that polls has changed")
+	}
+}
+
 func describe(update mirror.Update, ok bool) string {
 	if !ok {
 		return "nothing"
@@ -173,7 +194,7 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
-		_, err := g.Read(ctx, testPrefix, 1, 10*time.Second)
+		_, err := g.Read(ctx, "other/", 1, 10*time.Second)
 		cancel()
 		if !errors.Is(err, context.DeadlineExceeded) {
 			t.Fatalf("error %v, want the end of the context", err)
