Read the list of upstreams directly on each gateway

Not traced; the relay of the list is the new part. Until it is, the list with the tightest bound is read by each gateway itself; configuration, target versions and gateways are relayed.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -73,6 +73,9 @@
 	// evidence shows that its known version is the newest. Empty means that nothing is
 	// queried; otherwise Sink must be safe for concurrent use.
 	EvidenceKey string
+	// Direct is true if each gateway reads the prefix from the store itself, because its
+	// changes must be known within a tight bound.
+	Direct bool
 	// BatchChanges is true if changes may be delayed, so that changes which follow each other
 	// shortly take one poll.
 	BatchChanges bool
@@ -306,7 +309,11 @@
 		if mirrored.BatchChanges {
 			batchDelay = changeBatchDelay
 		}
-		followPrefix(lifecycle, source, mirrored.Prefix, mirrored.Sink, batchDelay, log)
+		var prefixSource mirror.Source = source
+		if mirrored.Direct {
+			prefixSource = mirror.StoreSource{Store: st}
+		}
+		followPrefix(lifecycle, prefixSource, mirrored.Prefix, mirrored.Sink, batchDelay, log)
 		if mirrored.EvidenceKey != "" {
 			refresher := &evidenceRefresher{store: st, key: mirrored.EvidenceKey, sink: mirrored.Sink, catalog: platformCatalog, rank: ownRank, log: log}
 			appendBackground(lifecycle, log, "evidence", refresher.run)
