gateway: try a request that may have crashed upstreams once at a time in the whole fleet

Callers of a small service saw it lost as a whole, again and again: one request that crashes each server was repeated by its caller at all gateways, and each gateway sent, and sent again, each copy that it got until the fourth crash in a third episode convicted it. While no server is left, nothing is completed that could tell sound requests apart.

Cause: each gateway tried on its own what only the fleet can know. The number of tries grew with gateways and copies, also after the end of each conviction.

Crashes that put a request on trial, and trials that end well, are told to the other gateways at once.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/greengagegate/greengagegate/internal/node"
 	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/internal/peering"
+	"github.com/greengagegate/greengagegate/internal/permit"
 	"github.com/greengagegate/greengagegate/internal/poison"
 	"github.com/greengagegate/greengagegate/internal/relay"
 	"github.com/greengagegate/greengagegate/internal/retry"
@@ -117,7 +118,7 @@
 				return &gateway.Notices{Balancer: b, Log: log}
 			},
 			func(log zerolog.Logger) *poison.Tracker { return poison.New(poison.Options{Log: log}) },
-			newSharedBudget, newGatewayNode, newGateway, newWeightsManager, newPeering, newRelay, newRoster, newShareLink,
+			newSharedBudget, newGatewayNode, newGateway, newWeightsManager, newPeering, newRelay, newRoster, newShareLink, newPermits,
 		),
 		fx.Invoke(
 			serveGatewayAdmin, serveReadiness, startPeering, runRelay, followCatalog, followPlatform, followRoster,
@@ -145,6 +146,8 @@
 	shareLink *sharelink.Link,
 	sharedBudget *retry.SharedBudget,
 	poisonTracker *poison.Tracker,
+	permits *permit.Manager,
+	peerManager *peering.Manager,
 	log zerolog.Logger,
 ) *gateway.Gateway {
 	return gateway.New(gateway.Options{
@@ -157,6 +160,8 @@
 		Owners:       shareLink,
 		SharedBudget: sharedBudget,
 		Poison:       poisonTracker,
+		Permits:      permits,
+		Announce:     peerManager.SendNow,
 		Bounds: gateway.Bounds{
 			MaxKeyEvidenceAge: time.Duration(stalenessFraction * float64(s.Bounds.Revoke)),
 			WeightsGrace:      weightsGrace,
@@ -246,6 +251,12 @@
 	return manager
 }
 
+func newPermits(s *GatewaySettings, n *node.Node, peerManager *peering.Manager, r *roster.Roster, log zerolog.Logger) *permit.Manager {
+	manager := permit.New(permit.Options{Name: s.Identity.Name, Pool: n.Pool, Silences: r.TimeSinceContact, Address: peerManager.Address, Log: log})
+	manager.Register(n.Server)
+	return manager
+}
+
 // runRelay depends on the roster, which tells the relay of the other gateways.
 func runRelay(lifecycle fx.Lifecycle, relayManager *relay.Manager, _ *roster.Roster, log zerolog.Logger) {
 	appendBackground(lifecycle, log, "relay", relayManager.Run)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -130,10 +130,18 @@
 		choice, ok := j.gateway.Balancer.Pick(upstreams.ByPool[j.pool.Name], &j.pickRequest)
 		if ok {
 			j.choice = choice
-			return choice, j.checkOverload(choice.ExpectedWaitMS)
+			if refused := j.checkOverload(choice.ExpectedWaitMS); refused != nil {
+				return choice, refused
+			}
+			if j.mayTry(ctx) {
+				return choice, nil
+			}
 		}
 		if !bootclock.Now().Before(waitUntil) {
 			j.outcome.excluded = choice.Excluded.String()
+			if refused := j.trialRefusal(); ok && refused != nil {
+				return balancer.Choice{}, refused
+			}
 			return balancer.Choice{}, j.unservedRefusal()
 		}
 		time.Sleep(pickInterval)
--- a/internal/gateway/crashcheck.go
+++ b/internal/gateway/crashcheck.go
@@ -99,12 +99,13 @@
 	upstream := s.choice.Upstream
 	which := incarnation{id: upstream.ID, startedMillis: upstream.StartedMillis}
 	keys := j.poisonKeys()
+	j.losses++
 	started, crashed := j.gateway.crashChecks.add(which, keys)
 	switch {
 	case started:
 		go j.gateway.checkCrash(upstream, s.attempt, which)
 	case crashed:
-		j.gateway.Poison.RecordCrash(which.id, which.startedMillis, keys)
+		j.gateway.recordCrash(which, keys)
 	}
 }
 
@@ -119,7 +120,16 @@
 	g.Log.Warn().Err(err).Str("upstream", upstream.ID).Int64("born", upstream.StartedMillis).Int("lost", len(lost)).
 		Msg("gateway: upstream has crashed; the contents of its requests become suspect")
 	for _, keys := range lost {
-		g.Poison.RecordCrash(which.id, which.startedMillis, keys)
+		g.recordCrash(which, keys)
 	}
 	g.markUnreachable(upstream, attempt, err)
 }
+
+// recordCrash records that a request with these keys was lost in a crash. If the request is
+// on trial from now on, the other gateways learn of it at once, since they may have copies.
+func (g *Gateway) recordCrash(which incarnation, keys []poison.Key) {
+	g.Poison.RecordCrash(which.id, which.startedMillis, keys)
+	if g.Poison.OnTrial(keys) != "" {
+		g.Announce()
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,8 +66,12 @@
 	Owners       TokenOwners
 	SharedBudget *retry.SharedBudget
 	Poison       *poison.Tracker
-	Bounds       Bounds
-	Log          zerolog.Logger
+	Permits      Permits
+	// Announce makes the gateway tell the others what it knows without waiting for the next
+	// regular exchange. It must not block.
+	Announce func()
+	Bounds   Bounds
+	Log      zerolog.Logger
 }
 
 // Gateway serves the requests of callers. It implements http.Handler and is safe for
@@ -177,6 +181,12 @@
 	choice balancer.Choice
 	// possibleRuns counts the attempts that an upstream may have run.
 	possibleRuns int
+	// losses counts the sends whose connection was lost.
+	losses int
+	// onTrial is true if the last send was a trial; see mayTry. No trial is asked for before
+	// nextTrialAt.
+	onTrial     bool
+	nextTrialAt bootclock.Instant
 	// contentKeys is the result of poisonKeys; nil before its first call.
 	contentKeys []poison.Key
 	outcome     outcome
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -65,10 +65,14 @@
 }
 
 // recordCompletion records that the upstream of a send completed the request, which shows
-// that its contents crash nothing.
+// that its contents crash nothing. After a trial the other gateways learn of it at once,
+// since they hold back copies.
 func (j *job) recordCompletion(s *send) {
 	s.attempt.RecordSuccess()
 	if tracker := j.gateway.Poison; !tracker.IsIdle() {
 		tracker.RecordCompletion(j.poisonKeys(), s.startedAt)
+		if j.onTrial {
+			j.gateway.Announce()
+		}
 	}
 }
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -24,6 +24,7 @@
 		{http.StatusTooManyRequests, "customer-limit", transientRetryAfter},
 		{http.StatusServiceUnavailable, "upstreams-busy", transientRetryAfter},
 		{http.StatusServiceUnavailable, "quarantined", transientRetryAfter},
+		{http.StatusServiceUnavailable, "on-trial", transientRetryAfter},
 	}
 	seen := make(map[string]bool)
 	for _, refused := range refusals {
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -38,7 +38,9 @@
 	excluded string
 	// convictedKey is the content because of which the request was not sent, or not again.
 	convictedKey poison.Key
-	err          error
+	// suspectKey is the content because of which a send was a trial, or was held back.
+	suspectKey poison.Key
+	err        error
 }
 
 // requestLog writes a line for each request that was not served or took more than one
@@ -135,6 +137,9 @@
 	if j.outcome.convictedKey != "" {
 		line = line.Str("convicted", string(j.outcome.convictedKey))
 	}
+	if j.outcome.suspectKey != "" {
+		line = line.Str("suspect", string(j.outcome.suspectKey)).Bool("on_trial", j.onTrial)
+	}
 	if j.outcome.excluded != "" {
 		line = line.Str("excluded", j.outcome.excluded)
 	}
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +13,7 @@
 	"github.com/greengagegate/greengagegate/internal/balancer"
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/exchange"
+	"github.com/greengagegate/greengagegate/internal/permit"
 	"github.com/greengagegate/greengagegate/internal/poison"
 	"github.com/greengagegate/greengagegate/internal/retry"
 	"github.com/greengagegate/greengagegate/internal/share"
@@ -69,11 +71,19 @@
 		Catalog: testCatalog, Codec: idCodec{}, Pool: exchange.NewPool(), Balancer: testBalancer,
 		Notices: &Notices{Balancer: testBalancer, Log: zerolog.Nop()},
 		Shares:  share.New("own", 0, nil), SharedBudget: retry.NewSharedBudget(1, 100),
-		Poison: poison.New(poison.Options{Log: zerolog.Nop()}),
+		Poison:  poison.New(poison.Options{Log: zerolog.Nop()}),
+		Permits: allPermits{}, Announce: func() {},
 		Bounds: Bounds{MaxBufferedBytes: 1 << 20}, Log: zerolog.Nop(),
 	})
 }
 
+// allPermits grants all requests.
+type allPermits struct{}
+
+func (allPermits) Acquire(context.Context, permit.Request) (permit.Decision, error) {
+	return permit.Decision{Granted: true}, nil
+}
+
 // stalledCaller accepts the header and as many writes as writesLeft. Further writes fail
 // with a timeout while the request's context remains valid, as with a caller that is connected
 // but does not read.
--- a/internal/poison/conviction.go
+++ b/internal/poison/conviction.go
@@ -16,6 +16,9 @@
 	minCrashes = 4
 	// minSettledCrashes is the number of these crashes whose evidence must have settled.
 	minSettledCrashes = 3
+	// trialCrashes is the number of crashes from which on a whole request runs alone. One
+	// crash loses many sound requests, two in a row hardly any.
+	trialCrashes = 2
 	// minRequests is the number of different requests that must have been lost to convict
 	// a key that they share. A sound request that is sent once more after each crash would
 	// count against its parts each time.
--- a/internal/poison/replay_test.go
+++ b/internal/poison/replay_test.go
@@ -102,6 +102,9 @@
 	crashes    []time.Duration // of the poison
 	convicted  []time.Duration // by gateway; 0 means not yet
 	soundFound map[Key]bool
+	// resend is called with each request that was lost in a crash, when its gateway has
+	// recorded it.
+	resend func(f *flight)
 }
 
 func newReplay(p pattern, seed uint64) *replay {
@@ -112,6 +115,7 @@
 	for range p.engines {
 		r.engines = append(r.engines, &replayEngine{startedMillis: 1})
 	}
+	r.resend = r.resendHalf
 	return r
 }
 
@@ -157,6 +161,11 @@
 		r.after(r.uniform(0, r.pattern.exchangeInterval), func() { r.exchange(gateway) })
 	}
 	r.observe()
+	r.playUntilEnd()
+}
+
+// playUntilEnd runs the events up to the end of the pattern.
+func (r *replay) playUntilEnd() {
 	for r.time < r.pattern.duration {
 		e := heap.Pop(&r.queue).(event)
 		r.time = e.at
@@ -243,7 +252,7 @@
 // place puts a request on an engine and returns it, or nil if none is there.
 func (r *replay) place(f *flight) *replayEngine {
 	var best *replayEngine
-	for _, i := range r.random.Perm(r.pattern.engines)[:4] {
+	for _, i := range r.random.Perm(r.pattern.engines)[:min(4, r.pattern.engines)] {
 		e := r.engines[i]
 		if !e.down && (best == nil || len(e.flights) < len(best.flights)) {
 			best = e
@@ -256,7 +265,7 @@
 	return best
 }
 
-// crash ends an engine. The gateways send half of its sound requests once more.
+// crash ends an engine.
 func (r *replay) crash(i int) {
 	e := r.engines[i]
 	if e.down {
@@ -268,9 +277,7 @@
 		f.lost = true
 		r.after(r.uniform(time.Millisecond, 20*time.Millisecond), func() {
 			r.trackers[f.gateway].RecordCrash(fmt.Sprint("engine", i), started, f.keys)
-			if !slices.Contains(f.keys, poisonKey) && r.random.IntN(2) == 0 {
-				r.send(&flight{gateway: f.gateway, keys: f.keys})
-			}
+			r.resend(f)
 		})
 	}
 	r.after(r.uniform(3*time.Second, 4*time.Second), func() {
@@ -278,6 +285,13 @@
 	})
 }
 
+// resendHalf sends half of the sound requests once more.
+func (r *replay) resendHalf(f *flight) {
+	if !slices.Contains(f.keys, poisonKey) && r.random.IntN(2) == 0 {
+		r.send(&flight{gateway: f.gateway, keys: f.keys})
+	}
+}
+
 // observe notes the convictions every 20 ms.
 func (r *replay) observe() {
 	for gateway, tracker := range r.trackers {
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -127,6 +127,29 @@
 	return "", 0
 }
 
+// OnTrial returns a key because of which the request with these keys must run alone among
+// all gateways, or "": the request as a whole was in flight at trialCrashes crashes that
+// nothing has cleared it of, or a key's conviction has ended and nothing has shown since that
+// it is sound. It takes no lock while no key is suspected, convicted or on probation.
+func (t *Tracker) OnTrial(keys []Key) Key {
+	if len(keys) == 0 || !t.watching.Load() {
+		return ""
+	}
+	now := t.now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, key := range keys {
+		if v, ok := t.convictions[key]; ok && !now.Before(v.end) {
+			return key
+		}
+	}
+	request := keys[len(keys)-1]
+	if s := t.suspects[request]; s != nil && len(s.evidence) >= trialCrashes {
+		return request
+	}
+	return ""
+}
+
 // Suspects returns the number of keys with evidence against them.
 func (t *Tracker) Suspects() int {
 	t.mu.Lock()
