gateway: keep to the limits that upstreams state, all gateways together

An upstream in need states in its responses (Server-Limit) how many requests per second it takes from all gateways. Callers' requests went to it as before: no gateway read the header, so that the upstream in need got 7 to 10 requests a second with a limit of 3.1.

Reading it alone would not do: each gateway would keep the limit by itself, and other gateways would go on until they are told. Now the newest statement of each upstream is known to all gateways at once, and each request to an upstream with a limit takes a permit, which one gateway, the owner, grants for the whole fleet. Limits below one request for each gateway hold at every size. An upstream at its limit is excluded; if all are, the request is refused at once with the time of the first.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/greengagegate/greengagegate/internal/peering"
 	"github.com/greengagegate/greengagegate/internal/permit"
 	"github.com/greengagegate/greengagegate/internal/poison"
+	"github.com/greengagegate/greengagegate/internal/ratelimit"
 	"github.com/greengagegate/greengagegate/internal/relay"
 	"github.com/greengagegate/greengagegate/internal/retry"
 	"github.com/greengagegate/greengagegate/internal/roster"
@@ -114,8 +115,9 @@
 			func() *gatewayRank { return new(gatewayRank) },
 			func() *share.Manager { return share.New(s.Identity.Name, s.Bounds.QuotaSlack*slackFraction, nil) },
 			func() *balancer.Balancer { return balancer.New(s.Identity.Zone, nil) },
-			func(b *balancer.Balancer, log zerolog.Logger) *gateway.Notices {
-				return &gateway.Notices{Balancer: b, Log: log}
+			func(log zerolog.Logger) *ratelimit.Tracker { return ratelimit.New(ratelimit.Options{Log: log}) },
+			func(b *balancer.Balancer, limits *ratelimit.Tracker, log zerolog.Logger) *gateway.Notices {
+				return &gateway.Notices{Balancer: b, Limits: limits, Log: log}
 			},
 			func(log zerolog.Logger) *poison.Tracker { return poison.New(poison.Options{Log: log}) },
 			newSharedBudget, newGatewayNode, newGateway, newWeightsManager, newPeering, newRelay, newRoster, newShareLink, newPermits,
@@ -194,14 +196,16 @@
 	platformCatalog *catalog.Catalog,
 	upstreamBalancer *balancer.Balancer,
 	poisonTracker *poison.Tracker,
+	limits *ratelimit.Tracker,
 	log zerolog.Logger,
 ) *peering.Manager {
 	updates := &peerUpdates{
 		name: s.Identity.Name, shares: shares, weightsManager: weightsManager, catalog: platformCatalog, balancer: upstreamBalancer,
-		poison: poisonTracker, nextCacheReport: make(map[string]uint64),
+		poison: poisonTracker, limits: limits, nextCacheReport: make(map[string]uint64),
 	}
 	manager := peering.New(peering.Options{Name: s.Identity.Name, Pool: n.Pool, Update: updates.compose, OnUpdate: updates.apply, Log: log})
 	weightsManager.OnUpdate(manager.SendNow)
+	limits.OnChange(manager.SendNow)
 	return manager
 }
 
--- a/internal/app/gatewaygauges.go
+++ b/internal/app/gatewaygauges.go
@@ -11,6 +11,7 @@
 	"github.com/greengagegate/greengagegate/internal/gateway"
 	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/poison"
+	"github.com/greengagegate/greengagegate/internal/ratelimit"
 	"github.com/greengagegate/greengagegate/internal/retry"
 	"github.com/greengagegate/greengagegate/internal/roster"
 	"github.com/greengagegate/greengagegate/internal/share"
@@ -30,6 +31,7 @@
 	SharedBudget   *retry.SharedBudget
 	WeightsManager *weights.Manager
 	Poison         *poison.Tracker
+	Limits         *ratelimit.Tracker
 	Roster         *roster.Roster
 }
 
@@ -101,6 +103,7 @@
 	metrics.Gauge("gateway.active").Update(g.sources.Gateway.Active())
 	metrics.Gauge("gateway.waiting").Update(g.sources.Gateway.Waiting())
 	metrics.Gauge("gateway.buffered_bytes").Update(g.sources.Gateway.Buffered())
+	metrics.Gauge("ratelimit.limited").Update(int64(g.sources.Limits.Limited()))
 	metrics.Gauge("poison.suspects").Update(int64(g.sources.Poison.Suspects()))
 	metrics.Gauge("poison.convicted").Update(int64(g.sources.Poison.Convictions()))
 	open, idle := g.sources.Pool.Connections()
--- a/internal/app/gatewayupdates.go
+++ b/internal/app/gatewayupdates.go
@@ -8,6 +8,7 @@
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/poison"
+	"github.com/greengagegate/greengagegate/internal/ratelimit"
 	"github.com/greengagegate/greengagegate/internal/share"
 	"github.com/greengagegate/greengagegate/internal/weights"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
@@ -22,6 +23,7 @@
 	catalog        *catalog.Catalog
 	balancer       *balancer.Balancer
 	poison         *poison.Tracker
+	limits         *ratelimit.Tracker
 
 	mu sync.Mutex
 	// nextCacheReport maps a peer to the number of the first cache report that was not
@@ -64,6 +66,7 @@
 		})
 	}
 	update.Poison = encodePoisonReport(u.poison.Report())
+	update.Limits = encodeLimits(u.limits.Reports())
 	return update
 }
 
@@ -90,6 +93,9 @@
 	if update.Poison != nil {
 		u.poison.Apply(decodePoisonReport(update.Poison))
 	}
+	for _, limit := range update.Limits {
+		u.limits.Apply(decodeLimit(limit))
+	}
 	for _, cacheReport := range update.Readings {
 		u.balancer.ApplyCacheReport(balancer.CacheReport{Upstream: cacheReport.Upstream, Salt: cacheReport.Salt, Parts: cacheReport.Parts})
 	}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -132,6 +132,14 @@
 	b.stateFor(id).heldUntil = until
 }
 
+// LimitUntil excludes an upstream from new requests of this gateway until the given time,
+// because of the limit that it states for all gateways.
+func (b *Balancer) LimitUntil(id string, until bootclock.Instant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stateFor(id).limitedUntil = until
+}
+
 // MarkReachable records that an upstream can be reached again.
 func (b *Balancer) MarkReachable(id string) {
 	b.mu.Lock()
--- a/internal/balancer/eligibility.go
+++ b/internal/balancer/eligibility.go
@@ -22,6 +22,8 @@
 		e.Unreachable++
 	case now.Before(s.backoffUntil), now.Before(s.pausedUntil):
 		e.BackingOff++
+	case now.Before(s.limitedUntil):
+		e.addLimited(s.limitedUntil)
 	case now.Before(s.heldUntil):
 		e.OnHold++
 	case outdated:
@@ -34,6 +36,20 @@
 	return false
 }
 
+// addLimited counts an upstream that is at its limit until the given time.
+func (e *Excluded) addLimited(until bootclock.Instant) {
+	if e.AtLimit == 0 || until.Before(e.LimitedUntil) {
+		e.LimitedUntil = until
+	}
+	e.AtLimit++
+}
+
+// OnlyAtLimitUntil reports whether waiting until the given time is in vain: upstreams are at
+// their limits for longer, and none is excluded by something else that may end soon.
+func (e *Excluded) OnlyAtLimitUntil(until bootclock.Instant) bool {
+	return e.AtLimit > 0 && until.Before(e.LimitedUntil) && e.BackingOff+e.OnHold+e.AtConnectionLimit == 0
+}
+
 // hasOutdatedWeights reports whether the request must not run with the weights of an
 // upstream, because they are too old now or will be when the request begins there. b.mu
 // must be held.
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -104,12 +104,16 @@
 	// want no requests for a time. OnHold ones are being updated to new weights. OldWeights
 	// ones have weights older than the minimum version. Tried ones were already tried for
 	// this request. AtConnectionLimit ones have all connections that this gateway may use.
-	Draining, Replaced, Unreachable, BackingOff, OnHold, OldWeights, Tried, AtConnectionLimit int
+	// AtLimit ones take no more requests now, by the limit that they state.
+	Draining, Replaced, Unreachable, BackingOff, OnHold, OldWeights, Tried, AtConnectionLimit, AtLimit int
+	// LimitedUntil is when the first of the upstreams at their limits may be used, if there
+	// are any.
+	LimitedUntil bootclock.Instant
 }
 
 // String returns the counts for logs. Its keys are part of the log format and differ from
 // the field names.
 func (e Excluded) String() string {
-	return fmt.Sprintf("draining=%d ended=%d down=%d resting=%d held=%d old=%d tried=%d full=%d",
-		e.Draining, e.Replaced, e.Unreachable, e.BackingOff, e.OnHold, e.OldWeights, e.Tried, e.AtConnectionLimit)
+	return fmt.Sprintf("draining=%d ended=%d down=%d resting=%d held=%d old=%d tried=%d full=%d limited=%d",
+		e.Draining, e.Replaced, e.Unreachable, e.BackingOff, e.OnHold, e.OldWeights, e.Tried, e.AtConnectionLimit, e.AtLimit)
 }
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -26,6 +26,8 @@
 	backoffUntil bootclock.Instant
 	// pausedUntil is the end of the time for which the upstream wants no requests.
 	pausedUntil bootclock.Instant
+	// limitedUntil is the time before which this gateway may not use the upstream's limit.
+	limitedUntil bootclock.Instant
 	// leavingSince is when the upstream first stated that it is leaving, or 0.
 	leavingSince bootclock.Instant
 	// unreachable is true if the upstream could not be reached and has not been reached
@@ -74,7 +76,7 @@
 	clear(s.versions)
 	clear(s.parts)
 	s.startDelay = startDelay{}
-	s.heldUntil, s.backoffUntil, s.lastFailureRate, s.unreachable = 0, 0, 0, false
+	s.heldUntil, s.backoffUntil, s.limitedUntil, s.lastFailureRate, s.unreachable = 0, 0, 0, 0, false
 }
 
 // recordVersion records a version that the upstream reported. A version older than the
--- a/internal/catalog/notice.go
+++ b/internal/catalog/notice.go
@@ -11,4 +11,17 @@
 	// RetryAfter is how long, from the response on, the upstream wants no requests from this
 	// process; 0 if it states no time.
 	RetryAfter time.Duration
+	// Limit is the rate that the upstream takes.
+	Limit RateLimit
+}
+
+// RateLimit is the rate of requests that an upstream takes from all gateways together. It
+// holds from the first response that states it for as long as responses do.
+type RateLimit struct {
+	// Stated is true if the response states a limit of PerSecond, which is not negative.
+	Stated    bool
+	PerSecond float64
+	// Unreadable is true if the response states something that cannot be read. The last
+	// limit holds on.
+	Unreadable bool
 }
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -52,6 +52,7 @@
 	"upstreams-busy":      "engines had so much work ahead that the answer would have been late; not run",
 	"stopping":            "the gateway was stopping; not run",
 	"quarantined":         "a content of the request is convicted of crashing upstreams, see convicted; not run",
+	"upstreams-limited":   "the upstreams state limits, which all gateways together have reached; not run",
 	"on-trial":            "the request may have crashed upstreams and another gateway tries it, see suspect; not run",
 	"timeout-not-run":     "the time was over before any upstream could take it; not run",
 	"timeout":             "the time was over while an upstream may have run it; outcome unknown",
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -47,7 +47,7 @@
 // upstream.
 func (j *job) classify(s *send) ResponseStatus {
 	responseStatus := j.gateway.Codec.Classify(s.response.Status, s.response.Header)
-	j.applyNotice(s.choice.Upstream, &responseStatus)
+	j.applyNotice(s, &responseStatus)
 	if responseStatus.Version > 0 {
 		j.gateway.Balancer.RecordVersion(s.choice.Upstream.ID, j.call.Model, responseStatus.Version)
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -128,24 +128,38 @@
 			return balancer.Choice{}, refusedNoConfig
 		}
 		choice, ok := j.gateway.Balancer.Pick(upstreams.ByPool[j.pool.Name], &j.pickRequest)
+		isAtLimit := false
 		if ok {
 			j.choice = choice
 			if refused := j.checkOverload(choice.ExpectedWaitMS); refused != nil {
 				return choice, refused
 			}
-			if j.mayTry(ctx) {
+			isAtLimit = !j.mayUse(ctx, &choice)
+			if !isAtLimit && j.mayTry(ctx) {
 				return choice, nil
 			}
 		}
-		if !bootclock.Now().Before(waitUntil) {
+		if !bootclock.Now().Before(waitUntil) || choice.Excluded.OnlyAtLimitUntil(waitUntil) {
 			j.outcome.excluded = choice.Excluded.String()
-			if refused := j.trialRefusal(); ok && refused != nil {
-				return balancer.Choice{}, refused
-			}
-			return balancer.Choice{}, j.unservedRefusal()
+			return balancer.Choice{}, j.heldBackRefusal(&choice)
 		}
-		time.Sleep(pickInterval)
+		// Another upstream may take the request at once if this one is at its limit.
+		if !isAtLimit {
+			time.Sleep(pickInterval)
+		}
+	}
+}
+
+// heldBackRefusal returns the refusal of a request for which no upstream was found in time.
+// choice is the balancer's last choice.
+func (j *job) heldBackRefusal(choice *balancer.Choice) *refusal {
+	if refused := j.trialRefusal(); refused != nil && choice.Upstream != nil {
+		return refused
+	}
+	if len(j.attempts) == 0 && choice.Excluded.AtLimit > 0 {
+		return limitRefusal(choice.Excluded.LimitedUntil)
 	}
+	return j.unservedRefusal()
 }
 
 // checkOverload returns a refusal if the expected wait, including the costs and bonuses
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -4,7 +4,9 @@
 	"sync"
 
 	"github.com/greengagegate/greengagegate/internal/balancer"
+	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/catalog"
+	"github.com/greengagegate/greengagegate/internal/ratelimit"
 	"github.com/rs/zerolog"
 )
 
@@ -12,6 +14,7 @@
 // and to the gateway's own calls. It is safe for concurrent use.
 type Notices struct {
 	Balancer *balancer.Balancer
+	Limits   *ratelimit.Tracker
 	Log      zerolog.Logger
 
 	mu sync.Mutex
@@ -23,9 +26,9 @@
 // maxLoggedErrors bounds Notices.loggedErrors. Beyond it, all are forgotten.
 const maxLoggedErrors = 1024
 
-// Apply applies a notice of an upstream. err describes values that could not be read; it
-// is logged.
-func (n *Notices) Apply(upstream *catalog.Upstream, notice catalog.Notice, err error) {
+// Apply applies a notice of an upstream in the response to a request that was sent at sentAt.
+// err describes values that could not be read; it is logged.
+func (n *Notices) Apply(upstream *catalog.Upstream, notice catalog.Notice, err error, sentAt bootclock.Instant) {
 	if err != nil {
 		n.logError(upstream.ID, err)
 	}
@@ -36,6 +39,19 @@
 	if pauses {
 		n.Log.Info().Str("upstream", upstream.ID).Dur("retry_after_ms", notice.RetryAfter).Msg("gateway: upstream wants no requests for a time; it gets none until then")
 	}
+	if !notice.Limit.Unreadable {
+		n.applyLimit(upstream, notice.Limit, sentAt)
+	}
+}
+
+// applyLimit records the limit that a response states, or that it states none.
+func (n *Notices) applyLimit(upstream *catalog.Upstream, limit catalog.RateLimit, sentAt bootclock.Instant) {
+	statement := ratelimit.Statement{
+		Incarnation: ratelimit.Incarnation{Upstream: upstream.ID, StartedMillis: upstream.StartedMillis},
+		Limited:     limit.Stated,
+		PerSecond:   limit.PerSecond,
+	}
+	n.Limits.Record(statement, sentAt)
 }
 
 // logError logs values that could not be read, unless they are those of the last time.
@@ -55,12 +71,13 @@
 // applyNotice applies the notice in the header of a response. A misdirected request may
 // have been answered by another upstream than the addressed one; the notice is about the
 // upstream that answered.
-func (j *job) applyNotice(addressed *catalog.Upstream, responseStatus *ResponseStatus) {
+func (j *job) applyNotice(s *send, responseStatus *ResponseStatus) {
+	addressed := s.choice.Upstream
 	answered := addressed
 	if id := responseStatus.InstanceID; id != "" && id != addressed.ID {
 		if answered = j.gateway.Catalog.Upstreams().ByID[id]; answered == nil {
 			answered = &catalog.Upstream{ID: id}
 		}
 	}
-	j.gateway.Notices.Apply(answered, responseStatus.Notice, responseStatus.NoticeError)
+	j.gateway.Notices.Apply(answered, responseStatus.Notice, responseStatus.NoticeError, s.startedAt)
 }
--- a/internal/gateway/refusal_test.go
+++ b/internal/gateway/refusal_test.go
@@ -25,6 +25,7 @@
 		{http.StatusServiceUnavailable, "upstreams-busy", transientRetryAfter},
 		{http.StatusServiceUnavailable, "quarantined", transientRetryAfter},
 		{http.StatusServiceUnavailable, "on-trial", transientRetryAfter},
+		limitRefusal(0),
 	}
 	seen := make(map[string]bool)
 	for _, refused := range refusals {
--- a/internal/permit/pacer.go
+++ b/internal/permit/pacer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -84,9 +85,12 @@
 // announce returns the time after which a gateway that was refused asks again. Each one gets
 // another time, so that they don't all come back for one use.
 func (s *schedule) announce(interval time.Duration, now bootclock.Instant) time.Duration {
-	at := min(max(s.announced, s.next), now.Add(maxRetryAfter))
-	s.announced = at.Add(interval)
-	return at.Sub(now)
+	at := max(s.announced, s.next)
+	if retryAfter := at.Sub(now); retryAfter <= maxRetryAfter {
+		s.announced = at.Add(interval)
+		return retryAfter
+	}
+	return maxRetryAfter/2 + time.Duration(rand.Int64N(int64(maxRetryAfter/2)))
 }
 
 // trim makes room for one more resource. p.mu must be held.
