--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -128,25 +128,25 @@
 			return balancer.Choice{}, refusedNoConfig
 		}
 		choice, ok := j.gateway.Balancer.Pick(upstreams.ByPool[j.pool.Name], &j.pickRequest)
-		isAtLimit := false
 		if ok {
 			j.choice = choice
 			if refused := j.checkOverload(choice.ExpectedWaitMS); refused != nil {
 				return choice, refused
 			}
-			isAtLimit = !j.mayUse(ctx, &choice)
-			if !isAtLimit && j.mayTry(ctx) {
+			isFree := j.mayUse(ctx, &choice)
+			if isFree && j.mayTry(ctx) {
 				return choice, nil
 			}
+			if !isFree && choice.Usable > 1 {
+				// Another upstream may take the request at once.
+				continue
+			}
 		}
-		if !bootclock.Now().Before(waitUntil) || choice.Excluded.OnlyAtLimitUntil(waitUntil) {
+		if !bootclock.Now().Before(waitUntil) || !ok && choice.Excluded.OnlyAtLimitUntil(waitUntil) {
 			j.outcome.excluded = choice.Excluded.String()
 			return balancer.Choice{}, j.heldBackRefusal(&choice)
 		}
-		// Another upstream may take the request at once if this one is at its limit.
-		if !isAtLimit {
-			time.Sleep(pickInterval)
-		}
+		time.Sleep(pickInterval)
 	}
 }
 
