gateway: be ready only once the other gateways are known

A gateway that had read the configuration, the upstreams and the target versions counted as ready before it had read the list of gateways. Until then it took itself for the only one and used all of what they share: slack for retries, connections of upstreams, customers' tokens, permits.

--- a/internal/app/gatewaycallers.go
+++ b/internal/app/gatewaycallers.go
@@ -13,6 +13,7 @@
 	"github.com/greengagegate/greengagegate/internal/framing"
 	"github.com/greengagegate/greengagegate/internal/gateway"
 	"github.com/greengagegate/greengagegate/internal/pause"
+	"github.com/greengagegate/greengagegate/internal/roster"
 	"github.com/greengagegate/greengagegate/internal/weights"
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
@@ -31,7 +32,7 @@
 // serveGatewayCallers starts the callers' listener after all other parts and stops it
 // first. A stop reports the gateway as not ready, waits for the drain delay and for
 // requests in flight, then gives up the orders lease.
-func serveGatewayCallers(lifecycle fx.Lifecycle, s *GatewaySettings, g *gateway.Gateway, weightsManager *weights.Manager, platformCatalog *catalog.Catalog, ready *admin.Readiness, log zerolog.Logger) {
+func serveGatewayCallers(lifecycle fx.Lifecycle, s *GatewaySettings, g *gateway.Gateway, weightsManager *weights.Manager, platformCatalog *catalog.Catalog, r *roster.Roster, ready *admin.Readiness, log zerolog.Logger) {
 	idleConnections := newIdleTracker()
 	server := &http.Server{
 		Handler:           g,
@@ -51,7 +52,7 @@
 				log.Error().Err(err).Msg("app: callers' listener failed; it accepts no new connections until a restart")
 			}
 		}()
-		go setGatewayReady(ctx, platformCatalog, ready, log)
+		go setGatewayReady(ctx, platformCatalog, r, ready, log)
 		return nil
 	}
 	stop := func(ctx context.Context) error {
@@ -72,9 +73,10 @@
 	appendHook(lifecycle, start, stop)
 }
 
-// setGatewayReady sets ready once the configuration, the upstreams and the target
-// versions are known. It gives up when ctx ends.
-func setGatewayReady(ctx context.Context, platformCatalog *catalog.Catalog, ready *admin.Readiness, log zerolog.Logger) {
+// setGatewayReady sets ready once the configuration, the upstreams, the target versions and
+// the other gateways are known: a gateway that knows of no others would take all that they
+// share. It gives up when ctx ends.
+func setGatewayReady(ctx context.Context, platformCatalog *catalog.Catalog, r *roster.Roster, ready *admin.Readiness, log zerolog.Logger) {
 	for changed := platformCatalog.Changed(); !platformCatalog.IsComplete(); changed = platformCatalog.Changed() {
 		select {
 		case <-changed:
@@ -82,6 +84,11 @@
 			return
 		}
 	}
+	select {
+	case <-r.Read():
+	case <-ctx.Done():
+		return
+	}
 	ready.Set(true)
 	log.Info().Int64("config", platformCatalog.Config().Version).Msg("app: gateway is ready")
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -78,6 +78,9 @@
 	beganEra bool
 	// checkNow wakes Maintain.
 	checkNow chan struct{}
+	// read is closed by the first Replace.
+	read     chan struct{}
+	readOnce sync.Once
 }
 
 // New returns an empty roster.
@@ -85,7 +88,7 @@
 	if options.Now == nil {
 		options.Now = bootclock.Now
 	}
-	return &Roster{options: options, entries: make(map[string]knownEntry), lastContact: make(map[string]bootclock.Instant), checkNow: make(chan struct{}, 1)}
+	return &Roster{options: options, entries: make(map[string]knownEntry), lastContact: make(map[string]bootclock.Instant), checkNow: make(chan struct{}, 1), read: make(chan struct{})}
 }
 
 // Join writes this gateway's entry. It retries until it succeeds or ctx ends.
@@ -221,8 +224,12 @@
 	}
 	r.mu.Unlock()
 	r.Apply(objects)
+	r.readOnce.Do(func() { close(r.read) })
 }
 
+// Read returns a channel that is closed once the list of gateways has been read and passed on.
+func (r *Roster) Read() <-chan struct{} { return r.read }
+
 // keepLostEntries keeps the previous entries of other gateways that a restored store lacks,
 // and wakes Maintain if this gateway's own entry is among those that it lacks. It must be
 // called with r.mu held.
