--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -109,17 +109,7 @@
 	defer j.gateway.waiting.Add(-1)
 	waitUntil := bootclock.Now().Add(time.Duration(pickWaitFraction * float64(j.route.LatencyObjective)))
 	for {
-		if j.callerLeft() {
-			j.outcome.err = errCallerLeft
-			return balancer.Choice{}, refusedCallerLeft
-		}
-		if ctx.Err() != nil {
-			return balancer.Choice{}, j.unservedRefusal()
-		}
-		if j.timeLeft() < minTimeLeft {
-			return balancer.Choice{}, j.timeoutRefusal()
-		}
-		if refused := j.checkConviction(); refused != nil {
+		if refused := j.checkUnservable(ctx); refused != nil {
 			return balancer.Choice{}, refused
 		}
 		j.updateTargetVersion()
@@ -150,6 +140,22 @@
 	}
 }
 
+// checkUnservable returns a refusal if no upstream may get the request any more, whichever is
+// free.
+func (j *job) checkUnservable(ctx context.Context) *refusal {
+	switch {
+	case j.callerLeft():
+		j.outcome.err = errCallerLeft
+		return refusedCallerLeft
+	case ctx.Err() != nil:
+		return j.unservedRefusal()
+	case j.timeLeft() < minTimeLeft:
+		return j.timeoutRefusal()
+	default:
+		return j.checkConviction()
+	}
+}
+
 // heldBackRefusal returns the refusal of a request for which no upstream was found in time.
 // choice is the balancer's last choice.
 func (j *job) heldBackRefusal(choice *balancer.Choice) *refusal {
--- a/internal/permit/pacer.go
+++ b/internal/permit/pacer.go
@@ -1,13 +1,12 @@
 package permit
 
 import (
-	"cmp"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/bootclock"
+	"github.com/greengagegate/greengagegate/internal/eviction"
 )
 
 const (
@@ -69,9 +68,11 @@
 	interval := time.Duration(float64(request.Interval) / ratio)
 	s := p.resources[request.Resource]
 	if s == nil {
-		p.trim()
 		s = &schedule{next: now}
 		p.resources[request.Resource] = s
+		for _, name := range eviction.Oldest(p.resources, maxResources, func(s *schedule) bootclock.Instant { return s.next }) {
+			delete(p.resources, name)
+		}
 	}
 	slack := time.Duration((max(request.Burst, 1) - 1) * float64(interval))
 	s.next = max(s.next, now.Add(-slack))
@@ -92,18 +93,3 @@
 	}
 	return maxRetryAfter/2 + time.Duration(rand.Int64N(int64(maxRetryAfter/2)))
 }
-
-// trim makes room for one more resource. p.mu must be held.
-func (p *pacer) trim() {
-	if len(p.resources) < maxResources {
-		return
-	}
-	names := make([]string, 0, len(p.resources))
-	for name := range p.resources {
-		names = append(names, name)
-	}
-	slices.SortFunc(names, func(a, b string) int { return cmp.Compare(p.resources[a].next, p.resources[b].next) })
-	for _, name := range names[:len(names)/16] {
-		delete(p.resources, name)
-	}
-}
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -7,13 +7,12 @@
 package ratelimit
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/bootclock"
+	"github.com/greengagegate/greengagegate/internal/eviction"
 	"github.com/rs/zerolog"
 )
 
@@ -191,24 +190,11 @@
 			Bool("own", own).Dur("age_ms", t.now().Sub(receivedAt)).Msg("ratelimit: an upstream stated another limit; all gateways together keep to it")
 	}
 	t.upstreams[s.Upstream] = &entry{Statement: s, receivedAt: receivedAt, own: own}
-	t.trim()
-	t.known.Store(int64(len(t.upstreams)))
-	return changed
-}
-
-// trim enforces maxUpstreams. t.mu must be held.
-func (t *Tracker) trim() {
-	if len(t.upstreams) <= maxUpstreams {
-		return
-	}
-	ids := make([]string, 0, len(t.upstreams))
-	for id := range t.upstreams {
-		ids = append(ids, id)
-	}
-	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(t.upstreams[a].receivedAt, t.upstreams[b].receivedAt) })
-	for _, id := range ids[:len(ids)/16] {
+	for _, id := range eviction.Oldest(t.upstreams, maxUpstreams, func(e *entry) bootclock.Instant { return e.receivedAt }) {
 		delete(t.upstreams, id)
 	}
+	t.known.Store(int64(len(t.upstreams)))
+	return changed
 }
 
 // isOf reports whether the statement is that of an incarnation. An unknown start time fits
