Let only responses to callers' requests end the limit of an upstream

A limit is about callers' requests. Whether reports of engines state it is not settled; if they did not, each report would have ended the limit until the next response.

--- a/internal/catalog/notice.go
+++ b/internal/catalog/notice.go
@@ -21,7 +21,7 @@
 	// Stated is true if the response states a limit of PerSecond, which is not negative.
 	Stated    bool
 	PerSecond float64
-	// Unreadable is true if the response states something that cannot be read. The last
-	// limit holds on.
-	Unreadable bool
+	// Unknown is true if the response does not tell whether there is a limit. The last one
+	// holds on.
+	Unknown bool
 }
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -39,7 +39,7 @@
 	if pauses {
 		n.Log.Info().Str("upstream", upstream.ID).Dur("retry_after_ms", notice.RetryAfter).Msg("gateway: upstream wants no requests for a time; it gets none until then")
 	}
-	if !notice.Limit.Unreadable {
+	if !notice.Limit.Unknown {
 		n.applyLimit(upstream, notice.Limit, sentAt)
 	}
 }
