testhost: give no listener a port on which another process is about to listen

The port was promised to it before it started, and the kernel then chose it for a listener of the test's own process, a link or a stand-in. All ports are now reserved in one place. TestListenersGetNoPortThatFreeReturned failed before.

--- a/internal/testhost/testhost.go
+++ b/internal/testhost/testhost.go
@@ -33,36 +33,51 @@
 	return net.IPv4(127, byte(network), byte(id/hostsPerNetwork/networkCount), byte(1+id%hostsPerNetwork)).String()
 }
 
-// AnyPort returns the address of this process with port 0, so that the kernel
-// chooses the port when listening.
+// AnyPort returns the address of this process with a free TCP port for the caller to listen
+// on. No port is returned twice by AnyPort and Free: the kernel could otherwise choose a port
+// for one listener that another process of the test is about to listen on.
 func AnyPort() string {
-	return net.JoinHostPort(Address(), strconv.Itoa(0))
+	address, err := reserve()
+	if err != nil {
+		// Listening fails with the same error.
+		return net.JoinHostPort(Address(), strconv.Itoa(0))
+	}
+	return address
 }
 
-// returnedAddresses is the set of addresses that Free has returned.
-var returnedAddresses sync.Map
-
-// Free returns the address of this process with a free TCP port. It returns each port
-// only once, because the kernel could choose a port again before the test listens on
-// it.
+// Free returns the same as AnyPort and ends the test if no port is free.
 func Free(t testing.TB) string {
 	t.Helper()
+	address, err := reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return address
+}
+
+// reservedAddresses is the set of addresses that were returned.
+var reservedAddresses sync.Map
+
+// reserve returns an unused address that was not returned before.
+func reserve() (string, error) {
 	for {
-		address := unusedAddress(t)
-		if _, alreadyReturned := returnedAddresses.LoadOrStore(address, true); !alreadyReturned {
-			return address
+		address, err := unusedAddress()
+		if err != nil {
+			return "", err
+		}
+		if _, isReserved := reservedAddresses.LoadOrStore(address, true); !isReserved {
+			return address, nil
 		}
 	}
 }
 
 // unusedAddress listens on a port that the kernel chooses, closes the listener and
 // returns its address.
-func unusedAddress(t testing.TB) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", AnyPort())
+func unusedAddress() (string, error) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(Address(), strconv.Itoa(0)))
 	if err != nil {
-		t.Fatal(err)
+		return "", err
 	}
 	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return listener.Addr().String(), nil
 }
--- a/internal/testhost/testhost_test.go
+++ b/internal/testhost/testhost_test.go
@@ -1,6 +1,9 @@
 package testhost
 
-import "testing"
+import (
+	"net"
+	"testing"
+)
 
 // TestFreeReturnsEachAddressOnce guards against an address that Free returns twice
 // because the kernel chooses the same port again.
@@ -15,3 +18,22 @@
 		seen[address] = true
 	}
 }
+
+// A listener must not get a port on which another process is about to listen.
+func TestListenersGetNoPortThatFreeReturned(t *testing.T) {
+	const addresses = 1000
+	promised := make(map[string]bool)
+	for range addresses {
+		promised[Free(t)] = true
+	}
+	for range addresses {
+		listener, err := net.Listen("tcp", AnyPort())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		if address := listener.Addr().String(); promised[address] {
+			t.Fatalf("a listener got %s, which Free had returned", address)
+		}
+	}
+}
