--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -189,6 +189,9 @@
 	// StartedMillis is the start time of this incarnation, in Unix milliseconds by the
 	// upstream's clock. It only distinguishes incarnations.
 	StartedMillis int64
+	// Software is the version of the upstream's own software, as it states it; not that of
+	// the weights. What upstreams of different versions write does not fit together.
+	Software string
 	// ModelVersions maps each model to the weights version that the upstream last
 	// reported.
 	ModelVersions map[string]int64
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -31,6 +31,9 @@
 	Parts          []balancer.Part
 	// LastEventID is the ID of the event after which a stream resumes; empty for none.
 	LastEventID string
+	// ResumedID is the ID of the caller's attempt that brought the first event of the stream
+	// which this request takes up; empty if it takes up none.
+	ResumedID string
 }
 
 // ForwardMetadata is the metadata that the gateway sends to an upstream with a request.
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/greengagegate/greengagegate/internal/balancer"
 	"github.com/greengagegate/greengagegate/internal/bootclock"
+	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/poison"
 	"github.com/rs/zerolog"
@@ -131,6 +132,12 @@
 	if j.outcome.timeToFirstEvent > 0 {
 		line = line.Dur("first_ms", j.outcome.timeToFirstEvent)
 	}
+	if j.choice.Upstream != nil && j.route.Kind == catalog.Stream {
+		line = line.Str("software", j.choice.Upstream.Software)
+	}
+	if j.call != nil && j.call.ResumedID != "" {
+		line = line.Str("resumes", j.call.ResumedID)
+	}
 	if j.outcome.lastEventID != "" {
 		line = line.Str("last_event", j.outcome.lastEventID)
 	}
