--- a/internal/balancer/eligibility.go
+++ b/internal/balancer/eligibility.go
@@ -14,6 +14,8 @@
 func (e *Excluded) checkUsable(upstream *catalog.Upstream, c candidate, outdated bool, request *Request, now bootclock.Instant) bool {
 	s := c.state
 	switch {
+	case request.SoftwarePinned && upstream.Software != request.Software:
+		e.OtherSoftware++
 	case upstream.Draining, s.isLeaving():
 		e.Draining++
 	case s.replaced:
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -43,6 +43,10 @@
 	MaxConnections int
 	// TriedUpstreams are the ids of upstreams that must not be picked again.
 	TriedUpstreams []string
+	// SoftwarePinned is true if only upstreams of the version Software of their software may
+	// get the request, because it continues a stream that such an upstream began.
+	SoftwarePinned bool
+	Software       string
 }
 
 // minVersion returns the oldest weights version with which the request may run if it begins
@@ -104,8 +108,9 @@
 	// want no requests for a time. OnHold ones are being updated to new weights. OldWeights
 	// ones have weights older than the minimum version. Tried ones were already tried for
 	// this request. AtConnectionLimit ones have all connections that this gateway may use.
-	// AtLimit ones take no more requests now, by the limit that they state.
-	Draining, Replaced, Unreachable, BackingOff, OnHold, OldWeights, Tried, AtConnectionLimit, AtLimit int
+	// AtLimit ones take no more requests now, by the limit that they state. OtherSoftware ones
+	// have not the version that Request.Software requires.
+	Draining, Replaced, Unreachable, BackingOff, OnHold, OldWeights, Tried, AtConnectionLimit, AtLimit, OtherSoftware int
 	// LimitedUntil is when the first of the upstreams at their limits may be used, if there
 	// are any.
 	LimitedUntil bootclock.Instant
@@ -114,6 +119,6 @@
 // String returns the counts for logs. Its keys are part of the log format and differ from
 // the field names.
 func (e Excluded) String() string {
-	return fmt.Sprintf("draining=%d ended=%d down=%d resting=%d held=%d old=%d tried=%d full=%d limited=%d",
-		e.Draining, e.Replaced, e.Unreachable, e.BackingOff, e.OnHold, e.OldWeights, e.Tried, e.AtConnectionLimit, e.AtLimit)
+	return fmt.Sprintf("draining=%d ended=%d down=%d resting=%d held=%d old=%d tried=%d full=%d limited=%d software=%d",
+		e.Draining, e.Replaced, e.Unreachable, e.BackingOff, e.OnHold, e.OldWeights, e.Tried, e.AtConnectionLimit, e.AtLimit, e.OtherSoftware)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -177,6 +177,9 @@
 	if version := j.gateway.Codec.EventVersion(event.Raw); version > 0 {
 		j.gateway.Balancer.RecordVersion(s.choice.Upstream.ID, j.call.Model, version)
 	}
+	if !forwarding.headerSent {
+		j.pinSoftware(s.choice.Upstream.Software)
+	}
 	j.sendHeader(s.response, forwarding)
 	forwarding.limitWrite()
 	if _, err := j.w.Write(event.Raw); err != nil {
@@ -194,6 +197,12 @@
 	return nil
 }
 
+// pinSoftware keeps further sends of the request to upstreams of one software version, because
+// the caller gets events that such an upstream wrote.
+func (j *job) pinSoftware(version string) {
+	j.pickRequest.SoftwarePinned, j.pickRequest.Software = true, version
+}
+
 func (j *job) sendHeader(response *exchange.Response, forwarding *streamForwarding) {
 	if forwarding.headerSent {
 		return
