--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/greengagegate/greengagegate/internal/gateway"
 	"github.com/greengagegate/greengagegate/internal/mirror"
 	"github.com/greengagegate/greengagegate/internal/node"
+	"github.com/greengagegate/greengagegate/internal/origin"
 	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/internal/peering"
 	"github.com/greengagegate/greengagegate/internal/permit"
@@ -120,7 +121,7 @@
 				return &gateway.Notices{Balancer: b, Limits: limits, Log: log}
 			},
 			func(log zerolog.Logger) *poison.Tracker { return poison.New(poison.Options{Log: log}) },
-			newSharedBudget, newGatewayNode, newGateway, newWeightsManager, newPeering, newRelay, newRoster, newShareLink, newPermits,
+			newSharedBudget, newGatewayNode, newGateway, newWeightsManager, newPeering, newRelay, newRoster, newShareLink, newPermits, newOrigins,
 		),
 		fx.Invoke(
 			serveGatewayAdmin, serveReadiness, startPeering, runRelay, followCatalog, followPlatform, followRoster,
@@ -149,6 +150,7 @@
 	sharedBudget *retry.SharedBudget,
 	poisonTracker *poison.Tracker,
 	permits *permit.Manager,
+	origins *origin.Manager,
 	peerManager *peering.Manager,
 	log zerolog.Logger,
 ) *gateway.Gateway {
@@ -163,6 +165,7 @@
 		SharedBudget: sharedBudget,
 		Poison:       poisonTracker,
 		Permits:      permits,
+		Origins:      origins,
 		Announce:     peerManager.SendNow,
 		Bounds: gateway.Bounds{
 			MaxKeyEvidenceAge: time.Duration(stalenessFraction * float64(s.Bounds.Revoke)),
@@ -217,15 +220,16 @@
 	appendHook(lifecycle, n.Start, stop)
 }
 
-// followCatalog passes changes of the list of upstreams to the balancer and the
-// connection pool.
-func followCatalog(lifecycle fx.Lifecycle, platformCatalog *catalog.Catalog, upstreamBalancer *balancer.Balancer, pool *exchange.Pool, log zerolog.Logger) {
+// followCatalog passes changes of the list of upstreams to the balancer, the origins of
+// streams and the connection pool.
+func followCatalog(lifecycle fx.Lifecycle, platformCatalog *catalog.Catalog, upstreamBalancer *balancer.Balancer, origins *origin.Manager, pool *exchange.Pool, log zerolog.Logger) {
 	appendBackground(lifecycle, log, "catalog", func(ctx context.Context) {
 		var previous *catalog.Upstreams
 		for {
 			changed := platformCatalog.Changed()
 			if upstreams := platformCatalog.Upstreams(); upstreams != nil && upstreams != previous {
 				upstreamBalancer.SyncUpstreams(upstreams)
+				origins.Observe(upstreams)
 				closeUnlistedConnections(pool, previous, upstreams)
 				previous = upstreams
 			}
--- a/internal/app/gatewaypeers.go
+++ b/internal/app/gatewaypeers.go
@@ -1,9 +1,12 @@
 package app
 
 import (
+	"context"
+
 	"github.com/greengagegate/greengagegate/internal/balancer"
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/node"
+	"github.com/greengagegate/greengagegate/internal/origin"
 	"github.com/greengagegate/greengagegate/internal/peering"
 	"github.com/greengagegate/greengagegate/internal/permit"
 	"github.com/greengagegate/greengagegate/internal/poison"
@@ -15,6 +18,7 @@
 	"github.com/greengagegate/greengagegate/internal/sharelink"
 	"github.com/greengagegate/greengagegate/internal/weights"
 	"github.com/rs/zerolog"
+	"go.uber.org/fx"
 )
 
 // This file constructs what a gateway has in common with the other gateways.
@@ -91,3 +95,15 @@
 	manager.Register(n.Server)
 	return manager
 }
+
+func newOrigins(lifecycle fx.Lifecycle, s *GatewaySettings, n *node.Node, platformCatalog *catalog.Catalog, peerManager *peering.Manager, r *roster.Roster, log zerolog.Logger) *origin.Manager {
+	manager := origin.New(origin.Options{
+		Name: s.Identity.Name, Pool: n.Pool, Catalog: platformCatalog, Silences: r.TimeSinceContact, Address: peerManager.Address, Log: log,
+	})
+	manager.Register(n.Server)
+	appendHook(lifecycle, func(context.Context) error { return nil }, func(context.Context) error {
+		manager.Close()
+		return nil
+	})
+	return manager
+}
--- a/internal/balancer/eligibility.go
+++ b/internal/balancer/eligibility.go
@@ -46,10 +46,17 @@
 	e.AtLimit++
 }
 
-// OnlyAtLimitUntil reports whether waiting until the given time is in vain: upstreams are at
-// their limits for longer, and none is excluded by something else that may end soon.
-func (e *Excluded) OnlyAtLimitUntil(until bootclock.Instant) bool {
-	return e.AtLimit > 0 && until.Before(e.LimitedUntil) && e.BackingOff+e.OnHold+e.AtConnectionLimit == 0
+// IsWaitInVain reports whether no upstream can take the request until the given time: those
+// that could are at their limits for longer, or have another software version, and none is
+// excluded by something else that may end soon.
+func (e *Excluded) IsWaitInVain(until bootclock.Instant) bool {
+	if e.BackingOff+e.OnHold+e.AtConnectionLimit > 0 {
+		return false
+	}
+	if e.AtLimit > 0 {
+		return until.Before(e.LimitedUntil)
+	}
+	return e.OtherSoftware > 0 && e.Unreachable+e.OldWeights == 0
 }
 
 // hasOutdatedWeights reports whether the request must not run with the weights of an
--- a/internal/balancer/eligibility_test.go
+++ b/internal/balancer/eligibility_test.go
@@ -131,12 +131,12 @@
 	if ok || choice.Excluded.LimitedUntil != free {
 		t.Errorf("picked an upstream (%v), the first is free at %v, want none and %v", ok, choice.Excluded.LimitedUntil, free)
 	}
-	if !choice.Excluded.OnlyAtLimitUntil(f.now) || choice.Excluded.OnlyAtLimitUntil(free) {
+	if !choice.Excluded.IsWaitInVain(f.now) || choice.Excluded.IsWaitInVain(free) {
 		t.Error("a wait must be in vain before the first limit ends and not after it")
 	}
 	f.balancer.HoldUntil(f.upstreams[1].ID, free)
 	f.balancer.LimitUntil(f.upstreams[1].ID, 0)
-	if choice, _ := f.balancer.Pick(f.upstreams, request); choice.Excluded.OnlyAtLimitUntil(f.now) {
+	if choice, _ := f.balancer.Pick(f.upstreams, request); choice.Excluded.IsWaitInVain(f.now) {
 		t.Error("a wait must not be in vain while an upstream is held, which may end sooner")
 	}
 	f.now = free
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -67,6 +67,27 @@
 	Resumable bool
 }
 
+// defaultTimeout bounds requests whose route has no timeout.
+const defaultTimeout = 30 * time.Second
+
+// LongestWait returns the longest time that a request of the route may take.
+func (r *Route) LongestWait() time.Duration {
+	if r.Timeout > 0 {
+		return r.Timeout
+	}
+	return defaultTimeout
+}
+
+// HasPool reports whether the route sends requests to a pool.
+func (r *Route) HasPool(name string) bool {
+	for _, weightedPool := range r.Pools {
+		if weightedPool.Pool == name {
+			return true
+		}
+	}
+	return false
+}
+
 // Engine describes the model engines of a pool.
 type Engine struct {
 	// MaxBatchSize is the number of requests that an engine runs at once.
@@ -145,6 +166,9 @@
 	Keys map[KeyHash]*Customer
 	// KeysRequired reports whether routes need a key unless they are open.
 	KeysRequired bool
+	// LongestStream is the longest timeout of a route whose streams may be resumed; 0 if there
+	// is none. It is set by SetRoutes.
+	LongestStream time.Duration
 	// routesByHost holds the routes by host name in lower case.
 	routesByHost map[string][]*Route
 }
@@ -155,6 +179,9 @@
 	for _, route := range routes {
 		host := strings.ToLower(route.Host)
 		c.routesByHost[host] = append(c.routesByHost[host], route)
+		if route.Kind == Stream && route.Resumable {
+			c.LongestStream = max(c.LongestStream, route.LongestWait())
+		}
 	}
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -132,7 +132,7 @@
 				continue
 			}
 		}
-		if !bootclock.Now().Before(waitUntil) || !ok && choice.Excluded.OnlyAtLimitUntil(waitUntil) {
+		if !bootclock.Now().Before(waitUntil) || !ok && choice.Excluded.IsWaitInVain(waitUntil) {
 			j.outcome.excluded = choice.Excluded.String()
 			return balancer.Choice{}, j.heldBackRefusal(&choice)
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,8 +21,6 @@
 )
 
 const (
-	// defaultTimeout bounds requests whose route has no timeout.
-	defaultTimeout = 30 * time.Second
 	// maxResponseBytes bounds a response that is buffered in memory.
 	maxResponseBytes = 8 << 20
 	// transientRetryAfter is the retry time for requests that were refused because
@@ -67,6 +65,7 @@
 	SharedBudget *retry.SharedBudget
 	Poison       *poison.Tracker
 	Permits      Permits
+	Origins      Origins
 	// Announce makes the gateway tell the others what it knows without waiting for the next
 	// regular exchange. It must not block.
 	Announce func()
@@ -236,6 +235,9 @@
 		return refusedNoUpstream
 	}
 	j.deadline = j.arrivedAt.Add(j.timeout())
+	if refused := j.pinOrigin(); refused != nil {
+		return refused
+	}
 	if refused := j.checkConviction(); refused != nil {
 		return refused
 	}
@@ -267,15 +269,15 @@
 	return nil
 }
 
-// pickPool splits a route's requests among its pools by weight. A hash of the request's
-// ID selects one of 10,000 steps of the total weight, so that a repeated request with
-// the same ID gets the same pool.
+// pickPool splits a route's requests among its pools by weight. A hash of the stream's or
+// request's ID selects one of 10,000 steps of the total weight, so that a repeated request
+// with the same ID, or a stream that is taken up, gets the same pool.
 func (j *job) pickPool() string {
 	total := 0.0
 	for _, weightedPool := range j.route.Pools {
 		total += weightedPool.Weight
 	}
-	position := float64(xxhash.Sum64String(j.call.ID)%10_000) / 10_000 * total
+	position := float64(xxhash.Sum64String(j.streamID())%10_000) / 10_000 * total
 	for _, weightedPool := range j.route.Pools {
 		if position < weightedPool.Weight {
 			return weightedPool.Pool
@@ -290,10 +292,7 @@
 
 // timeout returns the time that the request may take, counted from its arrival.
 func (j *job) timeout() time.Duration {
-	timeout := j.route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
+	timeout := j.route.LongestWait()
 	if j.call.Timeout > 0 {
 		timeout = min(timeout, j.call.Timeout)
 	}
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -12,6 +12,7 @@
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/metrics"
+	"github.com/greengagegate/greengagegate/internal/origin"
 	"github.com/greengagegate/greengagegate/internal/poison"
 	"github.com/rs/zerolog"
 )
@@ -41,7 +42,9 @@
 	convictedKey poison.Key
 	// suspectKey is the content because of which a send was a trial, or was held back.
 	suspectKey poison.Key
-	err        error
+	// origin is where the stream began that the caller takes up.
+	origin origin.Origin
+	err    error
 }
 
 // requestLog writes a line for each request that was not served or took more than one
@@ -138,6 +141,9 @@
 	if j.call != nil && j.call.ResumedID != "" {
 		line = line.Str("resumes", j.call.ResumedID)
 	}
+	if j.outcome.origin.Finding != "" {
+		line = line.Str("origin", string(j.outcome.origin.Finding)).Str("began_at", j.outcome.origin.Software)
+	}
 	if j.outcome.lastEventID != "" {
 		line = line.Str("last_event", j.outcome.lastEventID)
 	}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -16,6 +16,9 @@
 // is the hedge for which the stream is resumed, or nil if its upstream has failed. resume
 // must be called after recordAttempt.
 func (j *job) resume(ctx context.Context, lastEventID string, watch *stallWatch) *send {
+	if j.gateway.Origins.IsDoubtful(j.streamKey()) {
+		return nil
+	}
 	refused := j.prepareRetry(true)
 	for refused == nil && ctx.Err() == nil {
 		var choice balancer.Choice
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -178,7 +178,7 @@
 		j.gateway.Balancer.RecordVersion(s.choice.Upstream.ID, j.call.Model, version)
 	}
 	if !forwarding.headerSent {
-		j.pinSoftware(s.choice.Upstream.Software)
+		j.recordOrigin(s)
 	}
 	j.sendHeader(s.response, forwarding)
 	forwarding.limitWrite()
@@ -197,12 +197,6 @@
 	return nil
 }
 
-// pinSoftware keeps further sends of the request to upstreams of one software version, because
-// the caller gets events that such an upstream wrote.
-func (j *job) pinSoftware(version string) {
-	j.pickRequest.SoftwarePinned, j.pickRequest.Software = true, version
-}
-
 func (j *job) sendHeader(response *exchange.Response, forwarding *streamForwarding) {
 	if forwarding.headerSent {
 		return
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -13,6 +13,7 @@
 	"github.com/greengagegate/greengagegate/internal/balancer"
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/exchange"
+	"github.com/greengagegate/greengagegate/internal/origin"
 	"github.com/greengagegate/greengagegate/internal/permit"
 	"github.com/greengagegate/greengagegate/internal/poison"
 	"github.com/greengagegate/greengagegate/internal/ratelimit"
@@ -73,7 +74,7 @@
 		Notices: &Notices{Balancer: testBalancer, Limits: ratelimit.New(ratelimit.Options{}), Log: zerolog.Nop()},
 		Shares:  share.New("own", 0, nil), SharedBudget: retry.NewSharedBudget(1, 100),
 		Poison:  poison.New(poison.Options{Log: zerolog.Nop()}),
-		Permits: allPermits{}, Announce: func() {},
+		Permits: allPermits{}, Origins: unknownOrigins{}, Announce: func() {},
 		Bounds: Bounds{MaxBufferedBytes: 1 << 20}, Log: zerolog.Nop(),
 	})
 }
@@ -85,6 +86,16 @@
 	return permit.Decision{Granted: true}, nil
 }
 
+// unknownOrigins knows of no stream where it began.
+type unknownOrigins struct{}
+
+func (unknownOrigins) Began(origin.Key, *catalog.Upstream) {}
+func (unknownOrigins) IsDoubtful(origin.Key) bool          { return false }
+
+func (unknownOrigins) Resolve(context.Context, origin.Key, string) origin.Origin {
+	return origin.Origin{Finding: origin.FindingUnknown}
+}
+
 // stalledCaller accepts the header and as many writes as writesLeft. Further writes fail
 // with a timeout while the request's context remains valid, as with a caller that is connected
 // but does not read.
--- /dev/null
+++ b/internal/origin/ask.go
@@ -0,0 +1,139 @@
+package origin
+
+import (
+	"context"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/contain"
+	"github.com/greengagegate/greengagegate/internal/fault"
+	"github.com/greengagegate/greengagegate/internal/rendezvous"
+	"github.com/greengagegate/greengagegate/internal/wire"
+	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
+)
+
+// askTimeout bounds a question to other gateways. It is short because a caller's request waits
+// for the answer.
+const askTimeout = 150 * time.Millisecond
+
+// answer is what another gateway knows. record is nil if it does not know the stream, and view
+// if it did not answer.
+type answer struct {
+	record *Record
+	view   *View
+}
+
+// askOthers asks the first gateways in the order of a stream's key where it began. It returns
+// as soon as one of them knows it, or with the views of all that answered in time.
+func (m *Manager) askOthers(ctx context.Context, key Key, pool string) (*Record, []View) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	names := rendezvous.Top(key.text(), m.inContact(), asked)
+	answers := make(chan answer, len(names))
+	for _, name := range names {
+		go func() {
+			var got answer
+			defer func() { answers <- got }()
+			defer contain.Panics(m.options.Log, "origin", name)
+			got = m.ask(ctx, name, key, pool)
+		}()
+	}
+	var views []View
+	for range names {
+		got := <-answers
+		if got.record != nil {
+			return got.record, nil
+		}
+		if got.view != nil {
+			views = append(views, *got.view)
+		}
+	}
+	return nil, views
+}
+
+// ask asks one gateway.
+func (m *Manager) ask(ctx context.Context, name string, key Key, pool string) answer {
+	request := &wirepb.OriginRequest{Asks: true, Wanted: uint64(key), Pool: pool}
+	reply, err := m.call(ctx, name, request)
+	if err != nil {
+		m.options.Log.Warn().Err(err).Str("peer", name).Str("stream", key.text()).Msg("origin: a gateway did not say where a stream began; relying on the others")
+		return answer{}
+	}
+	var got answer
+	if reply.Origin != nil {
+		got.record = &Record{Pool: reply.Origin.Pool, Software: reply.Origin.Software}
+	}
+	for _, h := range reply.Histories {
+		if h.Pool == pool {
+			v := decodeView(h)
+			got.view = &v
+		}
+	}
+	return got
+}
+
+// callPeer sends a request to another gateway over its session.
+func (m *Manager) callPeer(ctx context.Context, name string, request *wirepb.OriginRequest) (*wirepb.OriginReply, error) {
+	address := m.options.Address(name)
+	if address == "" {
+		return nil, fault.New("address is not known", "exchange origins of streams", name)
+	}
+	reply := new(wirepb.OriginReply)
+	if err := m.options.Pool.Call(ctx, address, wirepb.Kind_KIND_ORIGIN, "", request, reply); err != nil {
+		return nil, fault.Wrap(err, "exchange origins of streams", name)
+	}
+	return reply, nil
+}
+
+// handle answers one request of another gateway.
+func (m *Manager) handle(_ context.Context, _ wire.Request, stream *wire.Stream) {
+	var request wirepb.OriginRequest
+	if err := stream.Recv(&request); err != nil {
+		m.options.Log.Debug().Err(err).Str("peer", stream.Peer()).Msg("origin: could not read a request; dropping it")
+		return
+	}
+	if err := stream.Send(m.reply(&request)); err != nil {
+		m.options.Log.Debug().Err(err).Str("peer", stream.Peer()).Msg("origin: could not send a reply; the peer asks another gateway")
+	}
+}
+
+// reply keeps the streams in a request and returns the answer to it.
+func (m *Manager) reply(request *wirepb.OriginRequest) *wirepb.OriginReply {
+	now, horizon := m.options.Now(), m.horizon()
+	reply := new(wirepb.OriginReply)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, begun := range request.Begun {
+		m.keep(begun)
+	}
+	if !request.Asks {
+		return reply
+	}
+	if e := m.table.get(Key(request.Wanted), horizon, now); e != nil {
+		reply.Origin = &wirepb.StreamOrigin{Stream: request.Wanted, Pool: e.Pool, Software: e.Software}
+	}
+	reply.Histories = append(reply.Histories, encodeView(request.Pool, m.history.view(request.Pool, now)))
+	return reply
+}
+
+// keep keeps a stream for other gateways. m.mu must be held.
+func (m *Manager) keep(begun *wirepb.StreamOrigin) {
+	now := m.options.Now()
+	e := &entry{Record: Record{Pool: begun.Pool, Software: begun.Software}, begunAt: now, published: true}
+	m.table.put(Key(begun.Stream), e, m.horizon(), now)
+}
+
+func encodeView(pool string, v View) *wirepb.SoftwareHistory {
+	encoded := &wirepb.SoftwareHistory{Pool: pool, SpanMs: v.Span.Milliseconds()}
+	for software, age := range v.Ages {
+		encoded.Versions = append(encoded.Versions, &wirepb.SoftwareSighting{Software: software, AgeMs: age.Milliseconds()})
+	}
+	return encoded
+}
+
+func decodeView(encoded *wirepb.SoftwareHistory) View {
+	v := View{Span: time.Duration(encoded.SpanMs) * time.Millisecond, Ages: make(map[string]time.Duration, len(encoded.Versions))}
+	for _, sighting := range encoded.Versions {
+		v.Ages[sighting.Software] = time.Duration(sighting.AgeMs) * time.Millisecond
+	}
+	return v
+}
--- /dev/null
+++ b/internal/origin/origin.go
@@ -0,0 +1,289 @@
+// Package origin tells at which version of its upstream's software a stream began, at any
+// gateway. What upstreams of different versions write does not fit together, so that a stream
+// which a caller takes up must go on at the version that began it, and the gateway that
+// forwarded its beginning may be gone.
+//
+// While the upstreams of a pool have one version, a gateway only remembers its own streams.
+// While they have several, or may have had within a horizon, each gateway tells two others of
+// each stream that begins, which rendezvous hashing of the stream selects. A gateway that does
+// not know a stream asks the first four in the same order. If none of them knows it, the
+// stream may go on only if no second version can have begun it; see Resolve.
+package origin
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/greengagegate/greengagegate/internal/bootclock"
+	"github.com/greengagegate/greengagegate/internal/catalog"
+	"github.com/greengagegate/greengagegate/internal/metrics"
+	"github.com/greengagegate/greengagegate/internal/rendezvous"
+	"github.com/greengagegate/greengagegate/internal/wire"
+	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
+	"github.com/rs/zerolog"
+)
+
+const (
+	// copies is the number of other gateways that are told of a stream.
+	copies = 2
+	// asked is the number of gateways that are asked for a stream. It is larger than copies
+	// because gateways that come or go in between change the order.
+	asked = 4
+	// silentAfter is the silence from which a gateway counts as out of contact.
+	silentAfter = 1200 * time.Millisecond
+	// freshFor is the age of the evidence of the configuration up to which a gateway counts as
+	// in contact with the platform store, so that its list of upstreams is recent.
+	freshFor = 2 * time.Second
+	// listDelay is how long after the start of an upstream a gateway may not know of it. A
+	// stream that began at an ID that then turned out to be another incarnation's may have
+	// begun at either.
+	listDelay = 3 * time.Second
+	// horizonTimeouts is the ratio of the horizon, within which a stream that began may be
+	// taken up, to the longest timeout of a route.
+	horizonTimeouts = 2
+	// minHorizon and maxHorizon bound the horizon.
+	minHorizon = 10 * time.Second
+	maxHorizon = 2 * time.Minute
+)
+
+// Key identifies a stream.
+type Key uint64
+
+// KeyOf returns the key of a customer's stream. attempt is the ID of the caller's attempt that
+// brought its first event.
+func KeyOf(customer, attempt string) Key {
+	digest := xxhash.New()
+	// Writes to a digest never fail.
+	_, _ = digest.WriteString(customer)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(attempt)
+	return Key(digest.Sum64())
+}
+
+// Record is where a stream began.
+type Record struct {
+	Pool string
+	// Software is the version of the upstream's software; empty if it is not certain.
+	Software string
+}
+
+// Origin is the result of Resolve.
+type Origin struct {
+	Record
+	Finding Finding
+}
+
+// Options configures a Manager. All fields but Now are required.
+type Options struct {
+	// Name is the name of this gateway.
+	Name    string
+	Pool    *wire.Pool
+	Catalog *catalog.Catalog
+	// Silences returns, for each other gateway by name, how long it has been silent.
+	Silences func() map[string]time.Duration
+	// Address returns the inner address of another gateway, or "" if it is not known.
+	Address func(name string) string
+	Log     zerolog.Logger
+	// Now reads the clock; nil means bootclock.Now.
+	Now func() bootclock.Instant
+}
+
+// Manager remembers where streams began, for this gateway and others. It is safe for
+// concurrent use.
+type Manager struct {
+	options Options
+	courier *courier
+	// call sends a request to another gateway.
+	call func(ctx context.Context, name string, request *wirepb.OriginRequest) (*wirepb.OriginReply, error)
+
+	mu      sync.Mutex
+	history *history
+	table   *table
+	// upstreams is the last observed list.
+	upstreams *catalog.Upstreams
+}
+
+// New returns a Manager. It answers other gateways only after Register, and knows nothing of
+// upstreams before Observe. Close must be called at the end.
+func New(options Options) *Manager {
+	if options.Now == nil {
+		options.Now = bootclock.Now
+	}
+	m := &Manager{options: options, history: newHistory(), table: newTable()}
+	m.call = m.callPeer
+	m.courier = newCourier(m)
+	return m
+}
+
+// Register adds the handler for other gateways' requests to a wire server.
+func (m *Manager) Register(server *wire.Server) {
+	server.Handle(wirepb.Kind_KIND_ORIGIN, m.handle)
+}
+
+// Close ends all sending and waits for it.
+func (m *Manager) Close() { m.courier.close() }
+
+// horizon returns how long after its first event a stream may be taken up: a caller's whole
+// patience is close to the timeout of its route.
+func (m *Manager) horizon() time.Duration {
+	longest := time.Duration(0)
+	if config := m.options.Catalog.Config(); config != nil {
+		longest = config.LongestStream
+	}
+	return min(max(horizonTimeouts*longest, minHorizon), maxHorizon)
+}
+
+// Observe records the list of upstreams in force. It must be called with each list.
+func (m *Manager) Observe(list *catalog.Upstreams) {
+	now, horizon := m.options.Now(), m.horizon()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.history.observe(list, horizon, now, time.Now())
+	m.history.forget(horizon, now)
+	previous := m.upstreams
+	m.upstreams = list
+	if previous != nil {
+		m.doubtReplaced(previous, list, now)
+	}
+	m.publishUnpublished(now, horizon)
+}
+
+// doubtReplaced marks the streams that began shortly before the list says that the same ID is
+// now an upstream of another version. m.mu must be held.
+func (m *Manager) doubtReplaced(previous, list *catalog.Upstreams, now bootclock.Instant) {
+	replaced := make(map[string]bool)
+	for id, upstream := range list.ByID {
+		if before := previous.ByID[id]; before != nil && before.Software != upstream.Software {
+			replaced[id] = true
+		}
+	}
+	if len(replaced) == 0 {
+		return
+	}
+	m.table.each(func(_ Key, e *entry) {
+		if replaced[e.upstream] && now.Sub(e.begunAt) < listDelay {
+			e.Software, e.published = "", false
+		}
+	})
+}
+
+// publishUnpublished tells other gateways of the streams that began here within the horizon, in
+// pools that may have had several versions since. m.mu must be held.
+func (m *Manager) publishUnpublished(now bootclock.Instant, horizon time.Duration) {
+	single := make(map[string]bool)
+	for name := range m.history.pools {
+		single[name] = m.history.view(name, now).isSingle(horizon)
+	}
+	m.table.each(func(key Key, e *entry) {
+		if e.upstream != "" && !e.published && !single[e.Pool] && now.Sub(e.begunAt) < horizon {
+			m.publish(key, e)
+		}
+	})
+}
+
+// publish tells other gateways of a stream. m.mu must be held.
+func (m *Manager) publish(key Key, e *entry) {
+	e.published = true
+	m.courier.send(parcel{key: key, record: e.Record}, rendezvous.Top(key.text(), m.inContact(), copies))
+}
+
+// text returns the key as rendezvous hashing takes it.
+func (k Key) text() string { return strconv.FormatUint(uint64(k), 16) }
+
+// inContact returns the other gateways that are in contact, or all if none is, which is the
+// case after this gateway was suspended.
+func (m *Manager) inContact() []string {
+	var names, all []string
+	for name, silence := range m.options.Silences() {
+		all = append(all, name)
+		if silence <= silentAfter {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		return all
+	}
+	return names
+}
+
+// Began records that a gateway is about to forward the first event of a stream, which an
+// upstream wrote that was listed as given when the request was sent. It does not block.
+func (m *Manager) Began(key Key, upstream *catalog.Upstream) {
+	now, horizon := m.options.Now(), m.horizon()
+	e := &entry{Record: Record{Pool: upstream.Pool, Software: upstream.Software}, upstream: upstream.ID, begunAt: now}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if listed := m.listed(upstream.ID); listed != nil && listed.Software != upstream.Software {
+		e.Software = ""
+	}
+	m.table.put(key, e, horizon, now)
+	if !m.history.view(upstream.Pool, now).isSingle(horizon) {
+		m.publish(key, e)
+	}
+}
+
+// listed returns the upstream that is listed under an ID now, or nil.
+func (m *Manager) listed(id string) *catalog.Upstream {
+	if list := m.options.Catalog.Upstreams(); list != nil {
+		return list.ByID[id]
+	}
+	return nil
+}
+
+// IsDoubtful reports whether it has become uncertain at which version a stream began, which
+// this gateway forwards.
+func (m *Manager) IsDoubtful(key Key) bool {
+	now, horizon := m.options.Now(), m.horizon()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	e := m.table.get(key, horizon, now)
+	return e != nil && e.Software == ""
+}
+
+// Resolve returns where a stream began that a caller takes up. pool is the pool that would
+// get it now. It asks other gateways unless this one knows the stream, and blocks for at most
+// askTimeout. If the finding is FindingUnknown, the stream must not go on.
+func (m *Manager) Resolve(ctx context.Context, key Key, pool string) Origin {
+	origin := m.resolve(ctx, key, pool)
+	if origin.Software == "" {
+		origin.Finding = FindingUnknown
+	}
+	metrics.Counter("origin.resolutions", "finding", string(origin.Finding)).Inc(1)
+	return origin
+}
+
+func (m *Manager) resolve(ctx context.Context, key Key, pool string) Origin {
+	if record, ok := m.lookUp(key); ok {
+		return Origin{Record: record, Finding: FindingRecord}
+	}
+	record, views := m.askOthers(ctx, key, pool)
+	if record != nil {
+		return Origin{Record: *record, Finding: FindingRecord}
+	}
+	now, horizon := m.options.Now(), m.horizon()
+	isFresh := m.options.Catalog.ConfigEvidenceAge(now) <= freshFor
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	own := m.history.view(pool, now)
+	for _, v := range views {
+		m.history.merge(pool, v, horizon, now)
+	}
+	if software, ok := singleVersion(own, views, isFresh, horizon); ok {
+		return Origin{Record: Record{Pool: pool, Software: software}, Finding: FindingSingle}
+	}
+	return Origin{Finding: FindingUnknown}
+}
+
+// lookUp returns what this gateway knows of a stream.
+func (m *Manager) lookUp(key Key) (Record, bool) {
+	now, horizon := m.options.Now(), m.horizon()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if e := m.table.get(key, horizon, now); e != nil {
+		return e.Record, true
+	}
+	return Record{}, false
+}
--- /dev/null
+++ b/internal/origin/origin_test.go
@@ -0,0 +1,363 @@
+package origin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/bootclock"
+	"github.com/greengagegate/greengagegate/internal/catalog"
+	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
+	"github.com/rs/zerolog"
+)
+
+const testPool = "llm"
+
+// cluster is a number of managers that call each other directly. Its clock is moved by tests.
+type cluster struct {
+	t        *testing.T
+	managers []*Manager
+	byName   map[string]*Manager
+	clock    atomic.Int64
+	catalogs []*catalog.Catalog
+
+	mu   sync.Mutex
+	lost map[string]bool
+	// messages counts the calls by receiver, records the streams in them.
+	messages, records map[string]int
+}
+
+func newCluster(t *testing.T, gateways int) *cluster {
+	c := &cluster{t: t, byName: make(map[string]*Manager), lost: make(map[string]bool), messages: make(map[string]int), records: make(map[string]int)}
+	c.clock.Store(int64(time.Hour))
+	for i := range gateways {
+		c.add(fmt.Sprintf("gateway-%d", i))
+	}
+	return c
+}
+
+// add starts a manager that knows no upstreams yet.
+func (c *cluster) add(name string) *Manager {
+	list := catalog.New()
+	m := New(Options{Name: name, Catalog: list, Silences: func() map[string]time.Duration { return c.silences(name) }, Log: zerolog.Nop(), Now: c.now})
+	m.call = func(_ context.Context, to string, request *wirepb.OriginRequest) (*wirepb.OriginReply, error) {
+		return c.call(to, request)
+	}
+	c.managers, c.byName[name] = append(c.managers, m), m
+	c.catalogs = append(c.catalogs, list)
+	c.t.Cleanup(m.Close)
+	return m
+}
+
+func (c *cluster) now() bootclock.Instant { return bootclock.Instant(c.clock.Load()) }
+
+func (c *cluster) silences(of string) map[string]time.Duration {
+	silences := make(map[string]time.Duration)
+	for name := range c.byName {
+		if name != of {
+			silences[name] = 0
+		}
+	}
+	return silences
+}
+
+func (c *cluster) call(to string, request *wirepb.OriginRequest) (*wirepb.OriginReply, error) {
+	c.mu.Lock()
+	isLost := c.lost[to]
+	c.messages[to]++
+	c.records[to] += len(request.Begun)
+	c.mu.Unlock()
+	if isLost {
+		return nil, errors.New("lost")
+	}
+	return c.byName[to].reply(request), nil
+}
+
+func (c *cluster) lose(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lost[name] = true
+}
+
+// list makes gateways follow a list of upstreams, which the store has confirmed just now.
+func (c *cluster) list(upstreams []*catalog.Upstream, gateways ...int) {
+	for _, i := range gateways {
+		c.catalogs[i].SetUpstreams(upstreams)
+		c.catalogs[i].ConfirmConfig(c.now())
+		c.managers[i].Observe(c.catalogs[i].Upstreams())
+	}
+}
+
+// listAll makes all gateways follow a list.
+func (c *cluster) listAll(upstreams []*catalog.Upstream) {
+	for i := range c.managers {
+		c.list(upstreams, i)
+	}
+}
+
+// pass lets time pass, with the store in reach.
+func (c *cluster) pass(d time.Duration) {
+	c.clock.Add(int64(d))
+	for _, list := range c.catalogs {
+		list.ConfirmConfig(c.now())
+	}
+}
+
+// settle waits until all that gateways tell each other has arrived.
+func (c *cluster) settle() {
+	for _, m := range c.managers {
+		m.courier.wg.Wait()
+	}
+}
+
+func (c *cluster) sentMessages() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sum := 0
+	for _, count := range c.messages {
+		sum += count
+	}
+	return sum
+}
+
+// upstreamsOf returns upstreams with the given software versions, which have just started.
+func upstreamsOf(versions ...string) []*catalog.Upstream {
+	var upstreams []*catalog.Upstream
+	for i, version := range versions {
+		upstreams = append(upstreams, &catalog.Upstream{ID: fmt.Sprintf("engine-%d", i), Pool: testPool, Software: version, StartedMillis: time.Now().UnixMilli()})
+	}
+	return upstreams
+}
+
+func keyOf(i int) Key { return KeyOf("agents", fmt.Sprintf("request-%d", i)) }
+
+// Load pattern: two versions serve, and gateways are lost together with the one that began the
+// streams. What the others say must be right, and known of most streams, at every size.
+func TestStreamsAreKnownAfterGatewaysAreLost(t *testing.T) {
+	const streams = 400
+	for _, gateways := range []int{3, 5, 26, 103, 350} {
+		t.Run(fmt.Sprint(gateways), func(t *testing.T) {
+			c := newCluster(t, gateways)
+			upstreams := upstreamsOf("v1", "v2")
+			c.listAll(upstreams)
+			for i := range streams {
+				c.managers[0].Began(keyOf(i), upstreams[i%2])
+			}
+			c.settle()
+			lost := 0
+			for i := 0; i < gateways-1 && i < (gateways+2)/3; i++ {
+				c.lose(c.managers[i].options.Name)
+				lost++
+			}
+			known := 0
+			for i := range streams {
+				at := c.managers[lost+i%(gateways-lost)]
+				got := at.Resolve(t.Context(), keyOf(i), testPool)
+				if got.Finding == FindingUnknown {
+					continue
+				}
+				known++
+				if got.Software != upstreams[i%2].Software || got.Finding != FindingRecord {
+					t.Fatalf("stream %d began at %s, got %+v", i, upstreams[i%2].Software, got)
+				}
+			}
+			if known < streams*3/4 {
+				t.Errorf("%d of %d streams are known after the loss of %d gateways, want three quarters", known, streams, lost)
+			}
+		})
+	}
+}
+
+// A stream must be told to a fixed number of gateways, whatever the size of the fleet, and no
+// gateway may get a large part of them.
+func TestCostOfStreamDoesNotGrowWithFleet(t *testing.T) {
+	const streams = 3000
+	for _, gateways := range []int{5, 103, 350} {
+		c := newCluster(t, gateways)
+		upstreams := upstreamsOf("v1", "v2")
+		c.listAll(upstreams)
+		for i := range streams {
+			c.managers[i%gateways].Began(keyOf(i), upstreams[0])
+		}
+		c.settle()
+		sum, most := 0, 0
+		for _, count := range c.records {
+			sum += count
+			most = max(most, count)
+		}
+		if sum != copies*streams {
+			t.Errorf("%d gateways: %d copies of %d streams, want %d of each", gateways, sum, streams, copies)
+		}
+		if mean := sum / gateways; most > 2*mean+20 {
+			t.Errorf("%d gateways: one keeps %d streams, the mean is %d", gateways, most, mean)
+		}
+	}
+}
+
+// While one version serves, streams cost no message, and any of them may go on.
+func TestOneVersionCostsNoMessages(t *testing.T) {
+	c := newCluster(t, 5)
+	upstreams := upstreamsOf("v1", "v1")
+	c.listAll(upstreams)
+	c.pass(minHorizon)
+	for i := range 100 {
+		c.managers[0].Began(keyOf(i), upstreams[i%2])
+	}
+	c.settle()
+	if got := c.sentMessages(); got != 0 {
+		t.Errorf("%d messages, want none", got)
+	}
+	c.lose(c.managers[0].options.Name)
+	if got := c.managers[1].Resolve(t.Context(), keyOf(1), testPool); got.Finding != FindingSingle || got.Software != "v1" {
+		t.Errorf("got %+v, want the only version, v1", got)
+	}
+}
+
+// Streams that began before a second version appeared are told of when it appears. One that
+// nobody knows must not go on then, until all streams of that time have ended.
+func TestStreamBegunBeforeSecondVersion(t *testing.T) {
+	c := newCluster(t, 5)
+	old := upstreamsOf("v1", "v1")
+	c.listAll(old)
+	c.pass(minHorizon)
+	c.managers[0].Began(keyOf(1), old[0])
+	c.listAll(append(upstreamsOf("v1", "v1", "v2")[2:], old...))
+	c.settle()
+	c.lose(c.managers[0].options.Name)
+	if got := c.managers[1].Resolve(t.Context(), keyOf(1), testPool); got.Finding != FindingRecord || got.Software != "v1" {
+		t.Errorf("got %+v, want the version from the record, v1", got)
+	}
+	if got := c.managers[1].Resolve(t.Context(), keyOf(2), testPool); got.Finding != FindingUnknown {
+		t.Errorf("got %+v of a stream that nobody knows, want unknown", got)
+	}
+	c.listAll(upstreamsOf("v2", "v2"))
+	if got := c.managers[1].Resolve(t.Context(), keyOf(2), testPool); got.Finding != FindingUnknown {
+		t.Errorf("got %+v just after the last upstream of the other version has left, want unknown", got)
+	}
+	c.pass(minHorizon)
+	if got := c.managers[1].Resolve(t.Context(), keyOf(2), testPool); got.Finding != FindingSingle || got.Software != "v2" {
+		t.Errorf("got %+v after the horizon, want v2", got)
+	}
+}
+
+// A gateway that has just started knows nothing of the time before; the others do. When all
+// have just started, old upstreams show that none was replaced.
+func TestStartedGateway(t *testing.T) {
+	c := newCluster(t, 3)
+	mixed, single := upstreamsOf("v1", "v2"), upstreamsOf("v2")
+	c.listAll(mixed)
+	c.pass(minHorizon)
+	c.listAll(single)
+	started := c.add("started")
+	c.list(single, 3)
+	if got := started.Resolve(t.Context(), keyOf(1), testPool); got.Finding != FindingUnknown {
+		t.Errorf("got %+v while the others know of another version, want unknown", got)
+	}
+	c.pass(minHorizon)
+	second := c.add("second")
+	c.list(single, 4)
+	if got := second.Resolve(t.Context(), keyOf(1), testPool); got.Finding != FindingSingle {
+		t.Errorf("got %+v while the others know of one version only, want that", got)
+	}
+
+	restarted := newCluster(t, 3)
+	restarted.listAll(single)
+	if got := restarted.managers[0].Resolve(t.Context(), keyOf(1), testPool); got.Finding != FindingUnknown {
+		t.Errorf("got %+v after a restart of all gateways with upstreams that have just started, want unknown", got)
+	}
+	settled := newCluster(t, 3)
+	old := upstreamsOf("v2")
+	old[0].StartedMillis = time.Now().Add(-minHorizon - bornMargin - time.Second).UnixMilli()
+	settled.listAll(old)
+	if got := settled.managers[0].Resolve(t.Context(), keyOf(1), testPool); got.Finding != FindingSingle || got.Software != "v2" {
+		t.Errorf("got %+v after a restart of all gateways with old upstreams, want v2", got)
+	}
+}
+
+// A gateway whose list may be old, and that nobody answers, must not rely on it.
+func TestGatewayThatIsCutOff(t *testing.T) {
+	c := newCluster(t, 2)
+	c.listAll(upstreamsOf("v1"))
+	c.pass(minHorizon)
+	c.lose(c.managers[1].options.Name)
+	if got := c.managers[0].Resolve(t.Context(), keyOf(1), testPool); got.Finding != FindingSingle {
+		t.Errorf("got %+v with the store in reach, want the only version", got)
+	}
+	c.clock.Add(int64(freshFor + time.Millisecond))
+	if got := c.managers[0].Resolve(t.Context(), keyOf(1), testPool); got.Finding != FindingUnknown {
+		t.Errorf("got %+v without the store and other gateways, want unknown", got)
+	}
+}
+
+// A stream that began at an ID which is soon listed with another version may have begun at
+// either. One that began long before has begun at the former.
+func TestUpstreamThatComesBackAtOtherVersion(t *testing.T) {
+	c := newCluster(t, 3)
+	before, after := upstreamsOf("v1", "v2"), upstreamsOf("v2", "v2")
+	c.listAll(before)
+	c.managers[0].Began(keyOf(1), before[0])
+	c.pass(listDelay)
+	c.managers[0].Began(keyOf(2), before[0])
+	c.listAll(after)
+	c.managers[0].Began(keyOf(3), before[0])
+	c.settle()
+	for i, want := range []string{"v1", "", ""} {
+		for _, m := range c.managers {
+			if got := m.Resolve(t.Context(), keyOf(i+1), testPool); got.Software != want || want == "" && got.Finding != FindingUnknown {
+				t.Errorf("stream %d at %s: got %+v, want version %q", i+1, m.options.Name, got, want)
+			}
+		}
+	}
+	if c.managers[0].IsDoubtful(keyOf(1)) || !c.managers[0].IsDoubtful(keyOf(2)) {
+		t.Error("want only the stream that began shortly before the change to be doubtful")
+	}
+}
+
+// A copy that a gateway does not take goes to another one.
+func TestLostGatewayIsReplacedAsKeeper(t *testing.T) {
+	const streams = 100
+	c := newCluster(t, 6)
+	upstreams := upstreamsOf("v1", "v2")
+	c.listAll(upstreams)
+	c.lose("gateway-1")
+	c.lose("gateway-2")
+	for i := range streams {
+		c.managers[0].Began(keyOf(i), upstreams[0])
+	}
+	c.settle()
+	c.lose("gateway-0")
+	for i := range streams {
+		if got := c.managers[3].Resolve(t.Context(), keyOf(i), testPool); got.Finding != FindingRecord {
+			t.Errorf("stream %d: got %+v, want a record", i, got)
+		}
+	}
+}
+
+// The memory for streams is bounded, and those of the last horizon are kept.
+func TestTableIsBounded(t *testing.T) {
+	table := newTable()
+	now := bootclock.Instant(time.Hour)
+	for i := range 5 * maxEntries {
+		table.put(Key(i), &entry{}, minHorizon, now)
+	}
+	if got := table.size(); got > 2*maxEntries {
+		t.Errorf("%d entries, want at most %d", got, 2*maxEntries)
+	}
+	if table.get(Key(5*maxEntries-1), minHorizon, now) == nil {
+		t.Error("the newest entry is missing")
+	}
+	now = now.Add(minHorizon)
+	table.put(1, &entry{}, minHorizon, now)
+	if table.get(Key(5*maxEntries-1), minHorizon, now) == nil {
+		t.Error("an entry is missing one horizon after it was put")
+	}
+	table.put(2, &entry{}, minHorizon, now.Add(minHorizon))
+	table.put(3, &entry{}, minHorizon, now.Add(2*minHorizon))
+	if got := table.size(); got != 2 {
+		t.Errorf("%d entries two horizons later, want the two that were put since", got)
+	}
+}
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -3,7 +3,12 @@
 // communicating. When a candidate is removed, only the keys assigned to it move.
 package rendezvous
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Selector selects the candidate with the highest weight for a key. It is not safe for
 // concurrent use.
@@ -29,3 +34,22 @@
 // Best returns the candidate with the highest weight, or the zero value when none was
 // offered.
 func (s *Selector[T]) Best() T { return s.best }
+
+// Top returns the n names with the highest weights for a key, the highest first, or all names
+// if there are no more. The first one is that which a Selector selects.
+func Top(key string, names []string, n int) []string {
+	type candidate struct {
+		name   string
+		weight uint64
+	}
+	candidates := make([]candidate, len(names))
+	for i, name := range names {
+		candidates[i] = candidate{name: name, weight: xxhash.Sum64String(key + name)}
+	}
+	slices.SortStableFunc(candidates, func(a, b candidate) int { return cmp.Compare(b.weight, a.weight) })
+	top := make([]string, 0, n)
+	for _, c := range candidates[:min(n, len(candidates))] {
+		top = append(top, c.name)
+	}
+	return top
+}
--- a/internal/rendezvous/rendezvous_test.go
+++ b/internal/rendezvous/rendezvous_test.go
@@ -38,3 +38,28 @@
 		}
 	}
 }
+
+// The first of the top names must be the one that a Selector selects, and the others must keep
+// their order when one is removed.
+func TestTop(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e"}
+	for i := range 100 {
+		key := fmt.Sprint("key", i)
+		top := Top(key, names, 3)
+		if len(top) != 3 || top[0] != bestName(key, names...) {
+			t.Fatalf("%s: got %v, want three names and %s first", key, top, bestName(key, names...))
+		}
+		var rest []string
+		for _, name := range names {
+			if name != top[0] {
+				rest = append(rest, name)
+			}
+		}
+		if next := Top(key, rest, 2); next[0] != top[1] || next[1] != top[2] {
+			t.Errorf("%s: got %v without %s, want %v", key, next, top[0], top[1:])
+		}
+	}
+	if got := Top("key", names[:2], 3); len(got) != 2 {
+		t.Errorf("got %v, want both names", got)
+	}
+}
