--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -166,6 +166,7 @@
 		Poison:       poisonTracker,
 		Permits:      permits,
 		Origins:      origins,
+		Engines:      p.Engines(notices),
 		Announce:     peerManager.SendNow,
 		Bounds: gateway.Bounds{
 			MaxKeyEvidenceAge: time.Duration(stalenessFraction * float64(s.Bounds.Revoke)),
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -123,7 +123,7 @@
 			if refused := j.checkOverload(choice.ExpectedWaitMS); refused != nil {
 				return choice, refused
 			}
-			isFree := j.mayUse(ctx, &choice)
+			isFree := j.confirmVersion(ctx, &choice) && j.mayUse(ctx, &choice)
 			if isFree && j.mayTry(ctx) {
 				return choice, nil
 			}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/greengagegate/greengagegate/internal/poison"
 	"github.com/greengagegate/greengagegate/internal/retry"
 	"github.com/greengagegate/greengagegate/internal/share"
+	"github.com/greengagegate/greengagegate/internal/weights"
 	"github.com/rs/zerolog"
 )
 
@@ -66,6 +67,7 @@
 	Poison       *poison.Tracker
 	Permits      Permits
 	Origins      Origins
+	Engines      weights.Engines
 	// Announce makes the gateway tell the others what it knows without waiting for the next
 	// regular exchange. It must not block.
 	Announce func()
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -91,6 +91,7 @@
 
 func (unknownOrigins) Began(origin.Key, *catalog.Upstream) {}
 func (unknownOrigins) IsDoubtful(origin.Key) bool          { return false }
+func (unknownOrigins) IsSingle(string) bool                { return true }
 
 func (unknownOrigins) Resolve(context.Context, origin.Key, string) origin.Origin {
 	return origin.Origin{Finding: origin.FindingUnknown}
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -233,6 +233,15 @@
 	return nil
 }
 
+// IsSingle reports whether it is certain that one version only serves a pool and has for at
+// least the horizon.
+func (m *Manager) IsSingle(pool string) bool {
+	now, horizon := m.options.Now(), m.horizon()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.history.view(pool, now).isSingle(horizon)
+}
+
 // IsDoubtful reports whether it has become uncertain at which version a stream began, which
 // this gateway forwards.
 func (m *Manager) IsDoubtful(key Key) bool {
