--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -53,6 +53,8 @@
 	"stopping":            "the gateway was stopping; not run",
 	"quarantined":         "a content of the request is convicted of crashing upstreams, see convicted; not run",
 	"upstreams-limited":   "the upstreams state limits, which all gateways together have reached; not run",
+	"version-unknown":     "the caller takes up a stream, versions of the upstreams' software differ, and no gateway knows at which one it began; not run",
+	"version-gone":        "the caller takes up a stream, and no upstream with its software version is left; not run",
 	"on-trial":            "the request may have crashed upstreams and another gateway tries it, see suspect; not run",
 	"timeout-not-run":     "the time was over before any upstream could take it; not run",
 	"timeout":             "the time was over while an upstream may have run it; outcome unknown",
