--- a/internal/app/gatewaypeers.go
+++ b/internal/app/gatewaypeers.go
@@ -98,7 +98,8 @@
 
 func newOrigins(lifecycle fx.Lifecycle, s *GatewaySettings, n *node.Node, platformCatalog *catalog.Catalog, peerManager *peering.Manager, r *roster.Roster, log zerolog.Logger) *origin.Manager {
 	manager := origin.New(origin.Options{
-		Name: s.Identity.Name, Pool: n.Pool, Catalog: platformCatalog, Silences: r.TimeSinceContact, Address: peerManager.Address, Log: log,
+		Name: s.Identity.Name, Pool: n.Pool, Catalog: platformCatalog, Silences: r.TimeSinceContact, Address: peerManager.Address,
+		FirstStart: s.Start.First, Log: log,
 	})
 	manager.Register(n.Server)
 	appendHook(lifecycle, func(context.Context) error { return nil }, func(context.Context) error {
--- a/internal/app/gatewaysettings.go
+++ b/internal/app/gatewaysettings.go
@@ -98,6 +98,13 @@
 	return int64(float64(m.LimitMB*megabyte) * bodyFraction)
 }
 
+// Start holds what is known of the start of the process.
+type Start struct {
+	// First is true if the whole system starts for the first time, so that no stream can have
+	// begun before.
+	First bool `ini:"first"`
+}
+
 // GatewaySettings holds all settings of a gateway.
 type GatewaySettings struct {
 	Identity  node.Identity
@@ -108,6 +115,7 @@
 	Admin     Admin
 	Bounds    Bounds
 	Memory    Memory
+	Start     Start
 	Stop      Stop
 	Runtime   Runtime
 }
@@ -139,6 +147,7 @@
 		{Name: "admin", Target: &s.Admin},
 		{Name: "bounds", Target: &s.Bounds},
 		{Name: "memory", Target: &s.Memory},
+		{Name: "start", Target: &s.Start},
 		{Name: "stop", Target: &s.Stop},
 		{Name: "runtime", Target: &s.Runtime},
 	}
--- a/internal/origin/history.go
+++ b/internal/origin/history.go
@@ -52,15 +52,21 @@
 	pools map[string]*poolHistory
 	// startedAt is the time of the first list, or 0.
 	startedAt bootclock.Instant
+	// completeSince is from when on all versions of pools are known that are not listed yet.
+	completeSince bootclock.Instant
+	// firstStart is true if no stream can have begun before the first list.
+	firstStart bool
 }
 
-func newHistory() *history { return &history{pools: make(map[string]*poolHistory)} }
+func newHistory(firstStart bool) *history {
+	return &history{pools: make(map[string]*poolHistory), firstStart: firstStart}
+}
 
 // pool returns the history of a pool. A pool that was not listed before had no versions.
 func (h *history) pool(name string) *poolHistory {
 	p := h.pools[name]
 	if p == nil {
-		p = &poolHistory{completeSince: h.startedAt, listed: make(map[string]bool), lastListed: make(map[string]bootclock.Instant)}
+		p = &poolHistory{completeSince: h.completeSince, listed: make(map[string]bool), lastListed: make(map[string]bootclock.Instant)}
 		h.pools[name] = p
 	}
 	return p
@@ -71,7 +77,10 @@
 func (h *history) observe(list *catalog.Upstreams, horizon time.Duration, now bootclock.Instant, born time.Time) {
 	first := h.startedAt == 0
 	if first {
-		h.startedAt = now
+		h.startedAt, h.completeSince = now, now
+		if h.firstStart {
+			h.completeSince = now.Add(-maxHorizon)
+		}
 	}
 	for name := range list.ByPool {
 		h.pool(name)
@@ -79,7 +88,7 @@
 	for name, p := range h.pools {
 		upstreams := list.ByPool[name]
 		if first && allBornBefore(upstreams, born.Add(-horizon-bornMargin)) {
-			p.completeSince = now.Add(-horizon)
+			p.completeSince = min(p.completeSince, now.Add(-horizon))
 		}
 		p.observe(upstreams, now)
 	}
@@ -120,7 +129,7 @@
 		if h.startedAt == 0 {
 			return View{}
 		}
-		return View{Span: now.Sub(h.startedAt)}
+		return View{Span: now.Sub(h.completeSince)}
 	}
 	v := View{Span: now.Sub(p.completeSince), Ages: make(map[string]time.Duration, len(p.listed)+len(p.lastListed))}
 	for software, at := range p.lastListed {
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -76,7 +76,7 @@
 	Finding Finding
 }
 
-// Options configures a Manager. All fields but Now are required.
+// Options configures a Manager. All fields but FirstStart and Now are required.
 type Options struct {
 	// Name is the name of this gateway.
 	Name    string
@@ -86,7 +86,9 @@
 	Silences func() map[string]time.Duration
 	// Address returns the inner address of another gateway, or "" if it is not known.
 	Address func(name string) string
-	Log     zerolog.Logger
+	// FirstStart is true if the whole system starts for the first time.
+	FirstStart bool
+	Log        zerolog.Logger
 	// Now reads the clock; nil means bootclock.Now.
 	Now func() bootclock.Instant
 }
@@ -104,6 +106,8 @@
 	table   *table
 	// upstreams is the last observed list.
 	upstreams *catalog.Upstreams
+	// loggedSingle holds, for each pool, what the last line said of it.
+	loggedSingle map[string]bool
 }
 
 // New returns a Manager. It answers other gateways only after Register, and knows nothing of
@@ -112,7 +116,7 @@
 	if options.Now == nil {
 		options.Now = bootclock.Now
 	}
-	m := &Manager{options: options, history: newHistory(), table: newTable()}
+	m := &Manager{options: options, history: newHistory(options.FirstStart), table: newTable(), loggedSingle: make(map[string]bool)}
 	m.call = m.callPeer
 	m.courier = newCourier(m)
 	return m
@@ -145,12 +149,28 @@
 	m.history.forget(horizon, now)
 	previous := m.upstreams
 	m.upstreams = list
+	m.logVersions(list, now, horizon)
 	if previous != nil {
 		m.doubtReplaced(previous, list, now)
 	}
 	m.publishUnpublished(now, horizon)
 }
 
+// logVersions logs the versions of each pool of which it has become certain, or no longer is,
+// that they are one. m.mu must be held.
+func (m *Manager) logVersions(list *catalog.Upstreams, now bootclock.Instant, horizon time.Duration) {
+	for name := range list.ByPool {
+		v := m.history.view(name, now)
+		single := v.isSingle(horizon)
+		if logged, ok := m.loggedSingle[name]; ok && logged == single {
+			continue
+		}
+		m.loggedSingle[name] = single
+		m.options.Log.Info().Str("pool", name).Interface("versions_age", v.Ages).Dur("known_for_ms", v.Span).Bool("single", single).Bool("first_start", m.options.FirstStart).
+			Msg("origin: software versions of a pool; unless they are single, other gateways are told of each stream")
+	}
+}
+
 // doubtReplaced marks the streams that began shortly before the list says that the same ID is
 // now an upstream of another version. m.mu must be held.
 func (m *Manager) doubtReplaced(previous, list *catalog.Upstreams, now bootclock.Instant) {
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -269,6 +269,14 @@
 	if got := restarted.managers[0].Resolve(t.Context(), keyOf(1), testPool); got.Finding != FindingUnknown {
 		t.Errorf("got %+v after a restart of all gateways with upstreams that have just started, want unknown", got)
 	}
+	first := newCluster(t, 3)
+	for _, m := range first.managers {
+		m.history = newHistory(true)
+	}
+	first.listAll(single)
+	if got := first.managers[0].Resolve(t.Context(), keyOf(1), testPool); got.Finding != FindingSingle || got.Software != "v2" {
+		t.Errorf("got %+v after the first start of the system, want v2", got)
+	}
 	settled := newCluster(t, 3)
 	old := upstreamsOf("v2")
 	old[0].StartedMillis = time.Now().Add(-minHorizon - bornMargin - time.Second).UnixMilli()
