--- a/internal/origin/ask.go
+++ b/internal/origin/ask.go
@@ -102,8 +102,16 @@
 	reply := new(wirepb.OriginReply)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	told := make(map[string]bool)
 	for _, begun := range request.Begun {
 		m.keep(begun)
+		told[begun.Pool] = true
+	}
+	for pool := range told {
+		// The sender has just started if it is certain here that one version serves.
+		if v := m.history.view(pool, now); v.isSingle(horizon) {
+			reply.Histories = append(reply.Histories, encodeView(pool, v))
+		}
 	}
 	if !request.Asks {
 		return reply
@@ -115,6 +123,16 @@
 	return reply
 }
 
+// learn adds what another gateway knows of pools.
+func (m *Manager) learn(histories []*wirepb.SoftwareHistory) {
+	now, horizon := m.options.Now(), m.horizon()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, h := range histories {
+		m.history.merge(h.Pool, decodeView(h), horizon, now)
+	}
+}
+
 // keep keeps a stream for other gateways. m.mu must be held.
 func (m *Manager) keep(begun *wirepb.StreamOrigin) {
 	now := m.options.Now()
--- a/internal/origin/courier.go
+++ b/internal/origin/courier.go
@@ -119,8 +119,9 @@
 	for _, p := range batch {
 		request.Begun = append(request.Begun, &wirepb.StreamOrigin{Stream: uint64(p.key), Pool: p.record.Pool, Software: p.record.Software})
 	}
-	_, err := c.manager.call(ctx, name, request)
+	reply, err := c.manager.call(ctx, name, request)
 	if err == nil {
+		c.manager.learn(reply.Histories)
 		metrics.Counter("origin.records", "result", "sent").Inc(int64(len(batch)))
 	}
 	return err
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -193,9 +193,13 @@
 // publishUnpublished tells other gateways of the streams that began here within the horizon, in
 // pools that may have had several versions since. m.mu must be held.
 func (m *Manager) publishUnpublished(now bootclock.Instant, horizon time.Duration) {
-	single := make(map[string]bool)
+	single, allSingle := make(map[string]bool), true
 	for name := range m.history.pools {
 		single[name] = m.history.view(name, now).isSingle(horizon)
+		allSingle = allSingle && single[name]
+	}
+	if allSingle {
+		return
 	}
 	m.table.each(func(key Key, e *entry) {
 		if e.upstream != "" && !e.published && !single[e.Pool] && now.Sub(e.begunAt) < horizon {
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -258,6 +258,11 @@
 		t.Errorf("got %+v while the others know of another version, want unknown", got)
 	}
 	c.pass(minHorizon)
+	started.Began(keyOf(2), single[0])
+	c.settle()
+	if !started.IsSingle(testPool) {
+		t.Error("a started gateway did not learn from those it told of a stream that one version serves")
+	}
 	second := c.add("second")
 	c.list(single, 4)
 	if got := second.Resolve(t.Context(), keyOf(1), testPool); got.Finding != FindingSingle {
