--- a/internal/app/gatewaypeers.go
+++ b/internal/app/gatewaypeers.go
@@ -45,7 +45,7 @@
 }
 
 func newShareLink(n *node.Node, platformCatalog *catalog.Catalog, shares *share.Manager, peerManager *peering.Manager, log zerolog.Logger) *sharelink.Link {
-	link := sharelink.New(sharelink.Options{Pool: n.Pool, Catalog: platformCatalog, Shares: shares, Address: peerManager.Address, Log: log})
+	link := sharelink.New(sharelink.Options{Gateways: peerManager, Catalog: platformCatalog, Shares: shares, Log: log})
 	link.Register(n.Server)
 	return link
 }
@@ -91,15 +91,14 @@
 }
 
 func newPermits(s *GatewaySettings, n *node.Node, peerManager *peering.Manager, r *roster.Roster, log zerolog.Logger) *permit.Manager {
-	manager := permit.New(permit.Options{Name: s.Identity.Name, Pool: n.Pool, Silences: r.TimeSinceContact, Address: peerManager.Address, Log: log})
+	manager := permit.New(permit.Options{Name: s.Identity.Name, Gateways: peerManager, Silences: r.TimeSinceContact, Log: log})
 	manager.Register(n.Server)
 	return manager
 }
 
 func newOrigins(lifecycle fx.Lifecycle, s *GatewaySettings, n *node.Node, platformCatalog *catalog.Catalog, peerManager *peering.Manager, r *roster.Roster, log zerolog.Logger) *origin.Manager {
 	manager := origin.New(origin.Options{
-		Name: s.Identity.Name, Pool: n.Pool, Catalog: platformCatalog, Silences: r.TimeSinceContact, Address: peerManager.Address,
-		FirstStart: s.Start.First, Log: log,
+		Gateways: peerManager, Catalog: platformCatalog, Silences: r.TimeSinceContact, FirstStart: s.Start.First, Log: log,
 	})
 	manager.Register(n.Server)
 	appendHook(lifecycle, func(context.Context) error { return nil }, func(context.Context) error {
--- a/internal/origin/ask.go
+++ b/internal/origin/ask.go
@@ -71,14 +71,10 @@
 	return got
 }
 
-// callPeer sends a request to another gateway over its session.
-func (m *Manager) callPeer(ctx context.Context, name string, request *wirepb.OriginRequest) (*wirepb.OriginReply, error) {
-	address := m.options.Address(name)
-	if address == "" {
-		return nil, fault.New("address is not known", "exchange origins of streams", name)
-	}
+// call sends a request to another gateway.
+func (m *Manager) call(ctx context.Context, name string, request *wirepb.OriginRequest) (*wirepb.OriginReply, error) {
 	reply := new(wirepb.OriginReply)
-	if err := m.options.Pool.Call(ctx, address, wirepb.Kind_KIND_ORIGIN, "", request, reply); err != nil {
+	if err := m.options.Gateways.Call(ctx, name, wirepb.Kind_KIND_ORIGIN, request, reply); err != nil {
 		return nil, fault.Wrap(err, "exchange origins of streams", name)
 	}
 	return reply, nil
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -12,6 +12,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -20,6 +22,7 @@
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/metrics"
+	"github.com/greengagegate/greengagegate/internal/peering"
 	"github.com/greengagegate/greengagegate/internal/rendezvous"
 	"github.com/greengagegate/greengagegate/internal/wire"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
@@ -32,8 +35,6 @@
 	// asked is the number of gateways that are asked for a stream. It is larger than copies
 	// because gateways that come or go in between change the order.
 	asked = 4
-	// silentAfter is the silence from which a gateway counts as out of contact.
-	silentAfter = 1200 * time.Millisecond
 	// freshFor is the age of the evidence of the configuration up to which a gateway counts as
 	// in contact with the platform store, so that its list of upstreams is recent.
 	freshFor = 2 * time.Second
@@ -78,14 +79,11 @@
 
 // Options configures a Manager. All fields but FirstStart and Now are required.
 type Options struct {
-	// Name is the name of this gateway.
-	Name    string
-	Pool    *wire.Pool
-	Catalog *catalog.Catalog
+	// Gateways sends requests to the other gateways.
+	Gateways peering.Caller
+	Catalog  *catalog.Catalog
 	// Silences returns, for each other gateway by name, how long it has been silent.
 	Silences func() map[string]time.Duration
-	// Address returns the inner address of another gateway, or "" if it is not known.
-	Address func(name string) string
 	// FirstStart is true if the whole system starts for the first time.
 	FirstStart bool
 	Log        zerolog.Logger
@@ -98,8 +96,6 @@
 type Manager struct {
 	options Options
 	courier *courier
-	// call sends a request to another gateway.
-	call func(ctx context.Context, name string, request *wirepb.OriginRequest) (*wirepb.OriginReply, error)
 
 	mu      sync.Mutex
 	history *history
@@ -117,7 +113,6 @@
 		options.Now = bootclock.Now
 	}
 	m := &Manager{options: options, history: newHistory(options.FirstStart), table: newTable(), loggedSingle: make(map[string]bool)}
-	m.call = m.callPeer
 	m.courier = newCourier(m)
 	return m
 }
@@ -220,17 +215,11 @@
 // inContact returns the other gateways that are in contact, or all if none is, which is the
 // case after this gateway was suspended.
 func (m *Manager) inContact() []string {
-	var names, all []string
-	for name, silence := range m.options.Silences() {
-		all = append(all, name)
-		if silence <= silentAfter {
-			names = append(names, name)
-		}
-	}
-	if len(names) == 0 {
-		return all
+	silences := m.options.Silences()
+	if names := peering.InContact(silences); len(names) > 0 {
+		return names
 	}
-	return names
+	return slices.Collect(maps.Keys(silences))
 }
 
 // Began records that a gateway is about to forward the first event of a stream, which an
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -13,6 +13,7 @@
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 )
 
 const testPool = "llm"
@@ -21,6 +22,7 @@
 type cluster struct {
 	t        *testing.T
 	managers []*Manager
+	names    []string
 	byName   map[string]*Manager
 	clock    atomic.Int64
 	catalogs []*catalog.Catalog
@@ -43,11 +45,8 @@
 // add starts a manager that knows no upstreams yet.
 func (c *cluster) add(name string) *Manager {
 	list := catalog.New()
-	m := New(Options{Name: name, Catalog: list, Silences: func() map[string]time.Duration { return c.silences(name) }, Log: zerolog.Nop(), Now: c.now})
-	m.call = func(_ context.Context, to string, request *wirepb.OriginRequest) (*wirepb.OriginReply, error) {
-		return c.call(to, request)
-	}
-	c.managers, c.byName[name] = append(c.managers, m), m
+	m := New(Options{Gateways: c, Catalog: list, Silences: func() map[string]time.Duration { return c.silences(name) }, Log: zerolog.Nop(), Now: c.now})
+	c.managers, c.names, c.byName[name] = append(c.managers, m), append(c.names, name), m
 	c.catalogs = append(c.catalogs, list)
 	c.t.Cleanup(m.Close)
 	return m
@@ -65,16 +64,19 @@
 	return silences
 }
 
-func (c *cluster) call(to string, request *wirepb.OriginRequest) (*wirepb.OriginReply, error) {
+// Call implements peering.Caller.
+func (c *cluster) Call(_ context.Context, to string, _ wirepb.Kind, request, reply proto.Message) error {
+	told := request.(*wirepb.OriginRequest)
 	c.mu.Lock()
 	isLost := c.lost[to]
 	c.messages[to]++
-	c.records[to] += len(request.Begun)
+	c.records[to] += len(told.Begun)
 	c.mu.Unlock()
 	if isLost {
-		return nil, errors.New("lost")
+		return errors.New("lost")
 	}
-	return c.byName[to].reply(request), nil
+	proto.Merge(reply, c.byName[to].reply(told))
+	return nil
 }
 
 func (c *cluster) lose(name string) {
@@ -150,7 +152,7 @@
 			c.settle()
 			lost := 0
 			for i := 0; i < gateways-1 && i < (gateways+2)/3; i++ {
-				c.lose(c.managers[i].options.Name)
+				c.lose(c.names[i])
 				lost++
 			}
 			known := 0
@@ -211,7 +213,7 @@
 	if got := c.sentMessages(); got != 0 {
 		t.Errorf("%d messages, want none", got)
 	}
-	c.lose(c.managers[0].options.Name)
+	c.lose(c.names[0])
 	if got := c.managers[1].Resolve(t.Context(), keyOf(1), testPool); got.Finding != FindingSingle || got.Software != "v1" {
 		t.Errorf("got %+v, want the only version, v1", got)
 	}
@@ -227,7 +229,7 @@
 	c.managers[0].Began(keyOf(1), old[0])
 	c.listAll(append(upstreamsOf("v1", "v1", "v2")[2:], old...))
 	c.settle()
-	c.lose(c.managers[0].options.Name)
+	c.lose(c.names[0])
 	if got := c.managers[1].Resolve(t.Context(), keyOf(1), testPool); got.Finding != FindingRecord || got.Software != "v1" {
 		t.Errorf("got %+v, want the version from the record, v1", got)
 	}
@@ -296,7 +298,7 @@
 	c := newCluster(t, 2)
 	c.listAll(upstreamsOf("v1"))
 	c.pass(minHorizon)
-	c.lose(c.managers[1].options.Name)
+	c.lose(c.names[1])
 	if got := c.managers[0].Resolve(t.Context(), keyOf(1), testPool); got.Finding != FindingSingle {
 		t.Errorf("got %+v with the store in reach, want the only version", got)
 	}
@@ -319,9 +321,9 @@
 	c.managers[0].Began(keyOf(3), before[0])
 	c.settle()
 	for i, want := range []string{"v1", "", ""} {
-		for _, m := range c.managers {
+		for j, m := range c.managers {
 			if got := m.Resolve(t.Context(), keyOf(i+1), testPool); got.Software != want || want == "" && got.Finding != FindingUnknown {
-				t.Errorf("stream %d at %s: got %+v, want version %q", i+1, m.options.Name, got, want)
+				t.Errorf("stream %d at %s: got %+v, want version %q", i+1, c.names[j], got, want)
 			}
 		}
 	}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -134,8 +134,8 @@
 	}()
 }
 
-// Address returns the address of a peer, or "" if the peer is not known.
-func (m *Manager) Address(name string) string {
+// address returns the address of a peer, or "" if the peer is not known.
+func (m *Manager) address(name string) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for peer := range m.peers {
--- a/internal/permit/permit.go
+++ b/internal/permit/permit.go
@@ -15,6 +15,7 @@
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/fault"
 	"github.com/greengagegate/greengagegate/internal/metrics"
+	"github.com/greengagegate/greengagegate/internal/peering"
 	"github.com/greengagegate/greengagegate/internal/rendezvous"
 	"github.com/greengagegate/greengagegate/internal/wire"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
@@ -22,8 +23,6 @@
 )
 
 const (
-	// silentAfter is the silence from which a gateway counts as out of contact.
-	silentAfter = 1200 * time.Millisecond
 	// askTimeout bounds one request to an owner. It is short because a caller's request
 	// waits for the answer.
 	askTimeout = 200 * time.Millisecond
@@ -36,12 +35,11 @@
 type Options struct {
 	// Name is the name of this gateway.
 	Name string
-	Pool *wire.Pool
+	// Gateways sends requests to the other gateways.
+	Gateways peering.Caller
 	// Silences returns, for each other gateway by name, how long it has been silent.
 	Silences func() map[string]time.Duration
-	// Address returns the inner address of another gateway, or "" if it is not known.
-	Address func(name string) string
-	Log     zerolog.Logger
+	Log      zerolog.Logger
 	// Now reads the clock; nil means bootclock.Now.
 	Now func() bootclock.Instant
 }
@@ -87,15 +85,12 @@
 func (m *Manager) owner(resource string) (name string, ratio float64) {
 	ranking := rendezvous.New[string](resource)
 	ranking.Add(m.options.Name, m.options.Name)
-	inContact, all := 1, 1
-	for peer, silence := range m.options.Silences() {
-		all++
-		if silence <= silentAfter {
-			inContact++
-			ranking.Add(peer, peer)
-		}
+	silences := m.options.Silences()
+	inContact := peering.InContact(silences)
+	for _, peer := range inContact {
+		ranking.Add(peer, peer)
 	}
-	return ranking.Best(), float64(inContact) / float64(all)
+	return ranking.Best(), float64(1+len(inContact)) / float64(1+len(silences))
 }
 
 // grant decides a request as the owner of its resource.
@@ -111,15 +106,11 @@
 
 // ask sends a request to another gateway.
 func (m *Manager) ask(ctx context.Context, owner string, request Request) (Decision, error) {
-	address := m.options.Address(owner)
-	if address == "" {
-		return Decision{}, fault.New("address is not known", "ask for a permit", owner)
-	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	message := &wirepb.PermitRequest{Resource: request.Resource, IntervalUs: request.Interval.Microseconds(), Burst: request.Burst}
 	var reply wirepb.PermitReply
-	if err := m.options.Pool.Call(ctx, address, wirepb.Kind_KIND_PERMIT, "", message, &reply); err != nil {
+	if err := m.options.Gateways.Call(ctx, owner, wirepb.Kind_KIND_PERMIT, message, &reply); err != nil {
 		return Decision{}, err
 	}
 	return Decision{Granted: reply.Granted, RetryAfter: time.Duration(reply.RetryUs) * time.Microsecond}, nil
--- a/internal/sharelink/sharelink.go
+++ b/internal/sharelink/sharelink.go
@@ -10,6 +10,7 @@
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/fault"
 	"github.com/greengagegate/greengagegate/internal/metrics"
+	"github.com/greengagegate/greengagegate/internal/peering"
 	"github.com/greengagegate/greengagegate/internal/share"
 	"github.com/greengagegate/greengagegate/internal/wire"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
@@ -22,12 +23,11 @@
 
 // Options configures a Link. All fields are required.
 type Options struct {
-	Pool    *wire.Pool
-	Catalog *catalog.Catalog
-	Shares  *share.Manager
-	// Address returns the inner address of the named gateway, or "" if it is not known.
-	Address func(name string) string
-	Log     zerolog.Logger
+	// Gateways sends requests to the other gateways.
+	Gateways peering.Caller
+	Catalog  *catalog.Catalog
+	Shares   *share.Manager
+	Log      zerolog.Logger
 }
 
 // Link sends and answers requests for tokens. It is safe for concurrent use.
@@ -46,15 +46,11 @@
 // owner does not know the customer. After an error the owner may or may not have
 // spent the tokens.
 func (l *Link) RequestTokens(ctx context.Context, owner, customer string, tokens float64) (share.Decision, error) {
-	address := l.options.Address(owner)
-	if address == "" {
-		return share.Decision{}, fault.New("address is not known", "ask for tokens", owner)
-	}
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	var reply wirepb.ShareReply
 	request := &wirepb.ShareAsk{Customer: customer, Tokens: tokens}
-	if err := l.options.Pool.Call(ctx, address, wirepb.Kind_KIND_SHARE, "", request, &reply); err != nil {
+	if err := l.options.Gateways.Call(ctx, owner, wirepb.Kind_KIND_SHARE, request, &reply); err != nil {
 		metrics.Counter("sharelink.asks", "result", "no-answer").Inc(1)
 		return share.Decision{}, fault.Wrap(err, "ask for tokens", owner)
 	}
