--- a/internal/balancer/eligibility_test.go
+++ b/internal/balancer/eligibility_test.go
@@ -142,3 +142,24 @@
 	f.now = free
 	f.pick(t, request)
 }
+
+// A request that continues a stream goes to upstreams of its software version only. Waiting is
+// in vain if none of them can become usable soon.
+func TestPinnedSoftwareVersion(t *testing.T) {
+	f := newTestFleet(3)
+	f.upstreams[0].Software, f.upstreams[1].Software, f.upstreams[2].Software = "v1", "v2", "v2"
+	request := testRequest("x")
+	request.SoftwarePinned, request.Software = true, "v1"
+	if choice := f.pick(t, request); choice.Upstream != f.upstreams[0] || choice.Excluded.OtherSoftware != 2 {
+		t.Errorf("picked %s, excluded %s, want the only upstream of the version", choice.Upstream.ID, choice.Excluded)
+	}
+	f.balancer.HoldUntil(f.upstreams[0].ID, f.now.Add(time.Second))
+	if choice, ok := f.balancer.Pick(f.upstreams, request); ok || choice.Excluded.IsWaitInVain(f.now) {
+		t.Error("want no upstream, and a wait for the one that is held")
+	}
+	f.balancer.HoldUntil(f.upstreams[0].ID, 0)
+	request.TriedUpstreams = []string{f.upstreams[0].ID}
+	if choice, ok := f.balancer.Pick(f.upstreams, request); ok || !choice.Excluded.IsWaitInVain(f.now) {
+		t.Error("want no upstream and no wait, since the only one of the version was tried")
+	}
+}
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -118,12 +118,16 @@
 		return true
 	}
 	upstream := choice.Upstream
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	callContext, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	_, err := j.gateway.Engines.Report(ctx, upstream)
+	_, err := j.gateway.Engines.Report(callContext, upstream)
 	if err == nil {
 		return true
 	}
+	if ctx.Err() != nil {
+		// The request has ended, which says nothing of the upstream.
+		return false
+	}
 	if errors.Is(err, weights.ErrIncarnationChanged) {
 		j.gateway.Balancer.MarkReplaced(upstream.ID, upstream.StartedMillis)
 	}
--- a/internal/origin/courier.go
+++ b/internal/origin/courier.go
@@ -15,8 +15,11 @@
 const (
 	// sendTimeout bounds one message to another gateway.
 	sendTimeout = 300 * time.Millisecond
-	// maxQueued bounds the parcels that wait for one gateway; further ones are dropped.
-	maxQueued = 1024
+	// maxQueued bounds the parcels that wait for one gateway; further ones are dropped. All
+	// streams of a horizon are sent at once when a second version appears.
+	maxQueued = 1 << 13
+	// maxBatch bounds the parcels in one message.
+	maxBatch = 512
 	// maxTries bounds the gateways that a copy is offered to.
 	maxTries = 3
 )
@@ -98,17 +101,22 @@
 	}
 }
 
-// take returns all parcels that wait for a gateway. If there are none, another goroutine may
-// be started for it.
+// take returns the first parcels that wait for a gateway. If there are none, another goroutine
+// may be started for it.
 func (c *courier) take(name string) []parcel {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	batch := c.queues[name]
-	delete(c.queues, name)
-	if len(batch) == 0 {
+	waiting := c.queues[name]
+	if len(waiting) == 0 {
 		delete(c.sending, name)
+		return nil
 	}
-	return batch
+	if len(waiting) <= maxBatch {
+		delete(c.queues, name)
+		return waiting
+	}
+	c.queues[name] = waiting[maxBatch:]
+	return waiting[:maxBatch]
 }
 
 // deliver sends parcels in one message.
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -376,3 +376,24 @@
 		t.Errorf("%d entries two horizons later, want the two that were put since", got)
 	}
 }
+
+// When a second version appears, the streams of a whole horizon are told of at once. None may be
+// lost in that.
+func TestAllStreamsOfHorizonAreToldOf(t *testing.T) {
+	const streams = 5000
+	c := newCluster(t, 3)
+	old := upstreamsOf("v1")
+	c.listAll(old)
+	c.pass(minHorizon)
+	for i := range streams {
+		c.managers[0].Began(keyOf(i), old[0])
+	}
+	c.listAll(upstreamsOf("v1", "v2"))
+	c.settle()
+	c.lose(c.names[0])
+	for i := range streams {
+		if got := c.managers[1].Resolve(t.Context(), keyOf(i), testPool); got.Finding != FindingRecord {
+			t.Fatalf("stream %d: got %+v, want a record", i, got)
+		}
+	}
+}
