--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/fault"
 	"golang.org/x/sys/unix"
 )
@@ -91,6 +92,10 @@
 	// ends when the connection is closed.
 	Delimited bool
 
+	// ConnectedAt is when the connection was open on which the response arrived. It ends with
+	// the upstream's process.
+	ConnectedAt bootclock.Instant
+
 	conn     *conn
 	response *http.Response
 	// stopAbort prevents the abort when ctx ends. It returns false if the abort has
@@ -188,14 +193,15 @@
 // newResponse returns the Response for a head that was read on c.
 func (c *conn) newResponse(response *http.Response, writeDone <-chan error, mismatched bool) *Response {
 	result := &Response{
-		Status:     response.StatusCode,
-		Header:     response.Header,
-		Body:       response.Body,
-		Delimited:  response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
-		conn:       c,
-		response:   response,
-		writeDone:  writeDone,
-		mismatched: mismatched,
+		Status:      response.StatusCode,
+		Header:      response.Header,
+		Body:        response.Body,
+		Delimited:   response.ContentLength >= 0 || len(response.TransferEncoding) > 0,
+		ConnectedAt: c.openedAt,
+		conn:        c,
+		response:    response,
+		writeDone:   writeDone,
+		mismatched:  mismatched,
 	}
 	if !result.Delimited && writeDone != nil {
 		result.Body = &undelimitedBody{source: response.Body, writeDone: writeDone}
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/fault"
 	"github.com/greengagegate/greengagegate/internal/metrics"
 	"golang.org/x/sys/unix"
@@ -100,6 +101,8 @@
 	pool    *Pool
 	address string
 	netConn net.Conn
+	// openedAt is when the connection was open.
+	openedAt bootclock.Instant
 	// bounded is the source of reader.
 	bounded *boundedReader
 	reader  *bufio.Reader
@@ -189,7 +192,7 @@
 	p.open[address]++
 	p.mu.Unlock()
 	bounded := &boundedReader{source: netConn, left: unbounded}
-	return &conn{pool: p, address: address, netConn: netConn, bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes)}, nil
+	return &conn{pool: p, address: address, netConn: netConn, openedAt: bootclock.Now(), bounded: bounded, reader: bufio.NewReaderSize(bounded, readBufferBytes)}, nil
 }
 
 // Probe opens a connection to an address and keeps it idle for the next exchange.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,13 +79,14 @@
 // concurrent use.
 type Gateway struct {
 	Options
-	requestLog  *requestLog
-	crashChecks crashChecks
-	draining    atomic.Bool
-	closed      atomic.Bool
-	active      atomic.Int64
-	waiting     atomic.Int64
-	buffered    atomic.Int64
+	requestLog    *requestLog
+	crashChecks   crashChecks
+	confirmations confirmations
+	draining      atomic.Bool
+	closed        atomic.Bool
+	active        atomic.Int64
+	waiting       atomic.Int64
+	buffered      atomic.Int64
 }
 
 // New returns a gateway.
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"time"
 
-	"github.com/greengagegate/greengagegate/internal/balancer"
+	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/origin"
-	"github.com/greengagegate/greengagegate/internal/weights"
 )
 
 // versionGoneRetryAfter is the retry time while no upstream has the software version that a
@@ -26,13 +24,11 @@
 type Origins interface {
 	Began(key origin.Key, upstream *catalog.Upstream)
 	IsDoubtful(key origin.Key) bool
+	Doubt(upstream string, since bootclock.Instant)
 	Resolve(ctx context.Context, key origin.Key, pool string) origin.Origin
 	IsSingle(pool string) bool
 }
 
-// confirmTimeout bounds the question to an upstream which incarnation it is.
-const confirmTimeout = 150 * time.Millisecond
-
 // takesUpStream reports whether the caller already has events of the stream.
 func (j *job) takesUpStream() bool {
 	return j.route.Kind == catalog.Stream && (j.call.LastEventID != "" || j.call.ResumedID != "")
@@ -106,34 +102,6 @@
 	j.pinSoftware(upstream.Software)
 	if j.route.Resumable {
 		j.gateway.Origins.Began(j.streamKey(), upstream)
+		j.confirmBegun(s)
 	}
 }
-
-// confirmVersion reports whether the chosen upstream has the pinned software version, if there
-// is one. An upstream can come back at another version under the same ID, and serve before the
-// list says so; requests address its ID only. While several versions serve, it is asked for its
-// incarnation first. One that does not answer, or is another, is not chosen again.
-func (j *job) confirmVersion(ctx context.Context, choice *balancer.Choice) bool {
-	if !j.pickRequest.SoftwarePinned || j.pool.Engine == nil || j.gateway.Origins.IsSingle(j.pool.Name) {
-		return true
-	}
-	upstream := choice.Upstream
-	callContext, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	_, err := j.gateway.Engines.Report(callContext, upstream)
-	if err == nil {
-		return true
-	}
-	if ctx.Err() != nil {
-		// The request has ended, which says nothing of the upstream.
-		return false
-	}
-	if errors.Is(err, weights.ErrIncarnationChanged) {
-		j.gateway.Balancer.MarkReplaced(upstream.ID, upstream.StartedMillis)
-	}
-	j.outcome.err = err
-	j.pickRequest.TriedUpstreams = append(j.pickRequest.TriedUpstreams, upstream.ID)
-	j.gateway.Log.Info().Err(err).Str("request", j.call.ID).Str("upstream", upstream.ID).Str("software", upstream.Software).
-		Msg("gateway: an upstream did not confirm its software version; the stream does not go on there")
-	return false
-}
--- a/internal/gateway/probe.go
+++ b/internal/gateway/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/balancer"
@@ -10,7 +9,6 @@
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/contain"
 	"github.com/greengagegate/greengagegate/internal/pause"
-	"github.com/greengagegate/greengagegate/internal/weights"
 )
 
 const (
@@ -55,8 +53,6 @@
 			continue
 		}
 		if g.isReplaced(upstream) {
-			g.Balancer.MarkReplaced(upstream.ID, upstream.StartedMillis)
-			g.Log.Info().Str("upstream", upstream.ID).Int64("born", upstream.StartedMillis).Msg("gateway: upstream is back as another incarnation; it gets no requests until the catalog lists that")
 			return
 		}
 		g.Balancer.MarkReachable(upstream.ID)
@@ -64,20 +60,3 @@
 		return
 	}
 }
-
-// isReplaced reports whether an engine that was unreachable is another incarnation now, which
-// may have another software version than the list says. It is asked only while several
-// versions serve. One that does not answer counts as the same.
-func (g *Gateway) isReplaced(upstream *catalog.Upstream) bool {
-	config := g.Catalog.Config()
-	if config == nil || g.Origins.IsSingle(upstream.Pool) {
-		return false
-	}
-	if pool := config.Pools[upstream.Pool]; pool == nil || pool.Engine == nil {
-		return false
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
-	defer cancel()
-	_, err := g.Engines.Report(ctx, upstream)
-	return errors.Is(err, weights.ErrIncarnationChanged)
-}
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/balancer"
+	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/exchange"
 	"github.com/greengagegate/greengagegate/internal/origin"
@@ -91,6 +92,7 @@
 
 func (unknownOrigins) Began(origin.Key, *catalog.Upstream) {}
 func (unknownOrigins) IsDoubtful(origin.Key) bool          { return false }
+func (unknownOrigins) Doubt(string, bootclock.Instant)     {}
 func (unknownOrigins) IsSingle(string) bool                { return true }
 
 func (unknownOrigins) Resolve(context.Context, origin.Key, string) origin.Origin {
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -185,6 +185,20 @@
 	})
 }
 
+// Doubt marks the streams that began at an upstream since an instant, because another
+// incarnation than the listed one may have begun them.
+func (m *Manager) Doubt(upstream string, since bootclock.Instant) {
+	now, horizon := m.options.Now(), m.horizon()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.each(func(_ Key, e *entry) {
+		if e.upstream == upstream && !e.begunAt.Before(since) {
+			e.Software, e.published = "", false
+		}
+	})
+	m.publishUnpublished(now, horizon)
+}
+
 // publishUnpublished tells other gateways of the streams that began here within the horizon, in
 // pools that may have had several versions since. m.mu must be held.
 func (m *Manager) publishUnpublished(now bootclock.Instant, horizon time.Duration) {
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -332,6 +332,29 @@
 	}
 }
 
+// Streams that may have begun at another incarnation than the listed one become unknown at all
+// gateways, and only those.
+func TestDoubtReachesOtherGateways(t *testing.T) {
+	c := newCluster(t, 4)
+	upstreams := upstreamsOf("v1", "v2")
+	c.listAll(upstreams)
+	c.managers[0].Began(keyOf(1), upstreams[0])
+	c.pass(time.Second)
+	since := c.now()
+	c.managers[0].Began(keyOf(2), upstreams[0])
+	c.managers[0].Began(keyOf(3), upstreams[1])
+	c.settle()
+	c.managers[0].Doubt(upstreams[0].ID, since)
+	c.settle()
+	for i, want := range []string{"v1", "", "v2"} {
+		for j, m := range c.managers {
+			if got := m.Resolve(t.Context(), keyOf(i+1), testPool); got.Software != want {
+				t.Errorf("stream %d at %s: got %+v, want version %q", i+1, c.names[j], got, want)
+			}
+		}
+	}
+}
+
 // A copy that a gateway does not take goes to another one.
 func TestLostGatewayIsReplacedAsKeeper(t *testing.T) {
 	const streams = 100
