--- a/internal/weights/lease.go
+++ b/internal/weights/lease.go
@@ -41,14 +41,15 @@
 
 // setOrdersAllowedFrom sets from when orders may be sent after the lease was acquired: at
 // once, or Options.TakeoverDelay later when another gateway held the lease before, so that the
-// orders of both are well apart. It must be called with m.mu held.
+// orders of both are well apart. A wait that has begun is not shortened by an expiry in
+// between. It must be called with m.mu held.
 func (m *Manager) setOrdersAllowedFrom(fencingToken int64) {
 	previousHolder := m.options.Lease.PreviousHolder()
 	wait := m.options.TakeoverDelay
 	if previousHolder == "" || previousHolder == m.options.Name {
 		wait = 0
 	}
-	m.ordersAllowedFrom = bootclock.Now().Add(wait)
+	m.ordersAllowedFrom = max(m.ordersAllowedFrom, bootclock.Now().Add(wait))
 	m.options.Log.Info().Int64("fence", fencingToken).Str("former", previousHolder).Dur("wait_ms", wait).Msg("weights: this gateway acquired the orders lease; it sends orders after the wait")
 }
 
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/catalog"
+	"github.com/greengagegate/greengagegate/lease"
 	"github.com/greengagegate/greengagegate/store"
 	"github.com/greengagegate/greengagegate/store/memstore"
 	"github.com/rs/zerolog"
@@ -357,3 +358,35 @@
 		}
 	})
 }
+
+// A holder that was suspended for longer than its term, and that nobody replaced, must not wait
+// again for the holder before it: it would lose that time in each suspension.
+func TestHolderAfterExpiryDoesNotWaitAgain(t *testing.T) {
+	s := memstore.New()
+	former := NewLease(s, "former")
+	m := New(Options{Name: "own", Lease: NewLease(s, "own"), TakeoverDelay: time.Minute, Log: zerolog.Nop()})
+	acquire := func(l *lease.Lease) int64 {
+		token, err := l.Acquire(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return token
+	}
+	acquire(former)
+	if err := former.Release(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	m.setOrdersAllowedFrom(acquire(m.options.Lease))
+	allowedFrom := m.ordersAllowedFrom
+	if wait := allowedFrom.Sub(bootclock.Now()); wait < 50*time.Second {
+		t.Errorf("waiting for %v after the lease was taken from another holder, want a minute", wait)
+	}
+	time.Sleep(leaseTerm + 100*time.Millisecond)
+	if m.options.Lease.Held() {
+		t.Fatal("the lease is still held after its term")
+	}
+	m.setOrdersAllowedFrom(acquire(m.options.Lease))
+	if m.ordersAllowedFrom != allowedFrom {
+		t.Errorf("the wait ends %v later after the expiry, want it unchanged", m.ordersAllowedFrom.Sub(allowedFrom))
+	}
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -131,9 +131,7 @@
 		return 0, err
 	}
 	l.setHeld(token, requestedAt)
-	if !isOwn {
-		l.notePreviousHolder(&current, version)
-	}
+	l.notePreviousHolder(&current, version)
 	return token, nil
 }
 
@@ -203,7 +201,8 @@
 	l.expiresAt = requestedAt.Add(l.term - time.Duration(float64(l.term)*clockDriftFraction))
 }
 
-// notePreviousHolder records from whom the lease was taken over.
+// notePreviousHolder records from whom the lease was taken over: this process itself if its
+// lease had expired and nobody has taken it since.
 func (l *Lease) notePreviousHolder(previous *leaseRecord, version int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -217,7 +216,7 @@
 }
 
 // PreviousHolder returns the name of the holder from which this process last took
-// the lease over, UnknownHolder if a restore of the store may have lost its record, or ""
+// the lease over, its own after an expiry in which nobody else took it, UnknownHolder if a restore of the store may have lost its record, or ""
 // if it never took over a stored lease.
 func (l *Lease) PreviousHolder() string {
 	l.mu.Lock()
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -123,3 +123,26 @@
 	}
 	return token
 }
+
+// A process whose lease expired while it was suspended, and that nobody else took, is its own
+// previous holder, whoever held the lease before.
+func TestHolderAfterExpiryIsItsOwnPreviousHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const term = time.Second
+		s := memstore.New()
+		first, second := NewLease(s, "k", "a", term, nil), NewLease(s, "k", "b", term, nil)
+		acquire(t, first)
+		if err := first.Release(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		acquire(t, second)
+		time.Sleep(2 * term)
+		if second.Held() {
+			t.Fatal("the lease is still held after its term")
+		}
+		acquire(t, second)
+		if got := second.PreviousHolder(); got != "b" {
+			t.Errorf("the previous holder is %q, want \"b\"", got)
+		}
+	})
+}
