--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -32,7 +32,7 @@
 	// LastEventID is the ID of the event after which a stream resumes; empty for none.
 	LastEventID string
 	// ResumedID is the ID of the caller's attempt that brought the first event of the stream
-	// which this request takes up; empty if it takes up none.
+	// which this request resumes; empty if it resumes none.
 	ResumedID string
 }
 
--- a/internal/gateway/confirm.go
+++ b/internal/gateway/confirm.go
@@ -34,9 +34,9 @@
 	at bootclock.Instant
 	// askedAt is when the question was sent that is still open; 0 if there is none.
 	askedAt bootclock.Instant
-	// doubtfulSince is when the first connection was opened of which nothing is known yet; 0 if
+	// uncertainSince is when the first connection was opened of which nothing is known yet; 0 if
 	// there is none.
-	doubtfulSince bootclock.Instant
+	uncertainSince bootclock.Instant
 }
 
 // maxConfirmations bounds confirmations. Beyond it, all are forgotten and asked for again.
@@ -59,22 +59,22 @@
 		return false
 	}
 	known.askedAt = now
-	if known.doubtfulSince == 0 {
-		known.doubtfulSince = connectedAt
+	if known.uncertainSince == 0 {
+		known.uncertainSince = connectedAt
 	}
 	return true
 }
 
 // end records the answer to the question that was sent at askedAt. It returns since when
 // connections may have been to another incarnation.
-func (c *confirmations) end(which incarnation, askedAt bootclock.Instant, confirmed bool) (doubtfulSince bootclock.Instant) {
+func (c *confirmations) end(which incarnation, askedAt bootclock.Instant, confirmed bool) (uncertainSince bootclock.Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known := c.of[which]
 	if known == nil {
 		return askedAt
 	}
-	doubtfulSince = known.doubtfulSince
+	uncertainSince = known.uncertainSince
 	isLast := known.askedAt == askedAt
 	if isLast {
 		known.askedAt = 0
@@ -82,10 +82,10 @@
 	if confirmed {
 		known.at = max(known.at, askedAt)
 		if isLast {
-			known.doubtfulSince = 0
+			known.uncertainSince = 0
 		}
 	}
-	return doubtfulSince
+	return uncertainSince
 }
 
 // askIncarnation asks an engine whether it is the listed incarnation. The error is
@@ -118,9 +118,9 @@
 	go func() {
 		defer contain.Panics(g.Log, "gateway", upstream.ID)
 		err := g.askIncarnation(context.Background(), upstream)
-		doubtfulSince := g.confirmations.end(which, askedAt, err == nil)
+		uncertainSince := g.confirmations.end(which, askedAt, err == nil)
 		if errors.Is(err, weights.ErrIncarnationChanged) {
-			g.Origins.Doubt(upstream.ID, doubtfulSince)
+			g.Origins.MarkUncertain(upstream.ID, uncertainSince)
 		}
 	}()
 }
--- a/internal/gateway/confirm_test.go
+++ b/internal/gateway/confirm_test.go
@@ -22,10 +22,10 @@
 		t.Error("want a question for a connection that was opened after the open one was sent")
 	}
 	if since := c.end(which, at(11), true); since != at(10) {
-		t.Errorf("connections are doubtful since %v, want since the first one", since)
+		t.Errorf("connections are uncertain since %v, want since the first one", since)
 	}
 	if since := c.end(which, at(13), false); since != at(10) {
-		t.Errorf("connections are doubtful since %v after the last question, want since the first one", since)
+		t.Errorf("connections are uncertain since %v after the last question, want since the first one", since)
 	}
 	if c.begin(which, at(11), at(14)) {
 		t.Error("want no question for a connection that was open at the answered one")
@@ -38,6 +38,6 @@
 		t.Error("want a question only for a connection after the last answer")
 	}
 	if since := c.end(which, at(17), false); since != at(16) {
-		t.Errorf("connections are doubtful since %v, want since the one after the answer", since)
+		t.Errorf("connections are uncertain since %v, want since the one after the answer", since)
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -274,7 +274,7 @@
 
 // pickPool splits a route's requests among its pools by weight. A hash of the stream's or
 // request's ID selects one of 10,000 steps of the total weight, so that a repeated request
-// with the same ID, or a stream that is taken up, gets the same pool.
+// with the same ID, or a stream that is resumed, gets the same pool.
 func (j *job) pickPool() string {
 	total := 0.0
 	for _, weightedPool := range j.route.Pools {
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -14,7 +14,7 @@
 // stream needs: about the time in which a crashed one is back.
 const versionGoneRetryAfter = time.Second
 
-// Refusals of streams that a caller takes up.
+// Refusals of streams that a caller resumes.
 var (
 	refusedUnknownVersion = &refusal{http.StatusServiceUnavailable, "version-unknown", transientRetryAfter}
 	refusedVersionGone    = &refusal{http.StatusServiceUnavailable, "version-gone", versionGoneRetryAfter}
@@ -23,14 +23,14 @@
 // Origins tells at which software version streams began, at any gateway; see package origin.
 type Origins interface {
 	Began(key origin.Key, upstream *catalog.Upstream)
-	IsDoubtful(key origin.Key) bool
-	Doubt(upstream string, since bootclock.Instant)
+	IsUncertain(key origin.Key) bool
+	MarkUncertain(upstream string, since bootclock.Instant)
 	Resolve(ctx context.Context, key origin.Key, pool string) origin.Origin
 	IsSingle(pool string) bool
 }
 
-// takesUpStream reports whether the caller already has events of the stream.
-func (j *job) takesUpStream() bool {
+// resumesStream reports whether the caller already has events of the stream.
+func (j *job) resumesStream() bool {
 	return j.route.Kind == catalog.Stream && (j.call.LastEventID != "" || j.call.ResumedID != "")
 }
 
@@ -50,11 +50,11 @@
 	return origin.KeyOf(customer, j.streamID())
 }
 
-// pinOrigin keeps a stream that the caller takes up to the pool and the software version at
+// pinOrigin keeps a stream that the caller resumes to the pool and the software version at
 // which it began. It returns a refusal if they are not known or no longer serve, since the
 // caller would get events that do not fit together.
 func (j *job) pinOrigin() *refusal {
-	if !j.takesUpStream() {
+	if !j.resumesStream() {
 		return nil
 	}
 	found := j.gateway.Origins.Resolve(j.r.Context(), j.streamKey(), j.pool.Name)
--- a/internal/gateway/origin_test.go
+++ b/internal/gateway/origin_test.go
@@ -12,10 +12,10 @@
 	"github.com/greengagegate/greengagegate/internal/origin"
 )
 
-// doubtfulOrigins says of all streams that it is not certain where they began.
-type doubtfulOrigins struct{ unknownOrigins }
+// uncertainOrigins says of all streams that it is not certain where they began.
+type uncertainOrigins struct{ unknownOrigins }
 
-func (doubtfulOrigins) IsDoubtful(origin.Key) bool { return true }
+func (uncertainOrigins) IsUncertain(origin.Key) bool { return true }
 
 // A stream whose version has become uncertain must not go on at another upstream: its caller's
 // connection is cut, so that the response does not look complete.
@@ -33,7 +33,7 @@
 		LatencyObjective: 200 * time.Millisecond, MaxRuns: 3, Resumable: true,
 	}
 	g := newTestGateway(t, route, 3, handler)
-	g.Origins = doubtfulOrigins{}
+	g.Origins = uncertainOrigins{}
 	front := httptest.NewServer(g)
 	defer front.Close()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, front.URL+"/x", nil)
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -42,7 +42,7 @@
 	convictedKey poison.Key
 	// suspectKey is the content because of which a send was a trial, or was held back.
 	suspectKey poison.Key
-	// origin is where the stream began that the caller takes up.
+	// origin is where the stream began that the caller resumes.
 	origin origin.Origin
 	err    error
 }
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -16,7 +16,7 @@
 // is the hedge for which the stream is resumed, or nil if its upstream has failed. resume
 // must be called after recordAttempt.
 func (j *job) resume(ctx context.Context, lastEventID string, watch *stallWatch) *send {
-	if j.gateway.Origins.IsDoubtful(j.streamKey()) {
+	if j.gateway.Origins.IsUncertain(j.streamKey()) {
 		return nil
 	}
 	refused := j.prepareRetry(true)
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -90,10 +90,10 @@
 // unknownOrigins knows of no stream where it began.
 type unknownOrigins struct{}
 
-func (unknownOrigins) Began(origin.Key, *catalog.Upstream) {}
-func (unknownOrigins) IsDoubtful(origin.Key) bool          { return false }
-func (unknownOrigins) Doubt(string, bootclock.Instant)     {}
-func (unknownOrigins) IsSingle(string) bool                { return true }
+func (unknownOrigins) Began(origin.Key, *catalog.Upstream)     {}
+func (unknownOrigins) IsUncertain(origin.Key) bool             { return false }
+func (unknownOrigins) MarkUncertain(string, bootclock.Instant) {}
+func (unknownOrigins) IsSingle(string) bool                    { return true }
 
 func (unknownOrigins) Resolve(context.Context, origin.Key, string) origin.Origin {
 	return origin.Origin{Finding: origin.FindingUnknown}
--- a/internal/origin/bench_test.go
+++ b/internal/origin/bench_test.go
@@ -87,7 +87,7 @@
 	before, i := slope.Read(), 0
 	for b.Loop() {
 		teller.Began(keyOf(i), upstreams[0])
-		teller.courier.wg.Wait()
+		teller.sender.wg.Wait()
 		i++
 	}
 	spent := slope.Read().CPU - before.CPU
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -1,6 +1,6 @@
 // Package origin tells at which version of its upstream's software a stream began, at any
 // gateway. What upstreams of different versions write does not fit together, so that a stream
-// which a caller takes up must go on at the version that began it, and the gateway that
+// which a caller resumes must go on at the version that began it, and the gateway that
 // forwarded its beginning may be gone.
 //
 // While the upstreams of a pool have one version, a gateway only remembers its own streams.
@@ -43,7 +43,7 @@
 	// begun at either.
 	listDelay = 3 * time.Second
 	// horizonTimeouts is the ratio of the horizon, within which a stream that began may be
-	// taken up, to the longest timeout of a route.
+	// resumed, to the longest timeout of a route.
 	horizonTimeouts = 2
 	// minHorizon and maxHorizon bound the horizon.
 	minHorizon = 10 * time.Second
@@ -95,7 +95,7 @@
 // concurrent use.
 type Manager struct {
 	options Options
-	courier *courier
+	sender  *sender
 
 	mu      sync.Mutex
 	history *history
@@ -113,7 +113,7 @@
 		options.Now = bootclock.Now
 	}
 	m := &Manager{options: options, history: newHistory(options.FirstStart), table: newTable(), loggedSingle: make(map[string]bool)}
-	m.courier = newCourier(m)
+	m.sender = newSender(m)
 	return m
 }
 
@@ -123,9 +123,9 @@
 }
 
 // Close ends all sending and waits for it.
-func (m *Manager) Close() { m.courier.close() }
+func (m *Manager) Close() { m.sender.close() }
 
-// horizon returns how long after its first event a stream may be taken up: a caller's whole
+// horizon returns how long after its first event a stream may be resumed: a caller's whole
 // patience is close to the timeout of its route.
 func (m *Manager) horizon() time.Duration {
 	longest := time.Duration(0)
@@ -146,7 +146,7 @@
 	m.upstreams = list
 	m.logVersions(list, now, horizon)
 	if previous != nil {
-		m.doubtReplaced(previous, list, now)
+		m.markReplacedUncertain(previous, list, now)
 	}
 	m.publishUnpublished(now, horizon)
 }
@@ -166,9 +166,9 @@
 	}
 }
 
-// doubtReplaced marks the streams that began shortly before the list says that the same ID is
+// markReplacedUncertain marks the streams that began shortly before the list says that the same ID is
 // now an upstream of another version. m.mu must be held.
-func (m *Manager) doubtReplaced(previous, list *catalog.Upstreams, now bootclock.Instant) {
+func (m *Manager) markReplacedUncertain(previous, list *catalog.Upstreams, now bootclock.Instant) {
 	replaced := make(map[string]bool)
 	for id, upstream := range list.ByID {
 		if before := previous.ByID[id]; before != nil && before.Software != upstream.Software {
@@ -185,9 +185,9 @@
 	})
 }
 
-// Doubt marks the streams that began at an upstream since an instant, because another
+// MarkUncertain marks the streams that began at an upstream since an instant, because another
 // incarnation than the listed one may have begun them.
-func (m *Manager) Doubt(upstream string, since bootclock.Instant) {
+func (m *Manager) MarkUncertain(upstream string, since bootclock.Instant) {
 	now, horizon := m.options.Now(), m.horizon()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -220,7 +220,7 @@
 // publish tells other gateways of a stream. m.mu must be held.
 func (m *Manager) publish(key Key, e *entry) {
 	e.published = true
-	m.courier.send(parcel{key: key, record: e.Record}, rendezvous.Top(key.text(), m.inContact(), copies))
+	m.sender.send(queuedRecord{key: key, record: e.Record}, rendezvous.Top(key.text(), m.inContact(), copies))
 }
 
 // text returns the key as rendezvous hashing takes it.
@@ -269,9 +269,9 @@
 	return m.history.view(pool, now).isSingle(horizon)
 }
 
-// IsDoubtful reports whether it has become uncertain at which version a stream began, which
+// IsUncertain reports whether it has become uncertain at which version a stream began, which
 // this gateway forwards.
-func (m *Manager) IsDoubtful(key Key) bool {
+func (m *Manager) IsUncertain(key Key) bool {
 	now, horizon := m.options.Now(), m.horizon()
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -279,7 +279,7 @@
 	return e != nil && e.Software == ""
 }
 
-// Resolve returns where a stream began that a caller takes up. pool is the pool that would
+// Resolve returns where a stream began that a caller resumes. pool is the pool that would
 // get it now. It asks other gateways unless this one knows the stream, and blocks for at most
 // askTimeout. If the finding is FindingUnknown, the stream must not go on.
 func (m *Manager) Resolve(ctx context.Context, key Key, pool string) Origin {
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -1,142 +1,13 @@
 package origin
 
 import (
-	"context"
-	"errors"
 	"fmt"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/bootclock"
-	"github.com/greengagegate/greengagegate/internal/catalog"
-	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
-	"github.com/rs/zerolog"
-	"google.golang.org/protobuf/proto"
 )
 
-const testPool = "llm"
-
-// cluster is a number of managers that call each other directly. Its clock is moved by tests.
-type cluster struct {
-	t        *testing.T
-	managers []*Manager
-	names    []string
-	byName   map[string]*Manager
-	clock    atomic.Int64
-	catalogs []*catalog.Catalog
-
-	mu   sync.Mutex
-	lost map[string]bool
-	// messages counts the calls by receiver, records the streams in them.
-	messages, records map[string]int
-}
-
-func newCluster(t *testing.T, gateways int) *cluster {
-	c := &cluster{t: t, byName: make(map[string]*Manager), lost: make(map[string]bool), messages: make(map[string]int), records: make(map[string]int)}
-	c.clock.Store(int64(time.Hour))
-	for i := range gateways {
-		c.add(fmt.Sprintf("gateway-%d", i))
-	}
-	return c
-}
-
-// add starts a manager that knows no upstreams yet.
-func (c *cluster) add(name string) *Manager {
-	list := catalog.New()
-	m := New(Options{Gateways: c, Catalog: list, Silences: func() map[string]time.Duration { return c.silences(name) }, Log: zerolog.Nop(), Now: c.now})
-	c.managers, c.names, c.byName[name] = append(c.managers, m), append(c.names, name), m
-	c.catalogs = append(c.catalogs, list)
-	c.t.Cleanup(m.Close)
-	return m
-}
-
-func (c *cluster) now() bootclock.Instant { return bootclock.Instant(c.clock.Load()) }
-
-func (c *cluster) silences(of string) map[string]time.Duration {
-	silences := make(map[string]time.Duration)
-	for name := range c.byName {
-		if name != of {
-			silences[name] = 0
-		}
-	}
-	return silences
-}
-
-// Call implements peering.Caller.
-func (c *cluster) Call(_ context.Context, to string, _ wirepb.Kind, request, reply proto.Message) error {
-	told := request.(*wirepb.OriginRequest)
-	c.mu.Lock()
-	isLost := c.lost[to]
-	c.messages[to]++
-	c.records[to] += len(told.Begun)
-	c.mu.Unlock()
-	if isLost {
-		return errors.New("lost")
-	}
-	proto.Merge(reply, c.byName[to].reply(told))
-	return nil
-}
-
-func (c *cluster) lose(name string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.lost[name] = true
-}
-
-// list makes gateways follow a list of upstreams, which the store has confirmed just now.
-func (c *cluster) list(upstreams []*catalog.Upstream, gateways ...int) {
-	for _, i := range gateways {
-		c.catalogs[i].SetUpstreams(upstreams)
-		c.catalogs[i].ConfirmConfig(c.now())
-		c.managers[i].Observe(c.catalogs[i].Upstreams())
-	}
-}
-
-// listAll makes all gateways follow a list.
-func (c *cluster) listAll(upstreams []*catalog.Upstream) {
-	for i := range c.managers {
-		c.list(upstreams, i)
-	}
-}
-
-// pass lets time pass, with the store in reach.
-func (c *cluster) pass(d time.Duration) {
-	c.clock.Add(int64(d))
-	for _, list := range c.catalogs {
-		list.ConfirmConfig(c.now())
-	}
-}
-
-// settle waits until all that gateways tell each other has arrived.
-func (c *cluster) settle() {
-	for _, m := range c.managers {
-		m.courier.wg.Wait()
-	}
-}
-
-func (c *cluster) sentMessages() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	sum := 0
-	for _, count := range c.messages {
-		sum += count
-	}
-	return sum
-}
-
-// upstreamsOf returns upstreams with the given software versions, which have just started.
-func upstreamsOf(versions ...string) []*catalog.Upstream {
-	var upstreams []*catalog.Upstream
-	for i, version := range versions {
-		upstreams = append(upstreams, &catalog.Upstream{ID: fmt.Sprintf("engine-%d", i), Pool: testPool, Software: version, StartedMillis: time.Now().UnixMilli()})
-	}
-	return upstreams
-}
-
-func keyOf(i int) Key { return KeyOf("agents", fmt.Sprintf("request-%d", i)) }
-
 // Load pattern: two versions serve, and gateways are lost together with the one that began the
 // streams. What the others say must be right, and known of most streams, at every size.
 func TestStreamsAreKnownAfterGatewaysAreLost(t *testing.T) {
@@ -327,14 +198,14 @@
 			}
 		}
 	}
-	if c.managers[0].IsDoubtful(keyOf(1)) || !c.managers[0].IsDoubtful(keyOf(2)) {
-		t.Error("want only the stream that began shortly before the change to be doubtful")
+	if c.managers[0].IsUncertain(keyOf(1)) || !c.managers[0].IsUncertain(keyOf(2)) {
+		t.Error("want only the stream that began shortly before the change to be uncertain")
 	}
 }
 
 // Streams that may have begun at another incarnation than the listed one become unknown at all
 // gateways, and only those.
-func TestDoubtReachesOtherGateways(t *testing.T) {
+func TestUncertaintyReachesOtherGateways(t *testing.T) {
 	c := newCluster(t, 4)
 	upstreams := upstreamsOf("v1", "v2")
 	c.listAll(upstreams)
@@ -344,7 +215,7 @@
 	c.managers[0].Began(keyOf(2), upstreams[0])
 	c.managers[0].Began(keyOf(3), upstreams[1])
 	c.settle()
-	c.managers[0].Doubt(upstreams[0].ID, since)
+	c.managers[0].MarkUncertain(upstreams[0].ID, since)
 	c.settle()
 	for i, want := range []string{"v1", "", "v2"} {
 		for j, m := range c.managers {
