--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,6 +1,6 @@
 // Package catalog holds a gateway's view of its fleet: the current configuration, the
-// upstreams in service, and the target version of each model's weights. Values are
-// immutable once they are set in the Catalog.
+// upstreams in service, the target version of each model's weights, and the orders to move
+// traffic to another software version. Values are immutable once they are set in the Catalog.
 package catalog
 
 import (
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -128,14 +128,15 @@
 	return next
 }
 
-// Catalog holds the newest known state of the fleet. The configuration, the upstreams and
-// the target versions are each replaced as a whole and read without locks. A Catalog is
+// Catalog holds the newest known state of the fleet. The configuration, the upstreams, the
+// target versions and the rollouts are each replaced as a whole and read without locks. A Catalog is
 // safe for concurrent use.
 type Catalog struct {
 	config    atomic.Pointer[Config]
 	upstreams atomic.Pointer[Upstreams]
 	// targetVersions holds the target versions by model.
 	targetVersions atomic.Pointer[map[string]TargetVersion]
+	rollouts       atomic.Pointer[rollouts]
 	// configConfirmed is when the current configuration was last known to be the newest.
 	configConfirmed  atomic.Int64
 	lastStoreFailure atomic.Int64
@@ -246,7 +247,7 @@
 }
 
 // Changed returns a channel that is closed at the next change of the configuration, the
-// upstreams or the target versions. A caller that waits for changes must fetch the
+// upstreams, the target versions or the rollouts. A caller that waits for changes must fetch the
 // channel before it reads the state, so that it misses no change in between.
 func (c *Catalog) Changed() <-chan struct{} {
 	c.mu.Lock()
