store: keep an object's status and its creation revision

The status of a rollout order is written by the gateways, beside the operator's value and under the same version. StatusWriter writes it conditionally, with the errors of Put; memstore implements it with its injected faults. Created tells an object that was created again from a changed one; it leaves out the era, so that it is the same in a restored copy.

--- a/store/memstore/memstore.go
+++ b/store/memstore/memstore.go
@@ -63,6 +63,11 @@
 	hosts      []store.Host
 }
 
+var (
+	_ store.Store        = (*Store)(nil)
+	_ store.StatusWriter = (*Store)(nil)
+)
+
 // New returns an empty, healthy store.
 func New() *Store {
 	return &Store{
@@ -176,7 +181,24 @@
 		if store.RevisionOf(s.objects[key].Version) != store.RevisionOf(expected) {
 			return 0, store.ErrConflict
 		}
-		return s.apply(store.Object{Key: key, Value: append([]byte(nil), value...)}), nil
+		object := s.objects[key]
+		object.Key, object.Value = key, append([]byte(nil), value...)
+		return s.apply(object), nil
+	})
+}
+
+// PutStatus implements store.StatusWriter. It compares versions like Put.
+func (s *Store) PutStatus(ctx context.Context, key string, status []byte, expected int64) (int64, error) {
+	return s.write(ctx, expected, func() (int64, error) {
+		object, ok := s.objects[key]
+		if !ok {
+			return 0, store.ErrNotFound
+		}
+		if store.RevisionOf(object.Version) != store.RevisionOf(expected) {
+			return 0, store.ErrConflict
+		}
+		object.Status = append([]byte(nil), status...)
+		return s.apply(object), nil
 	})
 }
 
@@ -230,6 +252,9 @@
 func (s *Store) apply(object store.Object) int64 {
 	s.revision++
 	object.Version = s.version(s.revision)
+	if object.Created == 0 && !object.Deleted {
+		object.Created = s.revision
+	}
 	if object.Deleted {
 		delete(s.objects, object.Key)
 	} else {
--- a/store/memstore/memstore_test.go
+++ b/store/memstore/memstore_test.go
@@ -77,3 +77,40 @@
 		t.Fatalf("get during an outage: got %v, want ErrUnavailable", err)
 	}
 }
+
+// TestPutStatus guards against a status that is written unconditionally, that a later put
+// drops, or whose faults differ from those of a put, and against a creation revision that
+// changes while the object exists or stays when it is created again.
+func TestPutStatus(t *testing.T) {
+	ctx := context.Background()
+	s := New()
+	if _, err := s.PutStatus(ctx, "a", []byte("s"), 7); !errors.Is(err, store.ErrNotFound) {
+		t.Errorf("status of a missing object: got %v, want ErrNotFound", err)
+	}
+	created, _ := s.Put(ctx, "a", []byte("1"), store.VersionAbsent)
+	version, err := s.PutStatus(ctx, "a", []byte("s"), created)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.PutStatus(ctx, "a", []byte("t"), created); !errors.Is(err, store.ErrConflict) {
+		t.Errorf("status with an old version: got %v, want ErrConflict", err)
+	}
+	if version, err = s.Put(ctx, "a", []byte("2"), version); err != nil {
+		t.Fatal(err)
+	}
+	s.SetFaults(Faults{LoseAnswers: 1})
+	if _, err := s.PutStatus(ctx, "a", []byte("u"), version); !errors.Is(err, store.ErrUnknownOutcome) {
+		t.Errorf("status with a lost response: got %v, want ErrUnknownOutcome", err)
+	}
+	object, err := s.Get(ctx, "a")
+	if err != nil || string(object.Value) != "2" || string(object.Status) != "u" || object.Created != store.RevisionOf(created) {
+		t.Errorf("after the status writes: %+v (error %v), want value 2, status u, creation at %d", object, err, created)
+	}
+	if err := s.Delete(ctx, "a", object.Version); err != nil {
+		t.Fatal(err)
+	}
+	again, _ := s.Put(ctx, "a", []byte("3"), store.VersionAbsent)
+	if object, _ := s.Get(ctx, "a"); object.Status != nil || object.Created != store.RevisionOf(again) {
+		t.Errorf("created again: %+v, want no status and creation at %d", object, again)
+	}
+}
--- a/store/store.go
+++ b/store/store.go
@@ -11,10 +11,15 @@
 // change; any change to any object increases the store version, and so does a restore of
 // the store (see MakeVersion).
 type Object struct {
-	Key     string `json:"key"`
-	Value   []byte `json:"value,omitempty"`
+	Key   string `json:"key"`
+	Value []byte `json:"value,omitempty"`
+	// Status is the part of the object that its controller writes; nil if none.
+	Status  []byte `json:"status,omitempty"`
 	Version int64  `json:"version"`
-	Deleted bool   `json:"deleted,omitempty"`
+	// Created is the revision at which the object was created, without the era, so that it
+	// is the same in a restored copy; 0 if the driver doesn't report it.
+	Created int64 `json:"created,omitempty"`
+	Deleted bool  `json:"deleted,omitempty"`
 }
 
 // VersionAbsent, passed as the expected version, requires that the object does not exist.
@@ -49,7 +54,7 @@
 	// store version at the time of the call.
 	List(ctx context.Context, prefix string) ([]Object, int64, error)
 	// Put writes value if the object's version equals expected and returns the new version.
-	// Otherwise it returns ErrConflict.
+	// Otherwise it returns ErrConflict. The status of an existing object stays.
 	Put(ctx context.Context, key string, value []byte, expected int64) (int64, error)
 	// Delete removes the object if its version equals expected. Otherwise it returns
 	// ErrConflict, or ErrNotFound if the object does not exist.
@@ -61,6 +66,14 @@
 	Watch(ctx context.Context, prefix string, after int64) (<-chan Object, error)
 }
 
+// StatusWriter is implemented by stores whose objects have a status.
+type StatusWriter interface {
+	// PutStatus replaces the status of an object if the object's version equals expected,
+	// and returns the object's new version. Otherwise it returns ErrConflict, or ErrNotFound
+	// if the object does not exist. The value stays. Expected must not be VersionAbsent.
+	PutStatus(ctx context.Context, key string, status []byte, expected int64) (int64, error)
+}
+
 // Host is one entry of the platform's list of hosts. The list lags behind the
 // actual state of the hosts.
 type Host struct {
