--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -202,7 +202,8 @@
 	encoded := &wirepb.RelayUpdate{Prefix: prefix, Full: update.Full, Version: update.Version, List: list}
 	for _, object := range update.Objects {
 		encoded.Objects = append(encoded.Objects, &wirepb.RelayObject{
-			Key: object.Key, Value: object.Value, Version: object.Version, Deleted: object.Deleted,
+			Key: object.Key, Value: object.Value, Status: object.Status,
+			Version: object.Version, Created: object.Created, Deleted: object.Deleted,
 		})
 	}
 	return encoded
@@ -212,7 +213,8 @@
 	decoded := mirror.Update{Full: update.Full, Version: update.Version, Relayed: true}
 	for _, object := range update.Objects {
 		decoded.Objects = append(decoded.Objects, store.Object{
-			Key: object.Key, Value: object.Value, Version: object.Version, Deleted: object.Deleted,
+			Key: object.Key, Value: object.Value, Status: object.Status,
+			Version: object.Version, Created: object.Created, Deleted: object.Deleted,
 		})
 	}
 	return decoded
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 
@@ -149,6 +150,17 @@
 	}
 }
 
+// Guards against relayed objects that lack a part, such as the status of a rollout.
+func TestUpdatesAreRelayedWhole(t *testing.T) {
+	update := mirror.Update{Full: true, Version: 14, Relayed: true, Objects: []store.Object{
+		{Key: "k/a", Value: []byte("v"), Status: []byte("s"), Version: 13, Created: 5},
+		{Key: "k/b", Version: 14, Created: 6, Deleted: true},
+	}}
+	if got := decodeUpdate(encodeUpdate("k/", 1, &update)); !reflect.DeepEqual(got, update) {
+		t.Errorf("relayed %+v, want %+v", got, update)
+	}
+}
+
 // The store can leave changes out of polls and then compact its history, so that the next
 // list has the version that the polls had. The followers must get that list too.
 func TestListAfterCompactionIsRelayed(t *testing.T) {
