app: read the bounds of software rollouts

Rollouts are followed only if the operator's parameters state an exposure share. A missing slack counts as 0 and a missing rollback time as 5 s, so that a gateway starts with some of the parameters.

--- a/internal/app/gatewaysettings.go
+++ b/internal/app/gatewaysettings.go
@@ -56,6 +56,34 @@
 	return "", nil
 }
 
+// Rollout holds the limits set by the operator that a gateway must keep while a pool's
+// traffic moves to another software version. Orders to move traffic are followed only if
+// ExposureShare is above 0.
+type Rollout struct {
+	// ExposureShare and ExposureSlack bound the requests that a version may get before it is
+	// known to be good: ExposureShare of the pool's requests, and ExposureSlack more.
+	ExposureShare float64 `ini:"exposure_share"`
+	ExposureSlack int     `ini:"exposure_slack"`
+	// Rollback is how long a version may get requests after it has proved to be bad.
+	Rollback time.Duration `ini:"rollback"`
+}
+
+// Enabled reports whether orders to move traffic are followed.
+func (r *Rollout) Enabled() bool { return r.ExposureShare > 0 }
+
+// Validate implements settings.Validator.
+func (r *Rollout) Validate() (string, error) {
+	switch {
+	case !(r.ExposureShare >= 0 && r.ExposureShare <= 1):
+		return "exposure_share", errors.New("must be from 0 to 1")
+	case r.ExposureSlack < 0:
+		return "exposure_slack", errors.New("must not be negative")
+	case r.Enabled() && r.Rollback <= 0:
+		return "rollback", errors.New("must be above 0")
+	}
+	return "", nil
+}
+
 const (
 	// relistTime is the time within which live upstreams are listed again after an
 	// outage of the store.
@@ -114,6 +142,7 @@
 	Readiness Readiness
 	Admin     Admin
 	Bounds    Bounds
+	Rollout   Rollout
 	Memory    Memory
 	Start     Start
 	Stop      Stop
@@ -128,6 +157,7 @@
 			Revoke: 5 * time.Second, Drain: 2 * time.Second, Lease: 3 * time.Second, Weights: 12 * time.Second,
 			RetryRatio: 0.2, RetrySlack: 50,
 		},
+		Rollout: Rollout{Rollback: 5 * time.Second},
 		Stop:    Stop{DrainDelay: 2800 * time.Millisecond, Timeout: 7500 * time.Millisecond},
 		Runtime: Runtime{Threads: 1},
 	}
@@ -146,6 +176,7 @@
 		{Name: "readiness", Target: &s.Readiness},
 		{Name: "admin", Target: &s.Admin},
 		{Name: "bounds", Target: &s.Bounds},
+		{Name: "rollout", Target: &s.Rollout},
 		{Name: "memory", Target: &s.Memory},
 		{Name: "start", Target: &s.Start},
 		{Name: "stop", Target: &s.Stop},
