platform: read rollout orders where they are enabled

MirroredPrefixes takes its options in a structure, and the prefix is mirrored only if rollouts are enabled, so that other deployments make no more calls than before. The tests of platform and internal/app pass with -race.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -91,9 +91,20 @@
 	Codec() gateway.Codec
 	Engines(notices *gateway.Notices) weights.Engines
 	CacheEvents() cachestore.Events
-	// MirroredPrefixes returns the prefixes that fill the catalog. An upstream that vanishes
-	// from the store in an outage is still used for unlistedRetention.
-	MirroredPrefixes(c *catalog.Catalog, unlistedRetention time.Duration, log zerolog.Logger) []MirroredPrefix
+	// MirroredPrefixes returns the prefixes that fill the catalog.
+	MirroredPrefixes(c *catalog.Catalog, options MirrorOptions, log zerolog.Logger) []MirroredPrefix
+	// RolloutStatus returns the status that states the state of a rollout order for a target,
+	// for store.StatusWriter. It returns an error for catalog.RolloutNew.
+	RolloutStatus(state catalog.RolloutState, target string) ([]byte, error)
+}
+
+// MirrorOptions configures the prefixes that fill the catalog.
+type MirrorOptions struct {
+	// UnlistedRetention is how long an upstream that vanishes from the store in an outage is
+	// still used.
+	UnlistedRetention time.Duration
+	// Rollouts is true if rollout orders are read.
+	Rollouts bool
 }
 
 // Gateway returns the application of a gateway on a platform. It sets the role
@@ -259,7 +270,8 @@
 // followPlatform mirrors the platform's prefixes into the catalog and refreshes the
 // evidence that the configuration is the newest.
 func followPlatform(lifecycle fx.Lifecycle, s *GatewaySettings, p Platform, st PolledStore, source *relay.Manager, platformCatalog *catalog.Catalog, ownRank *gatewayRank, log zerolog.Logger) {
-	for _, mirrored := range p.MirroredPrefixes(platformCatalog, s.Bounds.unlistedRetention(), log) {
+	options := MirrorOptions{UnlistedRetention: s.Bounds.unlistedRetention(), Rollouts: s.Rollout.Enabled()}
+	for _, mirrored := range p.MirroredPrefixes(platformCatalog, options, log) {
 		batchDelay := time.Duration(0)
 		if mirrored.BatchChanges {
 			batchDelay = changeBatchDelay
