rollout: decide on orders, split requests, and resume after a change of the holder

Nothing read the operator's orders to move a pool to a new software version, so both versions got requests alike, the bad ones too. During a rollout the weights of each software version's engines are loaded as for a pool of their own.

--- a/internal/balancer/cost.go
+++ b/internal/balancer/cost.go
@@ -96,8 +96,8 @@
 }
 
 // homeUpstream returns the ID of the home upstream of the request's longest shared
-// prefix, or an empty string when there is none. Draining and replaced upstreams are left
-// out.
+// prefix, or an empty string when there is none. Draining and replaced upstreams, and those
+// that the request's version filter excludes, are left out.
 func homeUpstream(upstreams []*catalog.Upstream, candidates []candidate, request *Request) string {
 	shared := request.sharedParts()
 	if len(shared) == 0 {
@@ -105,7 +105,7 @@
 	}
 	selector := rendezvous.New[string](shared[len(shared)-1].ID)
 	for i, upstream := range upstreams {
-		if !upstream.Draining && !candidates[i].state.isLeaving() && !candidates[i].state.replaced {
+		if !upstream.Draining && !candidates[i].state.isLeaving() && !candidates[i].state.replaced && request.Versions.allows(upstream) {
 			selector.Add(upstream.ID, upstream.ID)
 		}
 	}
--- a/internal/balancer/eligibility.go
+++ b/internal/balancer/eligibility.go
@@ -14,7 +14,7 @@
 func (e *Excluded) checkUsable(upstream *catalog.Upstream, c candidate, outdated bool, request *Request, now bootclock.Instant) bool {
 	s := c.state
 	switch {
-	case request.SoftwarePinned && upstream.Software != request.Software:
+	case request.SoftwarePinned && upstream.Software != request.Software, !request.Versions.allows(upstream):
 		e.OtherSoftware++
 	case upstream.Draining, s.isLeaving():
 		e.Draining++
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -47,6 +47,8 @@
 	// get the request, because it continues a stream that such an upstream began.
 	SoftwarePinned bool
 	Software       string
+	// Versions limits the request to some software versions of the pool; nil allows all.
+	Versions *VersionFilter
 }
 
 // minVersion returns the oldest weights version with which the request may run if it begins
@@ -109,7 +111,7 @@
 	// ones have weights older than the minimum version. Tried ones were already tried for
 	// this request. AtConnectionLimit ones have all connections that this gateway may use.
 	// AtLimit ones take no more requests now, by the limit that they state. OtherSoftware ones
-	// have not the version that Request.Software requires.
+	// have a version other than Request.Software requires or Request.Versions allows.
 	Draining, Replaced, Unreachable, BackingOff, OnHold, OldWeights, Tried, AtConnectionLimit, AtLimit, OtherSoftware int
 	// LimitedUntil is when the first of the upstreams at their limits may be used, if there
 	// are any.
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -102,6 +102,7 @@
 		}
 	} else {
 		j.recordCompletion(s)
+		s.report.recordBegin()
 		j.recordAttempt(s, "answered")
 	}
 	j.writeBuffered(response, body)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -117,7 +117,7 @@
 		if upstreams == nil {
 			return balancer.Choice{}, refusedNoConfig
 		}
-		choice, ok := j.gateway.Balancer.Pick(upstreams.ByPool[j.pool.Name], &j.pickRequest)
+		choice, ok := j.pick(upstreams.ByPool[j.pool.Name])
 		if ok {
 			j.choice = choice
 			if refused := j.checkOverload(choice.ExpectedWaitMS); refused != nil {
@@ -330,6 +330,7 @@
 
 // recordAttempt adds an attempt and its result to the job's log line.
 func (j *job) recordAttempt(s *send, result string) {
+	s.report.recordResult(result)
 	j.attempts = append(j.attempts, attemptRecord{upstream: s.choice.Upstream.ID, result: result, duration: bootclock.Since(s.startedAt)})
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -67,6 +67,7 @@
 	Poison       *poison.Tracker
 	Permits      Permits
 	Origins      Origins
+	Rollouts     Rollouts
 	Engines      weights.Engines
 	// Announce makes the gateway tell the others what it knows without waiting for the next
 	// regular exchange. It must not block.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -44,6 +44,8 @@
 	cancel context.CancelCauseFunc
 	// takeBack ends the send unless it is stopped; nil if the send has no such limit.
 	takeBack *time.Timer
+	// report tells the result to the rollout of software versions.
+	report responseReport
 }
 
 // send sends the request to the chosen upstream and returns when the header of the
@@ -52,6 +54,7 @@
 func (j *job) send(ctx context.Context, choice *balancer.Choice, lastEventID string) (*send, error) {
 	j.sendCount++
 	s := &send{choice: choice, attempt: j.gateway.Balancer.Begin(*choice, &j.pickRequest), startedAt: bootclock.Now()}
+	s.report = j.reportSend(choice, s.startedAt)
 	s.ctx, s.cancel = context.WithCancelCause(ctx)
 	if limit, ok := j.beginLimit(choice); ok {
 		s.takeBack = time.AfterFunc(limit.Sub(s.startedAt), func() { s.cancel(errTakenBack) })
@@ -115,6 +118,7 @@
 		return errTakenBack
 	}
 	s.attempt.RecordFirstResponse()
+	s.report.recordBegin()
 	return nil
 }
 
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -19,6 +19,7 @@
 	"github.com/greengagegate/greengagegate/internal/poison"
 	"github.com/greengagegate/greengagegate/internal/ratelimit"
 	"github.com/greengagegate/greengagegate/internal/retry"
+	"github.com/greengagegate/greengagegate/internal/rollout"
 	"github.com/greengagegate/greengagegate/internal/share"
 	"github.com/rs/zerolog"
 )
@@ -75,7 +76,7 @@
 		Notices: &Notices{Balancer: testBalancer, Limits: ratelimit.New(ratelimit.Options{}), Log: zerolog.Nop()},
 		Shares:  share.New("own", 0, nil), SharedBudget: retry.NewSharedBudget(1, 100),
 		Poison:  poison.New(poison.Options{Log: zerolog.Nop()}),
-		Permits: allPermits{}, Origins: unknownOrigins{}, Announce: func() {},
+		Permits: allPermits{}, Origins: unknownOrigins{}, Rollouts: rollout.New(rollout.Options{}), Announce: func() {},
 		Bounds: Bounds{MaxBufferedBytes: 1 << 20}, Log: zerolog.Nop(),
 	})
 }
--- a/internal/rollout/cusum.go
+++ b/internal/rollout/cusum.go
@@ -77,6 +77,10 @@
 	return -base*math.Log(worse/base) - (1-base)*math.Log((1-worse)/(1-base))
 }
 
+// minBaseRate is the lowest rate that the target is compared with. If the other versions have
+// no failures at all, two or three failures by chance would otherwise suffice for a verdict.
+const minBaseRate = 0.01
+
 // cusum is the state of one test.
 type cusum struct {
 	// sum is the cumulative sum of the log-likelihood ratio, reset at zero.
@@ -91,7 +95,7 @@
 // update adds a sample. Within it the order of the responses is unknown, so that it counts as
 // one step.
 func (c *cusum) update(s sample) {
-	ratio := logLikelihoodRatio(s.target, s.expected/float64(s.target.total))
+	ratio := logLikelihoodRatio(s.target, max(s.expected/float64(s.target.total), minBaseRate))
 	c.gate = max(c.gate+ratio, 0)
 	c.sum = max(c.sum+ratio, 0)
 	if c.sum == 0 {
--- a/internal/weights/lease.go
+++ b/internal/weights/lease.go
@@ -96,6 +96,26 @@
 	return !m.holdsLeaseAt(now) && now.Sub(m.otherHolderSeen) < leaseTerm
 }
 
+// FencingToken returns the fencing token of the last acquisition or renewal, and whether this
+// gateway holds the lease. The token never falls. It permits no orders to engines, which wait
+// after a change of the holder.
+func (m *Manager) FencingToken() (token int64, held bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fencingToken, m.holdsLeaseAt(bootclock.Now())
+}
+
+// Holder returns the name of another gateway that reported within the last term that it holds
+// the lease, or "" if none did.
+func (m *Manager) Holder() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if bootclock.Since(m.otherHolderSeen) >= leaseTerm {
+		return ""
+	}
+	return m.otherHolder
+}
+
 // HoldsLease reports whether this gateway holds the lease.
 func (m *Manager) HoldsLease() bool {
 	m.mu.Lock()
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -201,14 +201,39 @@
 		}
 		for model, target := range m.options.Catalog.TargetVersions() {
 			for _, pool := range config.Pools {
-				if pool.Engine != nil && slices.Contains(pool.Engine.Models, model) {
-					m.startRollouts(ctx, upstreams.ByPool[pool.Name], model, target)
+				if pool.Engine == nil || !slices.Contains(pool.Engine.Models, model) {
+					continue
+				}
+				for _, engines := range m.splitBySoftware(upstreams.ByPool[pool.Name]) {
+					m.startRollouts(ctx, engines, model, target)
 				}
 			}
 		}
 	}
 }
 
+// splitBySoftware returns the engines of a pool, apart for each software version while one is
+// being rolled out there: engines that get no or few requests must not be the half of the pool
+// that loads new weights first.
+func (m *Manager) splitBySoftware(engines []*catalog.Upstream) [][]*catalog.Upstream {
+	if len(engines) == 0 {
+		return nil
+	}
+	order := m.options.Catalog.Rollouts()[engines[0].Pool]
+	if order == nil || order.State.IsFinal() {
+		return [][]*catalog.Upstream{engines}
+	}
+	var others, targets []*catalog.Upstream
+	for _, engine := range engines {
+		if engine.Software == order.Target {
+			targets = append(targets, engine)
+		} else {
+			others = append(others, engine)
+		}
+	}
+	return [][]*catalog.Upstream{others, targets}
+}
+
 // startRollouts starts a goroutine for each engine of a pool whose rollout is to start
 // now.
 func (m *Manager) startRollouts(ctx context.Context, engines []*catalog.Upstream, model string, target catalog.TargetVersion) {
