app: wire the rollouts of software versions into the gateway

Decisions travel from the holder to all gateways and evidence to the holder only, in the updates that gateways exchange anyway. The admin listener shows rollouts at /rollouts, greengagectl rollout prints them, and gauges show share, responses and failures by version.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/greengagegate/greengagegate/internal/ratelimit"
 	"github.com/greengagegate/greengagegate/internal/relay"
 	"github.com/greengagegate/greengagegate/internal/retry"
+	"github.com/greengagegate/greengagegate/internal/rollout"
 	"github.com/greengagegate/greengagegate/internal/roster"
 	"github.com/greengagegate/greengagegate/internal/share"
 	"github.com/greengagegate/greengagegate/internal/sharelink"
@@ -59,12 +60,15 @@
 	// takeoverMargin is added to Bounds.Lease, the least time between the last order of one
 	// holder of the orders lease and the first order of the next.
 	takeoverMargin = 200 * time.Millisecond
+	// rolloutsPath is where the admin listener shows the rollouts of software versions.
+	rolloutsPath = "/rollouts"
 )
 
 // PolledStore is a platform's store that also reports changes by long polls.
 type PolledStore interface {
 	store.Store
 	store.Poller
+	store.StatusWriter
 	// Probe makes a cheap call to test the path to the store. The response may be stale.
 	Probe(ctx context.Context) error
 }
@@ -91,6 +95,8 @@
 	Codec() gateway.Codec
 	Engines(notices *gateway.Notices) weights.Engines
 	CacheEvents() cachestore.Events
+	// RolloutPrefix is the prefix of the orders to roll out software versions.
+	RolloutPrefix() string
 	// MirroredPrefixes returns the prefixes that fill the catalog.
 	MirroredPrefixes(c *catalog.Catalog, options MirrorOptions, log zerolog.Logger) []MirroredPrefix
 	// RolloutStatus returns the status that states the state of a rollout order for a target,
@@ -132,11 +138,11 @@
 				return &gateway.Notices{Balancer: b, Limits: limits, Log: log}
 			},
 			func(log zerolog.Logger) *poison.Tracker { return poison.New(poison.Options{Log: log}) },
-			newSharedBudget, newGatewayNode, newGateway, newWeightsManager, newPeering, newRelay, newRoster, newShareLink, newPermits, newOrigins,
+			newSharedBudget, newGatewayNode, newGateway, newWeightsManager, newPeering, newRelay, newRoster, newShareLink, newPermits, newOrigins, newRollouts,
 		),
 		fx.Invoke(
 			serveGatewayAdmin, serveReadiness, startPeering, runRelay, followCatalog, followPlatform, followRoster,
-			closeIdleConnections, startWeightsManager, followCacheStore, registerGatewayGauges, serveGatewayCallers,
+			closeIdleConnections, startWeightsManager, startRollouts, followCacheStore, registerGatewayGauges, serveGatewayCallers,
 		),
 	)
 }
@@ -162,6 +168,7 @@
 	poisonTracker *poison.Tracker,
 	permits *permit.Manager,
 	origins *origin.Manager,
+	rollouts *rollout.Manager,
 	peerManager *peering.Manager,
 	log zerolog.Logger,
 ) *gateway.Gateway {
@@ -177,6 +184,7 @@
 		Poison:       poisonTracker,
 		Permits:      permits,
 		Origins:      origins,
+		Rollouts:     rollouts,
 		Engines:      p.Engines(notices),
 		Announce:     peerManager.SendNow,
 		Bounds: gateway.Bounds{
@@ -203,13 +211,35 @@
 	})
 }
 
+func newRollouts(s *GatewaySettings, p Platform, st PolledStore, platformCatalog *catalog.Catalog, weightsManager *weights.Manager, upstreamBalancer *balancer.Balancer, log zerolog.Logger) *rollout.Manager {
+	return rollout.New(rollout.Options{
+		Name: s.Identity.Name,
+		Bounds: rollout.Bounds{
+			ExposureShare: s.Rollout.ExposureShare, ExposureSlack: int64(s.Rollout.ExposureSlack), RollbackWithin: s.Rollout.Rollback,
+		},
+		Catalog:      platformCatalog,
+		Store:        st,
+		OrderPrefix:  p.RolloutPrefix(),
+		EncodeStatus: p.RolloutStatus,
+		Lease:        weightsManager,
+		Balancer:     upstreamBalancer,
+		Log:          log,
+	})
+}
+
+func startRollouts(lifecycle fx.Lifecycle, rollouts *rollout.Manager, log zerolog.Logger) {
+	appendBackground(lifecycle, log, "rollouts", rollouts.Run)
+}
+
 // runRelay depends on the roster, which tells the relay of the other gateways.
 func runRelay(lifecycle fx.Lifecycle, relayManager *relay.Manager, _ *roster.Roster, log zerolog.Logger) {
 	appendBackground(lifecycle, log, "relay", relayManager.Run)
 }
 
-func serveGatewayAdmin(lifecycle fx.Lifecycle, s *GatewaySettings, ready *admin.Readiness, log zerolog.Logger) {
-	server := &http.Server{Handler: admin.NewRouter(ready), ReadHeaderTimeout: readHeaderTimeout}
+func serveGatewayAdmin(lifecycle fx.Lifecycle, s *GatewaySettings, ready *admin.Readiness, rollouts *rollout.Manager, log zerolog.Logger) {
+	router := admin.NewRouter(ready)
+	router.GET(rolloutsPath, func(c *gin.Context) { c.JSON(http.StatusOK, rollouts.Statuses()) })
+	server := &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout}
 	serveHTTP(lifecycle, server, s.Admin.Listen, nil, log)
 }
 
--- a/internal/app/gatewaycallers.go
+++ b/internal/app/gatewaycallers.go
@@ -52,7 +52,7 @@
 				log.Error().Err(err).Msg("app: callers' listener failed; it accepts no new connections until a restart")
 			}
 		}()
-		go setGatewayReady(ctx, platformCatalog, r, ready, log)
+		go setGatewayReady(ctx, s, platformCatalog, r, ready, log)
 		return nil
 	}
 	stop := func(ctx context.Context) error {
@@ -73,11 +73,14 @@
 	appendHook(lifecycle, start, stop)
 }
 
-// setGatewayReady sets ready once the configuration, the upstreams, the target versions and
-// the other gateways are known: a gateway that knows of no others would take all that they
+// setGatewayReady sets ready once the configuration, the upstreams, the target versions, the
+// orders to roll out software and the other gateways are known: a gateway that knows of no others would take all that they
 // share. It gives up when ctx ends.
-func setGatewayReady(ctx context.Context, platformCatalog *catalog.Catalog, r *roster.Roster, ready *admin.Readiness, log zerolog.Logger) {
-	for changed := platformCatalog.Changed(); !platformCatalog.IsComplete(); changed = platformCatalog.Changed() {
+func setGatewayReady(ctx context.Context, s *GatewaySettings, platformCatalog *catalog.Catalog, r *roster.Roster, ready *admin.Readiness, log zerolog.Logger) {
+	isComplete := func() bool {
+		return platformCatalog.IsComplete() && (!s.Rollout.Enabled() || platformCatalog.Rollouts() != nil)
+	}
+	for changed := platformCatalog.Changed(); !isComplete(); changed = platformCatalog.Changed() {
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/internal/app/gatewaygauges.go
+++ b/internal/app/gatewaygauges.go
@@ -13,6 +13,7 @@
 	"github.com/greengagegate/greengagegate/internal/poison"
 	"github.com/greengagegate/greengagegate/internal/ratelimit"
 	"github.com/greengagegate/greengagegate/internal/retry"
+	"github.com/greengagegate/greengagegate/internal/rollout"
 	"github.com/greengagegate/greengagegate/internal/roster"
 	"github.com/greengagegate/greengagegate/internal/share"
 	"github.com/greengagegate/greengagegate/internal/weights"
@@ -33,6 +34,7 @@
 	Poison         *poison.Tracker
 	Limits         *ratelimit.Tracker
 	Roster         *roster.Roster
+	Rollouts       *rollout.Manager
 }
 
 // registerGatewayGauges computes the gauges whenever the metrics are read, while the
@@ -57,6 +59,7 @@
 	runningRequests, failureRates                        *metrics.Family
 	shareTokens, shareDemand, pooledTokens, retryBalance *metrics.Family
 	peerSilence                                          *metrics.Family
+	rolloutShare, rolloutResponses, rolloutFailures      *metrics.Family
 }
 
 func newGatewayGauges(sources *gatewayGaugeSources) *gatewayGauges {
@@ -71,6 +74,10 @@
 		pooledTokens:    metrics.NewFamily("share.pooled_tokens"),
 		retryBalance:    metrics.NewFamily("retry.balance_milli"),
 		peerSilence:     metrics.NewFamily("peering.silence_ms"),
+
+		rolloutShare:     metrics.NewFamily("rollout.share_permille"),
+		rolloutResponses: metrics.NewFamily("rollout.responses"),
+		rolloutFailures:  metrics.NewFamily("rollout.failures"),
 	}
 }
 
@@ -81,6 +88,7 @@
 	g.collectUpstreams()
 	g.collectLimits()
 	g.collectPeers()
+	g.collectRollouts()
 }
 
 // collectAges sets the ages of the configuration, the evidence and the list of
@@ -158,3 +166,19 @@
 	}
 	g.peerSilence.End()
 }
+
+func (g *gatewayGauges) collectRollouts() {
+	g.rolloutShare.Begin()
+	g.rolloutResponses.Begin()
+	g.rolloutFailures.Begin()
+	for _, status := range g.sources.Rollouts.Statuses() {
+		g.rolloutShare.Set(int64(1000*status.Share), "pool", status.Pool, "version", status.Target)
+		for _, counts := range status.Counts {
+			g.rolloutResponses.Set(counts.Total, "pool", status.Pool, "route", counts.Route, "versions", counts.Group)
+			g.rolloutFailures.Set(counts.Failed, "pool", status.Pool, "route", counts.Route, "versions", counts.Group)
+		}
+	}
+	g.rolloutShare.End()
+	g.rolloutResponses.End()
+	g.rolloutFailures.End()
+}
--- a/internal/app/gatewaypeers.go
+++ b/internal/app/gatewaypeers.go
@@ -13,6 +13,7 @@
 	"github.com/greengagegate/greengagegate/internal/ratelimit"
 	"github.com/greengagegate/greengagegate/internal/relay"
 	"github.com/greengagegate/greengagegate/internal/retry"
+	"github.com/greengagegate/greengagegate/internal/rollout"
 	"github.com/greengagegate/greengagegate/internal/roster"
 	"github.com/greengagegate/greengagegate/internal/share"
 	"github.com/greengagegate/greengagegate/internal/sharelink"
@@ -32,15 +33,17 @@
 	upstreamBalancer *balancer.Balancer,
 	poisonTracker *poison.Tracker,
 	limits *ratelimit.Tracker,
+	rollouts *rollout.Manager,
 	log zerolog.Logger,
 ) *peering.Manager {
 	updates := &peerUpdates{
 		name: s.Identity.Name, shares: shares, weightsManager: weightsManager, catalog: platformCatalog, balancer: upstreamBalancer,
-		poison: poisonTracker, limits: limits, nextCacheReport: make(map[string]uint64),
+		poison: poisonTracker, limits: limits, rollouts: rollouts, nextCacheReport: make(map[string]uint64),
 	}
 	manager := peering.New(peering.Options{Name: s.Identity.Name, Pool: n.Pool, Update: updates.compose, OnUpdate: updates.apply, Log: log})
 	weightsManager.OnUpdate(manager.SendNow)
 	limits.OnChange(manager.SendNow)
+	rollouts.OnUpdate(manager.SendNow)
 	return manager
 }
 
--- a/internal/app/gatewayupdates.go
+++ b/internal/app/gatewayupdates.go
@@ -9,6 +9,7 @@
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/poison"
 	"github.com/greengagegate/greengagegate/internal/ratelimit"
+	"github.com/greengagegate/greengagegate/internal/rollout"
 	"github.com/greengagegate/greengagegate/internal/share"
 	"github.com/greengagegate/greengagegate/internal/weights"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
@@ -24,6 +25,7 @@
 	balancer       *balancer.Balancer
 	poison         *poison.Tracker
 	limits         *ratelimit.Tracker
+	rollouts       *rollout.Manager
 
 	mu sync.Mutex
 	// nextCacheReport maps a peer to the number of the first cache report that was not
@@ -46,10 +48,10 @@
 		update.Demands = append(update.Demands, &wirepb.CustomerDemand{Customer: customer, TokensPerSecond: rate})
 	}
 	now := bootclock.Now()
-	for _, rollout := range u.weightsManager.RolloutUpdates() {
-		note := &wirepb.UpstreamNote{Id: rollout.ID, Model: rollout.Model, WeightsVersion: rollout.Version}
-		if rollout.Held {
-			note.HeldMs, note.TargetVersion = rollout.ExpiresAt.Sub(now).Milliseconds(), rollout.TargetVersion
+	for _, engine := range u.weightsManager.RolloutUpdates() {
+		note := &wirepb.UpstreamNote{Id: engine.ID, Model: engine.Model, WeightsVersion: engine.Version}
+		if engine.Held {
+			note.HeldMs, note.TargetVersion = engine.ExpiresAt.Sub(now).Milliseconds(), engine.TargetVersion
 		}
 		update.Upstreams = append(update.Upstreams, note)
 	}
@@ -67,6 +69,10 @@
 	}
 	update.Poison = encodePoisonReport(u.poison.Report())
 	update.Limits = encodeLimits(u.limits.Reports())
+	update.RolloutSteps = encodeRolloutUpdates(u.rollouts.Updates())
+	if peer == u.weightsManager.Holder() {
+		update.RolloutEvidence = encodeRolloutReports(u.rollouts.Reports())
+	}
 	return update
 }
 
@@ -96,6 +102,7 @@
 	for _, limit := range update.Limits {
 		u.limits.Apply(decodeLimit(limit))
 	}
+	u.applyRollouts(update)
 	for _, cacheReport := range update.Readings {
 		u.balancer.ApplyCacheReport(balancer.CacheReport{Upstream: cacheReport.Upstream, Salt: cacheReport.Salt, Parts: cacheReport.Parts})
 	}
@@ -109,6 +116,19 @@
 	}
 }
 
+// applyRollouts applies a peer's decisions on rollouts of software versions, and what it has
+// observed of them.
+func (u *peerUpdates) applyRollouts(update *wirepb.GatewayNews) {
+	for _, message := range update.RolloutSteps {
+		if step, ok := decodeRolloutUpdate(message); ok {
+			u.rollouts.ApplyUpdate(&step)
+		}
+	}
+	for _, message := range update.RolloutEvidence {
+		u.rollouts.ApplyReport(update.Name, decodeRolloutReport(message))
+	}
+}
+
 // applyEvidence applies a peer's evidence that a configuration was the newest, if that
 // configuration is also in force here. The evidence counts from the instant of the
 // request, which lies before the peer's answer.
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -48,6 +48,7 @@
   status            show the revision in force at each process
   drain UPSTREAM    stop sending new work to an upstream
   explain ID FILE.. explain a request's outcome from gateways' logs
+  rollout           show the rollouts of software versions at a gateway
   key               create a key: print a secret and its Key object
   version           print the version
 
@@ -134,6 +135,9 @@
 		return c.drain
 	case "explain":
 		return c.explain
+	case "rollout":
+		c.flags.StringVar(&c.server, "server", "http://127.0.0.1:7601", "URL of the admin listener of a gateway")
+		return c.showRollouts
 	case "key":
 		c.flags.StringVar(&c.customer, "customer", "", "customer of the key (required)")
 		c.flags.StringVar(&c.name, "name", "", "name of the Key object (required)")
