rollout: measure the rate of requests only once all gateways have reported

The canary's share was chosen from a rate of 233 requests a second where there were 550, because the first reports had not arrived yet; the canary used up its budget after 5 s and paused.

--- a/internal/rollout/control.go
+++ b/internal/rollout/control.go
@@ -127,7 +127,11 @@
 func (m *Manager) step(c *controller, state *poolState, token int64, now bootclock.Instant) {
 	isBad := c.judge.Update(c.comparison.evidence()) == VerdictBad
 	targetRequests, allRequests := c.comparison.sent()
-	c.rate.add(allRequests, now)
+	running := c.runningAtOthers(m.options.Balancer.GatewayCount(), now)
+	if running >= 0 {
+		// Before all gateways have reported, the count grows faster or slower than the requests.
+		c.rate.add(allRequests, now)
+	}
 	others, targets := m.countUpstreams(state.order)
 	progress := Progress{
 		Previous: state.update.Step, Elapsed: state.elapsed(now), Duration: state.order.Duration,
@@ -135,7 +139,7 @@
 		TargetListed: targets > 0, Bad: isBad, Enough: c.judge.EnoughForCompletion(),
 		Needed:          judgedPart * c.judge.TargetRequestsNeeded(),
 		Others:          others,
-		RunningAtOthers: c.runningAtOthers(m.options.Balancer.GatewayCount(), now),
+		RunningAtOthers: running,
 	}
 	update := Update{Order: c.id, Token: token, Number: state.update.Number, Step: m.options.Bounds.Share(progress), Elapsed: progress.Elapsed}
 	update.Canaries = max(CanaryCount(update.Step.Share, others, targets), min(minCanaries, targets))
