Learn the prefill rates of engines, and read the load that upstreams report

The balancer assumes 130 prompt tokens per millisecond for every engine.

Upstreams report their load in the header Greengagegate-Server-Load. internal/enginerate estimates the rate of each engine from first responses and the reported slowness. The balancer uses both where the settings or the policy pressure ask for it, and in pools whose upstreams report a slowness; elsewhere the constant stays.

The accuracy of the estimates is not measured yet.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -94,6 +94,8 @@
 	// MirroredPrefixes returns the prefixes that fill the catalog. An upstream that vanishes
 	// from the store in an outage is still used for unlistedRetention.
 	MirroredPrefixes(c *catalog.Catalog, unlistedRetention time.Duration, log zerolog.Logger) []MirroredPrefix
+	// Features returns the functions that the policies of the deployment ask for.
+	Features(policies []string) Features
 }
 
 // Gateway returns the application of a gateway on a platform. It sets the role
@@ -115,7 +117,7 @@
 			func() *admin.Readiness { return new(admin.Readiness) },
 			func() *gatewayRank { return new(gatewayRank) },
 			func() *share.Manager { return share.New(s.Identity.Name, s.Bounds.QuotaSlack*slackFraction, nil) },
-			func() *balancer.Balancer { return balancer.New(s.Identity.Zone, nil) },
+			newBalancer,
 			func(log zerolog.Logger) *ratelimit.Tracker { return ratelimit.New(ratelimit.Options{Log: log}) },
 			func(b *balancer.Balancer, limits *ratelimit.Tracker, log zerolog.Logger) *gateway.Notices {
 				return &gateway.Notices{Balancer: b, Limits: limits, Log: log}
@@ -130,6 +132,14 @@
 	)
 }
 
+func newBalancer(s *GatewaySettings, p Platform) *balancer.Balancer {
+	upstreamBalancer := balancer.New(s.Identity.Zone, nil)
+	if s.features(p).LearnRates {
+		upstreamBalancer.EnableLearnedRates()
+	}
+	return upstreamBalancer
+}
+
 func newSharedBudget(s *GatewaySettings) *retry.SharedBudget {
 	return retry.NewSharedBudget(s.Bounds.RetryRatio*retryRatioFraction, s.Bounds.RetrySlack*slackFraction)
 }
--- a/internal/app/gatewaygauges.go
+++ b/internal/app/gatewaygauges.go
@@ -55,6 +55,7 @@
 
 	versions, targetVersion                              *metrics.Family
 	runningRequests, failureRates                        *metrics.Family
+	prefillRates, prefillAges                            *metrics.Family
 	shareTokens, shareDemand, pooledTokens, retryBalance *metrics.Family
 	peerSilence                                          *metrics.Family
 }
@@ -66,6 +67,8 @@
 		targetVersion:   metrics.NewFamily("weights.wanted"),
 		runningRequests: metrics.NewFamily("upstream.running"),
 		failureRates:    metrics.NewFamily("upstream.failures_permille"),
+		prefillRates:    metrics.NewFamily("upstream.prefill_tokens_per_s"),
+		prefillAges:     metrics.NewFamily("upstream.prefill_age_ms"),
 		shareTokens:     metrics.NewFamily("share.tokens"),
 		shareDemand:     metrics.NewFamily("share.demand_per_s"),
 		pooledTokens:    metrics.NewFamily("share.pooled_tokens"),
@@ -115,16 +118,27 @@
 	g.versions.Begin()
 	g.runningRequests.Begin()
 	g.failureRates.Begin()
+	g.prefillRates.Begin()
+	g.prefillAges.Begin()
 	for _, upstream := range g.sources.Balancer.UpstreamStatuses() {
 		g.runningRequests.Set(int64(upstream.Running), "upstream", upstream.ID)
 		g.failureRates.Set(int64(1000*upstream.FailureRate), "upstream", upstream.ID)
 		for model, version := range upstream.Versions {
 			g.versions.Set(version, "upstream", upstream.ID, "model", model)
 		}
+		if upstream.Prefill == nil {
+			continue
+		}
+		g.prefillRates.Set(int64(1000*upstream.Prefill.TokensPerMS), "upstream", upstream.ID)
+		if upstream.Prefill.HasSample {
+			g.prefillAges.Set(upstream.Prefill.Age.Milliseconds(), "upstream", upstream.ID)
+		}
 	}
 	g.versions.End()
 	g.runningRequests.End()
 	g.failureRates.End()
+	g.prefillRates.End()
+	g.prefillAges.End()
 	g.targetVersion.Begin()
 	for model, target := range g.sources.Catalog.TargetVersions() {
 		g.targetVersion.Set(target.Version, "model", model)
--- a/internal/app/gatewaysettings.go
+++ b/internal/app/gatewaysettings.go
@@ -105,6 +105,34 @@
 	First bool `ini:"first"`
 }
 
+// Engines holds the settings for the use of engines.
+type Engines struct {
+	// LearnRates is true if the prefill rate of each engine is learned from its responses and
+	// from the load that it reports. Otherwise all engines count as equally fast, except in
+	// pools whose upstreams report how long work takes.
+	LearnRates bool `ini:"learn_rates"`
+}
+
+// PlatformProperties holds what the platform states about the deployment.
+type PlatformProperties struct {
+	// Policies are the names of the policies of the deployment; Platform.Features translates
+	// them.
+	Policies []string `ini:"policies"`
+}
+
+// Features are the optional functions that a deployment asks for.
+type Features struct {
+	// LearnRates has the meaning of Engines.LearnRates.
+	LearnRates bool
+}
+
+// features returns the functions that the settings or the platform's policies ask for.
+func (s *GatewaySettings) features(p Platform) Features {
+	features := p.Features(s.Platform.Policies)
+	features.LearnRates = features.LearnRates || s.Engines.LearnRates
+	return features
+}
+
 // GatewaySettings holds all settings of a gateway.
 type GatewaySettings struct {
 	Identity  node.Identity
@@ -115,6 +143,8 @@
 	Admin     Admin
 	Bounds    Bounds
 	Memory    Memory
+	Engines   Engines
+	Platform  PlatformProperties
 	Start     Start
 	Stop      Stop
 	Runtime   Runtime
@@ -147,6 +177,8 @@
 		{Name: "admin", Target: &s.Admin},
 		{Name: "bounds", Target: &s.Bounds},
 		{Name: "memory", Target: &s.Memory},
+		{Name: "engines", Target: &s.Engines},
+		{Name: "platform", Target: &s.Platform},
 		{Name: "start", Target: &s.Start},
 		{Name: "stop", Target: &s.Stop},
 		{Name: "runtime", Target: &s.Runtime},
--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -13,6 +13,7 @@
 	upstreamID    string
 	salt          string
 	parts         []Part
+	prefill       prefillStart
 }
 
 // RecordFirstResponse records that the upstream has prefilled the prompt, so that other
@@ -22,6 +23,7 @@
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
 	a.state.meanLoad.update(a.state.running, a.state.backlogTokens, a.balancer.now())
+	a.state.observePrefill(a, a.balancer.now())
 	a.state.backlogTokens -= a.backlogTokens
 	a.backlogTokens = 0
 	a.state.startDelay.observe(a, a.balancer.now())
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -35,6 +35,8 @@
 	prefillRate prefillRate
 	// stores are the cache stores that have been enabled at least once.
 	stores []*cacheStore
+	// rates are the learned prefill rates.
+	rates learnedRates
 	// cacheReports are the newest cache reports of this gateway; the first of them has
 	// the number firstReportNumber.
 	cacheReports      []CacheReport
@@ -87,6 +89,7 @@
 	defer b.mu.Unlock()
 	for id, s := range b.upstreams {
 		if _, ok := listed.ByID[id]; !ok && !s.isNeeded(b.now()) {
+			s.rate.Remove()
 			delete(b.upstreams, id)
 		}
 	}
@@ -98,6 +101,7 @@
 		if s.address != upstream.Address {
 			s.address, s.replaced = upstream.Address, false
 		}
+		b.rates.assign(s, upstream.Pool)
 		for model, version := range upstream.ModelVersions {
 			s.recordVersion(model, version)
 		}
@@ -248,9 +252,10 @@
 	s := b.stateFor(choice.Upstream.ID)
 	b.prefillRate.add(float64(choice.MissingTokens), b.now())
 	s.meanLoad.update(s.running, s.backlogTokens, b.now())
+	attempt := &Attempt{balancer: b, state: s, backlogTokens: choice.MissingTokens, upstreamID: choice.Upstream.ID, parts: request.Parts}
+	attempt.prefill = s.beginPrefill(choice.MissingTokens, request, b.now())
 	s.running++
 	s.backlogTokens += choice.MissingTokens
-	attempt := &Attempt{balancer: b, state: s, backlogTokens: choice.MissingTokens, upstreamID: choice.Upstream.ID, parts: request.Parts}
 	s.startDelay.begin(attempt, b.now())
 	if len(request.Parts) > 0 {
 		attempt.salt = request.Salt(choice.Version)
--- a/internal/balancer/cost.go
+++ b/internal/balancer/cost.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// prefillTokensPerMS is the assumed prefill rate of an engine; engines do not report
-	// theirs.
+	// prefillTokensPerMS is the assumed prefill rate of an engine whose rate is not learned,
+	// and the prior of those whose rate is.
 	prefillTokensPerMS = 130.0
 	// copyTokensPerMS is the assumed rate of a copy between engines.
 	copyTokensPerMS = 1000.0
@@ -58,7 +58,7 @@
 func (b *Balancer) estimateWait(upstream *catalog.Upstream, c candidate, sources []copySource, keys *partKeys, now bootclock.Instant) Choice {
 	request, s := keys.request, c.state
 	otherRunning, otherBacklogTokens := b.otherGatewaysLoad(s, now)
-	running := float64(s.running) + otherRunning
+	running := float64(s.running) + max(otherRunning, s.reportedOthers(now))
 	expectedWaitMS := running*runningRequestCostMS + failureCostMS*s.failureRate(now) + rand.Float64()
 	if upstream.Capacity > 0 {
 		load := running / float64(upstream.Capacity)
@@ -73,7 +73,7 @@
 		plan = bestCopy(sources, keys, upstream, c, now)
 		missingTokens = max(0, missingTokens-c.cachedTokens-plan.tokens)
 		expectedWaitMS += plan.costMS
-		expectedWaitMS += (float64(missingTokens) + float64(s.backlogTokens) + otherBacklogTokens) / prefillTokensPerMS
+		expectedWaitMS += (float64(missingTokens) + float64(s.backlogTokens) + otherBacklogTokens) / s.prefillTokensPerMS(now)
 	}
 	return Choice{Upstream: upstream, Version: c.version, MissingTokens: missingTokens, ExpectedWaitMS: expectedWaitMS, CopySource: plan.address, CopyTokens: plan.tokens, PossibleCopyTokens: plan.possibleTokens}
 }
--- a/internal/balancer/prefillrate.go
+++ b/internal/balancer/prefillrate.go
@@ -53,16 +53,17 @@
 	if b.gatewayCount <= maxSmallFleetGateways {
 		return true
 	}
-	newWeightsCount := 0
+	newWeightsCount, newWeightsTokensPerMS := 0, 0.0
 	for i, upstream := range upstreams {
 		s := candidates[i].state
 		if candidates[i].version >= request.TargetVersion && !upstream.Draining && !s.isLeaving() && !s.replaced && !s.unreachable && !now.Before(s.heldUntil) {
 			newWeightsCount++
+			newWeightsTokensPerMS += s.prefillTokensPerMS(now)
 		}
 	}
 	if newWeightsCount == len(upstreams) {
 		return true
 	}
 	fleetTokensPerMS := b.prefillRate.tokensPerMS(now) * float64(b.gatewayCount)
-	return rand.Float64()*fleetTokensPerMS < newWeightsLoadShare*float64(newWeightsCount)*prefillTokensPerMS
+	return rand.Float64()*fleetTokensPerMS < newWeightsLoadShare*newWeightsTokensPerMS
 }
--- a/internal/balancer/startdelay.go
+++ b/internal/balancer/startdelay.go
@@ -68,7 +68,7 @@
 // upstream before it begins, at most maxStartDelay. b.mu must be held.
 func (b *Balancer) expectedStartDelay(s *upstreamState, now bootclock.Instant) time.Duration {
 	_, otherBacklogTokens := b.otherGatewaysLoad(s, now)
-	backlogMS := (float64(s.backlogTokens) + otherBacklogTokens) / prefillTokensPerMS
+	backlogMS := (float64(s.backlogTokens) + otherBacklogTokens) / s.prefillTokensPerMS(now)
 	longest := max(s.startDelay.estimate(now), time.Duration(backlogMS*float64(time.Millisecond)))
 	return min(time.Duration(startDelayGrowth*float64(longest)), maxStartDelay)
 }
--- a/internal/balancer/status.go
+++ b/internal/balancer/status.go
@@ -1,6 +1,10 @@
 package balancer
 
-import "maps"
+import (
+	"maps"
+
+	"github.com/greengagegate/greengagegate/internal/enginerate"
+)
 
 // UpstreamStatus is a snapshot of what is known of an upstream.
 type UpstreamStatus struct {
@@ -12,6 +16,8 @@
 	FailureRate float64
 	// Versions are the last known weights versions by model.
 	Versions map[string]int64
+	// Prefill is the learned prefill rate; nil if it is not learned.
+	Prefill *enginerate.Estimate
 }
 
 // UpstreamStatuses returns a snapshot of each known upstream, in no particular order.
@@ -21,7 +27,12 @@
 	now := b.now()
 	statuses := make([]UpstreamStatus, 0, len(b.upstreams))
 	for id, s := range b.upstreams {
-		statuses = append(statuses, UpstreamStatus{ID: id, Running: s.running, FailureRate: s.failureRate(now), Versions: maps.Clone(s.versions)})
+		status := UpstreamStatus{ID: id, Running: s.running, FailureRate: s.failureRate(now), Versions: maps.Clone(s.versions)}
+		if s.rate != nil {
+			estimate := s.rate.Estimate(now)
+			status.Prefill = &estimate
+		}
+		statuses = append(statuses, status)
 	}
 	return statuses
 }
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"github.com/greengagegate/greengagegate/internal/bootclock"
+	"github.com/greengagegate/greengagegate/internal/enginerate"
 )
 
 // upstreamState is what is known of an upstream. When a new incarnation is listed, reset
@@ -48,6 +49,15 @@
 	// startedMillis identifies the incarnation; the id of an upstream may stay the same.
 	startedMillis int64
 	address       string
+	// pool is the pool of the upstream; it is known if the upstream has ever been listed.
+	listed bool
+	pool   string
+	// rate is the learned prefill rate; nil if it is not learned.
+	rate *enginerate.Engine
+	// prefill tracks how far the engine is with the requests of this gateway.
+	prefill prefillProgress
+	// load is the newest load that the upstream reported.
+	load reportedLoad
 }
 
 // cachedPart is what is known of a cached part.
@@ -76,6 +86,8 @@
 	clear(s.versions)
 	clear(s.parts)
 	s.startDelay = startDelay{}
+	s.rate.Reset()
+	s.prefill, s.load = prefillProgress{}, reportedLoad{}
 	s.heldUntil, s.backoffUntil, s.limitedUntil, s.lastFailureRate, s.unreachable = 0, 0, 0, 0, false
 }
 
--- a/internal/catalog/notice.go
+++ b/internal/catalog/notice.go
@@ -13,6 +13,20 @@
 	RetryAfter time.Duration
 	// Limit is the rate that the upstream takes.
 	Limit RateLimit
+	// Load is the load that the upstream reports.
+	Load Load
+}
+
+// Load is the load of an upstream when it sent the header of a response, as it reports it.
+type Load struct {
+	// Reported is true if the response reports the load. Otherwise the other fields are 0.
+	Reported bool
+	// Running is the number of requests that the upstream is running, Waiting the number of
+	// those that wait there, and Slots the number of those that it runs at once.
+	Running, Waiting, Slots int
+	// Slowness is how long work takes at the upstream, relative to the usual time: 1 is as
+	// usual, 2 twice as long. It is 0 if it is not reported.
+	Slowness float64
 }
 
 // RateLimit is the rate of requests that an upstream takes from all gateways together. It
--- /dev/null
+++ b/internal/enginerate/enginerate.go
@@ -0,0 +1,127 @@
+// Package enginerate estimates how many prompt tokens each engine of a pool prefills in a
+// millisecond, from the times to the first responses of this gateway's requests and from the
+// slowness that engines report.
+//
+// Load pattern: a gateway gets a few to a hundred responses a second from each of some dozens
+// of engines. The time to a first response also contains the wait for requests of other
+// gateways, decoding steps and chunks of other prompts, so that a single sample bounds the
+// rate from below. Engines of a pool differ by a factor of two to three, and on shared
+// machines the speed of some changes by the same factor several times a second. A wrong rate
+// makes requests wait at engines that cannot respond in time, while others are idle.
+//
+// The functions do no I/O, and the time is passed in. A Pool and its engines must be used by
+// one goroutine at a time.
+package enginerate
+
+import (
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/bootclock"
+)
+
+const (
+	// minTokens is the least number of tokens of a sample. The time to prefill fewer is
+	// dominated by that of a step and of the network.
+	minTokens = 500
+	// poolSamples is the number of samples that the estimate of the pool counts for in the
+	// estimate of an engine.
+	poolSamples = 3.0
+	// priorSamples is the number of samples that the prior counts for in the estimate of the
+	// pool.
+	priorSamples = 4.0
+	// minEngineSamples is the number of samples from which on an engine has a quantile of its
+	// own in the estimate of the pool.
+	minEngineSamples = 4.0
+	// poolInterval is the least time between two computations of the pool's estimate.
+	poolInterval = 100 * time.Millisecond
+	// maxSpread limits how much an engine differs from its pool, in both directions, in the
+	// pool's estimate. It keeps an engine with wrong reports from moving the others.
+	maxSpread = 4.0
+)
+
+// Pool holds the estimates of the engines of one pool.
+type Pool struct {
+	prior   float64
+	engines map[*Engine]struct{}
+	// rate is the estimate at the usual slowness, computed at computedAt. changed is true if
+	// there are newer samples.
+	rate       float64
+	computedAt bootclock.Instant
+	changed    bool
+}
+
+// NewPool returns a pool without engines. priorTokensPerMS is the rate that its engines are
+// assumed to have until there are samples.
+func NewPool(priorTokensPerMS float64) *Pool {
+	return &Pool{prior: priorTokensPerMS, rate: priorTokensPerMS, engines: make(map[*Engine]struct{})}
+}
+
+// Add adds an engine of which nothing is known. Remove ends its part in the pool.
+func (p *Pool) Add() *Engine {
+	e := &Engine{pool: p}
+	p.engines[e] = struct{}{}
+	return e
+}
+
+// tokensPerMS returns the mean rate of the engines at the usual slowness.
+func (p *Pool) tokensPerMS(now bootclock.Instant) float64 {
+	if p.changed && now.Sub(p.computedAt) >= poolInterval {
+		p.compute(now)
+	}
+	return p.rate
+}
+
+// compute updates the estimate: the mean of the engines' quantiles, in which the engines with
+// few samples have a common one.
+func (p *Pool) compute(now bootclock.Instant) {
+	var few []weightedRate
+	weight, sum, fewWeight := priorSamples, priorSamples*p.prior, 0.0
+	for e := range p.engines {
+		e.compute(now)
+		if e.weight >= minEngineSamples {
+			weight += e.weight
+			sum += e.weight * min(max(e.rate, p.rate/maxSpread), p.rate*maxSpread)
+			continue
+		}
+		for _, s := range e.samples {
+			if w := s.weight * ageWeight(now.Sub(s.at)); w > 0 {
+				few = append(few, weightedRate{s.normalized, w * s.confidence})
+				fewWeight += w
+			}
+		}
+	}
+	if fewWeight > 0 {
+		weight += fewWeight
+		sum += fewWeight * quantile(few, rateQuantile)
+	}
+	p.rate = sum / weight
+	p.computedAt, p.changed = now, false
+}
+
+// Sample describes one request that had its first response.
+type Sample struct {
+	// Tokens is the number of prompt tokens that the engine was expected to prefill when the
+	// request was sent. CertainTokens is the number of those that cannot have been cached
+	// since, for example by a request of another gateway.
+	Tokens, CertainTokens int64
+	// OtherTokens is the number of tokens of other requests of this gateway that the engine
+	// prefilled between the sending and the first response.
+	OtherTokens float64
+	// Elapsed is the time from the sending to the first response.
+	Elapsed time.Duration
+	// Queued is true if requests were waiting at the engine when this one was sent, so that
+	// Elapsed contains the wait for them.
+	Queued bool
+	// Slowness is the mean slowness in that time, as Engine.Slowness returns it.
+	Slowness float64
+}
+
+// Estimate is what is known of an engine's rate.
+type Estimate struct {
+	TokensPerMS float64
+	// Samples is the weight of the engine's own samples; an old one counts for less than 1.
+	Samples float64
+	// Age is the time since the newest sample, if there is one.
+	Age       time.Duration
+	HasSample bool
+}
--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -39,6 +39,9 @@
 	if pauses {
 		n.Log.Info().Str("upstream", upstream.ID).Dur("retry_after_ms", notice.RetryAfter).Msg("gateway: upstream wants no requests for a time; it gets none until then")
 	}
+	if n.Balancer.ApplyLoad(upstream, notice.Load) {
+		n.Log.Info().Str("upstream", upstream.ID).Str("pool", upstream.Pool).Msg("gateway: upstream reports how long work takes; prefill rates of its pool are learned from now on")
+	}
 	if !notice.Limit.Unknown {
 		n.applyLimit(upstream, notice.Limit, sentAt)
 	}
