--- a/internal/enginerate/engine.go
+++ b/internal/enginerate/engine.go
@@ -18,22 +18,28 @@
 	maxSamples = 48
 	// maxSampleAge is the age at which a sample loses its weight.
 	maxSampleAge = 6 * time.Second
-	// fullTokens is the number of tokens from which on a sample has the full weight.
-	fullTokens = 2000
+	// fullTokens is the number of tokens from which on a sample has the full confidence. With
+	// more tokens, waiting is a smaller part of the time.
+	fullTokens = 10_000
 	// queuedConfidence is the confidence of a sample whose time contains the wait for requests
 	// of other gateways, relative to one without.
 	queuedConfidence = 0.25
-	// newestSamples is the number of samples that show a change of the rate by changeFactor;
-	// older ones are dropped then. It is about 200 ms at 100 samples a second.
-	newestSamples = 20
-	changeFactor  = 1.6
+	// A change of the rate by changeFactor is one if the newest samples agree on it; earlier
+	// samples are dropped then. A few show that an engine became faster, since samples bound
+	// the rate from below. More are needed to show that it became slower, and yet more if it
+	// reports its slowness, because the rate at the usual slowness hardly changes then and
+	// waiting is the more likely reason.
+	newestIfFaster         = 4
+	newestIfSlower         = 8
+	newestIfSlowerReported = 20
+	changeFactor           = 1.6
 )
 
 // Engine estimates the rate of one engine.
 type Engine struct {
 	pool *Pool
 	// samples are the newest samples in the order of their arrival.
-	samples []keptSample
+	samples []sample
 	// rate is the estimate at the usual slowness by the engine's own samples, and maxRate the
 	// bound of the rate now, both valid if weight, the weight of the samples at computedAt, is
 	// above 0.
@@ -42,17 +48,10 @@
 	computedAt    bootclock.Instant
 	changed       bool
 	newestAt      bootclock.Instant
+	progress      progress
 	slowness      slowness
-}
-
-// keptSample is a sample with its rates in tokens per millisecond.
-type keptSample struct {
-	at bootclock.Instant
-	// observed is the rate as it was, normalized that at the usual slowness.
-	observed, normalized float64
-	// weight is the number of samples that it counts for, confidence its weight in the
-	// quantile relative to other samples.
-	weight, confidence float64
+	// incarnation counts the calls of Reset.
+	incarnation int
 }
 
 // Remove removes the engine from its pool. A nil Engine has no pool.
@@ -68,31 +67,11 @@
 // its ID. It has no effect on a nil Engine.
 func (e *Engine) Reset() {
 	if e != nil {
-		*e = Engine{pool: e.pool}
+		*e = Engine{pool: e.pool, incarnation: e.incarnation + 1}
 		e.pool.changed = true
 	}
 }
 
-// Observe records a sample at the time of its first response. Samples with few tokens are
-// ignored.
-func (e *Engine) Observe(s Sample, now bootclock.Instant) {
-	elapsedMS := float64(s.Elapsed) / float64(time.Millisecond)
-	if s.Tokens < minTokens || elapsedMS <= 0 {
-		return
-	}
-	observed := (float64(s.Tokens) + s.OtherTokens) / elapsedMS
-	kept := keptSample{at: now, observed: observed, normalized: observed * clampSlowness(s.Slowness), weight: 1}
-	kept.confidence = min(1, float64(s.Tokens)/fullTokens) * float64(max(0, s.CertainTokens)) / float64(s.Tokens)
-	if s.Queued {
-		kept.confidence *= queuedConfidence
-	}
-	if len(e.samples) >= maxSamples {
-		e.samples = append(e.samples[:0], e.samples[1:]...)
-	}
-	e.samples = append(e.samples, kept)
-	e.newestAt, e.changed, e.pool.changed = now, true, true
-}
-
 // compute updates the estimates by the engine's own samples.
 func (e *Engine) compute(now bootclock.Instant) {
 	e.changed, e.computedAt = false, now
@@ -115,17 +94,34 @@
 
 // dropOutdated drops the samples from before a change of the rate that the newest ones show.
 func (e *Engine) dropOutdated() {
-	earlier := len(e.samples) - newestSamples
-	if earlier < newestSamples/2 {
-		return
+	newestToSlow := newestIfSlower
+	if e.slowness.reportedAt != 0 {
+		newestToSlow = newestIfSlowerReported
+	}
+	if before, after, ok := e.split(newestToSlow); ok && after*changeFactor < before {
+		e.keepNewest(newestToSlow)
 	}
-	before, after := e.quantileOf(e.samples[:earlier]), e.quantileOf(e.samples[earlier:])
-	if after*changeFactor < before || before*changeFactor < after {
-		e.samples = append(e.samples[:0], e.samples[earlier:]...)
+	if before, after, ok := e.split(newestIfFaster); ok && before*changeFactor < after {
+		e.keepNewest(newestIfFaster)
 	}
 }
 
-func (e *Engine) quantileOf(samples []keptSample) float64 {
+// split returns the estimates by the samples before the newest count ones and by these. ok is
+// false if there are too few samples to compare.
+func (e *Engine) split(count int) (before, after float64, ok bool) {
+	earlier := len(e.samples) - count
+	if earlier < newestIfFaster {
+		return 0, 0, false
+	}
+	return e.quantileOf(e.samples[:earlier]), e.quantileOf(e.samples[earlier:]), true
+}
+
+func (e *Engine) keepNewest(count int) {
+	e.samples = append(e.samples[:0], e.samples[len(e.samples)-count:]...)
+}
+
+// quantileOf returns the estimate by some samples, regardless of their ages.
+func (e *Engine) quantileOf(samples []sample) float64 {
 	rates := make([]weightedRate, len(samples))
 	for i, s := range samples {
 		rates[i] = weightedRate{s.normalized, s.confidence}
--- a/internal/enginerate/enginerate.go
+++ b/internal/enginerate/enginerate.go
@@ -28,7 +28,7 @@
 	poolSamples = 3.0
 	// priorSamples is the number of samples that the prior counts for in the estimate of the
 	// pool.
-	priorSamples = 4.0
+	priorSamples = 2.0
 	// minEngineSamples is the number of samples from which on an engine has a quantile of its
 	// own in the estimate of the pool.
 	minEngineSamples = 4.0
@@ -84,7 +84,7 @@
 			continue
 		}
 		for _, s := range e.samples {
-			if w := s.weight * ageWeight(now.Sub(s.at)); w > 0 {
+			if w := ageWeight(now.Sub(s.at)); w > 0 {
 				few = append(few, weightedRate{s.normalized, w * s.confidence})
 				fewWeight += w
 			}
@@ -98,24 +98,6 @@
 	p.computedAt, p.changed = now, false
 }
 
-// Sample describes one request that had its first response.
-type Sample struct {
-	// Tokens is the number of prompt tokens that the engine was expected to prefill when the
-	// request was sent. CertainTokens is the number of those that cannot have been cached
-	// since, for example by a request of another gateway.
-	Tokens, CertainTokens int64
-	// OtherTokens is the number of tokens of other requests of this gateway that the engine
-	// prefilled between the sending and the first response.
-	OtherTokens float64
-	// Elapsed is the time from the sending to the first response.
-	Elapsed time.Duration
-	// Queued is true if requests were waiting at the engine when this one was sent, so that
-	// Elapsed contains the wait for them.
-	Queued bool
-	// Slowness is the mean slowness in that time, as Engine.Slowness returns it.
-	Slowness float64
-}
-
 // Estimate is what is known of an engine's rate.
 type Estimate struct {
 	TokensPerMS float64
