--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -97,6 +97,8 @@
 	CacheEvents() cachestore.Events
 	// RolloutPrefix is the prefix of the orders to roll out software versions.
 	RolloutPrefix() string
+	// Features returns the functions that the policies of the deployment ask for.
+	Features(policies []string) Features
 	// MirroredPrefixes returns the prefixes that fill the catalog.
 	MirroredPrefixes(c *catalog.Catalog, options MirrorOptions, log zerolog.Logger) []MirroredPrefix
 	// RolloutStatus returns the status that states the state of a rollout order for a target,
@@ -132,7 +134,7 @@
 			func() *admin.Readiness { return new(admin.Readiness) },
 			func() *gatewayRank { return new(gatewayRank) },
 			func() *share.Manager { return share.New(s.Identity.Name, s.Bounds.QuotaSlack*slackFraction, nil) },
-			func() *balancer.Balancer { return balancer.New(s.Identity.Zone, nil) },
+			newBalancer,
 			func(log zerolog.Logger) *ratelimit.Tracker { return ratelimit.New(ratelimit.Options{Log: log}) },
 			func(b *balancer.Balancer, limits *ratelimit.Tracker, log zerolog.Logger) *gateway.Notices {
 				return &gateway.Notices{Balancer: b, Limits: limits, Log: log}
@@ -147,6 +149,14 @@
 	)
 }
 
+func newBalancer(s *GatewaySettings, p Platform) *balancer.Balancer {
+	upstreamBalancer := balancer.New(s.Identity.Zone, nil)
+	if s.features(p).LearnRates {
+		upstreamBalancer.EnableLearnedRates()
+	}
+	return upstreamBalancer
+}
+
 func newSharedBudget(s *GatewaySettings) *retry.SharedBudget {
 	return retry.NewSharedBudget(s.Bounds.RetryRatio*retryRatioFraction, s.Bounds.RetrySlack*slackFraction)
 }
