Divide a pool's engines between short and long prompts where split_sizes is set

Long prompts hold up short ones at the same engine: a short prompt waits for the long ones admitted before it, and each decode step takes as long as a chunk of a long prompt. The new package sizesplit measures the work of both kinds, sizes a part of the engines for each, and gives the cost of sending a prompt to the other part. The balancer adds the cost to the choice and looks for the home of a prefix within the part of its kind. The setting [engines] split_sizes is off by default; the balancer then picks as before.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -115,7 +115,7 @@
 			func() *admin.Readiness { return new(admin.Readiness) },
 			func() *gatewayRank { return new(gatewayRank) },
 			func() *share.Manager { return share.New(s.Identity.Name, s.Bounds.QuotaSlack*slackFraction, nil) },
-			func() *balancer.Balancer { return balancer.New(s.Identity.Zone, nil) },
+			func() *balancer.Balancer { return newBalancer(s) },
 			func(log zerolog.Logger) *ratelimit.Tracker { return ratelimit.New(ratelimit.Options{Log: log}) },
 			func(b *balancer.Balancer, limits *ratelimit.Tracker, log zerolog.Logger) *gateway.Notices {
 				return &gateway.Notices{Balancer: b, Limits: limits, Log: log}
@@ -130,6 +130,14 @@
 	)
 }
 
+func newBalancer(s *GatewaySettings) *balancer.Balancer {
+	b := balancer.New(s.Identity.Zone, nil)
+	if s.Engines.SplitSizes {
+		b.EnableSizeSplit()
+	}
+	return b
+}
+
 func newSharedBudget(s *GatewaySettings) *retry.SharedBudget {
 	return retry.NewSharedBudget(s.Bounds.RetryRatio*retryRatioFraction, s.Bounds.RetrySlack*slackFraction)
 }
--- a/internal/app/gatewaysettings.go
+++ b/internal/app/gatewaysettings.go
@@ -105,6 +105,12 @@
 	First bool `ini:"first"`
 }
 
+// Engines holds the settings of the traffic to engines under heavy load.
+type Engines struct {
+	// SplitSizes is true if the engines of a pool are divided between short and long prompts.
+	SplitSizes bool `ini:"split_sizes"`
+}
+
 // GatewaySettings holds all settings of a gateway.
 type GatewaySettings struct {
 	Identity  node.Identity
@@ -116,6 +122,7 @@
 	Bounds    Bounds
 	Memory    Memory
 	Start     Start
+	Engines   Engines
 	Stop      Stop
 	Runtime   Runtime
 }
@@ -148,6 +155,7 @@
 		{Name: "bounds", Target: &s.Bounds},
 		{Name: "memory", Target: &s.Memory},
 		{Name: "start", Target: &s.Start},
+		{Name: "engines", Target: &s.Engines},
 		{Name: "stop", Target: &s.Stop},
 		{Name: "runtime", Target: &s.Runtime},
 	}
--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -13,6 +13,7 @@
 	upstreamID    string
 	salt          string
 	parts         []Part
+	metered       meteredAttempt
 }
 
 // RecordFirstResponse records that the upstream has prefilled the prompt, so that other
@@ -25,6 +26,7 @@
 	a.state.backlogTokens -= a.backlogTokens
 	a.backlogTokens = 0
 	a.state.startDelay.observe(a, a.balancer.now())
+	a.metered.firstResponseAt = a.balancer.now()
 	if len(a.parts) == 0 {
 		return
 	}
@@ -52,6 +54,7 @@
 	a.state.running--
 	a.state.backlogTokens -= a.backlogTokens
 	a.state.startDelay.forget(a)
+	a.metered.end(a.balancer.now())
 }
 
 // RecordSuccess records a valid answer of the upstream and marks the upstream as
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -39,6 +39,8 @@
 	// the number firstReportNumber.
 	cacheReports      []CacheReport
 	firstReportNumber uint64
+	// poolSplits are the splits of the listed pools by name; nil unless enabled.
+	poolSplits map[string]*poolSplit
 }
 
 // New returns a balancer for a gateway in zone that is the only gateway until
@@ -102,6 +104,7 @@
 			s.recordVersion(model, version)
 		}
 	}
+	b.syncSplits(listed)
 }
 
 // RecordVersion records a weights version that an upstream reported. A version newer than
@@ -181,8 +184,9 @@
 	return b.stateFor(id).running
 }
 
-// Pick returns the usable upstream with the lowest Choice.ExpectedWaitMS, or false when
-// no upstream can take the request. The Choice holds the numbers of excluded upstreams in
+// Pick returns the usable upstream with the lowest Choice.ExpectedWaitMS, plus a penalty at
+// engines for prompts of another size if EnableSizeSplit was called, or false when no
+// upstream can take the request. The Choice holds the numbers of excluded upstreams in
 // both cases. Pick ignores an assumed minimum version when no upstream can take the
 // request and some are excluded for old weights. A Choice with a SaveStore counts as a
 // requested save: if the caller does not request the save, it is not offered again for
@@ -203,14 +207,15 @@
 	return best, best.Upstream != nil
 }
 
-// pickShortestWait returns the usable upstream with the lowest ExpectedWaitMS, or a
+// pickShortestWait returns the usable upstream with the lowest ExpectedWaitMS and penalty, or a
 // Choice without an upstream when none is usable. b.mu must be held.
 func (b *Balancer) pickShortestWait(upstreams []*catalog.Upstream, request *Request, now bootclock.Instant) Choice {
 	keys := partKeys{request: request, store: b.storeFor(request), mayHoldUnreported: b.gatewayCount > maxSmallFleetGateways}
 	candidates := b.candidates(upstreams, request, &keys, now)
-	homeID := homeUpstream(upstreams, candidates, request)
+	split := b.splitFor(upstreams, request, now)
+	homeID := homeUpstream(upstreams, candidates, request, &split)
 	sources := copySources(upstreams, candidates, now)
-	best := Choice{}
+	best, bestCostMS := Choice{}, 0.0
 	usableCount := 0
 	connectionLimit := b.connectionLimit(request)
 	preferNewWeights := b.drawNewWeightsPreference(upstreams, candidates, request, now)
@@ -232,8 +237,9 @@
 		if upstream.ID == homeID {
 			choice.ExpectedWaitMS -= homeBonusMS
 		}
-		if best.Upstream == nil || choice.ExpectedWaitMS < best.ExpectedWaitMS {
-			best = choice
+		costMS := choice.ExpectedWaitMS + split.penaltyMS(&choice)
+		if best.Upstream == nil || costMS < bestCostMS {
+			best, bestCostMS = choice, costMS
 		}
 	}
 	best.Usable, best.Excluded = usableCount, excluded
@@ -251,6 +257,7 @@
 	s.running++
 	s.backlogTokens += choice.MissingTokens
 	attempt := &Attempt{balancer: b, state: s, backlogTokens: choice.MissingTokens, upstreamID: choice.Upstream.ID, parts: request.Parts}
+	attempt.metered = b.beginMetered(&choice, request, b.now())
 	s.startDelay.begin(attempt, b.now())
 	if len(request.Parts) > 0 {
 		attempt.salt = request.Salt(choice.Version)
--- a/internal/balancer/cost.go
+++ b/internal/balancer/cost.go
@@ -96,16 +96,16 @@
 }
 
 // homeUpstream returns the ID of the home upstream of the request's longest shared
-// prefix, or an empty string when there is none. Draining and replaced upstreams are left
-// out.
-func homeUpstream(upstreams []*catalog.Upstream, candidates []candidate, request *Request) string {
+// prefix, or an empty string when there is none. Draining and replaced upstreams, and those
+// that split gives to other prompts, are left out.
+func homeUpstream(upstreams []*catalog.Upstream, candidates []candidate, request *Request, split *requestSplit) string {
 	shared := request.sharedParts()
 	if len(shared) == 0 {
 		return ""
 	}
 	selector := rendezvous.New[string](shared[len(shared)-1].ID)
 	for i, upstream := range upstreams {
-		if !upstream.Draining && !candidates[i].state.isLeaving() && !candidates[i].state.replaced {
+		if !upstream.Draining && !candidates[i].state.isLeaving() && !candidates[i].state.replaced && split.isHome(upstream.ID) {
 			selector.Add(upstream.ID, upstream.ID)
 		}
 	}
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/catalog"
@@ -35,6 +36,10 @@
 	MinVersionAssumed bool
 	// PromptTokens is the number of prompt tokens.
 	PromptTokens int64
+	// Objective is the caller's target time to the first response, or 0 if it has none.
+	Objective time.Duration
+	// Priority is the priority of the request; 0 is the most urgent.
+	Priority int
 	// CacheTokens is the cache memory of one engine of the pool, in tokens; 0 if it is
 	// not known.
 	CacheTokens int64
--- /dev/null
+++ b/internal/balancer/sizesplit.go
@@ -0,0 +1,182 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/bootclock"
+	"github.com/greengagegate/greengagegate/internal/catalog"
+	"github.com/greengagegate/greengagegate/internal/sizesplit"
+)
+
+// assignInterval is the least time between two assignments of a pool's engines to parts.
+const assignInterval = 50 * time.Millisecond
+
+// poolSplit divides the engines of one pool between short and long prompts.
+type poolSplit struct {
+	meter  sizesplit.Meter
+	split  sizesplit.Split
+	layout *sizesplit.Layout
+	// limitTokens is the number of prompt tokens from which a request is long.
+	limitTokens int64
+	work        sizesplit.Work
+	counts      sizesplit.Counts
+	costs       sizesplit.Costs
+	// parts are the parts of the usable engines by id.
+	parts      map[string]sizesplit.Part
+	assignedAt bootclock.Instant
+}
+
+// EnableSizeSplit makes the balancer divide the engines of each pool between short and long
+// prompts. It must be called before SyncUpstreams.
+func (b *Balancer) EnableSizeSplit() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.poolSplits = make(map[string]*poolSplit)
+}
+
+// splitTokensPerMS returns the mean prefill rate of a pool's engines.
+func (b *Balancer) splitTokensPerMS(_ string) float64 { return prefillTokensPerMS }
+
+// syncSplits updates the layouts of all pools and removes the pools that are not listed. b.mu
+// must be held.
+func (b *Balancer) syncSplits(listed *catalog.Upstreams) {
+	if b.poolSplits == nil {
+		return
+	}
+	for pool := range b.poolSplits {
+		if _, ok := listed.ByPool[pool]; !ok {
+			delete(b.poolSplits, pool)
+		}
+	}
+	for pool, upstreams := range listed.ByPool {
+		p, ok := b.poolSplits[pool]
+		if !ok {
+			p = &poolSplit{parts: make(map[string]sizesplit.Part)}
+			b.poolSplits[pool] = p
+		}
+		engines := make([]sizesplit.Engine, len(upstreams))
+		for i, upstream := range upstreams {
+			engines[i] = sizesplit.Engine{ID: upstream.ID, Zone: upstream.Zone}
+		}
+		p.layout, p.assignedAt = sizesplit.NewLayout(pool, engines), 0
+	}
+}
+
+// requestSplit is the split of a pool as it applies to one request. The zero value stands for
+// no split.
+type requestSplit struct {
+	pool  *poolSplit
+	class sizesplit.Class
+	// tokensPerMS is the prefill rate from which penalties are computed.
+	tokensPerMS float64
+}
+
+// splitFor returns the current split for a request to one of upstreams, which belong to the
+// same pool. b.mu must be held.
+func (b *Balancer) splitFor(upstreams []*catalog.Upstream, request *Request, now bootclock.Instant) requestSplit {
+	if b.poolSplits == nil || len(upstreams) == 0 || request.PromptTokens <= 0 {
+		return requestSplit{}
+	}
+	p := b.poolSplits[upstreams[0].Pool]
+	if p == nil {
+		return requestSplit{}
+	}
+	tokensPerMS := b.splitTokensPerMS(upstreams[0].Pool)
+	if p.assignedAt == 0 || now.Sub(p.assignedAt) >= assignInterval {
+		b.assign(p, tokensPerMS, now)
+	}
+	return requestSplit{pool: p, class: sizesplit.ClassOf(request.PromptTokens, p.limitTokens), tokensPerMS: tokensPerMS}
+}
+
+// assign divides the usable engines of a pool anew. b.mu must be held.
+func (b *Balancer) assign(p *poolSplit, tokensPerMS float64, now bootclock.Instant) {
+	p.assignedAt = now
+	p.limitTokens = sizesplit.LimitTokens(p.meter.ShortestObjective(now), tokensPerMS)
+	p.work = p.meter.Work(b.gatewayCount, now)
+	usable := func(id string) bool { return b.isSplitEngine(id, now) }
+	p.counts = p.split.Update(&p.work, p.layout.Count(usable), now)
+	p.costs = sizesplit.NewCosts(&p.work, p.counts)
+	clear(p.parts)
+	p.layout.Assign(p.counts, usable, func(id string, part sizesplit.Part) { p.parts[id] = part })
+}
+
+// isSplitEngine reports whether an upstream counts as an engine to divide. Refusals, notices
+// and limits exclude it only for a moment, and an engine that loads weights is soon back, so
+// these do not move the parts. b.mu must be held.
+func (b *Balancer) isSplitEngine(id string, now bootclock.Instant) bool {
+	s, ok := b.upstreams[id]
+	return ok && !s.isLeaving() && !s.replaced && !s.unreachable
+}
+
+// isHome reports whether an upstream may be the home upstream of the request's prefix: it
+// belongs to the part of the request's class.
+func (s *requestSplit) isHome(id string) bool {
+	if s.pool == nil || s.pool.counts[sizesplit.PartShort] == 0 {
+		return true
+	}
+	if s.class == sizesplit.Long {
+		return s.pool.parts[id] == sizesplit.PartLong
+	}
+	return s.pool.parts[id] == sizesplit.PartShort
+}
+
+// penaltyMS returns what is added to the cost of a choice.
+func (s *requestSplit) penaltyMS(choice *Choice) float64 {
+	if s.pool == nil {
+		return 0
+	}
+	return s.pool.costs.PenaltyMS(s.class, s.pool.parts[choice.Upstream.ID], float64(choice.MissingTokens)/s.tokensPerMS)
+}
+
+// meteredAttempt is the part of an attempt whose work a meter records.
+type meteredAttempt struct {
+	// pool is nil if the attempt is not metered.
+	pool  *poolSplit
+	class sizesplit.Class
+	slots int
+	// firstResponseAt is 0 until the first response.
+	firstResponseAt bootclock.Instant
+}
+
+// beginMetered records the prefill of a request that is sent. b.mu must be held.
+func (b *Balancer) beginMetered(choice *Choice, request *Request, now bootclock.Instant) meteredAttempt {
+	p := b.poolSplits[choice.Upstream.Pool]
+	if p == nil || request.PromptTokens <= 0 {
+		return meteredAttempt{}
+	}
+	class := sizesplit.ClassOf(request.PromptTokens, p.limitTokens)
+	prefillMS := float64(choice.MissingTokens) / b.splitTokensPerMS(choice.Upstream.Pool)
+	p.meter.Record(class, prefillMS, request.Objective, request.Priority, now)
+	return meteredAttempt{pool: p, class: class, slots: choice.Upstream.Capacity}
+}
+
+// end records how long the request occupied a slot after its first response.
+func (m *meteredAttempt) end(now bootclock.Instant) {
+	if m.pool != nil && m.firstResponseAt != 0 {
+		m.pool.meter.RecordDecode(m.class, now.Sub(m.firstResponseAt), m.slots, now)
+	}
+}
+
+// SplitStatus is a snapshot of how the engines of a pool are divided.
+type SplitStatus struct {
+	Pool string
+	// Counts is the number of engines by part, and Work the work of all gateways by class.
+	Counts sizesplit.Counts
+	Work   sizesplit.Work
+	// LimitTokens is the number of prompt tokens from which a request is long.
+	LimitTokens int64
+}
+
+// SplitStatuses returns a snapshot of each pool that has had requests, in no particular
+// order. It is empty unless EnableSizeSplit was called.
+func (b *Balancer) SplitStatuses() []SplitStatus {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	statuses := make([]SplitStatus, 0, len(b.poolSplits))
+	for pool, p := range b.poolSplits {
+		if p.assignedAt != 0 {
+			statuses = append(statuses, SplitStatus{Pool: pool, Counts: p.counts, Work: p.work, LimitTokens: p.limitTokens})
+		}
+	}
+	return statuses
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -65,6 +65,17 @@
 	j.pickRequest.PromptTokens = j.call.PromptTokens
 	j.pickRequest.Salt = j.salt
 	j.pickRequest.CacheTokens = j.pool.Engine.CacheTokens
+	j.pickRequest.Objective = j.route.LatencyObjective
+	j.pickRequest.Priority = j.priority()
+}
+
+// priority returns the priority of the customer, or that of the route if the customer has
+// none.
+func (j *job) priority() int {
+	if j.customer != nil && j.customer.Priority != nil {
+		return *j.customer.Priority
+	}
+	return j.route.Priority
 }
 
 // updateTargetVersion sets the fields of j.pickRequest that depend on the target version of
@@ -214,14 +225,11 @@
 	metadata := &ForwardMetadata{
 		Upstream:    choice.Upstream.ID,
 		TimeLeft:    j.timeLeft(),
-		Priority:    j.route.Priority,
+		Priority:    j.priority(),
 		LastEventID: lastEventID,
 	}
 	if j.customer != nil {
 		metadata.Customer = j.customer.Name
-		if j.customer.Priority != nil {
-			metadata.Priority = *j.customer.Priority
-		}
 	}
 	if j.pool.Engine != nil {
 		metadata.Salt = j.salt(choice.Version)
