--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -151,9 +151,13 @@
 
 func newBalancer(s *GatewaySettings, p Platform) *balancer.Balancer {
 	upstreamBalancer := balancer.New(s.Identity.Zone, nil)
-	if s.features(p).LearnRates {
+	features := s.features(p)
+	if features.LearnRates {
 		upstreamBalancer.EnableLearnedRates()
 	}
+	if features.SplitSizes {
+		upstreamBalancer.EnableSizeSplit()
+	}
 	return upstreamBalancer
 }
 
--- a/internal/app/gatewaysettings.go
+++ b/internal/app/gatewaysettings.go
@@ -139,6 +139,8 @@
 	// from the load that it reports. Otherwise all engines count as equally fast, except in
 	// pools whose upstreams report how long work takes.
 	LearnRates bool `ini:"learn_rates"`
+	// SplitSizes is true if the engines of a pool are divided between short and long prompts.
+	SplitSizes bool `ini:"split_sizes"`
 }
 
 // PlatformProperties holds what the platform states about the deployment.
@@ -150,14 +152,15 @@
 
 // Features are the optional functions that a deployment asks for.
 type Features struct {
-	// LearnRates has the meaning of Engines.LearnRates.
-	LearnRates bool
+	// LearnRates and SplitSizes have the meanings of the same fields of Engines.
+	LearnRates, SplitSizes bool
 }
 
 // features returns the functions that the settings or the platform's policies ask for.
 func (s *GatewaySettings) features(p Platform) Features {
 	features := p.Features(s.Platform.Policies)
 	features.LearnRates = features.LearnRates || s.Engines.LearnRates
+	features.SplitSizes = features.SplitSizes || s.Engines.SplitSizes
 	return features
 }
 
--- a/internal/balancer/cost.go
+++ b/internal/balancer/cost.go
@@ -97,15 +97,17 @@
 
 // homeUpstream returns the ID of the home upstream of the request's longest shared
 // prefix, or an empty string when there is none. Draining and replaced upstreams, and those
-// that the request's version filter excludes, are left out.
-func homeUpstream(upstreams []*catalog.Upstream, candidates []candidate, request *Request) string {
+// that the request's version filter excludes or that split gives to other prompts, are left
+// out.
+func homeUpstream(upstreams []*catalog.Upstream, candidates []candidate, request *Request, split *requestSplit) string {
 	shared := request.sharedParts()
 	if len(shared) == 0 {
 		return ""
 	}
 	selector := rendezvous.New[string](shared[len(shared)-1].ID)
 	for i, upstream := range upstreams {
-		if !upstream.Draining && !candidates[i].state.isLeaving() && !candidates[i].state.replaced && request.Versions.allows(upstream) {
+		s := candidates[i].state
+		if !upstream.Draining && !s.isLeaving() && !s.replaced && request.Versions.allows(upstream) && split.isHome(upstream.ID) {
 			selector.Add(upstream.ID, upstream.ID)
 		}
 	}
--- a/internal/enginerate/engine.go
+++ b/internal/enginerate/engine.go
@@ -136,7 +136,7 @@
 	}
 	slow := e.Slowness(now)
 	// A report alone makes no engine look faster than its pool.
-	poolRate := e.pool.tokensPerMS(now) / max(1, slow)
+	poolRate := e.pool.TokensPerMS(now) / max(1, slow)
 	own := e.weight * ageWeight(now.Sub(e.newestAt))
 	if own <= 0 {
 		return poolRate
--- a/internal/enginerate/enginerate.go
+++ b/internal/enginerate/enginerate.go
@@ -63,8 +63,8 @@
 	return e
 }
 
-// tokensPerMS returns the mean rate of the engines at the usual slowness.
-func (p *Pool) tokensPerMS(now bootclock.Instant) float64 {
+// TokensPerMS returns the mean rate of the engines at the usual slowness.
+func (p *Pool) TokensPerMS(now bootclock.Instant) float64 {
 	if p.changed && now.Sub(p.computedAt) >= poolInterval {
 		p.compute(now)
 	}
