Let requests to busy engines wait in a queue at the gateway where the settings ask for it

In a surge, the gateway sends or refuses each request by its own expected wait: long requests with a lax objective fill the engines up to that objective, so the short and urgent ones behind them are refused or late, and a customer at several times its usual load is refused no more often than the others.

With [engines] queue, requests to engine pools wait there while their best engine has no room. Less urgent requests leave room at the engines for more urgent ones. Without the setting, requests are sent or refused as before.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -173,6 +173,7 @@
 			WeightsGrace:      weightsGrace,
 			StalenessLimit:    s.Bounds.Weights,
 			MaxBufferedBytes:  s.Memory.maxBufferedBytes(),
+			Queue:             s.Engines.Queue,
 		},
 		Log: log,
 	})
--- a/internal/app/gatewaygauges.go
+++ b/internal/app/gatewaygauges.go
@@ -56,7 +56,7 @@
 	versions, targetVersion                              *metrics.Family
 	runningRequests, failureRates                        *metrics.Family
 	shareTokens, shareDemand, pooledTokens, retryBalance *metrics.Family
-	peerSilence                                          *metrics.Family
+	peerSilence, queued                                  *metrics.Family
 }
 
 func newGatewayGauges(sources *gatewayGaugeSources) *gatewayGauges {
@@ -71,6 +71,7 @@
 		pooledTokens:    metrics.NewFamily("share.pooled_tokens"),
 		retryBalance:    metrics.NewFamily("retry.balance_milli"),
 		peerSilence:     metrics.NewFamily("peering.silence_ms"),
+		queued:          metrics.NewFamily("gateway.queued"),
 	}
 }
 
@@ -106,6 +107,11 @@
 	metrics.Gauge("ratelimit.limited").Update(int64(g.sources.Limits.Limited()))
 	metrics.Gauge("poison.suspects").Update(int64(g.sources.Poison.Suspects()))
 	metrics.Gauge("poison.convicted").Update(int64(g.sources.Poison.Convictions()))
+	g.queued.Begin()
+	for _, queue := range g.sources.Gateway.QueueStatuses() {
+		g.queued.Set(int64(queue.Waiting), "customer", queue.Customer, "route", queue.Route)
+	}
+	g.queued.End()
 	open, idle := g.sources.Pool.Connections()
 	metrics.Gauge("exchange.connections_open").Update(int64(open))
 	metrics.Gauge("exchange.connections_idle").Update(int64(idle))
--- a/internal/app/gatewaysettings.go
+++ b/internal/app/gatewaysettings.go
@@ -98,6 +98,12 @@
 	return int64(float64(m.LimitMB*megabyte) * bodyFraction)
 }
 
+// Engines holds the settings for the use of engines under heavy load.
+type Engines struct {
+	// Queue makes requests wait in a queue at the gateway while all engines are busy.
+	Queue bool `ini:"queue"`
+}
+
 // Start holds what is known of the start of the process.
 type Start struct {
 	// First is true if the whole system starts for the first time, so that no stream can have
@@ -115,6 +121,7 @@
 	Admin     Admin
 	Bounds    Bounds
 	Memory    Memory
+	Engines   Engines
 	Start     Start
 	Stop      Stop
 	Runtime   Runtime
@@ -147,6 +154,7 @@
 		{Name: "admin", Target: &s.Admin},
 		{Name: "bounds", Target: &s.Bounds},
 		{Name: "memory", Target: &s.Memory},
+		{Name: "engines", Target: &s.Engines},
 		{Name: "start", Target: &s.Start},
 		{Name: "stop", Target: &s.Stop},
 		{Name: "runtime", Target: &s.Runtime},
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -191,16 +191,30 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
+	best := b.pickUsable(upstreams, request, now)
+	if best.Upstream != nil {
+		best.SaveStore = b.storeToSaveTo(request, best.Version, now)
+	}
+	return best, best.Upstream != nil
+}
+
+// Estimate returns what Pick would, without a SaveStore, for a request that is not sent yet.
+func (b *Balancer) Estimate(upstreams []*catalog.Upstream, request *Request) (Choice, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	best := b.pickUsable(upstreams, request, b.now())
+	return best, best.Upstream != nil
+}
+
+// pickUsable returns the Choice of Pick without a SaveStore. b.mu must be held.
+func (b *Balancer) pickUsable(upstreams []*catalog.Upstream, request *Request, now bootclock.Instant) Choice {
 	best := b.pickShortestWait(upstreams, request, now)
 	if best.Upstream == nil && best.Excluded.OldWeights > 0 && request.MinVersionAssumed {
 		relaxed := *request
 		relaxed.MinVersion = nil
 		best = b.pickShortestWait(upstreams, &relaxed, now)
 	}
-	if best.Upstream != nil {
-		best.SaveStore = b.storeToSaveTo(request, best.Version, now)
-	}
-	return best, best.Upstream != nil
+	return best
 }
 
 // pickShortestWait returns the usable upstream with the lowest ExpectedWaitMS, or a
--- a/internal/balancer/cost.go
+++ b/internal/balancer/cost.go
@@ -69,13 +69,16 @@
 	}
 	missingTokens := request.PromptTokens
 	var plan plannedCopy
+	var ownWorkMS, backlogMS float64
 	if len(request.Parts) > 0 {
 		plan = bestCopy(sources, keys, upstream, c, now)
 		missingTokens = max(0, missingTokens-c.cachedTokens-plan.tokens)
 		expectedWaitMS += plan.costMS
-		expectedWaitMS += (float64(missingTokens) + float64(s.backlogTokens) + otherBacklogTokens) / prefillTokensPerMS
+		ownWorkMS = float64(missingTokens) / prefillTokensPerMS
+		backlogMS = (float64(s.backlogTokens) + otherBacklogTokens) / prefillTokensPerMS
+		expectedWaitMS += ownWorkMS + backlogMS
 	}
-	return Choice{Upstream: upstream, Version: c.version, MissingTokens: missingTokens, ExpectedWaitMS: expectedWaitMS, CopySource: plan.address, CopyTokens: plan.tokens, PossibleCopyTokens: plan.possibleTokens}
+	return Choice{Upstream: upstream, Version: c.version, MissingTokens: missingTokens, ExpectedWaitMS: expectedWaitMS, OwnWorkMS: ownWorkMS, BacklogMS: backlogMS, CopySource: plan.address, CopyTokens: plan.tokens, PossibleCopyTokens: plan.possibleTokens}
 }
 
 // otherGatewaysLoad estimates the running requests and the backlog of all other gateways
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -81,6 +81,9 @@
 	// ExpectedWaitMS is the cost by which upstreams are compared, in milliseconds: the
 	// expected wait with added costs and bonuses. It can be negative.
 	ExpectedWaitMS float64
+	// OwnWorkMS and BacklogMS are the parts of ExpectedWaitMS for the prefill of this request
+	// and for the prefills ahead of it. Both are 0 for requests without parts.
+	OwnWorkMS, BacklogMS float64
 	// Usable is the number of upstreams that were usable. Excluded counts the other
 	// upstreams by reason.
 	Usable   int
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -90,6 +90,7 @@
 func (j *job) tryUpstream() (done bool, refused *refusal) {
 	choice, refused := j.pickUpstream(j.r.Context())
 	if refused != nil {
+		j.endTurn()
 		return false, refused
 	}
 	ctx, cancel := context.WithTimeout(j.r.Context(), j.timeLeft())
@@ -107,7 +108,7 @@
 func (j *job) pickUpstream(ctx context.Context) (balancer.Choice, *refusal) {
 	j.gateway.waiting.Add(1)
 	defer j.gateway.waiting.Add(-1)
-	waitUntil := bootclock.Now().Add(time.Duration(pickWaitFraction * float64(j.route.LatencyObjective)))
+	waitUntil := bootclock.Now().Add(j.pickWait())
 	for {
 		if refused := j.checkUnservable(ctx); refused != nil {
 			return balancer.Choice{}, refused
@@ -120,9 +121,18 @@
 		choice, ok := j.gateway.Balancer.Pick(upstreams.ByPool[j.pool.Name], &j.pickRequest)
 		if ok {
 			j.choice = choice
-			if refused := j.checkOverload(choice.ExpectedWaitMS); refused != nil {
+		}
+		if ok || j.mayWaitFor(&choice) {
+			waited, refused := j.awaitTurn(ctx, &choice)
+			if refused != nil {
 				return choice, refused
 			}
+			if waited {
+				waitUntil = bootclock.Now().Add(j.pickWait())
+				continue
+			}
+		}
+		if ok {
 			isFree := j.confirmVersion(ctx, &choice) && j.mayUse(ctx, &choice)
 			if isFree && j.mayTry(ctx) {
 				return choice, nil
@@ -140,6 +150,11 @@
 	}
 }
 
+// pickWait returns how long the request waits for a usable upstream.
+func (j *job) pickWait() time.Duration {
+	return time.Duration(pickWaitFraction * float64(j.route.LatencyObjective))
+}
+
 // checkUnservable returns a refusal if no upstream may get the request any more, whichever is
 // free.
 func (j *job) checkUnservable(ctx context.Context) *refusal {
@@ -214,14 +229,11 @@
 	metadata := &ForwardMetadata{
 		Upstream:    choice.Upstream.ID,
 		TimeLeft:    j.timeLeft(),
-		Priority:    j.route.Priority,
+		Priority:    j.priority(),
 		LastEventID: lastEventID,
 	}
 	if j.customer != nil {
 		metadata.Customer = j.customer.Name
-		if j.customer.Priority != nil {
-			metadata.Priority = *j.customer.Priority
-		}
 	}
 	if j.pool.Engine != nil {
 		metadata.Salt = j.salt(choice.Version)
@@ -241,6 +253,14 @@
 	}
 }
 
+// priority returns the customer's priority, or the route's if the customer has none.
+func (j *job) priority() int {
+	if j.customer != nil && j.customer.Priority != nil {
+		return *j.customer.Priority
+	}
+	return j.route.Priority
+}
+
 // handleSendError handles an attempt that got no response and decides whether another
 // attempt may follow. The results are those of tryUpstream.
 func (j *job) handleSendError(s *send, cause error) (bool, *refusal) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,9 @@
 	// MaxBufferedBytes bounds the bodies of requests and responses and the large events that
 	// are buffered at once, in bytes. The first chunk of each response may exceed it.
 	MaxBufferedBytes int64
+	// Queue makes requests to engine pools wait in a queue while all engines are busy, and
+	// decides there which of them are refused. Otherwise each is sent or refused at once.
+	Queue bool
 }
 
 // TokenOwners requests tokens from the gateways that own the token pools of customers.
@@ -82,6 +85,7 @@
 	requestLog    *requestLog
 	crashChecks   crashChecks
 	confirmations confirmations
+	queues        poolQueues
 	draining      atomic.Bool
 	closed        atomic.Bool
 	active        atomic.Int64
@@ -98,8 +102,11 @@
 // that callers send further requests to other gateways.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
-// Close makes the gateway refuse all further requests.
-func (g *Gateway) Close() { g.closed.Store(true) }
+// Close makes the gateway refuse all further requests and those that wait in a queue.
+func (g *Gateway) Close() {
+	g.closed.Store(true)
+	g.queues.close()
+}
 
 // Active returns the number of requests that are still being served.
 func (g *Gateway) Active() int64 { return g.active.Load() }
@@ -191,7 +198,11 @@
 	nextTrialAt bootclock.Instant
 	// contentKeys is the result of poisonKeys; nil before its first call.
 	contentKeys []poison.Key
-	outcome     outcome
+	// turn is the request's turn in the queue of its pool, from its grant to the send; nil
+	// otherwise. mayPass is true once the request has had a turn.
+	turn    *poolQueue
+	mayPass bool
+	outcome outcome
 }
 
 func newJob(g *Gateway, w http.ResponseWriter, r *http.Request) *job {
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -38,6 +38,8 @@
 	lastEventID string
 	// excluded states why no upstream could be picked.
 	excluded string
+	// wait is the request's wait in a queue or its refusal there; nil if there was neither.
+	wait *waitRecord
 	// convictedKey is the content because of which the request was not sent, or not again.
 	convictedKey poison.Key
 	// suspectKey is the content because of which a send was a trial, or was held back.
@@ -86,10 +88,7 @@
 	if j.outcome.reason == "" {
 		j.outcome.reason = "caller-left"
 	}
-	customer := "none"
-	if j.customer != nil {
-		customer = j.customer.Name
-	}
+	customer := j.customerName()
 	metrics.Counter("gateway.requests", "outcome", j.outcome.reason, "status", fmt.Sprint(j.outcome.status)).Inc(1)
 	metrics.Histogram("gateway.answer_us", "customer", customer).Update(duration.Microseconds())
 	if j.outcome.timeToFirstEvent > 0 {
@@ -108,6 +107,14 @@
 	j.writeLogLine(customer, duration, served)
 }
 
+// customerName returns the customer's name in metrics and logs.
+func (j *job) customerName() string {
+	if j.customer == nil {
+		return "none"
+	}
+	return j.customer.Name
+}
+
 func (j *job) writeLogLine(customer string, duration time.Duration, served bool) {
 	level := zerolog.InfoLevel
 	if !served {
@@ -156,6 +163,9 @@
 	if j.outcome.excluded != "" {
 		line = line.Str("excluded", j.outcome.excluded)
 	}
+	if j.outcome.wait != nil {
+		line = j.outcome.wait.logFields(line)
+	}
 	if !served && j.possibleRuns > 0 && len(j.pickRequest.Parts) > 0 {
 		line = line.Strs("parts", partIDs(j.pickRequest.Parts))
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -52,6 +52,7 @@
 func (j *job) send(ctx context.Context, choice *balancer.Choice, lastEventID string) (*send, error) {
 	j.sendCount++
 	s := &send{choice: choice, attempt: j.gateway.Balancer.Begin(*choice, &j.pickRequest), startedAt: bootclock.Now()}
+	j.endTurn()
 	s.ctx, s.cancel = context.WithCancelCause(ctx)
 	if limit, ok := j.beginLimit(choice); ok {
 		s.takeBack = time.AfterFunc(limit.Sub(s.startedAt), func() { s.cancel(errTakenBack) })
