--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -202,7 +202,10 @@
 	// otherwise. mayPass is true once the request has had a turn.
 	turn    *poolQueue
 	mayPass bool
-	outcome outcome
+	// beyondShare is true if the request is beyond its customer's fair share; see
+	// waitqueue.Queue.Arrive.
+	beyondShare bool
+	outcome     outcome
 }
 
 func newJob(g *Gateway, w http.ResponseWriter, r *http.Request) *job {
--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -21,6 +21,8 @@
 	// reviewInterval is the number of polls of a queue between two reviews of all waiting
 	// requests.
 	reviewInterval = 5
+	// maxPassedOver bounds the requests for which one poll asks the balancer.
+	maxPassedOver = 8
 	// maxQueueRetryFraction bounds the retry time as a fraction of the time that the caller
 	// has left. Callers honour no longer times.
 	maxQueueRetryFraction = 1.0 / 3
@@ -145,10 +147,13 @@
 	defer p.mu.Unlock()
 	now := bootclock.Now()
 	p.urgency.record(j.priority(), j.route.LatencyObjective, now)
-	request := j.queueRequest(choice, p.roomIn(j, choice, now), now)
 	if p.closed {
 		return nil, nil, refusedStopping
 	}
+	request := j.queueRequest(choice, now)
+	request.BeyondShare = p.queue.Arrive(request, now)
+	j.beyondShare = request.BeyondShare
+	request.RoomIn = p.roomIn(j, choice, now)
 	if p.queue.Len() == 0 && p.turns == 0 && p.hasRoom(j, choice, false, now) {
 		p.queue.Pass(request, now)
 		j.mayPass = true
@@ -159,7 +164,7 @@
 		p.refuse(evicted, p.queue.Evict(evicted, now))
 	}
 	if entry == nil {
-		j.outcome.wait = &waitRecord{decision: decision}
+		j.outcome.wait = &waitRecord{decision: decision, beyondShare: j.beyondShare}
 		return nil, nil, busyRefusal(&decision)
 	}
 	w := &waiter{job: j, result: make(chan *refusal, 1), joinedAt: now, decision: decision}
@@ -170,7 +175,7 @@
 }
 
 // queueRequest describes the request to its queue.
-func (j *job) queueRequest(choice *balancer.Choice, roomIn time.Duration, now bootclock.Instant) waitqueue.Request {
+func (j *job) queueRequest(choice *balancer.Choice, now bootclock.Instant) waitqueue.Request {
 	objective := j.route.LatencyObjective
 	patience := time.Duration(queueWaitFraction*float64(objective)) - countedWork(choice, objective)
 	tokens := choice.MissingTokens
@@ -182,7 +187,6 @@
 		Priority:      j.priority(),
 		Tokens:        float64(tokens + j.call.OutputTokens),
 		BeginBy:       min(j.arrivedAt.Add(patience), j.deadline.Add(-minTimeLeft)),
-		RoomIn:        roomIn,
 		MaxRetryAfter: time.Duration(maxQueueRetryFraction * float64(j.deadline.Sub(now))),
 	}
 }
@@ -200,7 +204,7 @@
 	if _, waiting := p.waiters[entry]; !waiting {
 		return <-w.result
 	}
-	p.queue.Remove(entry)
+	p.queue.Remove(entry, bootclock.Now())
 	delete(p.waiters, entry)
 	if j.callerLeft() {
 		j.outcome.err = errCallerLeft
@@ -223,7 +227,7 @@
 	defer p.mu.Unlock()
 	p.closed = true
 	for entry, w := range p.waiters {
-		p.queue.Remove(entry)
+		p.queue.Remove(entry, bootclock.Now())
 		w.result <- refusedStopping
 	}
 	clear(p.waiters)
@@ -296,9 +300,6 @@
 	}
 }
 
-// maxPassedOver bounds the requests for which one poll asks the balancer.
-const maxPassedOver = 8
-
 // grant gives a waiting request its turn. p.mu must be held.
 func (p *poolQueue) grant(entry *waitqueue.Entry, w *waiter, now bootclock.Instant) {
 	p.queue.Take(entry, now)
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -45,10 +45,10 @@
 }
 
 // above returns the shortest objective of recent requests that are more urgent than
-// priority, or 0 if there were none.
+// priority, or 0 if there were none. Everything is more urgent than urgencyLevels.
 func (u *urgency) above(priority int, now bootclock.Instant) time.Duration {
 	shortest := time.Duration(0)
-	for _, level := range u[:min(max(priority, 0), urgencyLevels-1)] {
+	for _, level := range u[:min(max(priority, 0), urgencyLevels)] {
 		if level.objective > 0 && now.Sub(level.seenAt) <= urgencyPeriod && (shortest == 0 || level.objective < shortest) {
 			shortest = level.objective
 		}
@@ -92,7 +92,11 @@
 		ahead+counted-(objective-now.Sub(j.arrivedAt)),
 		backlog-time.Duration(ownBacklogFraction*float64(objective)),
 	)
-	urgent := p.urgency.above(j.priority(), now)
+	priority := j.priority()
+	if j.beyondShare {
+		priority = urgencyLevels
+	}
+	urgent := p.urgency.above(priority, now)
 	if urgent == 0 || isAged {
 		return excess
 	}
--- a/internal/gateway/waitrecord.go
+++ b/internal/gateway/waitrecord.go
@@ -14,11 +14,13 @@
 	// waited is the time in the queue; 0 for a request that was refused on arrival.
 	waited   time.Duration
 	decision waitqueue.Decision
+	// beyondShare is true if the request was beyond its customer's fair share.
+	beyondShare bool
 }
 
 // recordWait records the end of the request's wait.
 func (j *job) recordWait(w *waiter) {
-	j.outcome.wait = &waitRecord{waited: bootclock.Since(w.joinedAt), decision: w.decision}
+	j.outcome.wait = &waitRecord{waited: bootclock.Since(w.joinedAt), decision: w.decision, beyondShare: j.beyondShare}
 	metrics.Histogram("gateway.queue_wait_us", "customer", j.customerName()).Update(j.outcome.wait.waited.Microseconds())
 }
 
@@ -26,7 +28,7 @@
 func (r *waitRecord) logFields(line *zerolog.Event) *zerolog.Event {
 	line = line.Dur("queued_ms", r.waited).Dur("queue_expected_ms", r.decision.Wait).
 		Float64("queue_ahead_tokens", r.decision.Ahead).Float64("queue_tokens_s", r.decision.TokensPerSecond).
-		Dur("queue_rate_age_ms", r.decision.RateAge)
+		Dur("queue_rate_age_ms", r.decision.RateAge).Bool("beyond_share", r.beyondShare)
 	if r.decision.Reason != waitqueue.ReasonNone {
 		line = line.Str("queue_refusal", string(r.decision.Reason)).
 			Dur("retry_after_ms", r.decision.RetryAfter).Dur("retry_spread_ms", r.decision.Spread)
--- a/internal/waitqueue/estimate.go
+++ b/internal/waitqueue/estimate.go
@@ -76,7 +76,7 @@
 		}
 	}
 	for i, r := range rejections {
-		q.Remove(r.Entry)
+		q.Remove(r.Entry, now)
 		rejections[i].Decision = q.reject(r.Entry, r.Decision, r.Decision.Reason, now)
 	}
 	return rejections
@@ -111,12 +111,12 @@
 	if !known {
 		return decision
 	}
-	// A priority that is overdue gets agedShare of the rate however much more urgent work
-	// there is.
-	longest := toWait(q.aheadInClass(e, 0, now)+e.Tokens, agedShare*rate)
+	ahead := q.workAhead(e, now)
+	// Overdue requests get agedShare of the rate however much more urgent work there is.
+	longest := max(0, e.overdueAt().Sub(now)) + toWait(ahead.inClass+e.Tokens, agedShare*rate)
 	wait := time.Duration(0)
 	for range estimateRounds {
-		decision.Ahead = q.aheadInOrder(e, wait, now)
+		decision.Ahead = ahead.within(wait)
 		next := min(toWait(decision.Ahead, rate), longest)
 		if next <= wait {
 			break
@@ -139,23 +139,41 @@
 	return time.Duration(seconds * float64(time.Second))
 }
 
-// aheadInOrder returns the work that leaves before an entry if that waits for the given
-// time.
-func (q *Queue) aheadInOrder(e *Entry, wait time.Duration, now bootclock.Instant) float64 {
-	ahead := q.aheadInClass(e, wait, now)
-	for _, c := range q.classes[:e.class.priority] {
-		ahead += c.tokens + c.admitted.perSecond(now)*wait.Seconds()
+// workAhead is the work that leaves before an entry, in tokens.
+type workAhead struct {
+	// inClass and urgent are waiting now, in the entry's class and in more urgent ones.
+	inClass, urgent float64
+	// urgentRate is the rate at which more urgent work arrives, in tokens per second.
+	urgentRate float64
+	// overtaking holds, for each other customer of the class, the rate at which its work
+	// arrives and how much of it is due before the entry.
+	overtaking []overtakingWork
+}
+
+type overtakingWork struct{ rate, limit float64 }
+
+// within returns the work that leaves before the entry if that waits for the given time.
+func (a *workAhead) within(wait time.Duration) float64 {
+	seconds := wait.Seconds()
+	ahead := a.inClass + a.urgent + a.urgentRate*seconds
+	for _, work := range a.overtaking {
+		ahead += min(work.rate*seconds, work.limit)
 	}
 	return ahead
 }
 
-// aheadInClass returns the work of the entry's own class that leaves before it: the earlier
-// requests of its customer, and of each other customer what is due before the entry's start
-// tag, waiting now or expected to arrive within the given time.
-func (q *Queue) aheadInClass(e *Entry, wait time.Duration, now bootclock.Instant) float64 {
+// workAhead returns the work that leaves before an entry. Of its own class, that is the work
+// of its customer with earlier deadlines and, of each other customer, what is due before the
+// entry's start tag.
+func (q *Queue) workAhead(e *Entry, now bootclock.Instant) *workAhead {
+	var ahead workAhead
 	c := e.class
+	for _, urgent := range q.classes[:c.rank] {
+		ahead.urgent += urgent.tokens
+		ahead.urgentRate += urgent.admitted.perSecond(now)
+	}
 	tag := e.flow.tagOf(e)
-	ahead := (tag - e.flow.startTag(c)) * e.flow.weight
+	ahead.inClass = (tag - e.flow.startTag(c)) * e.flow.weight
 	for _, f := range c.flows {
 		if f == e.flow {
 			continue
@@ -165,12 +183,12 @@
 			if position > tag || position == tag && !other.BeginBy.Before(e.BeginBy) {
 				break
 			}
-			ahead += other.Tokens
+			ahead.inClass += other.Tokens
 			position += other.Tokens / f.weight
 		}
 		if position < tag {
-			ahead += min(f.admitted.perSecond(now)*wait.Seconds(), (tag-position)*f.weight)
+			ahead.overtaking = append(ahead.overtaking, overtakingWork{rate: f.admitted.perSecond(now), limit: (tag - position) * f.weight})
 		}
 	}
-	return ahead
+	return &ahead
 }
--- a/internal/waitqueue/meter.go
+++ b/internal/waitqueue/meter.go
@@ -11,6 +11,9 @@
 	// admittedTimeConstant is the time in which the weight of an admitted request in the
 	// rate of admissions falls to 1/e.
 	admittedTimeConstant = 500 * time.Millisecond
+	// demandTimeConstant is the same for the rate of all requests, by which the room for
+	// returning callers is predicted. A burst counts little in it.
+	demandTimeConstant = 5 * time.Second
 	// drainTimeConstant is the same for the rate at which work leaves, counted in time during
 	// which requests were waiting.
 	drainTimeConstant = 500 * time.Millisecond
@@ -24,17 +27,19 @@
 // rateMeter measures a rate in tokens per second, averaged with exponentially decaying
 // weights.
 type rateMeter struct {
-	value     float64
-	updatedAt bootclock.Instant
+	// timeConstant is the time in which the weight falls to 1/e.
+	timeConstant time.Duration
+	value        float64
+	updatedAt    bootclock.Instant
 }
 
 func (m *rateMeter) add(tokens float64, now bootclock.Instant) {
-	m.value = m.perSecond(now) + tokens/admittedTimeConstant.Seconds()
+	m.value = m.perSecond(now) + tokens/m.timeConstant.Seconds()
 	m.updatedAt = now
 }
 
 func (m *rateMeter) perSecond(now bootclock.Instant) float64 {
-	return m.value * math.Exp(-float64(now.Sub(m.updatedAt))/float64(admittedTimeConstant))
+	return m.value * math.Exp(-float64(now.Sub(m.updatedAt))/float64(m.timeConstant))
 }
 
 // drainMeter measures the rate at which work leaves a queue while requests are waiting. What
--- a/internal/waitqueue/waitqueue.go
+++ b/internal/waitqueue/waitqueue.go
@@ -7,8 +7,10 @@
 // worth little and delays others, so what cannot begin in time is rejected when it arrives.
 //
 // Requests leave by priority, then by start-time fair queueing over the customers of a
-// priority, with service measured in tokens, then by deadline. Priorities are strict, except
-// that a priority with an overdue request gets at least agedShare of the service; see Next.
+// priority, with service measured in tokens, then by deadline. Under overload, the requests
+// of a customer beyond its fair share come after those that are within the shares of theirs;
+// see Arrive. The order is strict, except that overdue requests get at least agedShare of the service; see
+// Next.
 //
 // A Queue has no clock, locks or goroutines: its caller passes the time and serializes the
 // calls.
@@ -44,7 +46,7 @@
 // Request describes a request to the queue.
 type Request struct {
 	Customer string
-	// Weight is the customer's weight. Values that are not positive count as 1.
+	// Weight is the customer's weight; 0 stands for the customer's usual load.
 	Weight float64
 	// Priority is the request's priority; 0 is the most urgent.
 	Priority int
@@ -52,6 +54,8 @@
 	Tokens float64
 	// BeginBy is the last time at which the request may leave the queue.
 	BeginBy bootclock.Instant
+	// BeyondShare is the result of Arrive.
+	BeyondShare bool
 	// RoomIn is the time until an engine is expected to have room for the request if nothing
 	// else waits.
 	RoomIn time.Duration
@@ -76,9 +80,10 @@
 	return e.ArrivedAt.Add(time.Duration(overdueFraction * float64(e.BeginBy.Sub(e.ArrivedAt))))
 }
 
-// class holds the waiting requests of one priority.
+// class holds the waiting requests of one priority, or those beyond the fair shares.
 type class struct {
-	priority int
+	// rank is the position of the class in the order.
+	rank int
 	// virtualTime is the largest start tag of the requests that have left, in tokens per unit
 	// of weight.
 	virtualTime float64
@@ -88,14 +93,15 @@
 	waiting int
 	// admitted is the rate of the requests that entered the queue or passed it.
 	admitted rateMeter
+	// demand is the rate of all requests that arrive, over a longer time.
+	demand rateMeter
 	// nextReturn is when the caller that is rejected next should return at the earliest.
 	nextReturn bootclock.Instant
 }
 
 // flow holds the waiting requests of one customer in one class.
 type flow struct {
-	customer string
-	weight   float64
+	weight float64
 	// start is the start tag of the flow's next request: the virtual time at which the
 	// service that the flow has had ends.
 	start float64
@@ -114,8 +120,11 @@
 
 // Queue is a bounded queue of the requests of one pool. It is not safe for concurrent use.
 type Queue struct {
-	limits  Limits
-	classes [priorityCount]*class
+	limits Limits
+	// classes are in order: one for each priority and then, in the same order, those for the
+	// requests beyond the fair shares of their customers.
+	classes [2 * priorityCount]*class
+	shares  *shares
 	waiting int
 	drain   drainMeter
 	// agedCredit is the service that overdue requests may get before more urgent ones, in
@@ -125,9 +134,9 @@
 
 // New returns an empty queue.
 func New(limits Limits) *Queue {
-	q := &Queue{limits: limits}
-	for priority := range q.classes {
-		q.classes[priority] = &class{priority: priority, flows: make(map[string]*flow)}
+	q := &Queue{limits: limits, shares: newShares()}
+	for rank := range q.classes {
+		q.classes[rank] = &class{rank: rank, flows: make(map[string]*flow), admitted: rateMeter{timeConstant: admittedTimeConstant}, demand: rateMeter{timeConstant: demandTimeConstant}}
 	}
 	return q
 }
@@ -135,14 +144,40 @@
 // Len returns the number of waiting requests.
 func (q *Queue) Len() int { return q.waiting }
 
+// Arrive records the demand of a request and reports whether it is beyond the fair share of
+// its customer: under overload, it then comes after all requests that are within theirs. It
+// must be called once for each request, before Pass or Offer.
+func (q *Queue) Arrive(r Request, now bootclock.Instant) (beyondShare bool) {
+	r = r.normalized()
+	q.shares.advance(now, q.waiting > 0)
+	r.BeyondShare = q.shares.arrive(&r, now)
+	q.classOf(&r).demand.add(r.Tokens, now)
+	return r.BeyondShare
+}
+
 // Pass records a request that is sent without having waited, so that the customer's share
 // includes it.
 func (q *Queue) Pass(r Request, now bootclock.Instant) {
 	r = r.normalized()
-	c := q.classes[r.Priority]
-	f := c.flowFor(r)
+	c := q.classOf(&r)
+	f := c.flowFor(r, q.flowWeight(&r, now))
 	c.recordAdmitted(f, r.Tokens, now)
 	c.charge(f, r.Tokens)
+	q.shares.served.add(r.Tokens, now)
+	if !r.BeyondShare {
+		q.shares.charge(&r, r.Tokens, now)
+	}
+}
+
+func (q *Queue) classOf(r *Request) *class {
+	if r.BeyondShare {
+		return q.classes[priorityCount+r.Priority]
+	}
+	return q.classes[r.Priority]
+}
+
+func (q *Queue) flowWeight(r *Request, now bootclock.Instant) float64 {
+	return q.shares.weight(q.shares.of(r.Customer, now))
 }
 
 // Offer decides whether a request may wait, and adds it to the queue if so. The entry is nil
@@ -151,8 +186,9 @@
 func (q *Queue) Offer(r Request, now bootclock.Instant) (entry *Entry, decision Decision, evicted *Entry) {
 	r = r.normalized()
 	q.drain.advance(now, q.waiting > 0)
-	c := q.classes[r.Priority]
-	f := c.flowFor(r)
+	q.shares.advance(now, true)
+	c := q.classOf(&r)
+	f := c.flowFor(r, q.flowWeight(&r, now))
 	entry = &Entry{Request: r, ArrivedAt: now, class: c, flow: f}
 	decision = q.estimate(entry, now)
 	if now.Add(decision.Wait).Before(r.BeginBy) {
@@ -160,7 +196,7 @@
 			if evicted = q.last(); evicted == nil || !precedes(entry, evicted) {
 				return nil, q.reject(entry, decision, ReasonFull, now), nil
 			}
-			q.Remove(evicted)
+			q.Remove(evicted, now)
 		}
 		q.insert(entry, now)
 		return entry, decision, evicted
@@ -171,24 +207,21 @@
 func (r Request) normalized() Request {
 	r.Priority = min(max(r.Priority, 0), priorityCount-1)
 	r.Tokens = max(r.Tokens, 1)
-	if r.Weight <= 0 {
-		r.Weight = 1
-	}
 	return r
 }
 
 // flowFor returns the customer's flow and creates it if needed. It first forgets idle flows
 // if there are many.
-func (c *class) flowFor(r Request) *flow {
+func (c *class) flowFor(r Request, weight float64) *flow {
 	f := c.flows[r.Customer]
 	if f == nil {
 		if len(c.flows) >= flowPruneThreshold {
 			c.prune()
 		}
-		f = &flow{customer: r.Customer}
+		f = &flow{admitted: rateMeter{timeConstant: admittedTimeConstant}}
 		c.flows[r.Customer] = f
 	}
-	f.weight = r.Weight
+	f.weight = weight
 	return f
 }
 
@@ -222,6 +255,9 @@
 	}
 	f.entries = slices.Insert(f.entries, i, e)
 	c.recordAdmitted(f, e.Tokens, now)
+	if !e.BeyondShare {
+		q.shares.charge(&e.Request, e.Tokens, now)
+	}
 	c.tokens += e.Tokens
 	c.waiting++
 	q.waiting++
@@ -231,18 +267,19 @@
 func (q *Queue) Take(e *Entry, now bootclock.Instant) {
 	q.drain.advance(now, true)
 	q.drain.record(e.Tokens)
+	q.shares.served.add(e.Tokens, now)
 	if q.isPrecededByUrgent(e) {
 		q.agedCredit -= e.Tokens
 	} else {
 		q.agedCredit = min(0, q.agedCredit+agedShare*e.Tokens)
 	}
 	e.class.charge(e.flow, e.Tokens)
-	q.Remove(e)
+	q.remove(e)
 }
 
 // isPrecededByUrgent reports whether requests of a more urgent class are waiting.
 func (q *Queue) isPrecededByUrgent(e *Entry) bool {
-	for _, c := range q.classes[:e.class.priority] {
+	for _, c := range q.classes[:e.class.rank] {
 		if c.waiting > 0 {
 			return true
 		}
@@ -252,135 +289,22 @@
 
 // Remove removes an entry that leaves without having been sent. It has no effect on an entry
 // that is not in the queue.
-func (q *Queue) Remove(e *Entry) {
+func (q *Queue) Remove(e *Entry, now bootclock.Instant) {
+	if q.remove(e) && !e.BeyondShare {
+		q.shares.charge(&e.Request, -e.Tokens, now)
+	}
+}
+
+// remove removes an entry and reports whether it was in the queue.
+func (q *Queue) remove(e *Entry) bool {
 	f, c := e.flow, e.class
 	i := slices.Index(f.entries, e)
 	if i < 0 {
-		return
+		return false
 	}
 	f.entries = slices.Delete(f.entries, i, i+1)
 	c.tokens -= e.Tokens
 	c.waiting--
 	q.waiting--
-}
-
-// Next returns the entry that is first in order, without the entries for which skip reports
-// true, or nil if there is none. A nil skip skips nothing.
-//
-// The order is by priority, fair start tag and deadline. A class with an overdue entry comes
-// first while agedCredit is not negative: more urgent classes get at most
-// Tokens/agedShare tokens of service between two of its requests. isAged is true for such an
-// entry.
-func (q *Queue) Next(now bootclock.Instant, skip func(*Entry) bool) (entry *Entry, isAged bool) {
-	for _, c := range q.classes {
-		if entry = c.first(skip); entry != nil {
-			break
-		}
-	}
-	if entry == nil || q.agedCredit < 0 {
-		return entry, false
-	}
-	if aged := q.firstAged(entry.class.priority, now, skip); aged != nil {
-		return aged, true
-	}
-	return entry, false
-}
-
-// firstAged returns the first entry of the class below priority whose overdue entry has been
-// overdue for longest.
-func (q *Queue) firstAged(priority int, now bootclock.Instant, skip func(*Entry) bool) *Entry {
-	var best *Entry
-	var overdueAt bootclock.Instant
-	for _, c := range q.classes[priority+1:] {
-		at, ok := c.firstOverdue(now)
-		if !ok || best != nil && !at.Before(overdueAt) {
-			continue
-		}
-		if entry := c.first(skip); entry != nil {
-			best, overdueAt = entry, at
-		}
-	}
-	return best
-}
-
-// firstOverdue returns when the first overdue entry of the class became overdue.
-func (c *class) firstOverdue(now bootclock.Instant) (at bootclock.Instant, ok bool) {
-	if c.waiting == 0 {
-		return 0, false
-	}
-	for _, f := range c.flows {
-		for _, e := range f.entries {
-			if e.isOverdue(now) && (!ok || e.overdueAt().Before(at)) {
-				at, ok = e.overdueAt(), true
-			}
-		}
-	}
-	return at, ok
-}
-
-// first returns the first entry of the class by start tag and deadline.
-func (c *class) first(skip func(*Entry) bool) *Entry {
-	if c.waiting == 0 {
-		return nil
-	}
-	var best *Entry
-	for _, f := range c.flows {
-		for _, e := range f.entries {
-			if skip != nil && skip(e) {
-				continue
-			}
-			if best == nil || precedes(e, best) {
-				best = e
-			}
-			break
-		}
-	}
-	return best
-}
-
-// last returns the entry that is last in order, or nil.
-func (q *Queue) last() *Entry {
-	for _, c := range slices.Backward(q.classes[:]) {
-		var last *Entry
-		var lastTag float64
-		for _, f := range c.flows {
-			if len(f.entries) == 0 {
-				continue
-			}
-			e := f.entries[len(f.entries)-1]
-			tag := f.tagOf(e)
-			if last == nil || tag > lastTag || tag == lastTag && last.BeginBy.Before(e.BeginBy) {
-				last, lastTag = e, tag
-			}
-		}
-		if last != nil {
-			return last
-		}
-	}
-	return nil
-}
-
-// tagOf returns the start tag that an entry has, or would have, behind those entries of its
-// flow that precede it.
-func (f *flow) tagOf(e *Entry) float64 {
-	tag := f.startTag(e.class)
-	for _, other := range f.entries {
-		if other == e || e.BeginBy.Before(other.BeginBy) {
-			break
-		}
-		tag += other.Tokens / f.weight
-	}
-	return tag
-}
-
-// precedes reports whether a leaves before b if neither is overdue.
-func precedes(a, b *Entry) bool {
-	if a.class.priority != b.class.priority {
-		return a.class.priority < b.class.priority
-	}
-	tagA, tagB := a.flow.tagOf(a), b.flow.tagOf(b)
-	if tagA != tagB {
-		return tagA < tagB
-	}
-	return a.BeginBy.Before(b.BeginBy)
+	return true
 }
