--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -9,6 +9,7 @@
 	"github.com/greengagegate/greengagegate/internal/balancer"
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/contain"
+	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/waitqueue"
 )
 
@@ -191,8 +192,9 @@
 	}
 }
 
-// busyRefusal returns the refusal for a decision.
+// busyRefusal returns the refusal for a decision, and counts it.
 func busyRefusal(decision *waitqueue.Decision) *refusal {
+	metrics.Counter("gateway.queue_refusals", "reason", string(decision.Reason)).Inc(1)
 	return &refusal{http.StatusServiceUnavailable, "upstreams-busy", decision.RetryAfter}
 }
 
