--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -206,6 +206,7 @@
 			WeightsGrace:      weightsGrace,
 			StalenessLimit:    s.Bounds.Weights,
 			MaxBufferedBytes:  s.Memory.maxBufferedBytes(),
+			Queue:             s.features(p).Queue,
 		},
 		Log: log,
 	})
--- a/internal/app/gatewaysettings.go
+++ b/internal/app/gatewaysettings.go
@@ -141,6 +141,8 @@
 	LearnRates bool `ini:"learn_rates"`
 	// SplitSizes is true if the engines of a pool are divided between short and long prompts.
 	SplitSizes bool `ini:"split_sizes"`
+	// Queue makes requests wait in a queue at the gateway while all engines are busy.
+	Queue bool `ini:"queue"`
 }
 
 // PlatformProperties holds what the platform states about the deployment.
@@ -152,8 +154,8 @@
 
 // Features are the optional functions that a deployment asks for.
 type Features struct {
-	// LearnRates and SplitSizes have the meanings of the same fields of Engines.
-	LearnRates, SplitSizes bool
+	// The fields have the meanings of those of Engines.
+	LearnRates, SplitSizes, Queue bool
 }
 
 // features returns the functions that the settings or the platform's policies ask for.
@@ -161,6 +163,7 @@
 	features := p.Features(s.Platform.Policies)
 	features.LearnRates = features.LearnRates || s.Engines.LearnRates
 	features.SplitSizes = features.SplitSizes || s.Engines.SplitSizes
+	features.Queue = features.Queue || s.Engines.Queue
 	return features
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -101,6 +101,7 @@
 func (j *job) tryUpstream() (done bool, refused *refusal) {
 	choice, refused := j.pickUpstream(j.r.Context())
 	if refused != nil {
+		j.endTurn()
 		return false, refused
 	}
 	ctx, cancel := context.WithTimeout(j.r.Context(), j.timeLeft())
@@ -118,7 +119,7 @@
 func (j *job) pickUpstream(ctx context.Context) (balancer.Choice, *refusal) {
 	j.gateway.waiting.Add(1)
 	defer j.gateway.waiting.Add(-1)
-	waitUntil := bootclock.Now().Add(time.Duration(pickWaitFraction * float64(j.route.LatencyObjective)))
+	waitUntil := bootclock.Now().Add(j.pickWait())
 	for {
 		if refused := j.checkUnservable(ctx); refused != nil {
 			return balancer.Choice{}, refused
@@ -131,9 +132,18 @@
 		choice, ok := j.pick(upstreams.ByPool[j.pool.Name])
 		if ok {
 			j.choice = choice
-			if refused := j.checkOverload(choice.ExpectedWaitMS); refused != nil {
+		}
+		if ok || j.mayWaitFor(&choice) {
+			waited, refused := j.awaitTurn(ctx, &choice)
+			if refused != nil {
 				return choice, refused
 			}
+			if waited {
+				waitUntil = bootclock.Now().Add(j.pickWait())
+				continue
+			}
+		}
+		if ok {
 			isFree := j.confirmVersion(ctx, &choice) && j.mayUse(ctx, &choice)
 			if isFree && j.mayTry(ctx) {
 				return choice, nil
@@ -151,6 +161,11 @@
 	}
 }
 
+// pickWait returns how long the request waits for a usable upstream.
+func (j *job) pickWait() time.Duration {
+	return time.Duration(pickWaitFraction * float64(j.route.LatencyObjective))
+}
+
 // checkUnservable returns a refusal if no upstream may get the request any more, whichever is
 // free.
 func (j *job) checkUnservable(ctx context.Context) *refusal {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -55,6 +55,7 @@
 	j.sendCount++
 	s := &send{choice: choice, attempt: j.gateway.Balancer.Begin(*choice, &j.pickRequest), startedAt: bootclock.Now()}
 	s.report = j.reportSend(choice, s.startedAt)
+	j.endTurn()
 	s.ctx, s.cancel = context.WithCancelCause(ctx)
 	if limit, ok := j.beginLimit(choice); ok {
 		s.takeBack = time.AfterFunc(limit.Sub(s.startedAt), func() { s.cancel(errTakenBack) })
