balancer: expect copies between engines to take as long as their links allow

A copy was assumed to take a millisecond for 1,000 tokens on every deployment. Where rates are learned, the configuration's link rate, the zones and the load that this gateway's own copies put on both links decide whether a copy is planned. Elsewhere nothing changes. The effect has not been measured yet.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -276,6 +276,10 @@
 	attempt.prefill = s.beginPrefill(choice.MissingTokens, request, b.now())
 	s.running++
 	s.backlogTokens += choice.MissingTokens
+	if choice.copySourceLink != nil {
+		choice.copySourceLink.add(choice.copyLinkMS, b.now())
+		s.link.add(choice.copyLinkMS, b.now())
+	}
 	attempt.metered = b.beginMetered(&choice, request, b.now())
 	s.startDelay.begin(attempt, b.now())
 	if len(request.Parts) > 0 {
--- a/internal/balancer/copy.go
+++ b/internal/balancer/copy.go
@@ -11,6 +11,7 @@
 type copySource struct {
 	address string
 	zone    string
+	link    *linkLoad
 	version int64
 	// tokens is the number of leading prompt tokens that can be copied.
 	tokens int64
@@ -30,7 +31,7 @@
 			continue
 		}
 		found = addCopySource(found, copySource{
-			address: upstream.Address, zone: upstream.Zone, version: candidates[i].version, tokens: candidates[i].copyableTokens,
+			address: upstream.Address, zone: upstream.Zone, link: &s.link, version: candidates[i].version, tokens: candidates[i].copyableTokens,
 		})
 	}
 	return found
@@ -62,6 +63,10 @@
 	// possibleTokens is the number of tokens that a speculative copy is expected to
 	// yield; the source is not known to hold them.
 	possibleTokens int64
+	// linkMS is how long the copy occupies the link of the source; 0 if it is a store.
+	linkMS float64
+	// source is the link of the source; nil if it is a store.
+	source *linkLoad
 }
 
 // bestCopy returns the copy that yields the most tokens beyond those cached at the
@@ -69,8 +74,9 @@
 // preferred. The store is preferred over the engines when it yields more and the wait for
 // its link is at most maxStoreWaitMS. When neither an engine nor the store is known to
 // hold at least minCopyTokens more tokens and the store may hold unreported parts, the
-// copy is speculative.
-func bestCopy(sources []copySource, keys *partKeys, upstream *catalog.Upstream, c candidate, now bootclock.Instant) plannedCopy {
+// copy is speculative. Where the links are known, a copy that would take longer than the prefill
+// of its tokens is not planned.
+func bestCopy(sources []copySource, keys *partKeys, links links, upstream *catalog.Upstream, c candidate, now bootclock.Instant) plannedCopy {
 	bestZone := ""
 	var best plannedCopy
 	for _, s := range sources {
@@ -80,10 +86,17 @@
 			continue
 		}
 		if gainedTokens > best.tokens || gainedTokens == best.tokens && s.zone == upstream.Zone && bestZone != upstream.Zone {
-			best.address, bestZone, best.tokens = s.address, s.zone, gainedTokens
+			best.address, bestZone, best.tokens, best.source = s.address, s.zone, gainedTokens, s.link
 		}
 	}
-	best.costMS = float64(best.tokens) / copyTokensPerMS
+	best.linkMS = links.copyMS(best.tokens, bestZone != upstream.Zone)
+	best.costMS = best.linkMS
+	if best.source != nil {
+		best.costMS += links.waitMS(best.source, best.linkMS, now) + links.waitMS(&c.state.link, best.linkMS, now)
+	}
+	if links.tokensPerMS > 0 && best.costMS > float64(best.tokens)/c.state.prefillTokensPerMS(now) {
+		best = plannedCopy{}
+	}
 	store := keys.store
 	if store == nil {
 		return best
--- a/internal/balancer/cost.go
+++ b/internal/balancer/cost.go
@@ -71,14 +71,14 @@
 	var plan plannedCopy
 	var ownWorkMS, backlogMS float64
 	if len(request.Parts) > 0 {
-		plan = bestCopy(sources, keys, upstream, c, now)
+		plan = bestCopy(sources, keys, b.linksOf(request, upstream.Pool), upstream, c, now)
 		missingTokens = max(0, missingTokens-c.cachedTokens-plan.tokens)
 		expectedWaitMS += plan.costMS
 		ownWorkMS = float64(missingTokens) / s.prefillTokensPerMS(now)
 		backlogMS = (float64(s.backlogTokens) + otherBacklogTokens) / s.prefillTokensPerMS(now)
 		expectedWaitMS += ownWorkMS + backlogMS
 	}
-	return Choice{Upstream: upstream, Version: c.version, MissingTokens: missingTokens, ExpectedWaitMS: expectedWaitMS, OwnWorkMS: ownWorkMS, BacklogMS: backlogMS, CopySource: plan.address, CopyTokens: plan.tokens, PossibleCopyTokens: plan.possibleTokens}
+	return Choice{Upstream: upstream, Version: c.version, MissingTokens: missingTokens, ExpectedWaitMS: expectedWaitMS, OwnWorkMS: ownWorkMS, BacklogMS: backlogMS, CopySource: plan.address, CopyTokens: plan.tokens, PossibleCopyTokens: plan.possibleTokens, copyLinkMS: plan.linkMS, copySourceLink: plan.source}
 }
 
 // otherGatewaysLoad estimates the running requests and the backlog of all other gateways
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -43,6 +43,9 @@
 	// CacheTokens is the cache memory of one engine of the pool, in tokens; 0 if it is
 	// not known.
 	CacheTokens int64
+	// LinkTokensPerMS is the rate at which the link of one engine of the pool carries cached
+	// tokens, per millisecond; 0 if it is not known.
+	LinkTokensPerMS float64
 	// MaxConnections is the number of connections that one upstream accepts from all
 	// gateways together; 0 means no limit.
 	MaxConnections int
@@ -103,6 +106,10 @@
 	// PossibleCopyTokens is the number of tokens that may be copied in addition to
 	// CopyTokens.
 	PossibleCopyTokens int64
+	// copyLinkMS is how long a copy from an engine occupies the links, and copySourceLink the
+	// link of that engine; 0 and nil without one.
+	copyLinkMS     float64
+	copySourceLink *linkLoad
 	// SaveStore is the address of the store in which the shared parts should be saved. It
 	// is empty when no store is enabled, the store holds the last shared part, the shared
 	// parts have fewer than minSaveTokens tokens, or the save was requested less than
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -94,7 +94,10 @@
 	MaxBatchSize int
 	// CacheTokens is the size of an engine's prompt cache in tokens.
 	CacheTokens int64
-	Models      []string
+	// LinkTokensPerMS is the rate at which an engine's link carries cached tokens, per
+	// millisecond; 0 if it is not known.
+	LinkTokensPerMS float64
+	Models          []string
 }
 
 // Pool is a set of interchangeable upstreams.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -65,6 +65,7 @@
 	j.pickRequest.PromptTokens = j.call.PromptTokens
 	j.pickRequest.Salt = j.salt
 	j.pickRequest.CacheTokens = j.pool.Engine.CacheTokens
+	j.pickRequest.LinkTokensPerMS = j.pool.Engine.LinkTokensPerMS
 	j.pickRequest.Objective = j.route.LatencyObjective
 	j.pickRequest.Priority = j.priority()
 }
