balancer, gateway: ask the nearest engines for their load while requests wait

A gateway guesses what the others sent to an engine from its own load. With 31 gateways and 56 engines the guess was 120 to 250 ms where requests then waited 3 s, and engines that every gateway took for idle rejected them after 1 to 3 s. While requests of a pool wait, the three upstreams with the lowest costs are now asked for their load by the health check, which answers at once, and what a running and a waiting request cost there is learned from waits. Only where rates are learned; the effect has not been measured yet.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -94,6 +94,7 @@
 	Store(address string, log zerolog.Logger) PolledStore
 	Codec() gateway.Codec
 	Engines(notices *gateway.Notices) weights.Engines
+	LoadProber(notices *gateway.Notices) gateway.LoadProber
 	CacheEvents() cachestore.Events
 	// RolloutPrefix is the prefix of the orders to roll out software versions.
 	RolloutPrefix() string
@@ -200,6 +201,7 @@
 		Origins:      origins,
 		Rollouts:     rollouts,
 		Engines:      p.Engines(notices),
+		LoadProber:   p.LoadProber(notices),
 		Announce:     peerManager.SendNow,
 		Bounds: gateway.Bounds{
 			MaxKeyEvidenceAge: time.Duration(stalenessFraction * float64(s.Bounds.Revoke)),
--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -19,6 +19,7 @@
 	parts         []Part
 	prefill       enginerate.Start
 	metered       meteredAttempt
+	wait          waitSample
 }
 
 // RecordFirstResponse records that the upstream has prefilled the prompt, so that other
@@ -29,6 +30,7 @@
 	defer a.balancer.mu.Unlock()
 	a.state.meanLoad.update(a.state.running, a.state.backlogTokens, a.balancer.now())
 	a.prefill.FirstResponse(a.balancer.now())
+	a.wait.observe(a.balancer.now())
 	a.state.backlogTokens -= a.backlogTokens
 	a.backlogTokens = 0
 	a.state.startDelay.observe(a, a.balancer.now())
