--- a/internal/rollout/baseline.go
+++ b/internal/rollout/baseline.go
@@ -11,6 +11,8 @@
 	// that of the route's history in the rate of a window.
 	routeWeight  = 20
 	windowWeight = 20
+	// baseDeviations is the half width of the confidence interval of the history's rate.
+	baseDeviations = 2.0
 	// maxBaseRate keeps the log-likelihood ratio finite.
 	maxBaseRate = 0.98
 
@@ -40,6 +42,15 @@
 	return smoothed(all, priorRate, priorWeight)
 }
 
+// upperBound returns the upper end of Wilson's confidence interval of a rate that was measured
+// on this number of responses.
+func upperBound(rate, responses float64) float64 {
+	const z2 = baseDeviations * baseDeviations
+	middle := rate + z2/(2*responses)
+	spread := baseDeviations * math.Sqrt(rate*(1-rate)/responses+z2/(4*responses*responses))
+	return (middle + spread) / (1 + z2/responses)
+}
+
 func failures(c *Counts) tally { return tally{c.Failed, c.Total} }
 
 // slow returns the slow responses, those in a bucket not below from.
@@ -66,9 +77,13 @@
 	// recent holds the counts of the other versions at the last updates, the oldest first.
 	recent []Counts
 	// base holds the rates of bad responses that the target was last compared with.
-	base [kindCount]float64
+	base [kindCount]baseRate
 }
 
+// baseRate is a rate of bad responses of the other versions: the likeliest one, and the upper
+// end of its confidence interval.
+type baseRate struct{ rate, most float64 }
+
 // part returns the route's part of all responses.
 func (s *routeState) part(total int64) float64 {
 	if total == 0 {
@@ -77,6 +92,16 @@
 	return float64(s.judged[GroupOthers].Total+s.judged[GroupTarget].Total) / float64(total)
 }
 
+// enough reports whether the route, which has this part of all requests, has enough target
+// responses for completion, given one of its tests.
+func (s *routeState) enough(part float64, t *test) bool {
+	responses := float64(s.judged[GroupTarget].Total)
+	if t == nil || responses < part*responsesNeeded {
+		return false
+	}
+	return responses >= routeResponses || t.strong.lowest <= routeAcceptThreshold
+}
+
 // advance returns the samples since the last call. While the other versions have too few
 // responses to compare with, it returns nothing, and a later call returns the samples since
 // the first one. The counts of the other versions go back to the begin of the rollout, so
@@ -97,7 +122,8 @@
 	s.judged = *latest
 	targets, same := tallies(&target, from), tallies(&newOthers, from-coldBuckets)
 	for kind := range samples {
-		samples[kind] = sample{targets[kind], same[kind], s.base[kind] * float64(targets[kind].total)}
+		total := float64(targets[kind].total)
+		samples[kind] = sample{targets[kind], same[kind], s.base[kind].rate * total, s.base[kind].most * total}
 	}
 	return samples
 }
@@ -130,24 +156,28 @@
 }
 
 // baseRates returns the rates of bad responses to compare the target with: the highest of the
-// windows. That of the whole history is raised by its standard error.
-func baseRates(windows []Counts, from int, fallback float64) (rates [kindCount]float64) {
+// windows. The confidence interval is that of the whole history: a base rate that is too low
+// would raise false alarms on routes with few requests.
+func baseRates(windows []Counts, from int, fallback float64) (rates [kindCount]baseRate) {
 	for i := range windows {
 		for kind, t := range tallies(&windows[i], from) {
+			base := &rates[kind]
 			if i > 0 {
-				rates[kind] = max(rates[kind], smoothed(t, rates[kind], windowWeight))
+				base.rate = max(base.rate, smoothed(t, base.rate, windowWeight))
+				base.most = max(base.most, smoothed(t, base.most, windowWeight))
 				continue
 			}
 			prior := fallback
 			if Kind(kind) == KindLatency {
 				prior = priorRate
 			}
-			rate := smoothed(t, prior, routeWeight)
-			rates[kind] = rate + math.Sqrt(rate*(1-rate)/(float64(t.total)+routeWeight))
+			base.rate = smoothed(t, prior, routeWeight)
+			base.most = upperBound(base.rate, float64(t.total)+routeWeight)
 		}
 	}
 	for kind := range rates {
-		rates[kind] = min(rates[kind], maxBaseRate)
+		rates[kind].rate = min(rates[kind].rate, maxBaseRate)
+		rates[kind].most = min(rates[kind].most, maxBaseRate)
 	}
 	return rates
 }
--- a/internal/rollout/cusum.go
+++ b/internal/rollout/cusum.go
@@ -47,70 +47,96 @@
 // sample holds the responses of both groups in one period.
 type sample struct {
 	target, others tally
-	// expected is how many of the target's responses would be bad at the rate of the others.
-	expected float64
+	// expected is how many of the target's responses would be bad at the rate of the others, and
+	// most the same at the upper end of that rate's confidence interval.
+	expected, most float64
 }
 
 func (s *sample) add(other sample) {
 	s.target.add(other.target)
 	s.others.add(other.others)
 	s.expected += other.expected
+	s.most += other.most
 }
 
-// alternative returns the rate of bad responses of a bad version, given that of the others.
+// alternative returns the rate of bad responses of a version that is clearly worse than others
+// with a rate of base, by at least minWorseBy.
 func alternative(base float64) float64 {
-	worseBy := min(max((worseRatio-1)*base, minWorseBy), maxWorseBy)
-	return min(base+worseBy, (1+base)/2)
+	return worse(base, min(max((worseRatio-1)*base, minWorseBy), maxWorseBy))
 }
 
-// logLikelihoodRatio returns the evidence of a tally for the alternative against base.
-func logLikelihoodRatio(t tally, base float64) float64 {
-	worse := alternative(base)
+// muchWorse returns the rate of a version that is worse by far. A test against it needs fewer
+// responses of such a version.
+func muchWorse(base float64) float64 { return worse(base, muchWorseBy) }
+
+// worse returns base raised by a difference, but at most halfway to 1.
+func worse(base, by float64) float64 { return min(base+by, (1+base)/2) }
+
+// logLikelihoodRatio returns the evidence of a tally for the rate worse against the rate base.
+func logLikelihoodRatio(t tally, base, worse float64) float64 {
 	good := float64(t.total - t.bad)
 	return float64(t.bad)*math.Log(worse/base) + good*math.Log((1-worse)/(1-base))
 }
 
-// informationPerResponse returns by how much the log-likelihood ratio falls on average with
-// each response of a version whose rate of bad responses is base.
-func informationPerResponse(base float64) float64 {
-	worse := alternative(base)
+// information returns by how much the log-likelihood ratio falls on average with each response
+// of a version whose rate of bad responses is base.
+func information(base, worse float64) float64 {
 	return -base*math.Log(worse/base) - (1-base)*math.Log((1-worse)/(1-base))
 }
 
-// cusum is the state of one test.
+// cusum is a cumulative sum of log-likelihood ratios.
 type cusum struct {
-	// sum is the cumulative sum of the log-likelihood ratio, reset at zero.
-	sum float64
-	// gate is the same sum with a start above zero: it falls once the evidence rules out
-	// that the version was bad from the beginning.
-	gate float64
-	// seen holds the responses since sum was zero.
+	// sum is reset at zero, and seen holds the responses since it was zero.
+	sum  float64
 	seen sample
+	// total is never reset, and lowest is its minimum.
+	total, lowest float64
 }
 
-// update adds a sample. Within it the order of the responses is unknown, so that it counts as
-// one step.
-func (c *cusum) update(s sample) {
-	ratio := logLikelihoodRatio(s.target, s.expected/float64(s.target.total))
-	c.gate = max(c.gate+ratio, 0)
-	c.sum = max(c.sum+ratio, 0)
-	if c.sum == 0 {
+// add adds a sample whose target responses have these ratios: alarm for the sum that is reset,
+// and accept for the one that is not. Within the sample the order of the responses is unknown,
+// so that it counts as one step.
+func (c *cusum) add(s sample, alarm, accept float64) {
+	c.total += accept
+	c.lowest = min(c.lowest, c.total)
+	if c.sum = max(c.sum+alarm, 0); c.sum == 0 {
 		c.seen = sample{}
 		return
 	}
 	c.seen.add(s)
 }
 
-func (c *cusum) reason(route string, kind Kind) Reason {
+// test is the state of the tests of one route and kind, against the alternatives alternative
+// (mild) and muchWorse (strong).
+type test struct{ mild, strong cusum }
+
+// update adds a sample. The sums for the alarm compare with the highest rate that the others
+// may have, so that they raise no false alarm, those for acceptance with the likeliest one.
+func (t *test) update(s sample) {
+	most, expected := s.most/float64(s.target.total), s.expected/float64(s.target.total)
+	ratio := func(base, worse float64) float64 { return logLikelihoodRatio(s.target, base, worse) }
+	t.mild.add(s, ratio(most, alternative(most)), ratio(expected, alternative(expected)))
+	t.strong.add(s, ratio(most, muchWorse(most)), ratio(expected, muchWorse(expected)))
+}
+
+// highest returns the higher one of the two sums for the alarm.
+func (t *test) highest() float64 { return max(t.mild.sum, t.strong.sum) }
+
+// reason returns the evidence of the higher sum.
+func (t *test) reason(route string, kind Kind) Reason {
+	seen := t.mild.seen
+	if t.strong.sum > t.mild.sum {
+		seen = t.strong.seen
+	}
 	return Reason{
 		Route:       route,
 		Kind:        kind,
-		TargetBad:   c.seen.target.bad,
-		TargetTotal: c.seen.target.total,
-		TargetRate:  c.seen.target.rate(),
-		OthersBad:   c.seen.others.bad,
-		OthersTotal: c.seen.others.total,
-		OthersRate:  c.seen.expected / float64(c.seen.target.total),
+		TargetBad:   seen.target.bad,
+		TargetTotal: seen.target.total,
+		TargetRate:  seen.target.rate(),
+		OthersBad:   seen.others.bad,
+		OthersTotal: seen.others.total,
+		OthersRate:  seen.most / float64(seen.target.total),
 	}
 }
 
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -1,8 +1,6 @@
 package rollout
 
-import (
-	"math"
-)
+import "math"
 
 // Verdict is the result of the comparison of a target version with the other versions.
 type Verdict uint8
@@ -25,11 +23,12 @@
 	// alarmThreshold is the cumulative sum of log-likelihood ratios at which a target is bad.
 	// About e^16 responses of a good version pass between two false alarms of a test.
 	alarmThreshold = 16.0
-	// gateStart and gateOpen are the start of the sums that must fall before a switch, and
-	// the highest value at which it may begin. A version that is as bad as the alternative
-	// falls from one to the other with a probability of about e^-7.
-	gateStart = 10.0
-	gateOpen  = 3.0
+	// acceptThreshold is the sum of log-likelihood ratios at which a version is not as bad as
+	// the alternative from the begin on. One that is gets there with a probability of e^-9.
+	acceptThreshold = -9.0
+	// routeAcceptThreshold is the same for a route and the alternative muchWorse. It takes 8
+	// responses of which none is bad.
+	routeAcceptThreshold = -4.0
 
 	// minComparable is the number of responses of the other versions on a route below which
 	// the target's responses on it are not judged yet.
@@ -39,39 +38,44 @@
 	minWorseBy = 0.1
 	maxWorseBy = 0.2
 	worseRatio = 3.0
+	// muchWorseBy is the same difference for a version that is worse by far.
+	muchWorseBy = 0.4
+
+	// maxRunningRatio is the highest ratio of the target's running requests to those of the
+	// others, for the requests that each gets, at which the responses seen are taken for a
+	// fair sample. Requests that take long are missing in it.
+	maxRunningRatio = 2.5
+	// runningSlack is the number of running requests that are too few to compare.
+	runningSlack = 5
+
+	// responsesNeeded is the number of target responses on all routes together of which each
+	// route must have its part. A route with routeResponses needs no acceptance of its own,
+	// because a fault would show in the sums for the alarm.
+	responsesNeeded = 60
+	routeResponses  = 25
+	// minRoutePart is the part of all requests from which on completion needs a comparison of
+	// the route. Smaller ones would need more canary requests than a short rollout may make.
+	minRoutePart = 0.04
 
 	// neededMargin is the ratio of the target requests that are planned to those that
 	// completion needs on average.
 	neededMargin = 1.5
 )
 
-// routeNeeds lists the target responses that a route with at least this part of all requests
-// must have for completion. Routes with less have too little traffic to compare.
-var routeNeeds = [...]struct {
-	part      float64
-	responses int64
-}{{0.2, 60}, {0.05, 25}, {0.01, 10}}
-
-// routeNeed returns the number of target responses that a route needs for completion.
-func routeNeed(part float64) int64 {
-	for _, need := range routeNeeds {
-		if part >= need.part {
-			return need.responses
-		}
-	}
-	return 0
-}
-
 // Judge compares the target with the other versions by sequential tests: for each route and
 // for all routes together, and for failures, latency and both, it sums the log-likelihood
 // ratio of the target's responses under two hypotheses, that their rate of bad responses is
 // that of the other versions over the same period, and that it is clearly higher. A sum never
 // falls below zero, so that good responses do not make up for a fault that begins later.
 type Judge struct {
-	routes  map[string]*routeState
-	tests   map[testKey]*cusum
-	verdict Verdict
-	reason  Reason
+	routes map[string]*routeState
+	tests  map[testKey]*test
+	// accepted is set once the evidence has ruled out that the target was bad from the begin.
+	accepted bool
+	// sent and total hold the counts of all routes at the last update.
+	sent, total [GroupCount]int64
+	verdict     Verdict
+	reason      Reason
 }
 
 // allRoutes is the name of the test of all routes. No route has it.
@@ -84,7 +88,7 @@
 
 // NewJudge returns a Judge that has seen no evidence.
 func NewJudge() *Judge {
-	return &Judge{routes: make(map[string]*routeState), tests: make(map[testKey]*cusum)}
+	return &Judge{routes: make(map[string]*routeState), tests: make(map[testKey]*test)}
 }
 
 // Update judges the evidence that was added since the last call. It is meant to be called
@@ -103,59 +107,88 @@
 		}
 		samples := state.advance(pooled[route], fallback)
 		for kind := range samples {
-			j.test(route, Kind(kind), samples[kind])
+			j.judge(route, Kind(kind), samples[kind])
 			all[kind].add(samples[kind])
 		}
 	}
 	for kind := range all {
-		j.test(allRoutes, Kind(kind), all[kind])
+		j.judge(allRoutes, Kind(kind), all[kind])
 	}
+	j.count(pooled)
+	j.accepted = j.accepted || j.accepts()
 	return j.verdict
 }
 
-// test updates one test, and the verdict if the test raises the alarm. The first alarm gives
+// judge updates one test, and the verdict if the test raises the alarm. The first alarm gives
 // the reason.
-func (j *Judge) test(route string, kind Kind, s sample) {
+func (j *Judge) judge(route string, kind Kind, s sample) {
 	if s.target.total == 0 {
 		return
 	}
 	key := testKey{route, kind}
-	test := j.tests[key]
-	if test == nil {
-		test = &cusum{gate: gateStart}
-		j.tests[key] = test
+	t := j.tests[key]
+	if t == nil {
+		t = new(test)
+		j.tests[key] = t
 	}
-	test.update(s)
-	if test.sum >= alarmThreshold && j.verdict != VerdictBad {
+	t.update(s)
+	if t.highest() >= alarmThreshold && j.verdict != VerdictBad {
 		j.verdict = VerdictBad
-		j.reason = test.reason(route, kind)
+		j.reason = t.reason(route, kind)
 	}
 }
 
 // Reason returns why the verdict is VerdictBad, and the zero value while it is open.
 func (j *Judge) Reason() Reason { return j.reason }
 
-// EnoughForCompletion reports whether the evidence suffices to give all traffic to the target:
-// each route has enough target responses, no test stands above half of the threshold of its
-// alarm, and all routes together rule out a version that is clearly worse.
-func (j *Judge) EnoughForCompletion() bool {
-	if j.verdict == VerdictBad {
-		return false
+// count takes over the counts of all routes.
+func (j *Judge) count(pooled Evidence) {
+	j.sent, j.total = [GroupCount]int64{}, [GroupCount]int64{}
+	for _, counts := range pooled {
+		for group := range counts {
+			j.sent[group] += counts[group].Sent
+			j.total[group] += counts[group].Total
+		}
 	}
+}
+
+// accepts reports whether the evidence rules out that the target was bad from the begin.
+func (j *Judge) accepts() bool {
 	total := j.responses()
-	for _, state := range j.routes {
-		if state.judged[GroupTarget].Total < routeNeed(state.part(total)) {
+	for kind := range kindCount {
+		if t := j.tests[testKey{allRoutes, kind}]; t == nil || t.mild.lowest > acceptThreshold {
 			return false
 		}
-	}
-	for _, test := range j.tests {
-		if test.sum > alarmThreshold/2 {
-			return false
+		for route, state := range j.routes {
+			if part := state.part(total); part >= minRoutePart && !state.enough(part, j.tests[testKey{route, kind}]) {
+				return false
+			}
 		}
 	}
-	for kind := range kindCount {
-		test := j.tests[testKey{allRoutes, kind}]
-		if test == nil || test.gate > gateOpen {
+	return !j.runsLonger()
+}
+
+// runsLonger reports whether the target holds so many running requests that its responses so
+// far are those of the quick ones only.
+func (j *Judge) runsLonger() bool {
+	if j.sent[GroupOthers] == 0 {
+		return false
+	}
+	running := j.sent[GroupTarget] - j.total[GroupTarget]
+	others := j.sent[GroupOthers] - j.total[GroupOthers]
+	usual := float64(others) * float64(j.sent[GroupTarget]) / float64(j.sent[GroupOthers])
+	return float64(running) > maxRunningRatio*usual+runningSlack
+}
+
+// EnoughForCompletion reports whether the evidence suffices to give all traffic to the target:
+// at some time each route had enough target responses and all routes together ruled out a
+// version that is clearly worse, and no test stands above half of the threshold of its alarm.
+func (j *Judge) EnoughForCompletion() bool {
+	if j.verdict == VerdictBad || !j.accepted {
+		return false
+	}
+	for _, t := range j.tests {
+		if t.highest() > alarmThreshold/2 {
 			return false
 		}
 	}
@@ -168,23 +201,20 @@
 func (j *Judge) TargetRequestsNeeded() int64 {
 	total := j.responses()
 	needed := 0.0
-	for _, state := range j.routes {
-		if part := state.part(total); routeNeed(part) > 0 {
-			needed = max(needed, float64(routeNeed(part))/part)
-		}
-	}
-	if needed == 0 {
-		return 0
-	}
 	var base [kindCount]float64
 	for _, state := range j.routes {
-		for kind, rate := range state.base {
-			base[kind] += rate * state.part(total)
+		part := state.part(total)
+		for kind := range state.base {
+			rate := state.base[kind].rate
+			base[kind] += rate * part
+			if rate > 0 && part >= minRoutePart {
+				needed = max(needed, -routeAcceptThreshold/information(rate, muchWorse(rate))/part)
+			}
 		}
 	}
 	for _, rate := range base {
 		if rate > 0 {
-			needed = max(needed, (gateStart-gateOpen)/informationPerResponse(rate))
+			needed = max(needed, -acceptThreshold/information(rate, alternative(rate)))
 		}
 	}
 	return int64(math.Ceil(neededMargin * needed))
--- a/internal/rollout/schedule.go
+++ b/internal/rollout/schedule.go
@@ -1,6 +1,9 @@
 package rollout
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Stage is a part of a rollout. A rollout only moves to a later stage.
 type Stage uint8
@@ -32,7 +35,9 @@
 }
 
 const (
-	maxObserveTime = time.Second
+	// observesPerDuration bounds the observation of a short rollout to a part of its duration.
+	maxObserveTime      = time.Second
+	observesPerDuration = 40
 	// maxCanaryRequests is the number of target requests of a canary, unless the evidence for
 	// completion needs more or one upstream of the target needs more for its usual load.
 	maxCanaryRequests = 400
@@ -40,12 +45,17 @@
 	// of that of an upstream of the other versions.
 	canaryLoad     = 1.1
 	maxCanaryShare = 0.5
-	// budgetPart is the part of the exposure bound that the canary uses. The rest is for
-	// requests that were sent before a step reached all gateways.
+	// budgetPart is the part of the exposure bound that a canary may use. The rest is for
+	// requests that were sent before a step reached all gateways. A canary that has used
+	// stopPart nevertheless gets nothing until there is room again.
 	budgetPart = 0.8
-	// reducedPart is the part of the budget's growth that a canary uses after the budget was
-	// used up once.
-	reducedPart = 0.9
+	stopPart   = 0.9
+	// budgetSpread is the number of standard deviations of the count of target requests by
+	// which a canary is planned to stay below its budget.
+	budgetSpread = 1.5
+	// sustainedPart is the part of the budget's growth that a canary uses once it has used up
+	// its budget.
+	sustainedPart = 0.9
 	// defaultNeeded is the number of target requests for completion while it is not known.
 	defaultNeeded = 150
 
@@ -53,12 +63,17 @@
 	// rampStepsPerDuration, drainsPerDuration and marginsPerDuration bound the parts of a
 	// short rollout: a step lasts at most a twelfth of its duration, and so on.
 	rampStepsPerDuration = 12
-	maxDrainTime         = 4 * time.Second
-	drainsPerDuration    = 4
-	maxMargin            = time.Second
-	marginsPerDuration   = 10
+	// shortRampSteps is the number of steps of a switch that begins late in the time of one
+	// usual step.
+	shortRampSteps     = 4
+	maxDrainTime       = 4 * time.Second
+	drainsPerDuration  = 4
+	maxMargin          = time.Second
+	marginsPerDuration = 10
 	// propagationTime is how long a step takes to reach all gateways.
 	propagationTime = time.Second
+	// reportTime is how long it takes until the end of a request is reported by its gateway.
+	reportTime = 700 * time.Millisecond
 )
 
 // rampShares are the target's shares while traffic switches to it.
@@ -120,8 +135,8 @@
 	return s
 }
 
-// Share returns the next step. The share never falls, except to 0 at a rollback, or while the
-// exposure budget is used up, which happens at most once.
+// Share returns the next step. The share never falls, except to 0 at a rollback, and when a
+// canary uses up its budget.
 func (b Bounds) Share(p Progress) Step {
 	step := p.Previous
 	switch {
@@ -132,7 +147,7 @@
 	}
 	switch step.Stage {
 	case StageObserve:
-		if known := p.TargetListed && p.RequestsPerSecond > 0; !known && p.Elapsed < maxObserveTime {
+		if !p.observed() {
 			return step
 		}
 		step.Canary = b.canaryShare(p)
@@ -149,62 +164,84 @@
 	}
 }
 
-// canaryShare chooses the constant share of the canary.
+// observed reports whether the share of the canary can be chosen, or must be.
+func (p Progress) observed() bool {
+	known := p.TargetListed && p.RequestsPerSecond > 0 && p.Needed > 0
+	return known || p.Elapsed >= min(maxObserveTime, p.Duration/observesPerDuration)
+}
+
+// canaryShare chooses the constant share of the canary. Its budget lasts until the latest
+// begin of the switch.
 func (b Bounds) canaryShare(p Progress) float64 {
-	remaining := p.RequestsPerSecond * (p.switchAt() - p.Elapsed).Seconds()
-	if remaining <= 0 {
-		return reducedPart * budgetPart * b.ExposureShare
+	requests := p.RequestsPerSecond * (p.switchAt() - p.Elapsed).Seconds()
+	mostRequests := p.RequestsPerSecond * (p.latestSwitch() - p.Elapsed).Seconds()
+	if requests <= 0 {
+		return sustainedPart * budgetPart * b.ExposureShare
 	}
 	needed := p.Needed
 	if needed == 0 {
 		needed = defaultNeeded
 	}
-	wanted := float64(max(needed, maxCanaryRequests))
+	wanted := float64(max(needed, maxCanaryRequests)) / requests
 	if p.Others > 0 {
-		wanted = max(wanted, remaining*canaryLoad/(canaryLoad+float64(p.Others)))
+		wanted = max(wanted, canaryLoad/(canaryLoad+float64(p.Others)))
 	}
-	budget := b.budget(float64(p.AllRequests)+remaining) - float64(p.TargetRequests)
-	return min(max(min(wanted, budget)/remaining, 0), maxCanaryShare)
+	budget := budgetPart*b.exposure(float64(p.AllRequests)+mostRequests) - float64(p.TargetRequests)
+	budget = max(budget-budgetSpread*math.Sqrt(max(budget, 0)), 0)
+	return min(wanted, budget/mostRequests, maxCanaryShare)
 }
 
-// budget returns the number of target requests that the canary may have made when all
-// requests have this number.
-func (b Bounds) budget(all float64) float64 {
-	return budgetPart * (b.ExposureShare*all + float64(b.ExposureSlack))
-}
+// exposure returns the number of requests that a bad target may get, given that of all requests.
+func (b Bounds) exposure(all float64) float64 { return b.ExposureShare*all + float64(b.ExposureSlack) }
 
-// canaryStep keeps the canary's share, or stops the canary while its budget is used up.
+// canaryStep keeps the canary's share while its budget lasts.
 //
-// At a constant rate of requests the budget lasts: its slack is there from the start, and the
-// share was chosen so that it is not used up at the switch. It can be used up if the rate
-// falls or the switch is late. The share is then 0 once, and afterwards below that at which
-// the budget grows, so that it is never used up again.
+// At a constant rate of requests it does until the latest begin of a switch: the slack is there
+// from the start, so that the target's requests, which grow in proportion to all requests,
+// reach the budget only at its end. If the rate falls or no switch begins, the share is lowered
+// once, to one at which the target's requests grow more slowly than the budget. It is 0 only
+// while stopPart is used up, which takes a rate that falls to a small part of its former value,
+// or target requests that are reported late. The share then rises again only after the
+// target's requests are back below the budget, which they no longer reach at the lowered share,
+// so that it cannot oscillate.
 func (b Bounds) canaryStep(p Progress, step Step) Step {
-	room := b.budget(float64(p.AllRequests)) - float64(p.TargetRequests)
-	sustained := reducedPart * budgetPart * b.ExposureShare
+	exposure, used := b.exposure(float64(p.AllRequests)), float64(p.TargetRequests)
 	switch {
-	case step.Share > sustained && room <= 0:
-		step.Canary = min(step.Canary, sustained)
+	case used < budgetPart*exposure || step.Share > 0 && b.lastsUntilSwitch(p, step):
+		return step.next(p, StageCanary, step.Canary)
+	case used >= stopPart*exposure || step.Share == 0:
+		step.Canary = min(step.Canary, sustainedPart*budgetPart*b.ExposureShare)
 		return step.next(p, StageCanary, 0)
-	case step.Share == 0 && room < p.RequestsPerSecond*step.Canary*propagationTime.Seconds():
-		return step
 	}
+	step.Canary = min(step.Canary, sustainedPart*budgetPart*b.ExposureShare)
 	return step.next(p, StageCanary, step.Canary)
 }
 
+// lastsUntilSwitch reports whether stopPart of the exposure bound suffices for the rest of the
+// canary, so that the share needs no change shortly before the switch.
+func (b Bounds) lastsUntilSwitch(p Progress, step Step) bool {
+	end := p.latestSwitch()
+	if p.Enough {
+		end = p.switchAt()
+	}
+	rest := p.RequestsPerSecond * (end - p.Elapsed).Seconds()
+	return rest > 0 && float64(p.TargetRequests)+step.Share*rest < stopPart*b.exposure(float64(p.AllRequests)+rest)
+}
+
 // rampStep raises the share while there is enough evidence for completion.
 func (p Progress) rampStep(step Step) Step {
-	if !p.Enough || p.Elapsed < step.Since+p.rampStepTime() {
-		return step
+	next := 0
+	for next < len(rampShares)-1 && rampShares[next] <= step.Share {
+		next++
 	}
-	for _, share := range rampShares {
-		if share <= step.Share {
-			continue
-		}
-		if share == 1 {
-			return step.next(p, StageDrain, 1)
-		}
-		return step.next(p, StageSwitch, share)
+	// A switch that began late has shorter steps.
+	left := p.rampEnd() - step.Since
+	stepTime := max(min(left/time.Duration(len(rampShares)-next), p.rampStepTime()), p.rampStepTime()/shortRampSteps)
+	switch {
+	case !p.Enough || p.Elapsed < step.Since+stepTime:
+		return step
+	case rampShares[next] < 1:
+		return step.next(p, StageSwitch, rampShares[next])
 	}
 	return step.next(p, StageDrain, 1)
 }
@@ -218,7 +255,7 @@
 	case p.RunningAtOthers == 0:
 		done = done || drained >= propagationTime
 	case p.RunningAtOthers < 0 && p.DrainTime > 0:
-		done = done || drained >= propagationTime+p.DrainTime
+		done = done || drained >= p.drainReserve()
 	}
 	if !done || !p.Enough {
 		return step
@@ -226,16 +263,22 @@
 	return step.next(p, StageDone, 1)
 }
 
+// rampRaises is the number of steps from the first share of the ramp to the last one.
+const rampRaises = time.Duration(len(rampShares) - 1)
+
 // switchAt is the elapsed time at which the switch begins if there is enough evidence.
-func (p Progress) switchAt() time.Duration { return p.latestSwitch() - p.drainReserve() }
+func (p Progress) switchAt() time.Duration { return p.rampEnd() - rampRaises*p.rampStepTime() }
 
 // latestSwitch is the elapsed time after which no switch begins, because it could not end
 // before the deadline.
 func (p Progress) latestSwitch() time.Duration {
-	const raises = time.Duration(len(rampShares) - 1)
-	return p.Duration - p.margin() - raises*p.rampStepTime()
+	return p.rampEnd() - rampRaises*p.rampStepTime()/shortRampSteps
 }
 
+// rampEnd is the elapsed time at which all traffic must be on the target to be drained from
+// the others before the deadline.
+func (p Progress) rampEnd() time.Duration { return p.Duration - p.margin() - p.drainReserve() }
+
 func (p Progress) rampStepTime() time.Duration {
 	return min(maxRampStep, p.Duration/rampStepsPerDuration)
 }
@@ -251,5 +294,5 @@
 	if p.DrainTime <= 0 {
 		return p.maxDrain()
 	}
-	return min(p.maxDrain(), propagationTime+p.DrainTime)
+	return min(p.maxDrain(), propagationTime+p.DrainTime+reportTime)
 }
