--- a/internal/rollout/manager_test.go
+++ b/internal/rollout/manager_test.go
@@ -301,7 +301,7 @@
 			}
 			f.run(testDuration-f.now.Sub(f.orderedAt), 500)
 			if state := f.state(); state != catalog.RolloutCompleted {
-				t.Errorf("state is %v at the deadline, want completed", state)
+				t.Errorf("state is %v at the deadline, want completed: %+v", state, f.gateways[1].Statuses())
 			}
 		})
 	}
