Follow changes of an engine's prefill rate, and test the estimates

An estimate by all recent samples lags behind an engine that becomes 2.5 times slower or faster. The newest four samples now show that it became faster, and the newest eight that it became slower; earlier ones are dropped then.

Requests of this gateway that the engine prefills in between count for a sample, so that an engine which works without pause is not taken for a slow one. Samples of prompts whose shared parts may have been cached by others count less.

--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -1,6 +1,10 @@
 package balancer
 
-import "time"
+import (
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/enginerate"
+)
 
 // Attempt is one try of a request at one upstream. It is safe for concurrent use.
 type Attempt struct {
@@ -13,7 +17,7 @@
 	upstreamID    string
 	salt          string
 	parts         []Part
-	prefill       prefillStart
+	prefill       enginerate.Start
 }
 
 // RecordFirstResponse records that the upstream has prefilled the prompt, so that other
@@ -23,7 +27,7 @@
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
 	a.state.meanLoad.update(a.state.running, a.state.backlogTokens, a.balancer.now())
-	a.state.observePrefill(a, a.balancer.now())
+	a.prefill.FirstResponse(a.balancer.now())
 	a.state.backlogTokens -= a.backlogTokens
 	a.backlogTokens = 0
 	a.state.startDelay.observe(a, a.balancer.now())
--- a/internal/balancer/fleet_test.go
+++ b/internal/balancer/fleet_test.go
@@ -43,6 +43,10 @@
 	// cached contains the concatenation of engine ID, salt and part ID for each part that
 	// was ever prefilled.
 	cached map[string]bool
+	// tokensPerMS is the prefill rate of an engine. Requests that are expected to wait for
+	// longer than objective are not sent, unless it is 0.
+	tokensPerMS float64
+	objective   time.Duration
 	// waits are the times from the arrival of a request to its first response.
 	waits []time.Duration
 }
@@ -58,7 +62,7 @@
 
 func newFleetSimulation(gateways, engines int) *fleetSimulation {
 	f := &fleetSimulation{
-		now: 1_000_000_000_000, random: rand.New(rand.NewPCG(3, 4)),
+		now: 1_000_000_000_000, tokensPerMS: simulatedPrefillTokensPerMS, random: rand.New(rand.NewPCG(3, 4)),
 		freeAt: make(map[string]bootclock.Instant), cached: make(map[string]bool),
 	}
 	for i := range engines {
@@ -96,11 +100,11 @@
 	r := f.newRequest(n)
 	r.TargetVersion = targetVersion
 	choice, ok := balancer.Pick(f.upstreams, r)
-	if !ok {
+	if !ok || f.objective > 0 && choice.ExpectedWaitMS > float64(f.objective)/float64(time.Millisecond) {
 		return
 	}
 	attempt := balancer.Begin(choice, r)
-	prefillTime := time.Duration(float64(f.prefillTokens(choice, r)) / simulatedPrefillTokensPerMS * float64(time.Millisecond))
+	prefillTime := time.Duration(float64(f.prefillTokens(choice, r)) / f.tokensPerMS * float64(time.Millisecond))
 	engine := choice.Upstream.ID
 	f.freeAt[engine] = max(f.freeAt[engine], f.now).Add(prefillTime)
 	prefillWait := f.freeAt[engine].Sub(f.now)
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -54,8 +54,6 @@
 	pool   string
 	// rate is the learned prefill rate; nil if it is not learned.
 	rate *enginerate.Engine
-	// prefill tracks how far the engine is with the requests of this gateway.
-	prefill prefillProgress
 	// load is the newest load that the upstream reported.
 	load reportedLoad
 }
@@ -87,7 +85,7 @@
 	clear(s.parts)
 	s.startDelay = startDelay{}
 	s.rate.Reset()
-	s.prefill, s.load = prefillProgress{}, reportedLoad{}
+	s.load = reportedLoad{}
 	s.heldUntil, s.backoffUntil, s.limitedUntil, s.lastFailureRate, s.unreachable = 0, 0, 0, 0, false
 }
 
--- a/internal/enginerate/engine.go
+++ b/internal/enginerate/engine.go
@@ -10,49 +10,47 @@
 	// rateQuantile is the quantile of the samples that is taken for the rate. Most samples are
 	// below the rate because of waiting; a few are above it because more of the prompt was
 	// cached than expected.
-	rateQuantile = 0.8
-	// maxRateQuantile is the quantile of the samples as observed, not corrected by the
-	// reported slowness, above which no report raises the rate.
-	maxRateQuantile = 0.9
+	rateQuantile = 0.75
 	// maxSamples is the number of samples of an engine that are kept.
 	maxSamples = 48
 	// maxSampleAge is the age at which a sample loses its weight.
 	maxSampleAge = 6 * time.Second
-	// fullTokens is the number of tokens from which on a sample has the full weight.
-	fullTokens = 2000
+	// fullTokens is the number of tokens from which on a sample has the full confidence. With
+	// more tokens, waiting is a smaller part of the time.
+	fullTokens = 10_000
 	// queuedConfidence is the confidence of a sample whose time contains the wait for requests
 	// of other gateways, relative to one without.
 	queuedConfidence = 0.25
-	// newestSamples is the number of samples that show a change of the rate by changeFactor;
-	// older ones are dropped then. It is about 200 ms at 100 samples a second.
-	newestSamples = 20
-	changeFactor  = 1.6
+	// A change of the rate by changeFactor is one if the newest samples agree on it; earlier
+	// samples are dropped then. A few show that an engine became faster, since samples bound
+	// the rate from below. More are needed to show that it became slower, and yet more if it
+	// reports its slowness, because the rate at the usual slowness hardly changes then and
+	// waiting is the more likely reason.
+	newestIfFaster         = 4
+	newestIfSlower         = 8
+	newestIfSlowerReported = 20
+	changeFactor           = 1.6
 )
 
 // Engine estimates the rate of one engine.
 type Engine struct {
 	pool *Pool
-	// samples are the newest samples in the order of their arrival.
-	samples []keptSample
+	// samples are the newest samples in the order of their arrival. droppedSamples is the
+	// number of those that a change of the rate outdated.
+	samples        []sample
+	droppedSamples int
 	// rate is the estimate at the usual slowness by the engine's own samples, and maxRate the
-	// bound of the rate now, both valid if weight, the weight of the samples at computedAt, is
-	// above 0.
-	rate, maxRate float64
-	weight        float64
-	computedAt    bootclock.Instant
-	changed       bool
-	newestAt      bootclock.Instant
-	slowness      slowness
-}
-
-// keptSample is a sample with its rates in tokens per millisecond.
-type keptSample struct {
-	at bootclock.Instant
-	// observed is the rate as it was, normalized that at the usual slowness.
-	observed, normalized float64
-	// weight is the number of samples that it counts for, confidence its weight in the
-	// quantile relative to other samples.
-	weight, confidence float64
+	// largest recent one without regard to reports, above which no report raises the rate. Both
+	// are valid if weight, the weight of the samples when they were computed, is above 0.
+	rate     float64
+	maxRate  recentMax
+	weight   float64
+	changed  bool
+	newestAt bootclock.Instant
+	progress progress
+	slowness slowness
+	// incarnation counts the calls of Reset.
+	incarnation int
 }
 
 // Remove removes the engine from its pool. A nil Engine has no pool.
@@ -68,69 +66,75 @@
 // its ID. It has no effect on a nil Engine.
 func (e *Engine) Reset() {
 	if e != nil {
-		*e = Engine{pool: e.pool}
+		*e = Engine{pool: e.pool, incarnation: e.incarnation + 1}
 		e.pool.changed = true
 	}
 }
 
-// Observe records a sample at the time of its first response. Samples with few tokens are
-// ignored.
-func (e *Engine) Observe(s Sample, now bootclock.Instant) {
-	elapsedMS := float64(s.Elapsed) / float64(time.Millisecond)
-	if s.Tokens < minTokens || elapsedMS <= 0 {
-		return
-	}
-	observed := (float64(s.Tokens) + s.OtherTokens) / elapsedMS
-	kept := keptSample{at: now, observed: observed, normalized: observed * clampSlowness(s.Slowness), weight: 1}
-	kept.confidence = min(1, float64(s.Tokens)/fullTokens) * float64(max(0, s.CertainTokens)) / float64(s.Tokens)
-	if s.Queued {
-		kept.confidence *= queuedConfidence
-	}
-	if len(e.samples) >= maxSamples {
-		e.samples = append(e.samples[:0], e.samples[1:]...)
-	}
-	e.samples = append(e.samples, kept)
-	e.newestAt, e.changed, e.pool.changed = now, true, true
-}
-
 // compute updates the estimates by the engine's own samples.
 func (e *Engine) compute(now bootclock.Instant) {
-	e.changed, e.computedAt = false, now
+	e.changed = false
 	e.dropOutdated()
-	normalized, observed := make([]weightedRate, 0, maxSamples), make([]weightedRate, 0, maxSamples)
 	e.weight = 0
 	for _, s := range e.samples {
-		weight := ageWeight(now.Sub(s.at))
-		if weight <= 0 {
-			continue
-		}
-		e.weight += weight
-		normalized = append(normalized, weightedRate{s.normalized, weight * s.confidence})
-		observed = append(observed, weightedRate{s.observed, weight * s.confidence})
+		e.weight += ageWeight(now.Sub(s.at))
 	}
 	if e.weight > 0 {
-		e.rate, e.maxRate = quantile(normalized, rateQuantile), quantile(observed, maxRateQuantile)
+		e.weight += float64(min(e.droppedSamples, maxSamples-len(e.samples)))
+		age := func(s sample) float64 { return ageWeight(now.Sub(s.at)) }
+		e.rate = e.pool.quantileOf(e.samples, normalizedRate, age)
+		e.maxRate.add(e.pool.quantileOf(e.samples, observedRate, age), now)
 	}
 }
 
+// currentWeight returns the number of samples that the estimate by the engine's own samples
+// counts for now.
+func (e *Engine) currentWeight(now bootclock.Instant) float64 {
+	return e.weight * ageWeight(now.Sub(e.newestAt))
+}
+
 // dropOutdated drops the samples from before a change of the rate that the newest ones show.
 func (e *Engine) dropOutdated() {
-	earlier := len(e.samples) - newestSamples
-	if earlier < newestSamples/2 {
-		return
+	newestToSlow := newestIfSlower
+	if e.slowness.reportedAt != 0 {
+		newestToSlow = newestIfSlowerReported
+	}
+	if e.hasChanged(newestToSlow, func(before, after float64) bool { return after*changeFactor < before }) {
+		e.keepNewest(newestToSlow)
 	}
-	before, after := e.quantileOf(e.samples[:earlier]), e.quantileOf(e.samples[earlier:])
-	if after*changeFactor < before || before*changeFactor < after {
-		e.samples = append(e.samples[:0], e.samples[earlier:]...)
+	if e.hasChanged(newestIfFaster, func(before, after float64) bool { return before*changeFactor < after }) {
+		e.keepNewest(newestIfFaster)
 	}
 }
 
-func (e *Engine) quantileOf(samples []keptSample) float64 {
-	rates := make([]weightedRate, len(samples))
-	for i, s := range samples {
-		rates[i] = weightedRate{s.normalized, s.confidence}
+// hasChanged reports whether the newest count samples differ from the earlier ones, both as
+// observed and at the usual slowness. The latter alone also changes by wrong reports, the
+// former by right ones.
+func (e *Engine) hasChanged(count int, differ func(before, after float64) bool) bool {
+	earlier := len(e.samples) - count
+	if earlier < newestIfFaster {
+		return false
+	}
+	for _, rateOf := range []func(sample) float64{observedRate, normalizedRate} {
+		before := e.pool.quantileOf(e.samples[:earlier], rateOf, anyAge)
+		after := e.pool.quantileOf(e.samples[earlier:], rateOf, anyAge)
+		if !differ(before, after) {
+			return false
+		}
 	}
-	return quantile(rates, rateQuantile)
+	return true
+}
+
+func observedRate(s sample) float64   { return s.observed }
+func normalizedRate(s sample) float64 { return s.normalized }
+
+func anyAge(sample) float64 { return 1 }
+
+// keepNewest drops all but the newest samples, which count for the dropped ones as well: the
+// engine is not less known than before.
+func (e *Engine) keepNewest(count int) {
+	e.droppedSamples = min(e.droppedSamples+len(e.samples)-count, maxSamples)
+	e.samples = append(e.samples[:0], e.samples[len(e.samples)-count:]...)
 }
 
 // TokensPerMS returns the rate at which the engine is expected to prefill now.
@@ -141,11 +145,11 @@
 	slow := e.Slowness(now)
 	// A report alone makes no engine look faster than its pool.
 	poolRate := e.pool.tokensPerMS(now) / max(1, slow)
-	own := e.weight * ageWeight(now.Sub(e.newestAt))
+	own := e.currentWeight(now)
 	if own <= 0 {
 		return poolRate
 	}
-	return (own*min(e.rate/slow, e.maxRate) + poolSamples*poolRate) / (own + poolSamples)
+	return (own*min(e.rate/slow, e.maxRate.value()) + poolSamples*poolRate) / (own + poolSamples)
 }
 
 // Estimate returns the rate at which the engine is expected to prefill now, and what it is
@@ -154,7 +158,7 @@
 	estimate := Estimate{TokensPerMS: e.TokensPerMS(now)}
 	if e.newestAt != 0 {
 		estimate.HasSample, estimate.Age = true, now.Sub(e.newestAt)
-		estimate.Samples = e.weight * ageWeight(estimate.Age)
+		estimate.Samples = e.currentWeight(now)
 	}
 	return estimate
 }
--- a/internal/enginerate/enginerate.go
+++ b/internal/enginerate/enginerate.go
@@ -28,7 +28,7 @@
 	poolSamples = 3.0
 	// priorSamples is the number of samples that the prior counts for in the estimate of the
 	// pool.
-	priorSamples = 4.0
+	priorSamples = 2.0
 	// minEngineSamples is the number of samples from which on an engine has a quantile of its
 	// own in the estimate of the pool.
 	minEngineSamples = 4.0
@@ -48,6 +48,8 @@
 	rate       float64
 	computedAt bootclock.Instant
 	changed    bool
+	// scratch is the memory of quantileOf.
+	scratch []weightedRate
 }
 
 // NewPool returns a pool without engines. priorTokensPerMS is the rate that its engines are
@@ -71,49 +73,43 @@
 	return p.rate
 }
 
-// compute updates the estimate: the mean of the engines' quantiles, in which the engines with
+// compute updates the estimate: the mean of the engines' estimates, in which the engines with
 // few samples have a common one.
 func (p *Pool) compute(now bootclock.Instant) {
-	var few []weightedRate
-	weight, sum, fewWeight := priorSamples, priorSamples*p.prior, 0.0
+	var few []sample
+	weight, sum := priorSamples, priorSamples*p.prior
 	for e := range p.engines {
-		e.compute(now)
-		if e.weight >= minEngineSamples {
-			weight += e.weight
-			sum += e.weight * min(max(e.rate, p.rate/maxSpread), p.rate*maxSpread)
-			continue
+		if e.changed {
+			e.compute(now)
 		}
-		for _, s := range e.samples {
-			if w := s.weight * ageWeight(now.Sub(s.at)); w > 0 {
-				few = append(few, weightedRate{s.normalized, w * s.confidence})
-				fewWeight += w
-			}
+		own := e.currentWeight(now)
+		if own < minEngineSamples {
+			few = append(few, e.samples...)
+			continue
 		}
+		weight += own
+		sum += own * min(max(e.rate, p.rate/maxSpread), p.rate*maxSpread)
+	}
+	fewWeight := 0.0
+	for _, s := range few {
+		fewWeight += ageWeight(now.Sub(s.at))
 	}
 	if fewWeight > 0 {
 		weight += fewWeight
-		sum += fewWeight * quantile(few, rateQuantile)
+		sum += fewWeight * p.quantileOf(few, normalizedRate, func(s sample) float64 { return ageWeight(now.Sub(s.at)) })
 	}
 	p.rate = sum / weight
 	p.computedAt, p.changed = now, false
 }
 
-// Sample describes one request that had its first response.
-type Sample struct {
-	// Tokens is the number of prompt tokens that the engine was expected to prefill when the
-	// request was sent. CertainTokens is the number of those that cannot have been cached
-	// since, for example by a request of another gateway.
-	Tokens, CertainTokens int64
-	// OtherTokens is the number of tokens of other requests of this gateway that the engine
-	// prefilled between the sending and the first response.
-	OtherTokens float64
-	// Elapsed is the time from the sending to the first response.
-	Elapsed time.Duration
-	// Queued is true if requests were waiting at the engine when this one was sent, so that
-	// Elapsed contains the wait for them.
-	Queued bool
-	// Slowness is the mean slowness in that time, as Engine.Slowness returns it.
-	Slowness float64
+// quantileOf returns the estimate by one of the rates of samples, of which there must be at
+// least one. weightOf returns a weight beside the confidence.
+func (p *Pool) quantileOf(samples []sample, rateOf, weightOf func(sample) float64) float64 {
+	p.scratch = p.scratch[:0]
+	for _, s := range samples {
+		p.scratch = append(p.scratch, weightedRate{rateOf(s), weightOf(s) * s.confidence})
+	}
+	return quantile(p.scratch, rateQuantile)
 }
 
 // Estimate is what is known of an engine's rate.
--- a/internal/enginerate/slowness.go
+++ b/internal/enginerate/slowness.go
@@ -61,9 +61,9 @@
 	}
 }
 
-// IsQueueing reports whether requests wait at the engine by its last report. It is false if
+// isQueueing reports whether requests wait at the engine by its last report. It is false if
 // that is too old.
-func (e *Engine) IsQueueing(now bootclock.Instant) bool {
+func (e *Engine) isQueueing(now bootclock.Instant) bool {
 	return e.slowness.waiting > 0 && now.Sub(e.slowness.waitingAt) < queueValidity
 }
 
