--- a/internal/enginerate/engine.go
+++ b/internal/enginerate/engine.go
@@ -30,6 +30,9 @@
 	newestIfSlower         = 8
 	newestIfSlowerReported = 20
 	changeFactor           = 1.6
+	// possibleChangeFactor is less, since the last estimate may contain some of the newest
+	// samples.
+	possibleChangeFactor = 1.25
 )
 
 // Engine estimates the rate of one engine.
@@ -39,16 +42,17 @@
 	// number of those that a change of the rate outdated.
 	samples        []sample
 	droppedSamples int
-	// rate is the estimate at the usual slowness by the engine's own samples, and maxRate the
-	// largest recent one without regard to reports, above which no report raises the rate. Both
-	// are valid if weight, the weight of the samples when they were computed, is above 0.
-	rate     float64
-	maxRate  recentMax
-	weight   float64
-	changed  bool
-	newestAt bootclock.Instant
-	progress progress
-	slowness slowness
+	// rate is the estimate at the usual slowness by the engine's own samples, observed that
+	// without regard to reports, and maxRate the largest recent one of the latter, above which
+	// no report raises the rate. They are valid if weight, the weight of the samples when they
+	// were computed, is above 0.
+	rate, observed float64
+	maxRate        recentMax
+	weight         float64
+	changed        bool
+	newestAt       bootclock.Instant
+	progress       progress
+	slowness       slowness
 	// incarnation counts the calls of Reset.
 	incarnation int
 }
@@ -82,8 +86,11 @@
 	if e.weight > 0 {
 		e.weight += float64(min(e.droppedSamples, maxSamples-len(e.samples)))
 		age := func(s sample) float64 { return ageWeight(now.Sub(s.at)) }
-		e.rate = e.pool.quantileOf(e.samples, normalizedRate, age)
-		e.maxRate.add(e.pool.quantileOf(e.samples, observedRate, age), now)
+		e.observed = e.pool.quantileOf(e.samples, observedRate, age)
+		e.maxRate.add(e.observed, now)
+		if e.rate = e.observed; e.slowness.reportedAt != 0 {
+			e.rate = e.pool.quantileOf(e.samples, normalizedRate, age)
+		}
 	}
 }
 
@@ -99,30 +106,29 @@
 	if e.slowness.reportedAt != 0 {
 		newestToSlow = newestIfSlowerReported
 	}
-	if e.hasChanged(newestToSlow, func(before, after float64) bool { return after*changeFactor < before }) {
+	if e.hasChanged(newestToSlow, func(before, after float64) float64 { return before / after }) {
 		e.keepNewest(newestToSlow)
 	}
-	if e.hasChanged(newestIfFaster, func(before, after float64) bool { return before*changeFactor < after }) {
+	if e.hasChanged(newestIfFaster, func(before, after float64) float64 { return after / before }) {
 		e.keepNewest(newestIfFaster)
 	}
 }
 
-// hasChanged reports whether the newest count samples differ from the earlier ones, both as
-// observed and at the usual slowness. The latter alone also changes by wrong reports, the
-// former by right ones.
-func (e *Engine) hasChanged(count int, differ func(before, after float64) bool) bool {
+// hasChanged reports whether the newest count samples differ from the earlier ones by
+// changeFactor, both as observed and at the usual slowness. The latter alone also changes by
+// wrong reports, the former by right ones. factor returns the factor of a change.
+func (e *Engine) hasChanged(count int, factor func(before, after float64) float64) bool {
 	earlier := len(e.samples) - count
 	if earlier < newestIfFaster {
 		return false
 	}
-	for _, rateOf := range []func(sample) float64{observedRate, normalizedRate} {
-		before := e.pool.quantileOf(e.samples[:earlier], rateOf, anyAge)
-		after := e.pool.quantileOf(e.samples[earlier:], rateOf, anyAge)
-		if !differ(before, after) {
-			return false
-		}
+	after := e.pool.quantileOf(e.samples[earlier:], observedRate, anyAge)
+	// The last estimate rules out most changes without a look at the earlier samples.
+	if factor(e.observed, after) < possibleChangeFactor || factor(e.pool.quantileOf(e.samples[:earlier], observedRate, anyAge), after) < changeFactor {
+		return false
 	}
-	return true
+	before := e.pool.quantileOf(e.samples[:earlier], normalizedRate, anyAge)
+	return factor(before, e.pool.quantileOf(e.samples[earlier:], normalizedRate, anyAge)) >= changeFactor
 }
 
 func observedRate(s sample) float64   { return s.observed }
