Let a low estimate of the prefill rate return when there are no samples

Estimates are too low while other gateways keep the engines busy. If a gateway then refused all requests by them, no response would raise them again. Without samples the mean of a pool now returns to its best value of the last 30 to 60 seconds, which also takes the place of the prior as soon as it is known.

Tests of enginerate and balancer pass with -race.

--- a/internal/enginerate/engine.go
+++ b/internal/enginerate/engine.go
@@ -33,6 +33,10 @@
 	// possibleChangeFactor is less, since the last estimate may contain some of the newest
 	// samples.
 	possibleChangeFactor = 1.25
+	// maxPeriod is the period of the largest recent estimate. It is longer than the 600 ms for
+	// which engines on shared machines keep a speed, so that one that reports to be as fast as
+	// before is believed at once.
+	maxPeriod = 700 * time.Millisecond
 )
 
 // Engine estimates the rate of one engine.
@@ -63,7 +67,6 @@
 		return
 	}
 	delete(e.pool.engines, e)
-	e.pool.changed = true
 }
 
 // Reset drops everything that is known of the engine, because another incarnation runs under
@@ -71,7 +74,6 @@
 func (e *Engine) Reset() {
 	if e != nil {
 		*e = Engine{pool: e.pool, incarnation: e.incarnation + 1}
-		e.pool.changed = true
 	}
 }
 
@@ -87,7 +89,7 @@
 		e.weight += float64(min(e.droppedSamples, maxSamples-len(e.samples)))
 		age := func(s sample) float64 { return ageWeight(now.Sub(s.at)) }
 		e.observed = e.pool.quantileOf(e.samples, observedRate, age)
-		e.maxRate.add(e.observed, now)
+		e.maxRate.add(e.observed, maxPeriod, now)
 		if e.rate = e.observed; e.slowness.reportedAt != 0 {
 			e.rate = e.pool.quantileOf(e.samples, normalizedRate, age)
 		}
--- a/internal/enginerate/engine_test.go
+++ b/internal/enginerate/engine_test.go
@@ -239,3 +239,20 @@
 		t.Errorf("estimate without recent responses has %v samples of an age of %v, want none", estimate.Samples, estimate.Age)
 	}
 }
+
+// Estimates are too low while others keep the engines busy. If a gateway then refused all
+// requests because of them, no response would correct them, so they must return by themselves.
+func TestLowEstimateDoesNotOutlastASurge(t *testing.T) {
+	s := newSimulatedEngine(NewPool(testPrior), 1, 280)
+	s.run(2 * time.Second)
+	for range 200 {
+		start := s.engine.Begin(9000, 9000, 0, s.now.Add(-2*time.Second))
+		start.FirstResponse(s.now)
+		s.now = s.now.Add(100 * time.Millisecond)
+	}
+	if got := s.engine.TokensPerMS(s.now); got > 28 {
+		t.Fatalf("estimate %.1f tokens/ms in the surge, want a low one for this test", got)
+	}
+	s.now = s.now.Add(maxSampleAge)
+	s.checkRate(t, 1, maxError)
+}
--- a/internal/enginerate/enginerate.go
+++ b/internal/enginerate/enginerate.go
@@ -26,9 +26,15 @@
 	// poolSamples is the number of samples that the estimate of the pool counts for in the
 	// estimate of an engine.
 	poolSamples = 3.0
-	// priorSamples is the number of samples that the prior counts for in the estimate of the
-	// pool.
+	// priorSamples is the number of samples that the pool's best recent estimate, or the prior
+	// if there is none, counts for in the estimate of the pool.
 	priorSamples = 2.0
+	// bestPeriod is the period of the best recent estimate of the pool, and minBestSamples the
+	// number of samples that an estimate must have to count. Without new samples the pool's
+	// estimate returns to the best one: estimates are too low in a surge, and if they stopped
+	// all requests, no sample would ever raise them.
+	bestPeriod     = 30 * time.Second
+	minBestSamples = 10.0
 	// minEngineSamples is the number of samples from which on an engine has a quantile of its
 	// own in the estimate of the pool.
 	minEngineSamples = 4.0
@@ -43,11 +49,11 @@
 type Pool struct {
 	prior   float64
 	engines map[*Engine]struct{}
-	// rate is the estimate at the usual slowness, computed at computedAt. changed is true if
-	// there are newer samples.
+	// rate is the estimate at the usual slowness, computed at computedAt, and best the largest
+	// recent one.
 	rate       float64
+	best       recentMax
 	computedAt bootclock.Instant
-	changed    bool
 	// scratch is the memory of quantileOf.
 	scratch []weightedRate
 }
@@ -67,7 +73,7 @@
 
 // tokensPerMS returns the mean rate of the engines at the usual slowness.
 func (p *Pool) tokensPerMS(now bootclock.Instant) float64 {
-	if p.changed && now.Sub(p.computedAt) >= poolInterval {
+	if now.Sub(p.computedAt) >= poolInterval {
 		p.compute(now)
 	}
 	return p.rate
@@ -77,29 +83,35 @@
 // few samples have a common one.
 func (p *Pool) compute(now bootclock.Instant) {
 	var few []sample
-	weight, sum := priorSamples, priorSamples*p.prior
+	weight, sum, fewWeight := 0.0, 0.0, 0.0
 	for e := range p.engines {
 		if e.changed {
 			e.compute(now)
 		}
-		own := e.currentWeight(now)
-		if own < minEngineSamples {
-			few = append(few, e.samples...)
+		if own := e.currentWeight(now); own >= minEngineSamples {
+			weight += own
+			sum += own * min(max(e.rate, p.rate/maxSpread), p.rate*maxSpread)
 			continue
 		}
-		weight += own
-		sum += own * min(max(e.rate, p.rate/maxSpread), p.rate*maxSpread)
-	}
-	fewWeight := 0.0
-	for _, s := range few {
-		fewWeight += ageWeight(now.Sub(s.at))
+		for _, s := range e.samples {
+			if w := ageWeight(now.Sub(s.at)); w > 0 {
+				few, fewWeight = append(few, s), fewWeight+w
+			}
+		}
 	}
 	if fewWeight > 0 {
 		weight += fewWeight
 		sum += fewWeight * p.quantileOf(few, normalizedRate, func(s sample) float64 { return ageWeight(now.Sub(s.at)) })
 	}
-	p.rate = sum / weight
-	p.computedAt, p.changed = now, false
+	if weight >= minBestSamples {
+		p.best.add(sum/weight, bestPeriod, now)
+	}
+	usual := p.best.value()
+	if usual == 0 {
+		usual = p.prior
+	}
+	p.rate = (sum + priorSamples*usual) / (weight + priorSamples)
+	p.computedAt = now
 }
 
 // quantileOf returns the estimate by one of the rates of samples, of which there must be at
--- a/internal/enginerate/recentmax.go
+++ b/internal/enginerate/recentmax.go
@@ -6,12 +6,7 @@
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 )
 
-// maxPeriod is how long a value counts at least for the maximum, and half the time that it
-// counts at most. It is longer than the 600 ms for which engines on shared machines keep a
-// speed, so that one that reports to be as fast as before is believed at once.
-const maxPeriod = 700 * time.Millisecond
-
-// recentMax is the maximum of recent values.
+// recentMax is the maximum of recent values. Each counts for one to two periods.
 type recentMax struct {
 	// current is the maximum of the period that began at since, previous that of the one
 	// before.
@@ -19,11 +14,15 @@
 	since             bootclock.Instant
 }
 
-func (m *recentMax) add(value float64, now bootclock.Instant) {
-	if now.Sub(m.since) >= maxPeriod {
-		m.previous, m.current, m.since = m.current, 0, now
+func (m *recentMax) add(value float64, period time.Duration, now bootclock.Instant) {
+	switch age := now.Sub(m.since); {
+	case age >= 2*period:
+		*m = recentMax{since: now}
+	case age >= period:
+		*m = recentMax{previous: m.current, since: now}
 	}
 	m.current = max(m.current, value)
 }
 
+// value returns the maximum when the last value was added, or 0 if there was none.
 func (m *recentMax) value() float64 { return max(m.current, m.previous) }
--- a/internal/enginerate/sample.go
+++ b/internal/enginerate/sample.go
@@ -93,7 +93,7 @@
 		e.samples = append(e.samples[:0], e.samples[1:]...)
 	}
 	e.samples = append(e.samples, s)
-	e.newestAt, e.changed, e.pool.changed = s.at, true, true
+	e.newestAt, e.changed = s.at, true
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
