--- a/internal/enginerate/engine.go
+++ b/internal/enginerate/engine.go
@@ -10,10 +10,7 @@
 	// rateQuantile is the quantile of the samples that is taken for the rate. Most samples are
 	// below the rate because of waiting; a few are above it because more of the prompt was
 	// cached than expected.
-	rateQuantile = 0.8
-	// maxRateQuantile is the quantile of the samples as observed, not corrected by the
-	// reported slowness, above which no report raises the rate.
-	maxRateQuantile = 0.9
+	rateQuantile = 0.75
 	// maxSamples is the number of samples of an engine that are kept.
 	maxSamples = 48
 	// maxSampleAge is the age at which a sample loses its weight.
@@ -33,23 +30,33 @@
 	newestIfSlower         = 8
 	newestIfSlowerReported = 20
 	changeFactor           = 1.6
+	// possibleChangeFactor is less, since the last estimate may contain some of the newest
+	// samples.
+	possibleChangeFactor = 1.25
+	// maxPeriod is the period of the largest recent estimate. It is longer than the 600 ms for
+	// which engines on shared machines keep a speed, so that one that reports to be as fast as
+	// before is believed at once.
+	maxPeriod = 700 * time.Millisecond
 )
 
 // Engine estimates the rate of one engine.
 type Engine struct {
 	pool *Pool
-	// samples are the newest samples in the order of their arrival.
-	samples []sample
-	// rate is the estimate at the usual slowness by the engine's own samples, and maxRate the
-	// bound of the rate now, both valid if weight, the weight of the samples at computedAt, is
-	// above 0.
-	rate, maxRate float64
-	weight        float64
-	computedAt    bootclock.Instant
-	changed       bool
-	newestAt      bootclock.Instant
-	progress      progress
-	slowness      slowness
+	// samples are the newest samples in the order of their arrival. droppedSamples is the
+	// number of those that a change of the rate outdated.
+	samples        []sample
+	droppedSamples int
+	// rate is the estimate at the usual slowness by the engine's own samples, observed that
+	// without regard to reports, and maxRate the largest recent one of the latter, above which
+	// no report raises the rate. They are valid if weight, the weight of the samples when they
+	// were computed, is above 0.
+	rate, observed float64
+	maxRate        recentMax
+	weight         float64
+	changed        bool
+	newestAt       bootclock.Instant
+	progress       progress
+	slowness       slowness
 	// incarnation counts the calls of Reset.
 	incarnation int
 }
@@ -60,7 +67,6 @@
 		return
 	}
 	delete(e.pool.engines, e)
-	e.pool.changed = true
 }
 
 // Reset drops everything that is known of the engine, because another incarnation runs under
@@ -68,67 +74,77 @@
 func (e *Engine) Reset() {
 	if e != nil {
 		*e = Engine{pool: e.pool, incarnation: e.incarnation + 1}
-		e.pool.changed = true
 	}
 }
 
 // compute updates the estimates by the engine's own samples.
 func (e *Engine) compute(now bootclock.Instant) {
-	e.changed, e.computedAt = false, now
+	e.changed = false
 	e.dropOutdated()
-	normalized, observed := make([]weightedRate, 0, maxSamples), make([]weightedRate, 0, maxSamples)
 	e.weight = 0
 	for _, s := range e.samples {
-		weight := ageWeight(now.Sub(s.at))
-		if weight <= 0 {
-			continue
-		}
-		e.weight += weight
-		normalized = append(normalized, weightedRate{s.normalized, weight * s.confidence})
-		observed = append(observed, weightedRate{s.observed, weight * s.confidence})
+		e.weight += ageWeight(now.Sub(s.at))
 	}
 	if e.weight > 0 {
-		e.rate, e.maxRate = quantile(normalized, rateQuantile), quantile(observed, maxRateQuantile)
+		e.weight += float64(min(e.droppedSamples, maxSamples-len(e.samples)))
+		age := func(s sample) float64 { return ageWeight(now.Sub(s.at)) }
+		e.observed = e.pool.quantileOf(e.samples, observedRate, age)
+		e.maxRate.add(e.observed, maxPeriod, now)
+		if e.rate = e.observed; e.slowness.reportedAt != 0 {
+			e.rate = e.pool.quantileOf(e.samples, normalizedRate, age)
+		}
 	}
 }
 
+// currentWeight returns the number of samples that the estimate by the engine's own samples
+// counts for now.
+func (e *Engine) currentWeight(now bootclock.Instant) float64 {
+	return e.weight * ageWeight(now.Sub(e.newestAt))
+}
+
 // dropOutdated drops the samples from before a change of the rate that the newest ones show.
 func (e *Engine) dropOutdated() {
 	newestToSlow := newestIfSlower
 	if e.slowness.reportedAt != 0 {
 		newestToSlow = newestIfSlowerReported
 	}
-	if before, after, ok := e.split(newestToSlow); ok && after*changeFactor < before {
+	if e.hasChanged(newestToSlow, func(before, after float64) float64 { return before / after }) {
 		e.keepNewest(newestToSlow)
 	}
-	if before, after, ok := e.split(newestIfFaster); ok && before*changeFactor < after {
+	if e.hasChanged(newestIfFaster, func(before, after float64) float64 { return after / before }) {
 		e.keepNewest(newestIfFaster)
 	}
 }
 
-// split returns the estimates by the samples before the newest count ones and by these. ok is
-// false if there are too few samples to compare.
-func (e *Engine) split(count int) (before, after float64, ok bool) {
+// hasChanged reports whether the newest count samples differ from the earlier ones by
+// changeFactor, both as observed and at the usual slowness. The latter alone also changes by
+// wrong reports, the former by right ones. factor returns the factor of a change.
+func (e *Engine) hasChanged(count int, factor func(before, after float64) float64) bool {
 	earlier := len(e.samples) - count
 	if earlier < newestIfFaster {
-		return 0, 0, false
+		return false
+	}
+	after := e.pool.quantileOf(e.samples[earlier:], observedRate, anyAge)
+	// The last estimate rules out most changes without a look at the earlier samples.
+	if factor(e.observed, after) < possibleChangeFactor || factor(e.pool.quantileOf(e.samples[:earlier], observedRate, anyAge), after) < changeFactor {
+		return false
 	}
-	return e.quantileOf(e.samples[:earlier]), e.quantileOf(e.samples[earlier:]), true
+	before := e.pool.quantileOf(e.samples[:earlier], normalizedRate, anyAge)
+	return factor(before, e.pool.quantileOf(e.samples[earlier:], normalizedRate, anyAge)) >= changeFactor
 }
 
+func observedRate(s sample) float64   { return s.observed }
+func normalizedRate(s sample) float64 { return s.normalized }
+
+func anyAge(sample) float64 { return 1 }
+
+// keepNewest drops all but the newest samples, which count for the dropped ones as well: the
+// engine is not less known than before.
 func (e *Engine) keepNewest(count int) {
+	e.droppedSamples = min(e.droppedSamples+len(e.samples)-count, maxSamples)
 	e.samples = append(e.samples[:0], e.samples[len(e.samples)-count:]...)
 }
 
-// quantileOf returns the estimate by some samples, regardless of their ages.
-func (e *Engine) quantileOf(samples []sample) float64 {
-	rates := make([]weightedRate, len(samples))
-	for i, s := range samples {
-		rates[i] = weightedRate{s.normalized, s.confidence}
-	}
-	return quantile(rates, rateQuantile)
-}
-
 // TokensPerMS returns the rate at which the engine is expected to prefill now.
 func (e *Engine) TokensPerMS(now bootclock.Instant) float64 {
 	if e.changed {
@@ -137,11 +153,11 @@
 	slow := e.Slowness(now)
 	// A report alone makes no engine look faster than its pool.
 	poolRate := e.pool.TokensPerMS(now) / max(1, slow)
-	own := e.weight * ageWeight(now.Sub(e.newestAt))
+	own := e.currentWeight(now)
 	if own <= 0 {
 		return poolRate
 	}
-	return (own*min(e.rate/slow, e.maxRate) + poolSamples*poolRate) / (own + poolSamples)
+	return (own*min(e.rate/slow, e.maxRate.value()) + poolSamples*poolRate) / (own + poolSamples)
 }
 
 // Estimate returns the rate at which the engine is expected to prefill now, and what it is
@@ -150,7 +166,7 @@
 	estimate := Estimate{TokensPerMS: e.TokensPerMS(now)}
 	if e.newestAt != 0 {
 		estimate.HasSample, estimate.Age = true, now.Sub(e.newestAt)
-		estimate.Samples = e.weight * ageWeight(estimate.Age)
+		estimate.Samples = e.currentWeight(now)
 	}
 	return estimate
 }
--- a/internal/enginerate/sample.go
+++ b/internal/enginerate/sample.go
@@ -43,7 +43,8 @@
 	if backlogTokens <= 0 {
 		e.progress.busySince = now
 	}
-	partial := milliseconds(now.Sub(e.progress.busySince)) * e.TokensPerMS(now)
+	// A report of a low speed must not make the engine look as if it had done more since.
+	partial := milliseconds(now.Sub(e.progress.busySince)) * max(e.TokensPerMS(now), e.maxRate.value())
 	return Start{
 		engine: e, incarnation: e.incarnation, sentAt: now, tokens: tokens, certainTokens: min(certainTokens, tokens),
 		doneTokens: float64(e.progress.doneTokens) + min(partial, float64(max(0, backlogTokens))),
@@ -63,11 +64,12 @@
 	e.progress.doneTokens += start.tokens
 	e.progress.busySince = now
 	elapsedMS := milliseconds(now.Sub(start.sentAt))
-	if start.tokens < minTokens || elapsedMS <= 0 {
+	if start.tokens < minTokens || start.certainTokens <= 0 || elapsedMS <= 0 {
 		return
 	}
 	observed := (float64(start.tokens) + otherTokens) / elapsedMS
-	confidence := min(float64(start.tokens)+otherTokens, fullTokens) * float64(max(0, start.certainTokens)) / float64(start.tokens)
+	certainty := float64(start.certainTokens) / float64(start.tokens)
+	confidence := min(float64(start.tokens)+otherTokens, fullTokens) * certainty * certainty
 	if start.queueing {
 		confidence *= queuedConfidence
 	}
@@ -91,7 +93,7 @@
 		e.samples = append(e.samples[:0], e.samples[1:]...)
 	}
 	e.samples = append(e.samples, s)
-	e.newestAt, e.changed, e.pool.changed = s.at, true, true
+	e.newestAt, e.changed = s.at, true
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
