Trust the drain rate more than the estimate of the balancer's best engine

In a small fleet, one long request at each engine raises the balancer's estimate beyond any objective, since each gateway assumes that the others do the same. Urgent requests with nothing ahead of them in the queue were refused on arrival for that.

While work has left the queue within the last 100 ms, the wait now follows from the drain rate only.

--- a/internal/waitqueue/estimate.go
+++ b/internal/waitqueue/estimate.go
@@ -14,6 +14,9 @@
 	// waitingTolerance is the factor by which the rest of the wait of a waiting request may
 	// exceed its time left before the request is rejected.
 	waitingTolerance = 1.5
+	// maxRoomRateAge is the age up to which the drain rate counts more than Request.RoomIn,
+	// which a single large request at each engine raises beyond any objective.
+	maxRoomRateAge = 100 * time.Millisecond
 	// maxWait is the longest wait that is estimated.
 	maxWait = time.Hour
 )
@@ -100,12 +103,13 @@
 	return q.reject(e, q.estimate(e, now), ReasonEvicted, now)
 }
 
-// estimate returns the expected wait of an entry that waits or is offered. For an entry that
-// has just been offered, it is at least Request.RoomIn.
+// estimate returns the expected wait of an entry that waits or is offered. While the drain
+// rate is unknown or older than maxRoomRateAge, the wait of an entry that has just been
+// offered is at least Request.RoomIn.
 func (q *Queue) estimate(e *Entry, now bootclock.Instant) Decision {
 	rate, age, known := q.drain.rate(now)
 	decision := Decision{TokensPerSecond: rate, RateAge: age}
-	if e.ArrivedAt == now {
+	if e.ArrivedAt == now && (!known || age > maxRoomRateAge) {
 		decision.Wait = max(0, e.RoomIn)
 	}
 	if !known {
--- a/internal/waitqueue/waitqueue.go
+++ b/internal/waitqueue/waitqueue.go
@@ -57,7 +57,7 @@
 	// BeyondShare is the result of Arrive.
 	BeyondShare bool
 	// RoomIn is the time until an engine is expected to have room for the request if nothing
-	// else waits.
+	// else waits. It counts only without a recent drain rate.
 	RoomIn time.Duration
 	// MaxRetryAfter bounds the retry time that the caller is given if the request is rejected;
 	// 0 means that it is given none.
