sizesplit: meter only classified requests, and size the short part less generously

Requests before the first objective was known were metered as long, so the parts began far too large; they are now not metered for the first second. The homes of long prefixes were in the long part alone, so that a surge gathered there; they are now in all engines outside the short part.

--- a/internal/balancer/sizesplit.go
+++ b/internal/balancer/sizesplit.go
@@ -11,11 +11,17 @@
 // assignInterval is the least time between two assignments of a pool's engines to parts.
 const assignInterval = 50 * time.Millisecond
 
+// classWarmUp is how long the objectives of requests are recorded before their work is. Until
+// the shortest objective is known, requests would be counted in the wrong class.
+const classWarmUp = time.Second
+
 // poolSplit divides the engines of one pool between short and long prompts.
 type poolSplit struct {
 	meter  sizesplit.Meter
 	split  sizesplit.Split
 	layout *sizesplit.Layout
+	// firstRequestAt is when the first request was sent, or 0.
+	firstRequestAt bootclock.Instant
 	// limitTokens is the number of prompt tokens from which a request is long.
 	limitTokens int64
 	work        sizesplit.Work
@@ -108,16 +114,14 @@
 	return ok && !s.isLeaving() && !s.replaced && !s.unreachable
 }
 
-// isHome reports whether an upstream may be the home upstream of the request's prefix: it
-// belongs to the part of the request's class.
+// isHome reports whether an upstream may be the home upstream of the request's prefix. The
+// prefixes of short prompts have their homes in the short part, those of long ones in the
+// rest of the pool: in the long part alone, a surge of long prompts would gather there.
 func (s *requestSplit) isHome(id string) bool {
 	if s.pool == nil || s.pool.counts[sizesplit.PartShort] == 0 {
 		return true
 	}
-	if s.class == sizesplit.Long {
-		return s.pool.parts[id] == sizesplit.PartLong
-	}
-	return s.pool.parts[id] == sizesplit.PartShort
+	return (s.pool.parts[id] == sizesplit.PartShort) == (s.class == sizesplit.Short)
 }
 
 // penaltyMS returns what is added to the cost of a choice.
@@ -134,6 +138,9 @@
 	pool  *poolSplit
 	class sizesplit.Class
 	slots int
+	// isOverflow is true if the engine is for prompts of the other class. Decoding there does
+	// not show how long it takes among prompts of the same class.
+	isOverflow bool
 	// firstResponseAt is 0 until the first response.
 	firstResponseAt bootclock.Instant
 }
@@ -144,15 +151,23 @@
 	if p == nil || request.PromptTokens <= 0 {
 		return meteredAttempt{}
 	}
+	p.meter.RecordObjective(request.Objective, now)
+	if p.firstRequestAt == 0 {
+		p.firstRequestAt = now
+	}
+	if now.Sub(p.firstRequestAt) < classWarmUp {
+		return meteredAttempt{}
+	}
 	class := sizesplit.ClassOf(request.PromptTokens, p.limitTokens)
 	prefillMS := float64(choice.MissingTokens) / b.splitTokensPerMS(choice.Upstream.Pool)
 	p.meter.Record(class, prefillMS, request.Objective, request.Priority, now)
-	return meteredAttempt{pool: p, class: class, slots: choice.Upstream.Capacity}
+	split := requestSplit{pool: p, class: class}
+	return meteredAttempt{pool: p, class: class, slots: choice.Upstream.Capacity, isOverflow: !split.isHome(choice.Upstream.ID)}
 }
 
 // end records how long the request occupied a slot after its first response.
 func (m *meteredAttempt) end(now bootclock.Instant) {
-	if m.pool != nil && m.firstResponseAt != 0 {
+	if m.pool != nil && !m.isOverflow && m.firstResponseAt != 0 {
 		m.pool.meter.RecordDecode(m.class, now.Sub(m.firstResponseAt), m.slots, now)
 	}
 }
--- a/internal/sizesplit/cost.go
+++ b/internal/sizesplit/cost.go
@@ -10,8 +10,8 @@
 	// longWaitMS is the mean wait of a short prompt for the long ones at an engine that takes
 	// them.
 	longWaitMS float64
-	// harmPerSquaredMS is the weighted delay of short prompts by a long one at an engine of
-	// the short part, divided by the square of the long one's prefill time.
+	// harmPerSquaredMS is the delay of short prompts by a long one at an engine of the short
+	// part, summed over them and divided by the square of the long one's prefill time.
 	harmPerSquaredMS float64
 }
 
@@ -22,8 +22,8 @@
 // u by long prompts.
 //
 // A long prompt that occupies an engine of the short part for x delays each short prompt that
-// arrives there meanwhile by x/2 in the mean. A millisecond of a short prompt counts as much
-// more than one of a long prompt as its objective is shorter.
+// arrives there meanwhile by x/2 in the mean. It goes there only if it gains more than they
+// lose together.
 func NewCosts(work *Work, counts Counts) Costs {
 	var c Costs
 	if counts[PartShort] == 0 || counts[PartLong] == 0 {
@@ -31,12 +31,8 @@
 	}
 	utilisation := min(work[Long].Engines/float64(counts[PartLong]+counts[PartShared]), maxCountedUtilisation)
 	c.longWaitMS = utilisation / (1 - utilisation) * work[Long].ResidualMS
-	weight := 1.0
-	if work[Short].Objective > 0 && work[Long].Objective > 0 {
-		weight = float64(work[Long].Objective) / float64(work[Short].Objective)
-	}
 	arrivalsPerMS := work[Short].RequestsPerSecond / 1000 / float64(counts[PartShort])
-	c.harmPerSquaredMS = weight * arrivalsPerMS / 2
+	c.harmPerSquaredMS = arrivalsPerMS / 2
 	return c
 }
 
--- a/internal/sizesplit/meter.go
+++ b/internal/sizesplit/meter.go
@@ -30,8 +30,10 @@
 
 // classMeter holds exponentially decaying sums over the requests of a class.
 type classMeter struct {
-	requests, prefillMS, squaredPrefillMS, decodeMS, priority float64
-	shortest                                                  shortestObjective
+	requests, prefillMS, squaredPrefillMS, priority float64
+	// decodes is the number of requests whose decoding was recorded, decodeMS its sum.
+	decodes, decodeMS float64
+	shortest          shortestObjective
 }
 
 // decay multiplies all sums by factor.
@@ -39,10 +41,19 @@
 	c.requests *= factor
 	c.prefillMS *= factor
 	c.squaredPrefillMS *= factor
+	c.decodes *= factor
 	c.decodeMS *= factor
 	c.priority *= factor
 }
 
+// meanDecodeMS returns the mean share of an engine that the decoding of a request takes.
+func (c *classMeter) meanDecodeMS() float64 {
+	if c.decodes < minRequests {
+		return 0
+	}
+	return c.decodeMS / c.decodes
+}
+
 // shortestObjective is the shortest of the objectives that were recorded in the current or
 // the previous period of objectiveRetention.
 type shortestObjective struct {
@@ -80,6 +91,11 @@
 	return s.current
 }
 
+// RecordObjective records the objective of a request, or 0 if it has none.
+func (m *Meter) RecordObjective(objective time.Duration, now bootclock.Instant) {
+	m.shortest.record(objective, now)
+}
+
 // Record records a request of a class that is sent now. prefillMS is the time that the
 // engine needs for the tokens that it lacks, objective the caller's, or 0, and priority that
 // of the request; 0 is the most urgent.
@@ -91,13 +107,14 @@
 	c.squaredPrefillMS += prefillMS * prefillMS
 	c.priority += float64(priority)
 	c.shortest.record(objective, now)
-	m.shortest.record(objective, now)
 }
 
 // RecordDecode records that a request of a class, which ends now, occupied one of an engine's
-// slots for a time after its prefill.
+// slots for a time after its prefill. The requests that are not recorded count as the mean of
+// those that are.
 func (m *Meter) RecordDecode(class Class, occupied time.Duration, slots int, now bootclock.Instant) {
 	m.advance(now)
+	m.classes[class].decodes++
 	m.classes[class].decodeMS += milliseconds(occupied) / float64(max(1, slots))
 }
 
@@ -125,7 +142,8 @@
 
 // ClassWork is the work of one class.
 type ClassWork struct {
-	// Engines is the number of engines that the work occupies in full.
+	// Engines is the number of engines that the work occupies in full: by prefill or by the
+	// slots that requests hold, whichever is more, since both go on at the same time.
 	Engines           float64
 	RequestsPerSecond float64
 	// MeanMS is the mean prefill time of a request. ResidualMS is the mean time that is left
@@ -163,7 +181,7 @@
 			continue
 		}
 		work[class] = ClassWork{
-			Engines:           (c.prefillMS + c.decodeMS) * perMS,
+			Engines:           max(c.prefillMS, c.requests*c.meanDecodeMS()) * perMS,
 			RequestsPerSecond: 1000 * c.requests * perMS,
 			MeanMS:            c.prefillMS / c.requests,
 			Objective:         c.shortest.value(now),
--- a/internal/sizesplit/split.go
+++ b/internal/sizesplit/split.go
@@ -13,7 +13,7 @@
 	lateShare = 0.02
 	// maxUtilisation bounds the utilisation for which a part is sized. Gateways know of each
 	// other's requests only later, so engines of one part are not loaded evenly.
-	maxUtilisation = 0.6
+	maxUtilisation = 0.75
 	// minUtilisation bounds it from below: objectives that no utilisation can meet, such as
 	// one below the prefill time of a request, must not claim the whole pool.
 	minUtilisation = 0.2
