balancer: count the backlog of less urgent requests by half; load the rest of a pool late; drop probes

An urgent request waited, by the estimate, for the whole backlog of an engine, though engines admit urgent requests first, and was rejected for it. Where rates are learned, the backlog of less urgent requests now counts by half. Under the policy that states scarce memory, the second half of a pool loads new weights late, whatever the load: 56 engines emptied their caches within six seconds in the middle of a surge.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -94,7 +94,6 @@
 	Store(address string, log zerolog.Logger) PolledStore
 	Codec() gateway.Codec
 	Engines(notices *gateway.Notices) weights.Engines
-	LoadProber(notices *gateway.Notices) gateway.LoadProber
 	CacheEvents() cachestore.Events
 	// RolloutPrefix is the prefix of the orders to roll out software versions.
 	RolloutPrefix() string
@@ -201,7 +200,6 @@
 		Origins:      origins,
 		Rollouts:     rollouts,
 		Engines:      p.Engines(notices),
-		LoadProber:   p.LoadProber(notices),
 		Announce:     peerManager.SendNow,
 		Bounds: gateway.Bounds{
 			MaxKeyEvidenceAge: time.Duration(stalenessFraction * float64(s.Bounds.Revoke)),
@@ -224,6 +222,7 @@
 		TakeoverDelay: s.Bounds.Lease + takeoverMargin,
 
 		StalenessLimit: s.Bounds.Weights,
+		Schedule:       s.features(p).weightsSchedule(),
 		Log:            log,
 	})
 }
--- a/internal/app/gatewaysettings.go
+++ b/internal/app/gatewaysettings.go
@@ -6,6 +6,7 @@
 
 	"github.com/greengagegate/greengagegate/internal/node"
 	"github.com/greengagegate/greengagegate/internal/settings"
+	"github.com/greengagegate/greengagegate/internal/weights"
 )
 
 // Readiness holds the settings of the listener for readiness checks by the load
@@ -143,6 +144,9 @@
 	SplitSizes bool `ini:"split_sizes"`
 	// Queue makes requests wait in a queue at the gateway while all engines are busy.
 	Queue bool `ini:"queue"`
+	// LateLoads makes the second half of a pool load new weights as late as the bounds allow,
+	// because each load empties a cache.
+	LateLoads bool `ini:"late_loads"`
 }
 
 // PlatformProperties holds what the platform states about the deployment.
@@ -155,7 +159,15 @@
 // Features are the optional functions that a deployment asks for.
 type Features struct {
 	// The fields have the meanings of those of Engines.
-	LearnRates, SplitSizes, Queue bool
+	LearnRates, SplitSizes, Queue, LateLoads bool
+}
+
+// weightsSchedule returns when the second half of a pool loads new weights.
+func (f Features) weightsSchedule() weights.Schedule {
+	if f.LateLoads {
+		return weights.Late
+	}
+	return weights.Prompt
 }
 
 // features returns the functions that the settings or the platform's policies ask for.
@@ -164,6 +176,7 @@
 	features.LearnRates = features.LearnRates || s.Engines.LearnRates
 	features.SplitSizes = features.SplitSizes || s.Engines.SplitSizes
 	features.Queue = features.Queue || s.Engines.Queue
+	features.LateLoads = features.LateLoads || s.Engines.LateLoads
 	return features
 }
 
--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -13,13 +13,13 @@
 	// backlogTokens is the number of tokens of this attempt that are in the backlog of
 	// the upstream.
 	backlogTokens int64
+	priority      int
 	done          bool
 	upstreamID    string
 	salt          string
 	parts         []Part
 	prefill       enginerate.Start
 	metered       meteredAttempt
-	wait          waitSample
 }
 
 // RecordFirstResponse records that the upstream has prefilled the prompt, so that other
@@ -30,9 +30,7 @@
 	defer a.balancer.mu.Unlock()
 	a.state.meanLoad.update(a.state.running, a.state.backlogTokens, a.balancer.now())
 	a.prefill.FirstResponse(a.balancer.now())
-	a.wait.observe(a.balancer.now())
-	a.state.backlogTokens -= a.backlogTokens
-	a.backlogTokens = 0
+	a.endBacklog()
 	a.state.startDelay.observe(a, a.balancer.now())
 	a.metered.firstResponseAt = a.balancer.now()
 	if len(a.parts) == 0 {
@@ -50,6 +48,13 @@
 	a.balancer.addCacheReport(CacheReport{Upstream: a.upstreamID, Salt: a.salt, Parts: ids})
 }
 
+// endBacklog removes the attempt's tokens from the backlog of the upstream.
+func (a *Attempt) endBacklog() {
+	a.state.backlogTokens -= a.backlogTokens
+	a.state.backlogByPriority.add(a.priority, -a.backlogTokens)
+	a.backlogTokens = 0
+}
+
 // Done records the end of the attempt. Calls after the first one have no effect.
 func (a *Attempt) Done() {
 	a.balancer.mu.Lock()
@@ -60,7 +65,7 @@
 	a.done = true
 	a.state.meanLoad.update(a.state.running, a.state.backlogTokens, a.balancer.now())
 	a.state.running--
-	a.state.backlogTokens -= a.backlogTokens
+	a.endBacklog()
 	a.state.startDelay.forget(a)
 	a.metered.end(a.balancer.now())
 }
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -16,7 +16,6 @@
 
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/catalog"
-	"github.com/greengagegate/greengagegate/internal/enginerate"
 )
 
 // Balancer keeps the state of each upstream and picks an upstream for each request. It is
@@ -44,8 +43,6 @@
 	firstReportNumber uint64
 	// poolSplits are the splits of the listed pools by name; nil unless enabled.
 	poolSplits map[string]*poolSplit
-	// waits are the models of waits by pool, where rates are learned.
-	waits map[string]*enginerate.WaitModel
 }
 
 // New returns a balancer for a gateway in zone that is the only gateway until
@@ -238,7 +235,6 @@
 	sources := copySources(upstreams, candidates, now)
 	best, bestCostMS := Choice{}, 0.0
 	usableCount := 0
-	var nearest contenders
 	connectionLimit := b.connectionLimit(request)
 	preferNewWeights := b.drawNewWeightsPreference(upstreams, candidates, request, now)
 	var excluded Excluded
@@ -260,13 +256,11 @@
 			choice.ExpectedWaitMS -= homeBonusMS
 		}
 		costMS := choice.ExpectedWaitMS + split.penaltyMS(&choice)
-		nearest.add(upstream, costMS)
 		if best.Upstream == nil || costMS < bestCostMS {
 			best, bestCostMS = choice, costMS
 		}
 	}
 	best.Usable, best.Excluded = usableCount, excluded
-	best.ToProbe = b.toProbe(&nearest, request, now)
 	return best
 }
 
@@ -280,9 +274,10 @@
 	s.meanLoad.update(s.running, s.backlogTokens, b.now())
 	attempt := &Attempt{balancer: b, state: s, backlogTokens: choice.MissingTokens, upstreamID: choice.Upstream.ID, parts: request.Parts}
 	attempt.prefill = s.beginPrefill(choice.MissingTokens, request, b.now())
-	attempt.wait = b.beginWait(&choice, s, b.now())
 	s.running++
 	s.backlogTokens += choice.MissingTokens
+	s.backlogByPriority.add(request.Priority, choice.MissingTokens)
+	attempt.priority = request.Priority
 	if choice.copySourceLink != nil {
 		choice.copySourceLink.add(choice.copyLinkMS, b.now())
 		s.link.add(choice.copyLinkMS, b.now())
--- a/internal/balancer/cost.go
+++ b/internal/balancer/cost.go
@@ -75,10 +75,7 @@
 		missingTokens = max(0, missingTokens-c.cachedTokens-plan.tokens)
 		expectedWaitMS += plan.costMS
 		ownWorkMS = float64(missingTokens) / s.prefillTokensPerMS(now)
-		backlogMS = (float64(s.backlogTokens) + otherBacklogTokens) / s.prefillTokensPerMS(now)
-		if reportedMS, ok := b.reportedBacklogMS(upstream.Pool, s, now); ok {
-			backlogMS = reportedMS
-		}
+		backlogMS = (float64(s.backlogTokens) + otherBacklogTokens) * s.aheadShare(request) / s.prefillTokensPerMS(now)
 		expectedWaitMS += ownWorkMS + backlogMS
 	}
 	return Choice{Upstream: upstream, Version: c.version, MissingTokens: missingTokens, ExpectedWaitMS: expectedWaitMS, OwnWorkMS: ownWorkMS, BacklogMS: backlogMS, CopySource: plan.address, CopyTokens: plan.tokens, PossibleCopyTokens: plan.possibleTokens, copyLinkMS: plan.linkMS, copySourceLink: plan.source}
--- a/internal/balancer/load.go
+++ b/internal/balancer/load.go
@@ -16,13 +16,12 @@
 // run there, and its guess of what the others sent is off by the most when load is uneven.
 // Reports arrive with responses, many times a second in a surge.
 type reportedLoad struct {
-	// running and waiting are the numbers of requests that run and wait at the upstream.
-	running, waiting int
-	receivedAt       bootclock.Instant
+	// inFlight is the number of requests that run or wait at the upstream.
+	inFlight   int
+	receivedAt bootclock.Instant
 	// ownRunning is the number of requests that this gateway was running there when the
-	// report arrived, and ownBacklogTokens what they still had to prefill.
-	ownRunning       int
-	ownBacklogTokens int64
+	// report arrived.
+	ownRunning int
 }
 
 // ApplyLoad records the load that an incarnation reported in a response that has just
@@ -46,7 +45,7 @@
 		return false
 	}
 	now := b.now()
-	s.load = reportedLoad{running: load.Running, waiting: load.Waiting, receivedAt: now, ownRunning: s.running, ownBacklogTokens: s.backlogTokens}
+	s.load = reportedLoad{inFlight: load.Running + load.Waiting, receivedAt: now, ownRunning: s.running}
 	s.rate.Report(load.Waiting, load.Slowness, now)
 	return enabled
 }
@@ -58,5 +57,5 @@
 	if s.rate == nil || now.Sub(s.load.receivedAt) >= reportValidity {
 		return 0
 	}
-	return float64(max(0, s.load.running+s.load.waiting-s.load.ownRunning))
+	return float64(max(0, s.load.inFlight-s.load.ownRunning))
 }
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -98,9 +98,6 @@
 	// upstreams by reason.
 	Usable   int
 	Excluded Excluded
-	// ToProbe are upstreams whose current load would make the choice better. They should be
-	// asked for it, and the choice be made again.
-	ToProbe []*catalog.Upstream
 	// CopySource is the address from which the upstream can copy parts that it lacks, or
 	// empty.
 	CopySource string
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -15,6 +15,8 @@
 	// backlogTokens is the number of prompt tokens of running requests that are not yet
 	// prefilled.
 	backlogTokens int64
+	// backlogByPriority divides backlogTokens by the priority of the request.
+	backlogByPriority priorityBacklog
 	// link measures the copies to and from the engine.
 	link linkLoad
 	// startDelay tracks how long requests wait at the upstream before they begin.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -106,9 +106,6 @@
 	// MaxConnections is how many connections one upstream accepts from all gateways
 	// together; 0 means no limit.
 	MaxConnections int
-	// HealthPath is the path of the health check, which also reports the load; empty if it is
-	// not known.
-	HealthPath string
 	// Engine is nil for plain services.
 	Engine *Engine
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -131,9 +131,6 @@
 			return balancer.Choice{}, refusedNoConfig
 		}
 		choice, ok := j.pick(upstreams.ByPool[j.pool.Name])
-		if ok && j.probeLoads(ctx, &choice) {
-			choice, ok = j.pick(upstreams.ByPool[j.pool.Name])
-		}
 		if ok {
 			j.choice = choice
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,7 +72,6 @@
 	Origins      Origins
 	Rollouts     Rollouts
 	Engines      weights.Engines
-	LoadProber   LoadProber
 	// Announce makes the gateway tell the others what it knows without waiting for the next
 	// regular exchange. It must not block.
 	Announce func()
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -91,7 +91,9 @@
 	// StalenessLimit is how long older weights may be used after a newer version became
 	// known. It is the StalenessLimit of a PoolState.
 	StalenessLimit time.Duration
-	Log            zerolog.Logger
+	// Schedule specifies when the second half of a pool loads.
+	Schedule Schedule
+	Log      zerolog.Logger
 }
 
 // RolloutUpdate is the state of the rollout at one engine. The holder sends it to the
@@ -244,7 +246,7 @@
 		return
 	}
 	newWeightsByZone := make(map[string]int)
-	state := PoolState{Engines: len(engines), TargetAge: bootclock.Since(target.KnownSince), StalenessLimit: m.options.StalenessLimit}
+	state := PoolState{Engines: len(engines), TargetAge: bootclock.Since(target.KnownSince), StalenessLimit: m.options.StalenessLimit, Schedule: m.options.Schedule}
 	var candidates []Candidate
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -135,8 +135,21 @@
 	TargetAge time.Duration
 	// StalenessLimit is the TargetAge from which no engine may use older weights.
 	StalenessLimit time.Duration
+	Schedule       Schedule
 }
 
+// Schedule specifies when the engines load that are left in the initial phase of a rollout.
+type Schedule uint8
+
+const (
+	// Prompt loads them early, and at once when the engines with the new version are busy.
+	Prompt Schedule = iota
+	// Late loads them as late as the staleness limit allows, whatever the load. Each load empties
+	// a cache; in a surge, where the caches of all engines hardly suffice, prompts that would
+	// have been read from them must be prefilled again just when the engines are busiest.
+	Late
+)
+
 const (
 	// concurrentBatches is the number of batches in progress at the same time: one loads
 	// while the engines of the next one complete their requests.
@@ -149,6 +162,9 @@
 	// initialPhase is the fraction of the staleness limit after which the remaining
 	// engines load too.
 	initialPhase = 0.4
+	// lateInitialPhase is the same fraction for the schedule Late. The rest of the limit is for
+	// the remaining engines to load in batches.
+	lateInitialPhase = 0.7
 	// highUtilization is the fraction of the request slots of all ready engines that must be
 	// in use for the remaining engines to load without waiting for the end of the initial
 	// phase, still in batches. It is low because only the requests of this gateway, which is
@@ -159,14 +175,21 @@
 // LoadsToStart returns the number of engines to order now.
 func (s PoolState) LoadsToStart() int {
 	target := s.Engines
-	initial := s.TargetAge < time.Duration(initialPhase*float64(s.StalenessLimit))
-	idle := s.RequestSlots == 0 || float64(s.Running) < highUtilization*float64(s.RequestSlots)
-	if initial && idle {
+	if s.isInitial() {
 		target = int(math.Ceil(initialShare * float64(s.Engines)))
 	}
 	return max(0, min(concurrentBatches*MaxConcurrentLoads(s.Engines)-s.Updating, target-s.Ready-s.Updating))
 }
 
+// isInitial reports whether only the first engines load.
+func (s PoolState) isInitial() bool {
+	if s.Schedule == Late {
+		return s.TargetAge < time.Duration(lateInitialPhase*float64(s.StalenessLimit))
+	}
+	idle := s.RequestSlots == 0 || float64(s.Running) < highUtilization*float64(s.RequestSlots)
+	return idle && s.TargetAge < time.Duration(initialPhase*float64(s.StalenessLimit))
+}
+
 // MaxConcurrentLoads returns how many engines of a pool may load at the same time.
 func MaxConcurrentLoads(engines int) int { return max(1, (engines+batchesPerPool-1)/batchesPerPool) }
 
