--- a/internal/app/gatewaygauges.go
+++ b/internal/app/gatewaygauges.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/balancer"
@@ -15,6 +16,7 @@
 	"github.com/greengagegate/greengagegate/internal/retry"
 	"github.com/greengagegate/greengagegate/internal/roster"
 	"github.com/greengagegate/greengagegate/internal/share"
+	"github.com/greengagegate/greengagegate/internal/sizesplit"
 	"github.com/greengagegate/greengagegate/internal/weights"
 	"go.uber.org/fx"
 )
@@ -57,6 +59,7 @@
 	runningRequests, failureRates                        *metrics.Family
 	shareTokens, shareDemand, pooledTokens, retryBalance *metrics.Family
 	peerSilence                                          *metrics.Family
+	splitEngines, splitWork, splitLimit                  *metrics.Family
 }
 
 func newGatewayGauges(sources *gatewayGaugeSources) *gatewayGauges {
@@ -71,6 +74,9 @@
 		pooledTokens:    metrics.NewFamily("share.pooled_tokens"),
 		retryBalance:    metrics.NewFamily("retry.balance_milli"),
 		peerSilence:     metrics.NewFamily("peering.silence_ms"),
+		splitEngines:    metrics.NewFamily("split.engines"),
+		splitWork:       metrics.NewFamily("split.work_ms_per_s"),
+		splitLimit:      metrics.NewFamily("split.limit_tokens"),
 	}
 }
 
@@ -81,6 +87,7 @@
 	g.collectUpstreams()
 	g.collectLimits()
 	g.collectPeers()
+	g.collectSplits()
 }
 
 // collectAges sets the ages of the configuration, the evidence and the list of
@@ -158,3 +165,24 @@
 	}
 	g.peerSilence.End()
 }
+
+// collectSplits sets the gauges of the pools that are divided by prompt size.
+func (g *gatewayGauges) collectSplits() {
+	g.splitEngines.Begin()
+	g.splitWork.Begin()
+	g.splitLimit.Begin()
+	for _, split := range g.sources.Balancer.SplitStatuses() {
+		for part, engines := range split.Counts {
+			g.splitEngines.Set(int64(engines), "pool", split.Pool, "part", sizesplit.Part(part).String())
+		}
+		for class := range split.Work {
+			g.splitWork.Set(int64(1000*split.Work[class].Engines), "pool", split.Pool, "class", sizesplit.Class(class).String())
+		}
+		if split.LimitTokens < math.MaxInt64 {
+			g.splitLimit.Set(split.LimitTokens, "pool", split.Pool)
+		}
+	}
+	g.splitEngines.End()
+	g.splitWork.End()
+	g.splitLimit.End()
+}
--- a/internal/sizesplit/split.go
+++ b/internal/sizesplit/split.go
@@ -126,10 +126,13 @@
 		return maxUtilisation
 	}
 	slackMS := milliseconds(w.Objective) - w.MeanMS
+	isLate := func(u float64) bool { return u*math.Exp(-(1-u)*slackMS/w.ResidualMS) > lateShare }
 	low, high := minUtilisation, maxUtilisation
+	if !isLate(high) {
+		return high
+	}
 	for range 20 {
-		middle := (low + high) / 2
-		if middle*math.Exp(-(1-middle)*slackMS/w.ResidualMS) > lateShare {
+		if middle := (low + high) / 2; isLate(middle) {
 			high = middle
 		} else {
 			low = middle
