balancer: keep the part of an engine in its state

Each pick looked up the part of every engine by ID twice. The part is now a field of the upstream's state, which a pick has at hand.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -237,7 +237,7 @@
 		if upstream.ID == homeID {
 			choice.ExpectedWaitMS -= homeBonusMS
 		}
-		costMS := choice.ExpectedWaitMS + split.penaltyMS(&choice)
+		costMS := choice.ExpectedWaitMS + split.penaltyMS(&choice, c.state)
 		if best.Upstream == nil || costMS < bestCostMS {
 			best, bestCostMS = choice, costMS
 		}
--- a/internal/balancer/cost.go
+++ b/internal/balancer/cost.go
@@ -105,7 +105,7 @@
 	}
 	selector := rendezvous.New[string](shared[len(shared)-1].ID)
 	for i, upstream := range upstreams {
-		if !upstream.Draining && !candidates[i].state.isLeaving() && !candidates[i].state.replaced && split.isHome(upstream.ID) {
+		if !upstream.Draining && !candidates[i].state.isLeaving() && !candidates[i].state.replaced && split.isHome(candidates[i].state) {
 			selector.Add(upstream.ID, upstream.ID)
 		}
 	}
--- a/internal/balancer/sizesplit.go
+++ b/internal/balancer/sizesplit.go
@@ -27,9 +27,7 @@
 	work        sizesplit.Work
 	counts      sizesplit.Counts
 	costs       sizesplit.Costs
-	// parts are the parts of the usable engines by id.
-	parts      map[string]sizesplit.Part
-	assignedAt bootclock.Instant
+	assignedAt  bootclock.Instant
 }
 
 // EnableSizeSplit makes the balancer divide the engines of each pool between short and long
@@ -57,7 +55,7 @@
 	for pool, upstreams := range listed.ByPool {
 		p, ok := b.poolSplits[pool]
 		if !ok {
-			p = &poolSplit{parts: make(map[string]sizesplit.Part)}
+			p = &poolSplit{}
 			b.poolSplits[pool] = p
 		}
 		engines := make([]sizesplit.Engine, len(upstreams))
@@ -102,8 +100,7 @@
 	usable := func(id string) bool { return b.isSplitEngine(id, now) }
 	p.counts = p.split.Update(&p.work, p.layout.Count(usable), now)
 	p.costs = sizesplit.NewCosts(&p.work, p.counts)
-	clear(p.parts)
-	p.layout.Assign(p.counts, usable, func(id string, part sizesplit.Part) { p.parts[id] = part })
+	p.layout.Assign(p.counts, usable, func(id string, part sizesplit.Part) { b.upstreams[id].splitPart = part })
 }
 
 // isSplitEngine reports whether an upstream counts as an engine to divide. Refusals, notices
@@ -114,22 +111,22 @@
 	return ok && !s.isLeaving() && !s.replaced && !s.unreachable
 }
 
-// isHome reports whether an upstream may be the home upstream of the request's prefix. The
+// isHome reports whether an upstream with the given state may be the home upstream of the request's prefix. The
 // prefixes of short prompts have their homes in the short part, those of long ones in the
 // rest of the pool: in the long part alone, a surge of long prompts would gather there.
-func (s *requestSplit) isHome(id string) bool {
+func (s *requestSplit) isHome(state *upstreamState) bool {
 	if s.pool == nil || s.pool.counts[sizesplit.PartShort] == 0 {
 		return true
 	}
-	return (s.pool.parts[id] == sizesplit.PartShort) == (s.class == sizesplit.Short)
+	return (state.splitPart == sizesplit.PartShort) == (s.class == sizesplit.Short)
 }
 
-// penaltyMS returns what is added to the cost of a choice.
-func (s *requestSplit) penaltyMS(choice *Choice) float64 {
+// penaltyMS returns what is added to the cost of a choice, whose upstream has the given state.
+func (s *requestSplit) penaltyMS(choice *Choice, state *upstreamState) float64 {
 	if s.pool == nil {
 		return 0
 	}
-	return s.pool.costs.PenaltyMS(s.class, s.pool.parts[choice.Upstream.ID], float64(choice.MissingTokens)/s.tokensPerMS)
+	return s.pool.costs.PenaltyMS(s.class, state.splitPart, float64(choice.MissingTokens)/s.tokensPerMS)
 }
 
 // meteredAttempt is the part of an attempt whose work a meter records.
@@ -162,7 +159,7 @@
 	prefillMS := float64(choice.MissingTokens) / b.splitTokensPerMS(choice.Upstream.Pool)
 	p.meter.Record(class, prefillMS, request.Objective, request.Priority, now)
 	split := requestSplit{pool: p, class: class}
-	return meteredAttempt{pool: p, class: class, slots: choice.Upstream.Capacity, isOverflow: !split.isHome(choice.Upstream.ID)}
+	return meteredAttempt{pool: p, class: class, slots: choice.Upstream.Capacity, isOverflow: !split.isHome(b.stateFor(choice.Upstream.ID))}
 }
 
 // end records how long the request occupied a slot after its first response.
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"github.com/greengagegate/greengagegate/internal/bootclock"
+	"github.com/greengagegate/greengagegate/internal/sizesplit"
 )
 
 // upstreamState is what is known of an upstream. When a new incarnation is listed, reset
@@ -48,6 +49,9 @@
 	// startedMillis identifies the incarnation; the id of an upstream may stay the same.
 	startedMillis int64
 	address       string
+	// splitPart is the part of the pool to which the upstream belongs when the pool is divided
+	// by prompt size.
+	splitPart sizesplit.Part
 }
 
 // cachedPart is what is known of a cached part.
