--- a/internal/app/gatewaygauges.go
+++ b/internal/app/gatewaygauges.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/balancer"
@@ -16,6 +17,7 @@
 	"github.com/greengagegate/greengagegate/internal/rollout"
 	"github.com/greengagegate/greengagegate/internal/roster"
 	"github.com/greengagegate/greengagegate/internal/share"
+	"github.com/greengagegate/greengagegate/internal/sizesplit"
 	"github.com/greengagegate/greengagegate/internal/weights"
 	"go.uber.org/fx"
 )
@@ -61,6 +63,7 @@
 	shareTokens, shareDemand, pooledTokens, retryBalance *metrics.Family
 	peerSilence, queued                                  *metrics.Family
 	rolloutShare, rolloutResponses, rolloutFailures      *metrics.Family
+	splitEngines, splitWork, splitLimit                  *metrics.Family
 }
 
 func newGatewayGauges(sources *gatewayGaugeSources) *gatewayGauges {
@@ -82,6 +85,9 @@
 		rolloutShare:     metrics.NewFamily("rollout.share_permille"),
 		rolloutResponses: metrics.NewFamily("rollout.responses"),
 		rolloutFailures:  metrics.NewFamily("rollout.failures"),
+		splitEngines:     metrics.NewFamily("split.engines"),
+		splitWork:        metrics.NewFamily("split.work_ms_per_s"),
+		splitLimit:       metrics.NewFamily("split.limit_tokens"),
 	}
 }
 
@@ -93,6 +99,7 @@
 	g.collectLimits()
 	g.collectPeers()
 	g.collectRollouts()
+	g.collectSplits()
 }
 
 // collectAges sets the ages of the configuration, the evidence and the list of
@@ -202,3 +209,24 @@
 	g.rolloutResponses.End()
 	g.rolloutFailures.End()
 }
+
+// collectSplits sets the gauges of the pools that are divided by prompt size.
+func (g *gatewayGauges) collectSplits() {
+	g.splitEngines.Begin()
+	g.splitWork.Begin()
+	g.splitLimit.Begin()
+	for _, split := range g.sources.Balancer.SplitStatuses() {
+		for part, engines := range split.Counts {
+			g.splitEngines.Set(int64(engines), "pool", split.Pool, "part", sizesplit.Part(part).String())
+		}
+		for class := range split.Work {
+			g.splitWork.Set(int64(1000*split.Work[class].Engines), "pool", split.Pool, "class", sizesplit.Class(class).String())
+		}
+		if split.LimitTokens < math.MaxInt64 {
+			g.splitLimit.Set(split.LimitTokens, "pool", split.Pool)
+		}
+	}
+	g.splitEngines.End()
+	g.splitWork.End()
+	g.splitLimit.End()
+}
--- a/internal/balancer/cost.go
+++ b/internal/balancer/cost.go
@@ -110,7 +110,7 @@
 	selector := rendezvous.New[string](shared[len(shared)-1].ID)
 	for i, upstream := range upstreams {
 		s := candidates[i].state
-		if !upstream.Draining && !s.isLeaving() && !s.replaced && request.Versions.allows(upstream) && split.isHome(upstream.ID) {
+		if !upstream.Draining && !s.isLeaving() && !s.replaced && request.Versions.allows(upstream) && split.isHome(s) {
 			selector.Add(upstream.ID, upstream.ID)
 		}
 	}
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -5,6 +5,7 @@
 
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/enginerate"
+	"github.com/greengagegate/greengagegate/internal/sizesplit"
 )
 
 // upstreamState is what is known of an upstream. When a new incarnation is listed, reset
@@ -60,6 +61,9 @@
 	rate *enginerate.Engine
 	// load is the newest load that the upstream reported.
 	load reportedLoad
+	// splitPart is the part of the pool to which the upstream belongs when the pool is divided
+	// by prompt size.
+	splitPart sizesplit.Part
 }
 
 // cachedPart is what is known of a cached part.
