Hold back less urgent requests that would be late behind urgent ones at the engines

Engines serve urgent requests first, those of all gateways. A less urgent request that was sent with little work ahead that this gateway knew of waited there for seconds, was late, and had taken memory and prefill time that others needed.

The gateway measures the time from sending to the first response by priority. A less urgent request leaves the queue only if that time fits in what is left of its objective, and is refused on arrival if it cannot.

The tests of internal/gateway, internal/waitqueue and internal/balancer pass with -race, those of internal/app and platform without it.

--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -17,7 +17,7 @@
 	// maxWaitingRequests bounds the requests that wait in the queue of one pool.
 	maxWaitingRequests = 256
 	// queueWaitFraction bounds the time from a request's arrival until it leaves the queue, as
-	// a fraction of the route's objective. The request's own prefill is subtracted.
+	// a fraction of the route's objective. It must also leave the expected engine time.
 	queueWaitFraction = 0.8
 	// reviewInterval is the number of polls of a queue between two reviews of all waiting
 	// requests.
@@ -80,8 +80,9 @@
 // goroutine per pool polls the balancer for the first of them while any wait. A granted turn
 // ends with the send, so that the balancer counts the request before the next turn.
 type poolQueue struct {
-	gateway *Gateway
-	pool    string
+	gateway     *Gateway
+	pool        string
+	engineTimes engineTimes
 
 	mu       sync.Mutex
 	queue    *waitqueue.Queue
@@ -151,7 +152,7 @@
 	if p.closed {
 		return nil, nil, refusedStopping
 	}
-	request := j.queueRequest(choice, now)
+	request := j.queueRequest(choice, p.engineTime(j, choice, now), now)
 	request.BeyondShare = p.queue.Arrive(request, now)
 	j.beyondShare = request.BeyondShare
 	request.RoomIn = p.roomIn(j, choice, now)
@@ -176,9 +177,9 @@
 }
 
 // queueRequest describes the request to its queue.
-func (j *job) queueRequest(choice *balancer.Choice, now bootclock.Instant) waitqueue.Request {
+func (j *job) queueRequest(choice *balancer.Choice, engineTime time.Duration, now bootclock.Instant) waitqueue.Request {
 	objective := j.route.LatencyObjective
-	patience := time.Duration(queueWaitFraction*float64(objective)) - countedWork(choice, objective)
+	patience := min(time.Duration(queueWaitFraction*float64(objective)), objective-engineTime)
 	tokens := choice.MissingTokens
 	if choice.Upstream == nil {
 		tokens = j.call.PromptTokens
