--- a/internal/sizesplit/split.go
+++ b/internal/sizesplit/split.go
@@ -20,14 +20,11 @@
 	// protectedShare is the part of its proportional share that the less urgent class keeps
 	// when the more urgent one needs all engines, so that it does not starve.
 	protectedShare = 0.5
-	// growInterval and shrinkInterval are the least times between two steps of a part, and
-	// growFraction and shrinkFraction the part of the difference to the need that a step makes
-	// up. A surge doubles the need within a second. Shrinking is slower because an engine too few
-	// costs more than one too many.
-	growInterval   = 200 * time.Millisecond
-	shrinkInterval = time.Second
-	growFraction   = 1.0 / 3
-	shrinkFraction = 1.0 / 4
+	// growInterval and shrinkInterval are the least times between two steps of a part. A step
+	// moves the prefixes of one engine, which are prefilled again within a second. Shrinking
+	// is slower because an engine too few costs more than one too many.
+	growInterval   = time.Second
+	shrinkInterval = 4 * time.Second
 	// growBand and shrinkBand are how many engines more or fewer than its part has a class
 	// must need before the part changes.
 	growBand   = 0.25
@@ -66,14 +63,14 @@
 	return s.fit(engines, isMoreUrgent(work))
 }
 
-// step moves the size of a part towards the need, by at least one engine if it moves.
+// step moves the size of a part by at most one engine towards the need.
 func (s *Split) step(part Part, need float64, now bootclock.Instant) {
 	size, age := float64(s.counts[part]), now.Sub(s.steppedAt[part])
 	switch {
 	case need > size+growBand && age >= growInterval:
-		s.counts[part] += max(1, int((need-size)*growFraction))
+		s.counts[part]++
 	case need < size-shrinkBand && age >= shrinkInterval:
-		s.counts[part] -= max(1, int((size-need)*shrinkFraction))
+		s.counts[part]--
 	default:
 		return
 	}
