--- a/internal/rollout/baseline.go
+++ b/internal/rollout/baseline.go
@@ -10,7 +10,7 @@
 	// routeWeight is the weight of the rate of all routes in that of a route, and windowWeight
 	// that of the route's history in the rate of a window.
 	routeWeight  = 20
-	windowWeight = 20
+	windowWeight = 10
 	// baseDeviations is the half width of the confidence interval of the history's rate.
 	baseDeviations = 2.0
 	// maxBaseRate keeps the log-likelihood ratio finite.
@@ -51,6 +51,13 @@
 	return (middle + spread) / (1 + z2/responses)
 }
 
+// windowRate returns the rate of a window, given that of the history, less its standard error:
+// the highest of several rates would otherwise be too high whenever the rates are noisy.
+func windowRate(t tally, history float64) float64 {
+	rate := smoothed(t, history, windowWeight)
+	return rate - math.Sqrt(rate*(1-rate)/(float64(t.total)+windowWeight))
+}
+
 func failures(c *Counts) tally { return tally{c.Failed, c.Total} }
 
 // slow returns the slow responses, those in a bucket not below from.
@@ -163,8 +170,8 @@
 		for kind, t := range tallies(&windows[i], from) {
 			base := &rates[kind]
 			if i > 0 {
-				base.rate = max(base.rate, smoothed(t, base.rate, windowWeight))
-				base.most = max(base.most, smoothed(t, base.most, windowWeight))
+				base.rate = max(base.rate, windowRate(t, base.rate))
+				base.most = max(base.most, windowRate(t, base.most))
 				continue
 			}
 			prior := fallback
--- a/internal/rollout/cusum.go
+++ b/internal/rollout/cusum.go
@@ -59,6 +59,14 @@
 	s.most += other.most
 }
 
+// pool adds the sample of another route. The errors of the routes' rates are independent, so that
+// the confidence interval of the sum is narrower than the sum of the intervals.
+func (s *sample) pool(other sample) {
+	spread := math.Hypot(s.most-s.expected, other.most-other.expected)
+	s.add(other)
+	s.most = s.expected + spread
+}
+
 // alternative returns the rate of bad responses of a version that is clearly worse than others
 // with a rate of base, by at least minWorseBy.
 func alternative(base float64) float64 {
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -21,8 +21,8 @@
 
 const (
 	// alarmThreshold is the cumulative sum of log-likelihood ratios at which a target is bad.
-	// About e^16 responses of a good version pass between two false alarms of a test.
-	alarmThreshold = 16.0
+	// About e^14 responses of a good version pass between two false alarms of a test.
+	alarmThreshold = 14.0
 	// acceptThreshold is the sum of log-likelihood ratios at which a version is not as bad as
 	// the alternative from the begin on. One that is gets there with a probability of e^-9.
 	acceptThreshold = -9.0
@@ -52,7 +52,7 @@
 	// route must have its part. A route with routeResponses needs no acceptance of its own,
 	// because a fault would show in the sums for the alarm.
 	responsesNeeded = 60
-	routeResponses  = 25
+	routeResponses  = 20
 	// minRoutePart is the part of all requests from which on completion needs a comparison of
 	// the route. Smaller ones would need more canary requests than a short rollout may make.
 	minRoutePart = 0.04
@@ -108,7 +108,7 @@
 		samples := state.advance(pooled[route], fallback)
 		for kind := range samples {
 			j.judge(route, Kind(kind), samples[kind])
-			all[kind].add(samples[kind])
+			all[kind].pool(samples[kind])
 		}
 	}
 	for kind := range all {
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -102,6 +102,13 @@
 	replayAll(t, late, durations[:2], checkExposure)
 }
 
+// A version of which 20% more responses fail than the usual 14% must stay within the same bounds.
+func TestBadVersionAmongNoisyOnesStaysWithinBounds(t *testing.T) {
+	t.Parallel()
+	noisy := pattern{name: "20 percent more fail", failures: 0.14, spread: 1.2, fault: failing(0.2)}
+	replayAll(t, noisy, durations, checkExposure)
+}
+
 // A good version must not be rolled back in 1 of 1,000 rollouts, however noisy the responses of
 // both versions are, and must be completed by its deadline where there are requests enough for
 // the canary to show that it is good.
