--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -17,7 +17,7 @@
 	// maxWaitingRequests bounds the requests that wait in the queue of one pool.
 	maxWaitingRequests = 256
 	// queueWaitFraction bounds the time from a request's arrival until it leaves the queue, as
-	// a fraction of the route's objective. It must also leave the expected engine time.
+	// a fraction of the route's objective. The request's own prefill is subtracted.
 	queueWaitFraction = 0.8
 	// reviewInterval is the number of polls of a queue between two reviews of all waiting
 	// requests.
@@ -80,9 +80,8 @@
 // goroutine per pool polls the balancer for the first of them while any wait. A granted turn
 // ends with the send, so that the balancer counts the request before the next turn.
 type poolQueue struct {
-	gateway     *Gateway
-	pool        string
-	engineTimes engineTimes
+	gateway *Gateway
+	pool    string
 
 	mu       sync.Mutex
 	queue    *waitqueue.Queue
@@ -152,7 +151,7 @@
 	if p.closed {
 		return nil, nil, refusedStopping
 	}
-	request := j.queueRequest(choice, p.engineTime(j, choice, now), now)
+	request := j.queueRequest(choice, now)
 	request.BeyondShare = p.queue.Arrive(request, now)
 	j.beyondShare = request.BeyondShare
 	request.RoomIn = p.roomIn(j, choice, now)
@@ -177,9 +176,9 @@
 }
 
 // queueRequest describes the request to its queue.
-func (j *job) queueRequest(choice *balancer.Choice, engineTime time.Duration, now bootclock.Instant) waitqueue.Request {
+func (j *job) queueRequest(choice *balancer.Choice, now bootclock.Instant) waitqueue.Request {
 	objective := j.route.LatencyObjective
-	patience := min(time.Duration(queueWaitFraction*float64(objective)), objective-engineTime)
+	patience := time.Duration(queueWaitFraction*float64(objective)) - countedWork(choice, objective)
 	tokens := choice.MissingTokens
 	if choice.Upstream == nil {
 		tokens = j.call.PromptTokens
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -65,17 +65,6 @@
 	return min(milliseconds(choice.OwnWorkMS), time.Duration(maxCountedWork*float64(objective)))
 }
 
-// engineTime returns the time that a request is expected to need at an engine: its own
-// prefill, or the engine time of its priority if that is longer and there are more urgent
-// requests.
-func (p *poolQueue) engineTime(j *job, choice *balancer.Choice, now bootclock.Instant) time.Duration {
-	own := countedWork(choice, j.route.LatencyObjective)
-	if p.urgency.above(j.priority(), now) == 0 {
-		return own
-	}
-	return max(own, p.engineTimes.estimate(j.priority(), now))
-}
-
 // hasRoom reports whether the chosen upstream has room for a request now. p.mu must be held.
 func (p *poolQueue) hasRoom(j *job, choice *balancer.Choice, isAged bool, now bootclock.Instant) bool {
 	return choice.Upstream != nil && p.excess(j, choice, isAged, now) <= 0
@@ -91,17 +80,16 @@
 }
 
 // excess returns the time by which the expected waits exceed their bounds: the whole wait
-// that of the time left of the objective, and the work ahead a part of the objective. If there
-// are more urgent requests and the request is not aged, the engine time must be within the
-// time left as well, and the work ahead within parts of their objective.
+// that of the time left of the objective, and the work ahead those of the request's own
+// objective and, unless it is aged, of more urgent requests.
 func (p *poolQueue) excess(j *job, choice *balancer.Choice, isAged bool, now bootclock.Instant) time.Duration {
 	objective := j.route.LatencyObjective
 	own := milliseconds(choice.OwnWorkMS)
 	ahead := milliseconds(choice.ExpectedWaitMS) - own
 	backlog := milliseconds(choice.BacklogMS)
-	left := objective - now.Sub(j.arrivedAt)
+	counted := countedWork(choice, objective)
 	excess := max(
-		ahead+countedWork(choice, objective)-left,
+		ahead+counted-(objective-now.Sub(j.arrivedAt)),
 		backlog-time.Duration(ownBacklogFraction*float64(objective)),
 	)
 	priority := j.priority()
@@ -114,7 +102,6 @@
 	}
 	limit := time.Duration(urgentBacklogFraction * float64(urgent))
 	return max(excess,
-		p.engineTimes.estimate(j.priority(), now)-left,
 		backlog+min(own, limit)/2-limit,
 		ahead-time.Duration(urgentWaitFraction*float64(urgent)),
 	)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -42,8 +42,6 @@
 
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	// engineTimer measures the time to the first response; nil without a queue.
-	engineTimer *engineTimer
 	// takeBack ends the send unless it is stopped; nil if the send has no such limit.
 	takeBack *time.Timer
 	// report tells the result to the rollout of software versions.
@@ -57,9 +55,6 @@
 	j.sendCount++
 	s := &send{choice: choice, attempt: j.gateway.Balancer.Begin(*choice, &j.pickRequest), startedAt: bootclock.Now()}
 	s.report = j.reportSend(choice, s.startedAt)
-	if j.gateway.Bounds.Queue && j.pool.Engine != nil {
-		s.engineTimer = j.gateway.queues.of(j.gateway, j.pool.Name).engineTimes.start(j.priority(), s.startedAt)
-	}
 	j.endTurn()
 	s.ctx, s.cancel = context.WithCancelCause(ctx)
 	if limit, ok := j.beginLimit(choice); ok {
@@ -123,7 +118,6 @@
 	if s.isTakenBack() {
 		return errTakenBack
 	}
-	s.engineTimer.stop(true, bootclock.Now())
 	s.attempt.RecordFirstResponse()
 	s.report.recordBegin()
 	return nil
@@ -144,7 +138,6 @@
 	if s.events != nil {
 		s.events.Release()
 	}
-	s.engineTimer.stop(s.response != nil, bootclock.Now())
 	s.attempt.Done()
 	s.cancel(nil)
 }
