rollout: tell a new holder of the lease how long an order has run

A gateway that is killed and acquires the orders lease again soon after its start knew the time since the order only from the record, which is written with each step, and from its own start. Gateways now report the time as they know it with their evidence, and the holder uses the longest.

It now waits for the rate for up to a second of its own.

--- a/internal/app/rolloutreport.go
+++ b/internal/app/rolloutreport.go
@@ -41,6 +41,7 @@
 		message := &wirepb.RolloutEvidence{
 			Pool: r.Order.Pool, Target: r.Order.Target, Created: r.Order.Created,
 			Incarnation: r.Incarnation, RunningOthers: r.RunningAtOthers,
+			ElapsedMs: r.Elapsed.Milliseconds(),
 		}
 		message.Counts = encodeCounts(message.Counts, r.Others, rollout.GroupOthers, "")
 		for upstream, evidence := range r.Targets {
@@ -76,6 +77,7 @@
 		Order:           rollout.OrderID{Pool: message.Pool, Target: message.Target, Created: message.Created},
 		Incarnation:     message.Incarnation,
 		RunningAtOthers: message.RunningOthers,
+		Elapsed:         milliseconds(message.ElapsedMs),
 		Others:          make(rollout.Evidence),
 		Targets:         make(map[string]rollout.Evidence),
 	}
--- a/internal/rollout/control.go
+++ b/internal/rollout/control.go
@@ -141,6 +141,11 @@
 		Others:          others,
 		RunningAtOthers: running,
 	}
+	if progress.Previous.Stage == StageObserve && progress.RequestsPerSecond == 0 && now.Sub(c.startedAt) < maxObserveTime {
+		// A holder that took over late does not know the rate yet, from which the canary's share
+		// is chosen for good.
+		return
+	}
 	update := Update{Order: c.id, Token: token, Number: state.update.Number, Step: m.options.Bounds.Share(progress), Elapsed: progress.Elapsed}
 	update.Canaries = max(CanaryCount(update.Step.Share, others, targets), min(minCanaries, targets))
 	if update.Step.Stage == StageRolledBack {
--- a/internal/rollout/manager.go
+++ b/internal/rollout/manager.go
@@ -246,7 +246,7 @@
 
 // report returns what this gateway has observed of a pool's order. m.mu must be held.
 func (m *Manager) report(state *poolState) Report {
-	report := Report{Order: idOf(state.order), Incarnation: m.incarnation}
+	report := Report{Order: idOf(state.order), Incarnation: m.incarnation, Elapsed: state.elapsed(m.options.Now())}
 	report.Others, report.Targets = state.collector.report()
 	for _, upstream := range m.options.Catalog.Upstreams().ByPool[state.order.Pool] {
 		if upstream.Software != state.order.Target {
@@ -262,7 +262,11 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if c := m.controllers[report.Order]; c != nil {
-		c.addReport(gateway, report, m.options.Now())
+		now := m.options.Now()
+		c.addReport(gateway, report, now)
+		if state := m.pools[report.Order.Pool]; state != nil && state.order != nil && idOf(state.order) == report.Order {
+			state.raiseElapsed(report.Elapsed, now)
+		}
 	}
 }
 
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -59,6 +59,9 @@
 	// RunningAtOthers is the number of the gateway's requests that run at upstreams of other
 	// versions than the target.
 	RunningAtOthers int64
+	// Elapsed is the time since the order, as far as the gateway knows it. A holder that has
+	// started after the order learns it from the others.
+	Elapsed time.Duration
 	// Others holds the counts of the other versions, and Targets those of the target by the
 	// ID of the upstream.
 	Others  Evidence
--- a/internal/rollout/pool.go
+++ b/internal/rollout/pool.go
@@ -30,7 +30,10 @@
 	// update is the newest decision on the order, received at updatedAt.
 	update    Update
 	updatedAt bootclock.Instant
-	collector *collector
+	// raisedElapsed is the time since the order that another gateway reported at raisedAt.
+	raisedElapsed time.Duration
+	raisedAt      bootclock.Instant
+	collector     *collector
 	// retired are the versions that a completed order has replaced. They are ignored until
 	// retiredUntil; 0 means for good.
 	retired      []string
@@ -83,6 +86,7 @@
 	}
 	if p.order == nil || idOf(p.order) != idOf(order) {
 		p.update, p.updatedAt = Update{Order: idOf(order)}, 0
+		p.raisedElapsed, p.raisedAt = 0, 0
 		p.collector = newCollector(order.Target)
 		p.retired, p.retiredUntil = nil, 0
 	}
@@ -137,9 +141,19 @@
 	if p.updatedAt != 0 {
 		elapsed = max(elapsed, p.update.Elapsed+now.Sub(p.updatedAt))
 	}
+	if p.raisedAt != 0 {
+		elapsed = max(elapsed, p.raisedElapsed+now.Sub(p.raisedAt))
+	}
 	return elapsed
 }
 
+// raiseElapsed takes over a longer time since the order from another gateway.
+func (p *poolState) raiseElapsed(elapsed time.Duration, now bootclock.Instant) {
+	if elapsed > p.elapsed(now) {
+		p.raisedElapsed, p.raisedAt = elapsed, now
+	}
+}
+
 // refresh computes the filters.
 func (p *poolState) refresh(listed []*catalog.Upstream, now bootclock.Instant) {
 	if p.order == nil {
