--- a/internal/rollout/control.go
+++ b/internal/rollout/control.go
@@ -148,11 +148,15 @@
 	}
 	update := Update{Order: c.id, Token: token, Number: state.update.Number, Step: m.options.Bounds.Share(progress), Elapsed: progress.Elapsed}
 	update.Canaries = max(CanaryCount(update.Step.Share, others, targets), min(minCanaries, targets))
+	if update.Step.Stage == state.update.Step.Stage {
+		// The target's upstreams are listed one after the other, and the first ones must not take
+		// the whole share for good.
+		update.Canaries = max(update.Canaries, state.update.Canaries)
+	}
 	if update.Step.Stage == StageRolledBack {
 		update.Reason = c.judge.Reason().String()
 	}
-	if update.Step == state.update.Step {
-		update.Canaries = state.update.Canaries
+	if update.Step == state.update.Step && update.Canaries == state.update.Canaries {
 		state.apply(&update, now)
 		return
 	}
--- a/internal/rollout/manager_test.go
+++ b/internal/rollout/manager_test.go
@@ -349,6 +349,27 @@
 	}
 }
 
+// The upstreams of the target are listed one after the other. If the first one took the whole
+// share for good, it would be overloaded and a good version would look slow.
+func TestCanariesGrowWithTheListedUpstreams(t *testing.T) {
+	f := newTestFleet(t, 3)
+	f.run(2*time.Second, 500)
+	f.order("v2")
+	for _, g := range f.gateways {
+		g.catalog.SetUpstreams(append(upstreamsOf("v1", 20), upstreamsOf("v2", 1)...))
+	}
+	f.run(2*time.Second, 500)
+	for _, g := range f.gateways {
+		g.catalog.SetUpstreams(append(upstreamsOf("v1", 20), upstreamsOf("v2", 20)...))
+	}
+	f.run(time.Second, 500)
+	for _, g := range f.gateways {
+		if count := len(g.pools[testPool].filters.target.Canaries); count < minCanaries {
+			t.Errorf("%s has %d canaries after all upstreams were listed, want at least %d", g.name, count, minCanaries)
+		}
+	}
+}
+
 // A canary whose host fails looks like a bad version if only the sum over all canaries counts.
 func TestFaultOfOneCanaryIsNotHeldAgainstVersion(t *testing.T) {
 	f := newTestFleet(t, 3)
