ctl: show warnings in check, and add check-platform

check prints warnings, which change the exit code only with -strict. check-platform checks the JSON of a platform's configuration and shows what differs from the one in force.

--- a/cmd/greengagectl/main.go
+++ b/cmd/greengagectl/main.go
@@ -5,8 +5,9 @@
 	"os"
 
 	"github.com/greengagegate/greengagegate/internal/ctl"
+	"github.com/greengagegate/greengagegate/platform"
 )
 
 func main() {
-	os.Exit(ctl.Run(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(ctl.Run(os.Args[1:], platform.ConfigForCheck, os.Stdout, os.Stderr))
 }
--- a/internal/app/failures_test.go
+++ b/internal/app/failures_test.go
@@ -167,7 +167,7 @@
 	drained, other := f.servingEngine(router)
 	admitted := f.engines[drained].Stats().Admitted
 
-	code := ctl.Run([]string{"drain", "-server", "http://" + router.Operators.Listen, drained}, io.Discard, os.Stderr)
+	code := ctl.Run([]string{"drain", "-server", "http://" + router.Operators.Listen, drained}, nil, io.Discard, os.Stderr)
 	if code != ctl.ExitOK {
 		t.Fatalf("drain command exited with code %d", code)
 	}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -13,6 +13,7 @@
 	"io"
 	"os"
 
+	"github.com/greengagegate/greengagegate/internal/configcheck"
 	"github.com/greengagegate/greengagegate/internal/daemon"
 	"github.com/greengagegate/greengagegate/internal/object"
 )
@@ -32,7 +33,7 @@
 	ExitConflict = 4
 	// ExitUnknown means that the changes may or may not have been made.
 	ExitUnknown = 5
-	// ExitDiffers means that diff found differences.
+	// ExitDiffers means that diff or check-platform found differences.
 	ExitDiffers = 6
 )
 
@@ -41,6 +42,9 @@
 Usage: greengagectl COMMAND [flags] [files and directories]
 
   check FILE...     check objects as one complete set, without a server
+  check-platform FILE
+                    check a configuration of the platform's store, and with
+                    -in-force FILE show how it differs from that one
   diff FILE...      show what publish would change
   publish FILE...   check, merge and commit objects
   get [KIND[/NAME]] print objects in force
@@ -55,12 +59,14 @@
 Flags follow the command; 'greengagectl COMMAND -h' lists them.
 
 Exit codes: 0 done, 1 not done, 2 wrong usage, 3 mistakes in objects,
-4 conflict with another operator, 5 outcome unknown, 6 diff found differences.
+4 conflict with another operator, 5 outcome unknown, 6 diff or check-platform
+found differences. Warnings of the checks count as mistakes only with -strict.
 `
 
 // command holds the flags and the output streams of one command line.
 type command struct {
 	stdout, stderr io.Writer
+	decode         ConfigDecoder
 	flags          *flag.FlagSet
 	server         string
 	caFile         string
@@ -73,18 +79,24 @@
 	dryRun         bool
 	prune          bool
 	undo           bool
+	strict         bool
+	inForce        string
 	customer       string
 	name           string
 }
 
+// ConfigDecoder decodes the content of a configuration of the platform's store. It returns
+// an error if the content has not the form of a configuration.
+type ConfigDecoder func(content []byte) (*configcheck.Config, error)
+
 // Run executes the command line args, which exclude the program name, and returns
-// the exit code.
-func Run(args []string, stdout, stderr io.Writer) int {
+// the exit code. Only check-platform uses decode.
+func Run(args []string, decode ConfigDecoder, stdout, stderr io.Writer) int {
 	if len(args) == 0 || args[0] == "-h" || args[0] == "-help" || args[0] == "help" {
 		fmt.Fprint(stderr, usageText)
 		return ExitUsage
 	}
-	c := &command{stdout: stdout, stderr: stderr}
+	c := &command{stdout: stdout, stderr: stderr, decode: decode}
 	c.flags = flag.NewFlagSet("greengagectl "+args[0], flag.ContinueOnError)
 	c.flags.SetOutput(stderr)
 	c.flags.BoolVar(&c.json, "json", false, "print JSON")
@@ -107,7 +119,12 @@
 func (c *command) prepare(name string) func() int {
 	switch name {
 	case "check":
+		c.addStrictFlag()
 		return c.check
+	case "check-platform":
+		c.addStrictFlag()
+		c.flags.StringVar(&c.inForce, "in-force", "", "file with the configuration in force, to show the differences")
+		return c.checkPlatform
 	case "diff":
 		c.addServerFlags()
 		c.flags.BoolVar(&c.prune, "prune", false, "also show the objects that are not in the files as deleted")
@@ -159,6 +176,10 @@
 	c.flags.StringVar(&c.keyFile, "key", "", "file with the operator's private key")
 }
 
+func (c *command) addStrictFlag() {
+	c.flags.BoolVar(&c.strict, "strict", false, "let warnings count as mistakes in the exit code")
+}
+
 func (c *command) addPublishFlags() {
 	c.flags.StringVar(&c.author, "author", os.Getenv("USER"), "author of the publication, recorded in the history")
 	c.flags.BoolVar(&c.force, "force", false, "publish even if fewer than half of the witnesses confirm")
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -17,6 +17,7 @@
 	"github.com/greengagegate/greengagegate/internal/status"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 	"github.com/greengagegate/greengagegate/membership"
+	"github.com/greengagegate/greengagegate/platform"
 	"github.com/greengagegate/greengagegate/store/memstore"
 	"github.com/rs/zerolog"
 )
@@ -61,7 +62,7 @@
 // standard output first.
 func runCommand(args ...string) (int, string) {
 	var stdout, stderr bytes.Buffer
-	code := Run(args, &stdout, &stderr)
+	code := Run(args, platform.ConfigForCheck, &stdout, &stderr)
 	return code, stdout.String() + stderr.String()
 }
 
@@ -79,6 +80,9 @@
 // server responds.
 func TestExitCodesWithoutServer(t *testing.T) {
 	invalid := writeFile(t, "kind: Customer\nname: x\nspec: {rate: -1, colour: red}\n")
+	warned := writeFile(t, "kind: Customer\nname: x\nspec: {rate: 1, burst: 5000}\n")
+	newConfig := writeFile(t, `{"version": 2, "tenants": [{"name": "a", "api_keys": []}]}`)
+	oldConfig := writeFile(t, `{"version": 1, "tenants": [{"name": "a", "api_keys": []}]}`)
 	tests := []struct {
 		name string
 		args []string
@@ -92,6 +96,16 @@
 		{"check", []string{"check", demoConfig}, ExitOK, "no mistakes"},
 		{"check as JSON", []string{"check", "-json", demoConfig}, ExitOK, `"valid": true`},
 		{"check with mistakes", []string{"check", invalid}, ExitInvalid, "Customer/x: colour: unknown field"},
+		{"check with warnings", []string{"check", demoConfig, warned}, ExitOK, warned + ": warning: Customer/x: has no active Key"},
+		{"strict check with warnings", []string{"check", "-strict", demoConfig, warned}, ExitInvalid, "1 warnings"},
+		{"strict check", []string{"check", "-strict", demoConfig}, ExitOK, "0 warnings"},
+		{"platform check without file", []string{"check-platform"}, ExitUsage, "name one file"},
+		{"platform check of a missing file", []string{"check-platform", "missing.json"}, ExitFailure, "missing.json"},
+		{"platform check of YAML", []string{"check-platform", warned}, ExitInvalid, "decoding the configuration failed"},
+		{"platform check with warnings", []string{"check-platform", newConfig}, ExitOK, newConfig + ": warning: tenant/a: api_keys: is empty"},
+		{"strict platform check", []string{"check-platform", "-strict", newConfig}, ExitInvalid, "0 errors, 1 warnings"},
+		{"platform differences", []string{"check-platform", "-in-force", oldConfig, newConfig}, ExitDiffers, "~ config: version: 1 -> 2"},
+		{"platform version in force", []string{"check-platform", "-json", "-in-force", newConfig, oldConfig}, ExitInvalid, `"valid": false`},
 		{"server unreachable", []string{"publish", "-server", "http://127.0.0.1:1", demoConfig}, ExitFailure, "127.0.0.1:1"},
 		{"key without name", []string{"key"}, ExitUsage, "-customer"},
 		{"drain without name", []string{"drain"}, ExitUsage, "name of one upstream"},
--- a/internal/ctl/explain_test.go
+++ b/internal/ctl/explain_test.go
@@ -28,7 +28,7 @@
 		t.Fatal(err)
 	}
 	var stdout, stderr bytes.Buffer
-	code := Run([]string{"explain", id, file}, &stdout, &stderr)
+	code := Run([]string{"explain", id, file}, nil, &stdout, &stderr)
 	return stdout.String() + stderr.String(), code
 }
 
--- a/internal/ctl/rollout_test.go
+++ b/internal/ctl/rollout_test.go
@@ -20,7 +20,7 @@
 	}))
 	defer server.Close()
 	var out, errors bytes.Buffer
-	if code := Run([]string{"rollout", "-server", server.URL}, &out, &errors); code != ExitOK {
+	if code := Run([]string{"rollout", "-server", server.URL}, nil, &out, &errors); code != ExitOK {
 		t.Fatalf("exit code %d: %s", code, errors.String())
 	}
 	for _, want := range []string{"p to v2: rolled back", "route r: failures", "38", "12"} {
