--- a/internal/app/gatewaysettings_test.go
+++ b/internal/app/gatewaysettings_test.go
@@ -40,7 +40,7 @@
 	}
 	values := map[string]string{
 		"node_name": "g", "zone": "z", "region": "r", "ip": "127.0.0.1", "internal_ports.0": "1", "internal_ports.1": "2",
-		"platform.address": "127.0.0.1:3", "listen.front": "127.0.0.1:4", "listen.ready": "127.0.0.1:5", "limits.memory_mb": "500",
+		"platform.address": "127.0.0.1:3", "listen.front": "127.0.0.1:4", "listen.ready": "127.0.0.1:5", "limits.memory_mb": "500", "policies": `["base","drain"]`,
 	}
 	for name, value := range parameters {
 		values["parameters."+name] = value
