configcheck: name the condition of a warning

The parameter ok of warn and warnIf adds a warning if it is true, the opposite of what ok usually means. It is now called condition. No change of behaviour.

go test -race ./internal/configcheck passes.

--- a/internal/configcheck/config.go
+++ b/internal/configcheck/config.go
@@ -106,9 +106,9 @@
 	c.add(Error, entry, c.config.Names[field], format, args...)
 }
 
-// warn adds a Warning about a field if ok is true.
-func (c *configChecker) warn(ok bool, entry string, field Term, format string, args ...any) {
-	c.warnIf(ok, entry, c.config.Names[field], format, args...)
+// warn adds a Warning about a field if a condition is true.
+func (c *configChecker) warn(condition bool, entry string, field Term, format string, args ...any) {
+	c.warnIf(condition, entry, c.config.Names[field], format, args...)
 }
 
 // checkNumbers reports numbers of any field that are negative or implausibly large.
--- a/internal/configcheck/finding.go
+++ b/internal/configcheck/finding.go
@@ -61,9 +61,9 @@
 	*r = append(*r, Finding{Severity: severity, Entry: entry, Field: field, Message: fmt.Sprintf(format, args...)})
 }
 
-// warnIf adds a warning if ok is true.
-func (r *report) warnIf(ok bool, entry, field, format string, args ...any) {
-	if ok {
+// warnIf adds a warning if a condition is true.
+func (r *report) warnIf(condition bool, entry, field, format string, args ...any) {
+	if condition {
 		r.add(Warning, entry, field, format, args...)
 	}
 }
