rollout: complete doc comments, and name the summed evidence

Pool, the sum of the reports, shared its name with the pools of upstreams: it is PooledEvidence now, with Merge and Sum. judgedPart, a count of requests, is requestsPerJudged. Bounds of the schedule without a comment have one; doc comments state units and errors. RollbackWithin states that no decision depends on it. The path of the admin listener, which app and ctl each defined, is rollout.StatusesPath. No change of behaviour.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -60,8 +60,6 @@
 	// takeoverMargin is added to Bounds.Lease, the least time between the last order of one
 	// holder of the orders lease and the first order of the next.
 	takeoverMargin = 200 * time.Millisecond
-	// rolloutsPath is where the admin listener shows the rollouts of software versions.
-	rolloutsPath = "/rollouts"
 )
 
 // PolledStore is a platform's store that also reports changes by long polls.
@@ -254,7 +252,7 @@
 
 func serveGatewayAdmin(lifecycle fx.Lifecycle, s *GatewaySettings, ready *admin.Readiness, rollouts *rollout.Manager, log zerolog.Logger) {
 	router := admin.NewRouter(ready)
-	router.GET(rolloutsPath, func(c *gin.Context) { c.JSON(http.StatusOK, rollouts.Statuses()) })
+	router.GET(rollout.StatusesPath, func(c *gin.Context) { c.JSON(http.StatusOK, rollouts.Statuses()) })
 	server := &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout}
 	serveHTTP(lifecycle, server, s.Admin.Listen, nil, log)
 }
--- a/internal/ctl/rollout.go
+++ b/internal/ctl/rollout.go
@@ -11,9 +11,6 @@
 	"github.com/greengagegate/greengagegate/internal/rollout"
 )
 
-// rolloutsPath is the path at which the admin listener of a gateway shows rollouts.
-const rolloutsPath = "/rollouts"
-
 // showRollouts runs the rollout command. It prints the rollouts of software versions as one
 // gateway knows them, with the responses that decided them.
 func (c *command) showRollouts() int {
@@ -40,10 +37,11 @@
 	return ExitOK
 }
 
-// fetchRollouts reads the rollouts from the admin listener of a gateway.
+// fetchRollouts reads the rollouts from the admin listener of a gateway. It returns an error if
+// the gateway cannot be reached, or does not answer with status 200 and a list of rollouts.
 func (c *command) fetchRollouts() ([]rollout.Status, error) {
 	client := &http.Client{Timeout: clientTimeout}
-	response, err := client.Get(strings.TrimSuffix(c.server, "/") + rolloutsPath)
+	response, err := client.Get(strings.TrimSuffix(c.server, "/") + rollout.StatusesPath)
 	if err != nil {
 		return nil, fault.Wrap(err, "get rollouts", c.server)
 	}
--- a/internal/ctl/rollout_test.go
+++ b/internal/ctl/rollout_test.go
@@ -6,12 +6,14 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+
+	"github.com/greengagegate/greengagegate/internal/rollout"
 )
 
 // Operators must see why a version was rolled back, and the responses that show it.
 func TestRolloutCommandShowsReasonAndCounts(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != rolloutsPath {
+		if r.URL.Path != rollout.StatusesPath {
 			http.NotFound(w, r)
 			return
 		}
--- a/internal/rollout/comparison.go
+++ b/internal/rollout/comparison.go
@@ -13,8 +13,8 @@
 // host, while the version is sound. A fault of the version shows at all canaries. The Judge
 // therefore gets the counts of the better half of the canaries only, by what they did before.
 type comparison struct {
-	others  Pool
-	targets map[string]*Pool
+	others  PooledEvidence
+	targets map[string]*PooledEvidence
 	// counted holds what was read from targets so far, by upstream, and kept the part of it
 	// that the Judge gets.
 	counted map[string]Evidence
@@ -22,19 +22,19 @@
 }
 
 func newComparison() *comparison {
-	return &comparison{targets: make(map[string]*Pool), counted: make(map[string]Evidence), kept: make(Evidence)}
+	return &comparison{targets: make(map[string]*PooledEvidence), counted: make(map[string]Evidence), kept: make(Evidence)}
 }
 
 // add adds a report of a gateway.
 func (c *comparison) add(gateway string, report *Report) {
-	c.others.Report(gateway, report.Incarnation, report.Others)
+	c.others.Merge(gateway, report.Incarnation, report.Others)
 	for id, evidence := range report.Targets {
 		pool := c.targets[id]
 		if pool == nil {
-			pool = new(Pool)
+			pool = new(PooledEvidence)
 			c.targets[id] = pool
 		}
-		pool.Report(gateway, report.Incarnation, evidence)
+		pool.Merge(gateway, report.Incarnation, evidence)
 	}
 }
 
@@ -43,7 +43,7 @@
 func (c *comparison) evidence() Evidence {
 	worst := c.worstTargets()
 	for id, pool := range c.targets {
-		latest := pool.Pooled()
+		latest := pool.Sum()
 		added := latest.Clone()
 		added.combine(c.counted[id], subtract)
 		c.counted[id] = latest
@@ -51,7 +51,7 @@
 			c.kept.Add(added)
 		}
 	}
-	all := c.others.Pooled()
+	all := c.others.Sum()
 	all.Add(c.kept)
 	return all
 }
@@ -59,7 +59,7 @@
 // worstTargets returns the worse half of the canaries, rounded down, by the share of their
 // responses that failed or were slow.
 func (c *comparison) worstTargets() []string {
-	others := c.others.Pooled()
+	others := c.others.Sum()
 	rates := make(map[string]float64, len(c.counted))
 	for id, evidence := range c.counted {
 		rates[id] = badShare(evidence, others)
@@ -96,7 +96,7 @@
 func (c *comparison) pooled() (others Evidence, targets map[string]Evidence) {
 	targets = make(map[string]Evidence, len(c.targets))
 	for id, pool := range c.targets {
-		targets[id] = pool.Pooled()
+		targets[id] = pool.Sum()
 	}
-	return c.others.Pooled(), targets
+	return c.others.Sum(), targets
 }
--- a/internal/rollout/control.go
+++ b/internal/rollout/control.go
@@ -20,13 +20,13 @@
 	// maxRecordWait is how long a new holder tries to read the record of its predecessor. It
 	// continues from the predecessor's last update then.
 	maxRecordWait = time.Second
-	// maxReportAge is the age from which the report of a gateway no longer tells what runs there.
+	// maxReportAge is the age above which the report of a gateway no longer tells what runs there.
 	maxReportAge = 1200 * time.Millisecond
 	// minCanaries is the least number of canaries, if the target has as many upstreams: the
 	// comparison leaves out the worse half.
 	minCanaries = 4
-	// judgedPart is the number of target requests of which the comparison judges one.
-	judgedPart = 2
+	// requestsPerJudged is the number of target requests of which the comparison judges one.
+	requestsPerJudged = 2
 )
 
 // controller decides on one order while this gateway holds the orders lease.
@@ -137,7 +137,7 @@
 		Previous: state.update.Step, Elapsed: state.elapsed(now), Duration: state.order.Duration,
 		TargetRequests: targetRequests, AllRequests: allRequests, RequestsPerSecond: c.rate.perSecond(),
 		TargetListed: targets > 0, Bad: isBad, Enough: c.judge.EnoughForCompletion(),
-		Needed:          judgedPart * c.judge.TargetRequestsNeeded(),
+		Needed:          requestsPerJudged * c.judge.TargetRequestsNeeded(),
 		Others:          others,
 		RunningAtOthers: running,
 	}
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -10,7 +10,7 @@
 // Group identifies one side of the comparison between versions.
 type Group uint8
 
-// The groups of upstreams of a service.
+// The groups of upstreams of a pool.
 const (
 	// GroupOthers is all software versions but the target.
 	GroupOthers Group = iota
@@ -156,18 +156,18 @@
 	incarnation int64
 }
 
-// Pool sums the evidence that gateways report. Each report holds everything that one
+// PooledEvidence sums the evidence that gateways report. Each report holds everything that one
 // incarnation of a gateway has counted since the rollout began, so that lost, repeated and
-// reordered reports do no harm. The zero value is an empty pool.
-type Pool struct {
+// reordered reports do no harm. The zero value is an empty sum.
+type PooledEvidence struct {
 	reports map[reporter]Evidence
 	sum     Evidence
 }
 
-// Report adds what an incarnation of a gateway has counted since its last report. Counts of
+// Merge adds what an incarnation of a gateway has counted since its last report. Counts of
 // its former incarnations stay in the sum. A count that is lower than in an earlier report of
-// the same incarnation is ignored. The pool keeps no reference to e.
-func (p *Pool) Report(gateway string, incarnation int64, e Evidence) {
+// the same incarnation is ignored. No reference to e is kept.
+func (p *PooledEvidence) Merge(gateway string, incarnation int64, e Evidence) {
 	if p.reports == nil {
 		p.reports, p.sum = make(map[reporter]Evidence), make(Evidence)
 	}
@@ -180,5 +180,5 @@
 	p.sum.combine(former, subtract)
 }
 
-// Pooled returns the sum of the evidence of all gateways. The caller may change it.
-func (p *Pool) Pooled() Evidence { return p.sum.Clone() }
+// Sum returns the sum of the evidence of all gateways. The caller may change it.
+func (p *PooledEvidence) Sum() Evidence { return p.sum.Clone() }
--- a/internal/rollout/evidence_test.go
+++ b/internal/rollout/evidence_test.go
@@ -53,17 +53,17 @@
 	}
 	for range 50 {
 		random.Shuffle(len(reports), func(i, k int) { reports[i], reports[k] = reports[k], reports[i] })
-		var pool Pool
+		var pool PooledEvidence
 		var last int64
 		for _, r := range reports {
-			pool.Report(r.gateway, r.incarnation, r.evidence)
-			if sent := pool.Pooled().Sent(GroupTarget); sent < last {
+			pool.Merge(r.gateway, r.incarnation, r.evidence)
+			if sent := pool.Sum().Sent(GroupTarget); sent < last {
 				t.Fatalf("sent requests fell from %d to %d", last, sent)
 			} else {
 				last = sent
 			}
 		}
-		if got := pool.Pooled(); *got["r"] != *want["r"] {
+		if got := pool.Sum(); *got["r"] != *want["r"] {
 			t.Fatalf("got %v, want %v", *got["r"], *want["r"])
 		}
 	}
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -15,8 +15,9 @@
 // record is what the store keeps of a rollout, so that the next holder of the orders lease
 // continues from there.
 type record struct {
-	Target   string        `json:"target"`
-	Created  int64         `json:"created"`
+	Target  string `json:"target"`
+	Created int64  `json:"created"`
+	// Step and Elapsed hold their durations in nanoseconds.
 	Step     Step          `json:"step"`
 	Canaries int           `json:"canaries"`
 	Elapsed  time.Duration `json:"elapsed"`
@@ -24,7 +25,8 @@
 }
 
 // readRecord returns the record of an order and the version of its object. A record that is
-// missing, unreadable or of another order yields the zero record without an error.
+// missing, unreadable or of another order yields the zero record without an error; other errors
+// are those of store.Store.Get.
 func readRecord(ctx context.Context, s store.Store, id OrderID) (record, int64, error) {
 	object, err := s.Get(ctx, recordPrefix+id.Pool)
 	if errors.Is(err, store.ErrNotFound) {
@@ -41,7 +43,9 @@
 	return found, object.Version, nil
 }
 
-// writeRecord replaces the record of an order and returns the version of its object.
+// writeRecord replaces the record of an order and returns the version of its object. It
+// returns the errors of store.Store.Put, store.ErrConflict if the object does not have the
+// expected version.
 func writeRecord(ctx context.Context, s store.Store, update *Update, expected int64) (int64, error) {
 	value, err := json.Marshal(record{
 		Target: update.Order.Target, Created: update.Order.Created, Step: update.Step,
--- a/internal/rollout/schedule.go
+++ b/internal/rollout/schedule.go
@@ -35,7 +35,8 @@
 }
 
 const (
-	// observesPerDuration bounds the observation of a short rollout to a part of its duration.
+	// maxObserveTime bounds the observation, observesPerDuration that of a short rollout to a
+	// part of its duration.
 	maxObserveTime      = time.Second
 	observesPerDuration = 40
 	// maxCanaryRequests is the number of target requests of a canary, unless the evidence for
@@ -59,17 +60,18 @@
 	// defaultNeeded is the number of target requests for completion while it is not known.
 	defaultNeeded = 150
 
-	maxRampStep = time.Second
-	// rampStepsPerDuration, drainsPerDuration and marginsPerDuration bound the parts of a
-	// short rollout: a step lasts at most a twelfth of its duration, and so on.
+	// maxRampStep bounds a step of the switch, maxDrainTime the drain, and maxMargin the time
+	// that is kept for the status before the deadline. In a short rollout, each also lasts at
+	// most the duration divided by the constant that follows it.
+	maxRampStep          = time.Second
 	rampStepsPerDuration = 12
+	maxDrainTime         = 4 * time.Second
+	drainsPerDuration    = 4
+	maxMargin            = time.Second
+	marginsPerDuration   = 10
 	// shortRampSteps is the number of steps of a switch that begins late in the time of one
 	// usual step.
-	shortRampSteps     = 4
-	maxDrainTime       = 4 * time.Second
-	drainsPerDuration  = 4
-	maxMargin          = time.Second
-	marginsPerDuration = 10
+	shortRampSteps = 4
 	// propagationTime is how long a step takes to reach all gateways.
 	propagationTime = time.Second
 	// reportTime is how long it takes until the end of a request is reported by its gateway.
@@ -85,8 +87,8 @@
 	// of all requests until the deadline, plus that number.
 	ExposureShare float64
 	ExposureSlack int64
-	// RollbackWithin is the time after the 50th bad response from which a bad version gets no
-	// request. Share reacts to a verdict at once, so it is for those who spread its steps.
+	// RollbackWithin is the longest time after the 50th bad response for which a bad version may
+	// get requests. No decision depends on it, because Share reacts to a verdict at once.
 	RollbackWithin time.Duration
 }
 
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -5,6 +5,9 @@
 	"slices"
 )
 
+// StatusesPath is the path at which the admin listener of a gateway shows its Statuses as JSON.
+const StatusesPath = "/rollouts"
+
 // Status describes the rollout of a software version in a pool, as one gateway knows it.
 type Status struct {
 	Pool   string `json:"pool"`
@@ -12,7 +15,7 @@
 	// State is the state of the order, Stage that of the last decision.
 	State string `json:"state"`
 	Stage string `json:"stage"`
-	// Share is the share of this gateway's requests that goes to the target, and Canaries the
+	// Share is the share, from 0 to 1, of this gateway's requests that goes to the target, and Canaries the
 	// number of the target's upstreams that take it; 0 stands for all.
 	Share      float64 `json:"share"`
 	Canaries   int     `json:"canaries"`
