catalog: define the priorities once

waitqueue, balancer and gateway each had a constant for the ten priorities and the same clamp of a request's priority. Patience, in LOGS.md the time that the caller states, also stood for the shorter time in which a waiting request must begin; that is called the time to begin. Doc comments state what EnableLearnedRates enables, and long lines are wrapped. No change of behaviour.

--- a/internal/balancer/load.go
+++ b/internal/balancer/load.go
@@ -26,8 +26,8 @@
 
 // ApplyLoad records the load that an incarnation reported in a response that has just
 // arrived. It has no effect unless rates are learned for the pool of the upstream. A reported
-// slowness enables that; enabled reports whether it did so now. The reports of unlisted
-// upstreams and of other incarnations are ignored.
+// slowness enables that; enabled reports whether it did so now. The reports of upstreams that
+// were never listed and of other incarnations are ignored.
 func (b *Balancer) ApplyLoad(upstream *catalog.Upstream, load catalog.Load) (enabled bool) {
 	if !load.Reported {
 		return false
--- a/internal/balancer/prioritybacklog.go
+++ b/internal/balancer/prioritybacklog.go
@@ -1,7 +1,6 @@
 package balancer
 
-// priorities is the number of priorities that engines distinguish.
-const priorities = 10
+import "github.com/greengagegate/greengagegate/internal/catalog"
 
 // lessUrgentWeight is the weight of the backlog of less urgent requests in the wait of a request.
 // Engines admit the more urgent one first, but go on with the prompts that they have begun.
@@ -9,11 +8,11 @@
 
 // priorityBacklog holds the prompt tokens of running requests that are not yet prefilled, by the
 // priority of the request.
-type priorityBacklog [priorities]int64
+type priorityBacklog [catalog.PriorityCount]int64
 
 // add adds tokens, which may be negative, of a request.
 func (p *priorityBacklog) add(priority int, tokens int64) {
-	p[min(max(priority, 0), priorities-1)] += tokens
+	p[catalog.ClampPriority(priority)] += tokens
 }
 
 // aheadShare returns the share of the backlog at an engine for which a request waits. Where rates
--- a/internal/balancer/rate.go
+++ b/internal/balancer/rate.go
@@ -12,8 +12,9 @@
 	pools    map[string]*enginerate.Pool
 }
 
-// EnableLearnedRates makes the balancer learn the prefill rate of each engine instead of
-// assuming the same for all, and use the load that upstreams report.
+// EnableLearnedRates makes the balancer learn the prefill rate of each engine of all pools
+// instead of assuming the same for all, and use the load that upstreams report, the rates of
+// their links and the priorities of requests.
 func (b *Balancer) EnableLearnedRates() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -63,7 +64,8 @@
 	}
 }
 
-// prefillTokensPerMS returns the rate at which the engine is expected to prefill prompts.
+// prefillTokensPerMS returns the rate at which the engine is expected to prefill prompts, learned
+// or assumed.
 func (s *upstreamState) prefillTokensPerMS(now bootclock.Instant) float64 {
 	if s.rate == nil {
 		return prefillTokensPerMS
--- a/internal/balancer/sizesplit.go
+++ b/internal/balancer/sizesplit.go
@@ -38,8 +38,8 @@
 	b.poolSplits = make(map[string]*poolSplit)
 }
 
-// splitTokensPerMS returns the mean prefill rate of a pool's engines.
-// b.mu must be held.
+// splitTokensPerMS returns the mean prefill rate of a pool's engines, learned or assumed. b.mu
+// must be held.
 func (b *Balancer) splitTokensPerMS(pool string, now bootclock.Instant) float64 {
 	if learned := b.rates.pools[pool]; learned != nil {
 		return learned.TokensPerMS(now)
@@ -117,9 +117,10 @@
 	return ok && !s.isLeaving() && !s.replaced && !s.unreachable
 }
 
-// isHome reports whether an upstream with the given state may be the home upstream of the request's prefix. The
-// prefixes of short prompts have their homes in the short part, those of long ones in the
-// rest of the pool: in the long part alone, a surge of long prompts would gather there.
+// isHome reports whether an upstream with the given state may be the home upstream of the
+// request's prefix. The prefixes of short prompts have their homes in the short part, those of
+// long ones in the rest of the pool: in the long part alone, a surge of long prompts would
+// gather there.
 func (s *requestSplit) isHome(state *upstreamState) bool {
 	if s.pool == nil || s.pool.counts[sizesplit.PartShort] == 0 {
 		return true
@@ -127,7 +128,8 @@
 	return (state.splitPart == sizesplit.PartShort) == (s.class == sizesplit.Short)
 }
 
-// penaltyMS returns what is added to the cost of a choice, whose upstream has the given state.
+// penaltyMS returns what is added to the cost of a choice, whose upstream has the given state,
+// in milliseconds.
 func (s *requestSplit) penaltyMS(choice *Choice, state *upstreamState) float64 {
 	if s.pool == nil {
 		return 0
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -54,7 +54,7 @@
 	// startedMillis identifies the incarnation; the id of an upstream may stay the same.
 	startedMillis int64
 	address       string
-	// pool is the pool of the upstream; it is known if the upstream has ever been listed.
+	// listed is true once the upstream has been listed; pool is its pool by the last list.
 	listed bool
 	pool   string
 	// rate is the learned prefill rate; nil if it is not learned.
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -129,8 +129,8 @@
 }
 
 // Catalog holds the newest known state of the fleet. The configuration, the upstreams, the
-// target versions and the rollouts are each replaced as a whole and read without locks. A Catalog is
-// safe for concurrent use.
+// target versions and the rollouts are each replaced as a whole and read without locks. A
+// Catalog is safe for concurrent use.
 type Catalog struct {
 	config    atomic.Pointer[Config]
 	upstreams atomic.Pointer[Upstreams]
--- a/internal/gateway/room.go
+++ b/internal/gateway/room.go
@@ -5,6 +5,7 @@
 
 	"github.com/greengagegate/greengagegate/internal/balancer"
 	"github.com/greengagegate/greengagegate/internal/bootclock"
+	"github.com/greengagegate/greengagegate/internal/catalog"
 )
 
 const (
@@ -25,12 +26,10 @@
 	urgentWaitFraction = 0.85
 	// urgencyPeriod is how long the objective of a request counts for less urgent ones.
 	urgencyPeriod = 2 * time.Second
-	// urgencyLevels is the number of priorities. Larger values count as the last one.
-	urgencyLevels = 10
 )
 
 // urgency remembers the objectives of recent requests by priority.
-type urgency [urgencyLevels]struct {
+type urgency [catalog.PriorityCount]struct {
 	objective time.Duration
 	seenAt    bootclock.Instant
 }
@@ -38,17 +37,18 @@
 // record remembers the objective of a request. Of different objectives, the shortest one of
 // the last urgencyPeriod counts.
 func (u *urgency) record(priority int, objective time.Duration, now bootclock.Instant) {
-	level := &u[min(max(priority, 0), urgencyLevels-1)]
+	level := &u[catalog.ClampPriority(priority)]
 	if level.objective == 0 || objective <= level.objective || now.Sub(level.seenAt) > urgencyPeriod {
 		level.objective, level.seenAt = objective, now
 	}
 }
 
 // above returns the shortest objective of recent requests that are more urgent than
-// priority, or 0 if there were none. Everything is more urgent than urgencyLevels.
+// priority, or 0 if there were none. Everything is more urgent than
+// catalog.PriorityCount.
 func (u *urgency) above(priority int, now bootclock.Instant) time.Duration {
 	shortest := time.Duration(0)
-	for _, level := range u[:min(max(priority, 0), urgencyLevels)] {
+	for _, level := range u[:min(max(priority, 0), catalog.PriorityCount)] {
 		if level.objective > 0 && now.Sub(level.seenAt) <= urgencyPeriod && (shortest == 0 || level.objective < shortest) {
 			shortest = level.objective
 		}
@@ -94,7 +94,7 @@
 	)
 	priority := j.priority()
 	if j.beyondShare {
-		priority = urgencyLevels
+		priority = catalog.PriorityCount
 	}
 	urgent := p.urgency.above(priority, now)
 	if urgent == 0 || isAged {
--- a/internal/waitqueue/order.go
+++ b/internal/waitqueue/order.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/greengagegate/greengagegate/internal/bootclock"
+	"github.com/greengagegate/greengagegate/internal/catalog"
 )
 
 // Next returns the entry that is first in order, without the entries for which skip reports
@@ -34,7 +35,7 @@
 	var best *Entry
 	var overdueAt bootclock.Instant
 	for _, c := range q.classes[rank+1:] {
-		if best != nil && c.rank >= priorityCount && best.class.rank < priorityCount {
+		if best != nil && c.rank >= catalog.PriorityCount && best.class.rank < catalog.PriorityCount {
 			break
 		}
 		at, ok := c.firstOverdue(now)
--- a/internal/waitqueue/retry.go
+++ b/internal/waitqueue/retry.go
@@ -16,16 +16,16 @@
 	// latestShare is the part of Request.MaxRetryAfter over which callers are spread for which
 	// room is expected later than that.
 	latestShare = 0.25
-	// returnWait is the part of its patience, the time between arrival and BeginBy, that a
+	// returnWait is the part of its time to begin, from arrival to BeginBy, that a
 	// returning request is expected to wait.
 	returnWait = 0.5
 )
 
 // reject completes the decision about a rejected request with its RetryAfter: the time at
-// which the request, if it returns then, is expected to wait for returnWait of its patience,
-// after the callers of its class and more urgent ones that were rejected before it, plus a random part of Spread.
-// Spread is the time in which the rate that is left over serves the request, so that callers
-// return one after the other.
+// which the request, if it returns then, is expected to wait for returnWait of its time to
+// begin, after the callers of its class and more urgent ones that were rejected before it, plus a
+// random part of Spread. Spread is the time in which the rate that is left over serves the
+// request, so that callers return one after the other.
 func (q *Queue) reject(e *Entry, decision Decision, reason Reason, now bootclock.Instant) Decision {
 	decision.Reason = reason
 	if e.MaxRetryAfter <= 0 {
@@ -34,8 +34,8 @@
 	c := e.class
 	interval := q.returnInterval(e, decision.TokensPerSecond, now)
 	decision.Spread = max(minSpread, interval)
-	patience := max(0, e.BeginBy.Sub(e.ArrivedAt))
-	roomIn := decision.Wait - time.Duration(returnWait*float64(patience))
+	timeToBegin := max(0, e.BeginBy.Sub(e.ArrivedAt))
+	roomIn := decision.Wait - time.Duration(returnWait*float64(timeToBegin))
 	due := now.Add(max(0, roomIn))
 	for _, other := range q.classes[:c.rank+1] {
 		due = max(due, other.nextReturn)
--- a/internal/waitqueue/share.go
+++ b/internal/waitqueue/share.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/bootclock"
+	"github.com/greengagegate/greengagegate/internal/catalog"
 )
 
 const (
@@ -14,11 +15,11 @@
 	// and in the service of all falls to 1/e. A gateway gets a request of one customer only
 	// every few seconds.
 	shareTimeConstant = 20 * time.Second
-	// minShareTime is the least time over which these rates count as averaged.
-	minShareTime = time.Second
 	// usualTimeConstant is the same for a customer's usual load, counted in time without
 	// overload, so that a surge does not count as usual.
 	usualTimeConstant = 60 * time.Second
+	// minShareTime is the least time over which demand and service count as averaged.
+	minShareTime = time.Second
 	// minUsualTime is the time without overload after which usual loads are known. Until
 	// then, all customers have the same weight.
 	minUsualTime = 3 * time.Second
@@ -40,7 +41,8 @@
 	// customerPruneThreshold is the number of customers from which on those without demand are
 	// forgotten.
 	customerPruneThreshold = 256
-	// minDemand is the demand below which a customer may be forgotten, in tokens per second.
+	// minDemand is the demand below which a customer may be forgotten, and the service below which
+	// there are no fair shares, in tokens per second.
 	minDemand = 1
 )
 
@@ -74,7 +76,7 @@
 	configured float64
 	// credit holds for each priority the service that the customer may still get at its share
 	// with requests of this priority and more urgent ones, in seconds of its share.
-	credit     [priorityCount]float64
+	credit     [catalog.PriorityCount]float64
 	creditedAt bootclock.Instant
 }
 
@@ -157,7 +159,7 @@
 	perSecond := shareSlack * s.level * s.weight(known)
 	cost := tokens / perSecond
 	burst := max(shareBurst.Seconds(), cost)
-	for priority := r.Priority; priority < priorityCount; priority++ {
+	for priority := r.Priority; priority < catalog.PriorityCount; priority++ {
 		known.credit[priority] = min(shareBurst.Seconds(), max(-burst, known.credit[priority]-cost))
 	}
 }
--- a/internal/waitqueue/waitqueue.go
+++ b/internal/waitqueue/waitqueue.go
@@ -9,8 +9,8 @@
 // Requests leave by priority, then by start-time fair queueing over the customers of a
 // priority, with service measured in tokens, then by deadline. Under overload, the requests
 // of a customer beyond its fair share come after those that are within the shares of theirs;
-// see Arrive. The order is strict, except that overdue requests get at least agedShare of the service; see
-// Next.
+// see Arrive. The order is strict, except that overdue requests get at least agedShare of the
+// service; see Next.
 //
 // A Queue has no clock, locks or goroutines: its caller passes the time and serializes the
 // calls.
@@ -21,11 +21,10 @@
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/bootclock"
+	"github.com/greengagegate/greengagegate/internal/catalog"
 )
 
 const (
-	// priorityCount is the number of priorities. Larger values count as the last one.
-	priorityCount = 10
 	// agedShare is the share of the service, in tokens, that priorities with overdue requests
 	// get before more urgent ones.
 	agedShare = 0.1
@@ -123,7 +122,7 @@
 	limits Limits
 	// classes are in order: one for each priority and then, in the same order, those for the
 	// requests beyond the fair shares of their customers.
-	classes [2 * priorityCount]*class
+	classes [2 * catalog.PriorityCount]*class
 	shares  *shares
 	waiting int
 	drain   drainMeter
@@ -171,7 +170,7 @@
 
 func (q *Queue) classOf(r *Request) *class {
 	if r.BeyondShare {
-		return q.classes[priorityCount+r.Priority]
+		return q.classes[catalog.PriorityCount+r.Priority]
 	}
 	return q.classes[r.Priority]
 }
@@ -205,7 +204,7 @@
 }
 
 func (r Request) normalized() Request {
-	r.Priority = min(max(r.Priority, 0), priorityCount-1)
+	r.Priority = catalog.ClampPriority(r.Priority)
 	r.Tokens = max(r.Tokens, 1)
 	return r
 }
