--- a/internal/gateway/queue.go
+++ b/internal/gateway/queue.go
@@ -19,9 +19,8 @@
 	// queueWaitFraction bounds the time from a request's arrival until it leaves the queue, as
 	// a fraction of the route's objective. The request's own prefill is subtracted.
 	queueWaitFraction = 0.8
-	// reviewInterval is the number of polls of a queue between two reviews of all waiting
-	// requests.
-	reviewInterval = 5
+	// pollsPerReview is the number of polls of a queue for each review of all waiting requests.
+	pollsPerReview = 5
 	// maxPassedOver bounds the requests for which one poll asks the balancer.
 	maxPassedOver = 8
 	// maxQueueRetryFraction bounds the retry time as a fraction of the time that the caller
@@ -83,13 +82,14 @@
 	gateway *Gateway
 	pool    string
 
-	mu       sync.Mutex
-	queue    *waitqueue.Queue
-	waiters  map[*waitqueue.Entry]*waiter
-	urgency  urgency
-	polling  bool
-	closed   bool
-	pollings int
+	mu      sync.Mutex
+	queue   *waitqueue.Queue
+	waiters map[*waitqueue.Entry]*waiter
+	urgency urgency
+	closed  bool
+	// polling is true while the goroutine runs, polls the number of its polls so far.
+	polling bool
+	polls   int
 	// turns is the number of granted turns that have not ended.
 	turns int
 }
@@ -178,7 +178,7 @@
 // queueRequest describes the request to its queue.
 func (j *job) queueRequest(choice *balancer.Choice, now bootclock.Instant) waitqueue.Request {
 	objective := j.route.LatencyObjective
-	patience := time.Duration(queueWaitFraction*float64(objective)) - countedWork(choice, objective)
+	timeToBegin := time.Duration(queueWaitFraction*float64(objective)) - countedWork(choice, objective)
 	tokens := choice.MissingTokens
 	if choice.Upstream == nil {
 		tokens = j.call.PromptTokens
@@ -187,7 +187,7 @@
 		Customer:      j.customerName(),
 		Priority:      j.priority(),
 		Tokens:        float64(tokens + j.call.OutputTokens),
-		BeginBy:       min(j.arrivedAt.Add(patience), j.deadline.Add(-minTimeLeft)),
+		BeginBy:       min(j.arrivedAt.Add(timeToBegin), j.deadline.Add(-minTimeLeft)),
 		MaxRetryAfter: time.Duration(maxQueueRetryFraction * float64(j.deadline.Sub(now))),
 	}
 }
@@ -248,7 +248,8 @@
 	}()
 }
 
-// poll grants turns and rejects requests that are late. It reports false when none wait.
+// poll grants turns and rejects requests that are late. It reports false when none wait. After
+// a panic it reports true, so that those that still wait are polled again.
 func (p *poolQueue) poll() (more bool) {
 	defer contain.Panics(p.gateway.Log, "gateway", p.pool)
 	p.mu.Lock()
@@ -261,8 +262,8 @@
 	// A turn that has not ended by now, for example because its request waits for a permit,
 	// holds up the others no longer.
 	p.turns = 0
-	p.pollings++
-	if p.pollings%reviewInterval == 0 {
+	p.polls++
+	if p.polls%pollsPerReview == 0 {
 		for _, rejection := range p.queue.Reject(bootclock.Now()) {
 			p.refuse(rejection.Entry, rejection.Decision)
 		}
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -134,6 +134,22 @@
 	if j.route != nil {
 		line = line.Str("route", j.route.Name).Str("kind", j.route.Kind.String())
 	}
+	line = j.logChoice(line)
+	line = j.logFindings(line)
+	if !served && j.possibleRuns > 0 && len(j.pickRequest.Parts) > 0 {
+		line = line.Strs("parts", partIDs(j.pickRequest.Parts))
+	}
+	if len(j.attempts) > 0 {
+		line = line.Str("sends", formatAttempts(j.attempts))
+	}
+	if j.outcome.err != nil && !errors.Is(j.outcome.err, errCallerLeft) {
+		line = line.Err(j.outcome.err)
+	}
+	line.Msg("gateway: request ended")
+}
+
+// logChoice adds the fields about the chosen upstream to a log line.
+func (j *job) logChoice(line *zerolog.Event) *zerolog.Event {
 	if j.pickRequest.Model != "" {
 		line = line.Int64("wanted", j.pickRequest.TargetVersion).Int64("version", j.choice.Version).
 			Int64("prompt_tokens", j.pickRequest.PromptTokens).Int64("missing_tokens", j.choice.MissingTokens).
@@ -145,6 +161,12 @@
 	if j.choice.Upstream != nil && j.route.Kind == catalog.Stream {
 		line = line.Str("software", j.choice.Upstream.Software)
 	}
+	return line
+}
+
+// logFindings adds the fields that only some requests have: about a resumed stream, contents
+// that crash upstreams, excluded upstreams and a wait in a queue.
+func (j *job) logFindings(line *zerolog.Event) *zerolog.Event {
 	if j.call != nil && j.call.ResumedID != "" {
 		line = line.Str("resumes", j.call.ResumedID)
 	}
@@ -166,16 +188,7 @@
 	if j.outcome.wait != nil {
 		line = j.outcome.wait.logFields(line)
 	}
-	if !served && j.possibleRuns > 0 && len(j.pickRequest.Parts) > 0 {
-		line = line.Strs("parts", partIDs(j.pickRequest.Parts))
-	}
-	if len(j.attempts) > 0 {
-		line = line.Str("sends", formatAttempts(j.attempts))
-	}
-	if j.outcome.err != nil && !errors.Is(j.outcome.err, errCallerLeft) {
-		line = line.Err(j.outcome.err)
-	}
-	line.Msg("gateway: request ended")
+	return line
 }
 
 func partIDs(parts []balancer.Part) []string {
