enginerate, app, rollout: state units and conditions in doc comments

Rates of enginerate lacked their unit, the fields changed and newestAt their meaning. The comment of LearnRates left out the rates of links and the priorities, which it also enables, and that of Rollback did not tell that no decision depends on it. Progress states that a Manager does not measure DrainTime. No change of behaviour.

go test -race passes for ./internal/enginerate, and for the tests of settings, updates, rollouts and logs in ./internal/app; the other tests of ./internal/app were not run.

--- a/internal/app/gatewaycallers.go
+++ b/internal/app/gatewaycallers.go
@@ -74,8 +74,8 @@
 }
 
 // setGatewayReady sets ready once the configuration, the upstreams, the target versions, the
-// orders to roll out software and the other gateways are known: a gateway that knows of no others would take all that they
-// share. It gives up when ctx ends.
+// orders to roll out software versions, if they are followed, and the other gateways are known:
+// a gateway that knows of no others would take all that they share. It gives up when ctx ends.
 func setGatewayReady(ctx context.Context, s *GatewaySettings, platformCatalog *catalog.Catalog, r *roster.Roster, ready *admin.Readiness, log zerolog.Logger) {
 	isComplete := func() bool {
 		return platformCatalog.IsComplete() && (!s.Rollout.Enabled() || platformCatalog.Rollouts() != nil)
--- a/internal/app/gatewaysettings.go
+++ b/internal/app/gatewaysettings.go
@@ -65,7 +65,8 @@
 	// known to be good: ExposureShare of the pool's requests, and ExposureSlack more.
 	ExposureShare float64 `ini:"exposure_share"`
 	ExposureSlack int     `ini:"exposure_slack"`
-	// Rollback is how long a version may get requests after it has proved to be bad.
+	// Rollback is the longest time for which a version may get requests after it has proved to
+	// be bad. A rollback begins at once, whatever its value.
 	Rollback time.Duration `ini:"rollback"`
 }
 
@@ -136,15 +137,16 @@
 
 // Engines holds the settings for the use of engines.
 type Engines struct {
-	// LearnRates is true if the prefill rate of each engine is learned from its responses and
-	// from the load that it reports. Otherwise all engines count as equally fast, except in
-	// pools whose upstreams report how long work takes.
+	// LearnRates is true if the prefill rate of each engine is learned from its responses, and
+	// if the load that upstreams report, the rates of their links and the priorities of requests
+	// are used. Otherwise this holds only for pools whose upstreams report how long work takes,
+	// and all other engines count as equally fast.
 	LearnRates bool `ini:"learn_rates"`
 	// SplitSizes is true if the engines of a pool are divided between short and long prompts.
 	SplitSizes bool `ini:"split_sizes"`
-	// Queue makes requests wait in a queue at the gateway while all engines are busy.
+	// Queue is true if requests wait in a queue at the gateway while all engines are busy.
 	Queue bool `ini:"queue"`
-	// LateLoads makes the second half of a pool load new weights as late as the bounds allow,
+	// LateLoads is true if the second half of a pool loads new weights as late as the bounds allow,
 	// because each load empties a cache.
 	LateLoads bool `ini:"late_loads"`
 }
--- a/internal/enginerate/engine.go
+++ b/internal/enginerate/engine.go
@@ -43,7 +43,7 @@
 type Engine struct {
 	pool *Pool
 	// samples are the newest samples in the order of their arrival. droppedSamples is the
-	// number of those that a change of the rate outdated.
+	// number of those that a change of the rate outdated and that the newer ones count for.
 	samples        []sample
 	droppedSamples int
 	// rate is the estimate at the usual slowness by the engine's own samples, observed that
@@ -53,10 +53,12 @@
 	rate, observed float64
 	maxRate        recentMax
 	weight         float64
-	changed        bool
-	newestAt       bootclock.Instant
-	progress       progress
-	slowness       slowness
+	// newestAt is when the newest sample was added, and changed is true if one was added since
+	// the estimates were computed.
+	newestAt bootclock.Instant
+	changed  bool
+	progress progress
+	slowness slowness
 	// incarnation counts the calls of Reset.
 	incarnation int
 }
--- a/internal/enginerate/enginerate.go
+++ b/internal/enginerate/enginerate.go
@@ -47,6 +47,8 @@
 
 // Pool holds the estimates of the engines of one pool.
 type Pool struct {
+	// prior is the rate that is assumed until there are samples, in tokens per millisecond, as
+	// all rates here.
 	prior   float64
 	engines map[*Engine]struct{}
 	// rate is the estimate at the usual slowness, computed at computedAt, and best the largest
@@ -71,7 +73,8 @@
 	return e
 }
 
-// TokensPerMS returns the mean rate of the engines at the usual slowness.
+// TokensPerMS returns the mean rate of the engines at the usual slowness, or the prior while
+// nothing is known.
 func (p *Pool) TokensPerMS(now bootclock.Instant) float64 {
 	if now.Sub(p.computedAt) >= poolInterval {
 		p.compute(now)
@@ -126,6 +129,8 @@
 
 // Estimate is what is known of an engine's rate.
 type Estimate struct {
+	// TokensPerMS is the rate at which the engine is expected to prefill now, in tokens per
+	// millisecond.
 	TokensPerMS float64
 	// Samples is the weight of the engine's own samples; an old one counts for less than 1.
 	Samples float64
--- a/internal/enginerate/recentmax.go
+++ b/internal/enginerate/recentmax.go
@@ -14,6 +14,7 @@
 	since             bootclock.Instant
 }
 
+// add records a value. All calls must pass the same period.
 func (m *recentMax) add(value float64, period time.Duration, now bootclock.Instant) {
 	switch age := now.Sub(m.since); {
 	case age >= 2*period:
--- a/internal/rollout/schedule.go
+++ b/internal/rollout/schedule.go
@@ -111,7 +111,8 @@
 	Needed      int64
 	// Others is the number of upstreams of the other versions, 0 if unknown.
 	Others int
-	// DrainTime is how long requests run at the other versions, 0 if unknown.
+	// DrainTime is how long requests run at the other versions, 0 if unknown. A Manager does not
+	// measure it.
 	DrainTime time.Duration
 	// RunningAtOthers is the number of requests that still run at the other versions, at all
 	// gateways, and -1 if it is unknown.
