rollout: split the step of the holder from what it depends on

Manager.step judged the evidence, measured the rate, and decided and published the step in 48 lines. The first two are Manager.progress now. No change of behaviour.

--- a/internal/rollout/control.go
+++ b/internal/rollout/control.go
@@ -125,22 +125,8 @@
 
 // step computes the next step of an order and publishes it if it is new. m.mu must be held.
 func (m *Manager) step(c *controller, state *poolState, token int64, now bootclock.Instant) {
-	isBad := c.judge.Update(c.comparison.evidence()) == VerdictBad
-	targetRequests, allRequests := c.comparison.sent()
-	running := c.runningAtOthers(m.options.Balancer.GatewayCount(), now)
-	if running >= 0 {
-		// Before all gateways have reported, the count grows faster or slower than the requests.
-		c.rate.add(allRequests, now)
-	}
 	others, targets := m.countUpstreams(state.order)
-	progress := Progress{
-		Previous: state.update.Step, Elapsed: state.elapsed(now), Duration: state.order.Duration,
-		TargetRequests: targetRequests, AllRequests: allRequests, RequestsPerSecond: c.rate.perSecond(),
-		TargetListed: targets > 0, Bad: isBad, Enough: c.judge.EnoughForCompletion(),
-		Needed:          requestsPerJudged * c.judge.TargetRequestsNeeded(),
-		Others:          others,
-		RunningAtOthers: running,
-	}
+	progress := m.progress(c, state, others, targets, now)
 	if progress.Previous.Stage == StageObserve && progress.RequestsPerSecond == 0 && now.Sub(c.startedAt) < maxObserveTime {
 		// A holder that took over late does not know the rate yet, from which the canary's share
 		// is chosen for good.
@@ -165,11 +151,31 @@
 	metrics.Counter("rollout.steps", "stage", update.Step.Stage.String()).Inc(1)
 	m.logStep(&update, "holder")
 	m.options.Log.Info().Str("pool", c.id.Pool).Str("target", c.id.Target).Str("reason", update.Reason).
-		Int64("target_requests", targetRequests).Int64("all_requests", allRequests).Float64("per_second", progress.RequestsPerSecond).
+		Int64("target_requests", progress.TargetRequests).Int64("all_requests", progress.AllRequests).Float64("per_second", progress.RequestsPerSecond).
 		Int64("running_at_others", progress.RunningAtOthers).Bool("enough", progress.Enough).Msg("rollout: evidence of the new step")
 	m.onUpdate()
 }
 
+// progress judges the evidence that was added since the last call, and returns what the next step
+// of an order depends on. others and targets are the results of countUpstreams. m.mu must be held.
+func (m *Manager) progress(c *controller, state *poolState, others, targets int, now bootclock.Instant) Progress {
+	isBad := c.judge.Update(c.comparison.evidence()) == VerdictBad
+	targetRequests, allRequests := c.comparison.sent()
+	running := c.runningAtOthers(m.options.Balancer.GatewayCount(), now)
+	if running >= 0 {
+		// Before all gateways have reported, the count grows faster or slower than the requests.
+		c.rate.add(allRequests, now)
+	}
+	return Progress{
+		Previous: state.update.Step, Elapsed: state.elapsed(now), Duration: state.order.Duration,
+		TargetRequests: targetRequests, AllRequests: allRequests, RequestsPerSecond: c.rate.perSecond(),
+		TargetListed: targets > 0, Bad: isBad, Enough: c.judge.EnoughForCompletion(),
+		Needed:          requestsPerJudged * c.judge.TargetRequestsNeeded(),
+		Others:          others,
+		RunningAtOthers: running,
+	}
+}
+
 // countUpstreams returns the number of listed upstreams that are not draining, of other
 // versions than the target and of the target. m.mu must be held.
 func (m *Manager) countUpstreams(order *catalog.Rollout) (others, targets int) {
