--- a/internal/rollout/fleet_test.go
+++ b/internal/rollout/fleet_test.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-
 	"context"
 	"encoding/json"
 	"fmt"
