--- a/internal/gateway/notice.go
+++ b/internal/gateway/notice.go
@@ -6,6 +6,7 @@
 	"github.com/greengagegate/greengagegate/internal/balancer"
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/catalog"
+	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/ratelimit"
 	"github.com/rs/zerolog"
 )
@@ -34,6 +35,7 @@
 	}
 	leaves, pauses := n.Balancer.ApplyNotice(upstream, notice)
 	if leaves {
+		metrics.Counter("upstreams.leaving_stated").Inc(1)
 		n.Log.Info().Str("upstream", upstream.ID).Int64("born", upstream.StartedMillis).Msg("gateway: upstream states that it is leaving; this incarnation gets no more requests")
 	}
 	if pauses {
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -140,7 +140,7 @@
 		line = line.Strs("parts", partIDs(j.pickRequest.Parts))
 	}
 	if len(j.attempts) > 0 {
-		line = line.Str("sends", formatAttempts(j.attempts))
+		line = line.Str("sends", formatAttempts(j.attempts)).Dur("list_ms", j.gateway.Catalog.UpstreamsEvidenceAge(bootclock.Now()))
 	}
 	if j.outcome.err != nil && !errors.Is(j.outcome.err, errCallerLeft) {
 		line = line.Err(j.outcome.err)
