--- a/internal/balancer/notice_test.go
+++ b/internal/balancer/notice_test.go
@@ -47,3 +47,55 @@
 		t.Error("the upstream is not picked after the time")
 	}
 }
+
+// startingAt returns an upstream with another start time.
+func startingAt(upstream *catalog.Upstream, at time.Time) *catalog.Upstream {
+	next := *upstream
+	next.StartedMillis = at.UnixMilli()
+	return &next
+}
+
+// list makes the balancer follow a list of one upstream.
+func (f *testFleet) list(upstream *catalog.Upstream) {
+	f.balancer.SyncUpstreams(catalog.NewUpstreams([]*catalog.Upstream{upstream}))
+}
+
+// A store that is restored, or that carries a write out late, lists an earlier incarnation for
+// a while.
+func TestLeavingIsNotForgottenWhileFormerIncarnationIsListed(t *testing.T) {
+	f := newTestFleet(1)
+	leaving := startingAt(f.upstreams[0], time.Now().Add(-time.Minute))
+	former := startingAt(f.upstreams[0], time.Now().Add(-time.Hour))
+	f.list(leaving)
+	f.balancer.ApplyNotice(leaving, catalog.Notice{Leaving: true, RetryAfter: time.Minute})
+	for _, listed := range []*catalog.Upstream{former, leaving, former, leaving} {
+		f.list(listed)
+		if f.balancer.MayCall(leaving.ID) {
+			t.Fatalf("the upstream is called while the list says that it started at %d", listed.StartedMillis)
+		}
+	}
+	// The response to a request that was sent while the former incarnation was listed.
+	f.list(former)
+	f.balancer.ApplyNotice(former, catalog.Notice{Leaving: true})
+	f.list(startingAt(leaving, time.Now().Add(time.Minute)))
+	if !f.balancer.MayCall(leaving.ID) {
+		t.Error("the next incarnation is left alone")
+	}
+}
+
+// An upstream that came back under its ID can state that it is leaving before the list names
+// it; until then its responses count for the former incarnation.
+func TestLeavingBeforeNextIncarnationIsListedHolds(t *testing.T) {
+	f := newTestFleet(1)
+	former := startingAt(f.upstreams[0], time.Now().Add(-time.Hour))
+	f.list(former)
+	f.balancer.ApplyNotice(former, catalog.Notice{Leaving: true, RetryAfter: time.Minute})
+	f.list(startingAt(former, time.Now().Add(-time.Minute)))
+	if f.balancer.MayCall(former.ID) {
+		t.Error("the incarnation that stated that it is leaving is called once it is listed")
+	}
+	f.list(startingAt(former, time.Now().Add(time.Minute)))
+	if !f.balancer.MayCall(former.ID) {
+		t.Error("the incarnation that started afterwards is left alone")
+	}
+}
