balancer: keep what an upstream stated when the list shows another start time

Callers saw: requests to an upstream that had stated in a response that it leaves, cut off when it exits. Cause: any other start time in the list dropped the statement, although the list may show the former incarnation again (a restored store, a write carried out late), and although responses count for the listed incarnation while the one that answers may not be listed yet.

A statement now holds for the incarnation for which it counted and for all before it, which have ended; for a later one that had started when it was made, for 30 s at most; and no longer for one that started afterwards. A response of an incarnation that the list does not show any more counts unless it is a former one.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -98,7 +98,7 @@
 	for id, upstream := range listed.ByID {
 		s := b.stateFor(id)
 		if s.startedMillis != upstream.StartedMillis {
-			s.reset(upstream.StartedMillis)
+			s.reset(upstream.StartedMillis, b.now())
 		}
 		if s.address != upstream.Address {
 			s.address, s.replaced = upstream.Address, false
@@ -231,7 +231,7 @@
 	keys := partKeys{request: request, store: b.storeFor(request), mayHoldUnreported: b.gatewayCount > maxSmallFleetGateways}
 	candidates := b.candidates(upstreams, request, &keys, now)
 	split := b.splitFor(upstreams, request, now)
-	homeID := homeUpstream(upstreams, candidates, request, &split)
+	homeID := homeUpstream(upstreams, candidates, request, &split, now)
 	sources := copySources(upstreams, candidates, now)
 	best, bestCostMS := Choice{}, 0.0
 	usableCount := 0
--- a/internal/balancer/cost.go
+++ b/internal/balancer/cost.go
@@ -102,7 +102,7 @@
 // prefix, or an empty string when there is none. Draining and replaced upstreams, and those
 // that the request's version filter excludes or that split gives to other prompts, are left
 // out.
-func homeUpstream(upstreams []*catalog.Upstream, candidates []candidate, request *Request, split *requestSplit) string {
+func homeUpstream(upstreams []*catalog.Upstream, candidates []candidate, request *Request, split *requestSplit, now bootclock.Instant) string {
 	shared := request.sharedParts()
 	if len(shared) == 0 {
 		return ""
@@ -110,7 +110,7 @@
 	selector := rendezvous.New[string](shared[len(shared)-1].ID)
 	for i, upstream := range upstreams {
 		s := candidates[i].state
-		if !upstream.Draining && !s.isLeaving() && !s.replaced && request.Versions.allows(upstream) && split.isHome(s) {
+		if !upstream.Draining && !s.isLeaving(now) && !s.replaced && request.Versions.allows(upstream) && split.isHome(s) {
 			selector.Add(upstream.ID, upstream.ID)
 		}
 	}
--- a/internal/balancer/eligibility.go
+++ b/internal/balancer/eligibility.go
@@ -16,13 +16,13 @@
 	switch {
 	case request.SoftwarePinned && upstream.Software != request.Software, !request.Versions.allows(upstream):
 		e.OtherSoftware++
-	case upstream.Draining, s.isLeaving():
+	case upstream.Draining, s.isLeaving(now):
 		e.Draining++
 	case s.replaced:
 		e.Replaced++
 	case s.unreachable:
 		e.Unreachable++
-	case now.Before(s.backoffUntil), now.Before(s.pausedUntil):
+	case now.Before(s.backoffUntil), now.Before(s.notice.pausedUntil):
 		e.BackingOff++
 	case now.Before(s.limitedUntil):
 		e.addLimited(s.limitedUntil)
--- a/internal/balancer/prefillrate.go
+++ b/internal/balancer/prefillrate.go
@@ -56,7 +56,7 @@
 	newWeightsCount, newWeightsTokensPerMS := 0, 0.0
 	for i, upstream := range upstreams {
 		s := candidates[i].state
-		if candidates[i].version >= request.TargetVersion && !upstream.Draining && !s.isLeaving() && !s.replaced && !s.unreachable && !now.Before(s.heldUntil) {
+		if candidates[i].version >= request.TargetVersion && !upstream.Draining && !s.isLeaving(now) && !s.replaced && !s.unreachable && !now.Before(s.heldUntil) {
 			newWeightsCount++
 			newWeightsTokensPerMS += s.prefillTokensPerMS(now)
 		}
--- a/internal/balancer/sizesplit.go
+++ b/internal/balancer/sizesplit.go
@@ -114,7 +114,7 @@
 // these do not move the parts. b.mu must be held.
 func (b *Balancer) isSplitEngine(id string, now bootclock.Instant) bool {
 	s, ok := b.upstreams[id]
-	return ok && !s.isLeaving() && !s.replaced && !s.unreachable
+	return ok && !s.isLeaving(now) && !s.replaced && !s.unreachable
 }
 
 // isHome reports whether an upstream with the given state may be the home upstream of the
--- a/internal/balancer/startdelay_test.go
+++ b/internal/balancer/startdelay_test.go
@@ -72,7 +72,7 @@
 	if got := state.startDelay.estimate(f.now.Add(startDelayValidity)); got != 0 {
 		t.Errorf("estimated delay is %v after the validity, want 0", got)
 	}
-	state.reset(2)
+	state.reset(2, f.now)
 	if got := state.startDelay.estimate(f.now); got != 0 {
 		t.Errorf("estimated delay of a new incarnation is %v, want 0", got)
 	}
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -30,12 +30,10 @@
 	failureRateAt   bootclock.Instant
 	// The upstream gets no new requests before backoffUntil, which a refusal sets.
 	backoffUntil bootclock.Instant
-	// pausedUntil is the end of the time for which the upstream wants no requests.
-	pausedUntil bootclock.Instant
+	// notice is what the upstream has stated about itself.
+	notice notice
 	// limitedUntil is the time before which this gateway may not use the upstream's limit.
 	limitedUntil bootclock.Instant
-	// leavingSince is when the upstream first stated that it is leaving, or 0.
-	leavingSince bootclock.Instant
 	// unreachable is true if the upstream could not be reached and has not been reached
 	// since.
 	unreachable bool
@@ -82,10 +80,12 @@
 
 // reset starts a new incarnation without the cached parts, versions, failures and
 // exclusions of the previous one. The load of running requests and the count of inserted
-// tokens are kept, and so is what an incarnation stated before it was first listed.
-func (s *upstreamState) reset(startedMillis int64) {
-	if s.startedMillis != 0 {
-		s.pausedUntil, s.leavingSince = 0, 0
+// tokens are kept, and so is what the incarnation may have stated before it was listed.
+func (s *upstreamState) reset(startedMillis int64, now bootclock.Instant) {
+	if s.startedMillis == 0 {
+		s.notice.startedMillis = startedMillis
+	} else {
+		s.notice = s.notice.afterListing(startedMillis, now)
 	}
 	s.startedMillis = startedMillis
 	s.replaced = false
