--- a/internal/balancer/notice.go
+++ b/internal/balancer/notice.go
@@ -66,7 +66,7 @@
 	switch {
 	case startedMillis <= n.startedMillis:
 		return n
-	case startedMillis <= n.statedMillis:
+	case startedMillis < n.statedMillis:
 		until := now.Add(carriedNoticeTime)
 		n.pausedUntil = min(n.pausedUntil, until)
 		if n.leavingUntil == 0 || until < n.leavingUntil {
