platform: a gateway's own failed calls are no outage of the store

Callers saw: requests to an upstream for seconds after its entry had been removed, cut off when it exits. Cause: a gateway whose own calls to the store had failed took the removal for the result of an outage and kept the upstream for 2.3 s from when it learned of the removal; and each further failed call began that time again. Calls of one gateway also fail when its processor share is used up, or when the store turns it away, and then it learns late as well. Class: one process acts on its own share of what only the fleet knows.

Gateways now tell each other the time throughout which the store has answered them. A removal is taken for the result of an outage only if no gateway knows that the store has answered from when the entry was last listed until after the calls here had begun to fail; what is kept is checked again as reports arrive. Only time in which the store is reachable counts for the retention, so failed calls do not begin it again.

Two fields of some 10 bytes in each update between gateways.

--- a/internal/app/gatewayupdates.go
+++ b/internal/app/gatewayupdates.go
@@ -43,6 +43,7 @@
 		// Rounded up, so that the evidence never looks newer than it is.
 		update.EvidenceMs = u.catalog.ConfigEvidenceAge(bootclock.Now()).Milliseconds() + 1
 	}
+	update.StoreAnswering = encodeAnswering(u.catalog.StoreAnswering(), bootclock.Now())
 	update.HoldsOrders = u.weightsManager.HoldsLease()
 	for customer, rate := range u.shares.Demand() {
 		update.Demands = append(update.Demands, &wirepb.CustomerDemand{Customer: customer, TokensPerSecond: rate})
@@ -96,6 +97,9 @@
 	u.shares.UpdatePeerDemand(update.Name, demand)
 	u.weightsManager.RecordHolder(update.Name, update.HoldsOrders)
 	u.applyEvidence(update, requestedAt)
+	if requestedAt != 0 && update.StoreAnswering != nil {
+		u.catalog.RecordPeerAnswering(update.Name, decodeAnswering(update.StoreAnswering, requestedAt, bootclock.Now()))
+	}
 	if update.Poison != nil {
 		u.poison.Apply(decodePoisonReport(update.Poison))
 	}
@@ -154,3 +158,22 @@
 	}
 	u.balancer.HoldUntil(note.Id, until)
 }
+
+// encodeAnswering encodes when the store answered this gateway; nil if it never did. Both ends
+// are rounded so that the time never looks longer than it is.
+func encodeAnswering(known catalog.Answering, now bootclock.Instant) *wirepb.StoreAnswering {
+	if known.To == 0 {
+		return nil
+	}
+	return &wirepb.StoreAnswering{FromMs: now.Sub(known.From).Milliseconds(), ToMs: now.Sub(known.To).Milliseconds() + 1}
+}
+
+// decodeAnswering decodes the report in a reply to a request that was sent at requestedAt and
+// arrived at now. The reply was made in between, so the time begins no later than counted
+// from now and ends no earlier than counted from requestedAt.
+func decodeAnswering(reported *wirepb.StoreAnswering, requestedAt, now bootclock.Instant) catalog.Answering {
+	return catalog.Answering{
+		From: now.Add(-time.Duration(reported.FromMs) * time.Millisecond),
+		To:   requestedAt.Add(-time.Duration(reported.ToMs) * time.Millisecond),
+	}
+}
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -138,8 +138,8 @@
 	targetVersions atomic.Pointer[map[string]TargetVersion]
 	rollouts       atomic.Pointer[rollouts]
 	// configConfirmed is when the current configuration was last known to be the newest.
-	configConfirmed  atomic.Int64
-	lastStoreFailure atomic.Int64
+	configConfirmed atomic.Int64
+	answers         storeAnswers
 	// configSet is when the current configuration was set, upstreamsConfirmed when the
 	// list of upstreams was last known to be complete.
 	configSet          atomic.Int64
@@ -277,15 +277,6 @@
 	}
 }
 
-// RecordStoreFailure records that the platform store could not be reached at an instant.
-func (c *Catalog) RecordStoreFailure(at bootclock.Instant) { c.lastStoreFailure.Store(int64(at)) }
-
-// LastStoreFailure returns when the platform store last could not be reached, or 0 if no
-// failure was recorded.
-func (c *Catalog) LastStoreFailure() bootclock.Instant {
-	return bootclock.Instant(c.lastStoreFailure.Load())
-}
-
 // ConfigEvidenceAge returns how long ago the current configuration was last known to be the
 // newest.
 func (c *Catalog) ConfigEvidenceAge(now bootclock.Instant) time.Duration {
