gateway: pass on no promise that the upstream has not made

Callers saw: status 503, 429 or 408, which they take for the promise that a request has not run and never will, for requests that had run (REFUSED on real processes; a caller that trusts it asks again). Cause: a response of an upstream with such a status was passed on unchanged even if it lacked the mark that states that the request did not run, which is all that proves it.

Such a response now counts as an unusable answer: the request may be sent again where its route allows that, and else the caller gets 502 without the upstream's seal.

Evidence: TestUnmarkedRefusalOfRequestThatRanIsNoPromise failed before in all 12 cases (three statuses, four kinds of routes) and passes. Whether the reported cases came about this way is not known: there are no logs.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -32,7 +32,7 @@
 		return j.handleUpstreamRefusal(s, &responseStatus)
 	}
 	j.possibleRuns++
-	if response.Status < http.StatusMultipleChoices && !responseStatus.IsComplete {
+	if response.Status < http.StatusMultipleChoices && !responseStatus.IsComplete || promisesNoRun(response.Status) {
 		s.attempt.RecordFailure()
 		j.recordAttempt(s, "unsound")
 		return false, j.prepareRetry(true)
@@ -43,6 +43,18 @@
 	return j.forwardBuffered(s)
 }
 
+// promisesNoRun reports whether a caller takes a status for the promise that its request did
+// not and will not run. An upstream's response with such a status that does not state this
+// itself must not reach the caller.
+func promisesNoRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // classify reads the header of the response to a send and records what it states about the
 // upstream.
 func (j *job) classify(s *send) ResponseStatus {
