relay: a gateway that is behind takes over the list of upstreams from another one

Callers saw: requests to an upstream for up to 10 s after it had announced that it drains, through gateways that the store turned away or did not answer. Cause: each gateway follows the list of upstreams by its own polls only, and a poll without an answer ends after 12.5 s. Class: one process acts on its own share of what only the fleet knows.

Updates between gateways now state the version of the newest change that the sender has read in the list.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -322,7 +322,7 @@
 		}
 		var prefixSource mirror.Source = source
 		if mirrored.Direct {
-			prefixSource = mirror.StoreSource{Store: st}
+			prefixSource = relay.DirectSource{Manager: source}
 		}
 		followPrefix(lifecycle, prefixSource, mirrored.Prefix, mirrored.Sink, batchDelay, log)
 		if mirrored.EvidenceKey != "" {
--- a/internal/app/gatewaypeers.go
+++ b/internal/app/gatewaypeers.go
@@ -34,11 +34,12 @@
 	poisonTracker *poison.Tracker,
 	limits *ratelimit.Tracker,
 	rollouts *rollout.Manager,
+	relays *relay.Manager,
 	log zerolog.Logger,
 ) *peering.Manager {
 	updates := &peerUpdates{
 		name: s.Identity.Name, shares: shares, weightsManager: weightsManager, catalog: platformCatalog, balancer: upstreamBalancer,
-		poison: poisonTracker, limits: limits, rollouts: rollouts, nextCacheReport: make(map[string]uint64),
+		poison: poisonTracker, limits: limits, rollouts: rollouts, relays: relays, nextCacheReport: make(map[string]uint64),
 	}
 	manager := peering.New(peering.Options{Name: s.Identity.Name, Pool: n.Pool, Update: updates.compose, OnUpdate: updates.apply, Log: log})
 	weightsManager.OnUpdate(manager.SendNow)
--- a/internal/app/gatewayupdates.go
+++ b/internal/app/gatewayupdates.go
@@ -9,6 +9,7 @@
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/poison"
 	"github.com/greengagegate/greengagegate/internal/ratelimit"
+	"github.com/greengagegate/greengagegate/internal/relay"
 	"github.com/greengagegate/greengagegate/internal/rollout"
 	"github.com/greengagegate/greengagegate/internal/share"
 	"github.com/greengagegate/greengagegate/internal/weights"
@@ -26,6 +27,7 @@
 	poison         *poison.Tracker
 	limits         *ratelimit.Tracker
 	rollouts       *rollout.Manager
+	relays         *relay.Manager
 
 	mu sync.Mutex
 	// nextCacheReport maps a peer to the number of the first cache report that was not
@@ -44,6 +46,9 @@
 		update.EvidenceMs = u.catalog.ConfigEvidenceAge(bootclock.Now()).Milliseconds() + 1
 	}
 	update.StoreAnswering = encodeAnswering(u.catalog.StoreAnswering(), bootclock.Now())
+	for prefix, version := range u.relays.Newest() {
+		update.Newest = append(update.Newest, &wirepb.NewestChange{Prefix: prefix, Version: version})
+	}
 	update.HoldsOrders = u.weightsManager.HoldsLease()
 	for customer, rate := range u.shares.Demand() {
 		update.Demands = append(update.Demands, &wirepb.CustomerDemand{Customer: customer, TokensPerSecond: rate})
@@ -100,6 +105,9 @@
 	if requestedAt != 0 && update.StoreAnswering != nil {
 		u.catalog.RecordPeerAnswering(update.Name, decodeAnswering(update.StoreAnswering, requestedAt, bootclock.Now()))
 	}
+	for _, newest := range update.Newest {
+		u.relays.RecordNewest(update.Name, newest.Prefix, newest.Version)
+	}
 	if update.Poison != nil {
 		u.poison.Apply(decodePoisonReport(update.Poison))
 	}
--- a/internal/relay/copy.go
+++ b/internal/relay/copy.go
@@ -21,6 +21,9 @@
 	logStart int64
 	// version is the store version up to which the copy is complete; 0 if nothing was read.
 	version int64
+	// newest is the version of the newest change that was read. A list does not show the
+	// versions of deletions.
+	newest int64
 	// list identifies the list of all objects on which the copy is based. The store can
 	// leave changes out of polls before it compacts its history, and only the next list
 	// shows them, so a copy that is based on an earlier list is not complete up to its
@@ -36,6 +39,9 @@
 
 // record adds an update that is based on a list, and reports whether it was news.
 func (c *prefixCopy) record(update *mirror.Update, list uint64) bool {
+	for _, object := range update.Objects {
+		c.newest = max(c.newest, object.Version)
+	}
 	isNewList := update.Full && list != c.list
 	if update.Version < c.version || update.Version == c.version && !isNewList {
 		return false
--- a/internal/relay/follow.go
+++ b/internal/relay/follow.go
@@ -184,11 +184,12 @@
 	now := bootclock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.askedAt = now
 	reply := &wirepb.RelayReply{PathAgeMs: now.Sub(m.pathWorkedAt).Milliseconds() + 1}
 	for _, asked := range request.Positions {
 		known, ok := m.copies[asked.Prefix]
-		if !ok {
+		if ok {
+			m.askedAt = now
+		} else if known, ok = m.direct[asked.Prefix]; !ok {
 			continue
 		}
 		if update, ok := known.since(position{asked.Version, asked.List}); ok {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -78,6 +78,10 @@
 
 	mu     sync.Mutex
 	copies map[string]*prefixCopy
+	// direct are the copies of the prefixes that this gateway reads from the store itself, by
+	// prefix; see DirectSource. reports hold, by prefix and name, what other gateways have read.
+	direct  map[string]*prefixCopy
+	reports map[string]map[string]lagReport
 	// readLists holds, by prefix, the list on which what Read has returned is based.
 	readLists map[string]uint64
 	// changed is closed and replaced when a copy has news or the source has changed.
@@ -86,6 +90,8 @@
 	// zone.
 	gateways int
 	peers    []peering.Peer
+	// fleet are all other gateways by name.
+	fleet map[string]peering.Peer
 	// pathWorkedAt is when the path to the store last worked, here or at the followed
 	// gateway.
 	pathWorkedAt bootclock.Instant
@@ -100,7 +106,7 @@
 // New returns a manager that reads from the store until Run is called.
 func New(options Options) *Manager {
 	noContacts := func() map[string]time.Duration { return nil }
-	return &Manager{options: options, contacts: noContacts, copies: make(map[string]*prefixCopy), readLists: make(map[string]uint64), changed: make(chan struct{}), gateways: 1, unfitUntil: make(map[string]bootclock.Instant)}
+	return &Manager{options: options, contacts: noContacts, copies: make(map[string]*prefixCopy), direct: make(map[string]*prefixCopy), reports: make(map[string]map[string]lagReport), readLists: make(map[string]uint64), changed: make(chan struct{}), gateways: 1, unfitUntil: make(map[string]bootclock.Instant)}
 }
 
 // SetContacts sets the function that returns how long ago each other gateway was last heard
@@ -113,7 +119,9 @@
 	defer m.mu.Unlock()
 	m.gateways = 1 + len(peers)
 	m.peers = m.peers[:0:0]
+	m.fleet = make(map[string]peering.Peer, len(peers))
 	for _, peer := range peers {
+		m.fleet[peer.Name] = peer
 		if peer.Zone == m.options.Zone {
 			m.peers = append(m.peers, peer)
 		}
