gateway: parts of an unknown weights version are shared with no other request

Callers saw: an answer computed with cached parts of other weights (STALE). Cause: a list of upstreams is visible to requests a moment before the balancer has its versions; a busy processor makes that moment long. Requests that were sent then had version 0 and the salt w0, whatever weights the engine had, and were saved in and copied from the shared store under it.

The balancer takes the version from the list while it has none of its own, and parts of an unknown version get a salt of their own, without copies.

--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -314,3 +314,14 @@
 		fleet.balancer.Pick(fleet.upstreams, r)
 	}
 }
+
+// Requests can be picked for an upstream between the arrival of a list and SyncUpstreams.
+// With an unknown version, parts of all versions would have one salt.
+func TestListedVersionIsKnownBeforeListIsSynced(t *testing.T) {
+	f := newTestFleet(1)
+	added := &catalog.Upstream{ID: "added", StartedMillis: 5, ModelVersions: map[string]int64{testModel: 3}}
+	choice, ok := f.balancer.Pick([]*catalog.Upstream{added}, testRequest("x"))
+	if !ok || choice.Version != 3 {
+		t.Errorf("picked %v with version %d, want version 3", ok, choice.Version)
+	}
+}
--- a/internal/balancer/candidate.go
+++ b/internal/balancer/candidate.go
@@ -56,6 +56,10 @@
 	for i, upstream := range upstreams {
 		s := b.stateFor(upstream.ID)
 		found[i].state, found[i].version = s, s.versions[request.Model]
+		if found[i].version == 0 {
+			// The list may not be synced yet.
+			found[i].version = upstream.ModelVersions[request.Model]
+		}
 		if len(request.Parts) > 0 && len(s.parts) > 0 {
 			found[i].cachedTokens, found[i].copyableTokens = s.cachedTokens(request, keys.forVersion(found[i].version), now)
 		}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -250,7 +250,9 @@
 	if j.pool.Engine != nil {
 		metadata.Salt = j.salt(choice.Version)
 		metadata.Version = choice.Version
-		metadata.CopySource, metadata.SaveStore = choice.CopySource, choice.SaveStore
+		if choice.Version > 0 {
+			metadata.CopySource, metadata.SaveStore = choice.CopySource, choice.SaveStore
+		}
 	}
 	call := j.call
 	codec := j.gateway.Codec
@@ -358,7 +360,11 @@
 	j.attempts = append(j.attempts, attemptRecord{upstream: s.choice.Upstream.ID, result: result, duration: bootclock.Since(s.startedAt)})
 }
 
-// salt returns the cache namespace of the request's parts for a version of the weights.
+// salt returns the cache namespace of the request's parts for a version of the weights. Parts
+// that were computed with an unknown version, which is 0, are shared with no other request.
 func (j *job) salt(version int64) string {
+	if version == 0 {
+		return "unknown." + j.call.ID
+	}
 	return cacheSalt(version, j.customer)
 }
