--- a/internal/catalog/answering.go
+++ b/internal/catalog/answering.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -53,25 +54,23 @@
 	a.lastFailure = max(a.lastFailure, at)
 }
 
-// recordPeer replaces the report of another gateway. Reports older than maxPeerAnswerAge are
-// forgotten.
+// maxPeerAnswerAge is the age of another gateway's report from which on it may be forgotten.
+const maxPeerAnswerAge = time.Minute
+
+// recordPeer replaces the report of another gateway. The first report of a gateway makes old
+// ones of others be forgotten.
 func (a *storeAnswers) recordPeer(name string, reported Answering) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.peers == nil {
 		a.peers = make(map[string]Answering)
 	}
-	for peer, known := range a.peers {
-		if reported.To.Sub(known.To) > maxPeerAnswerAge {
-			delete(a.peers, peer)
-		}
+	if _, known := a.peers[name]; !known {
+		maps.DeleteFunc(a.peers, func(_ string, old Answering) bool { return reported.To.Sub(old.To) > maxPeerAnswerAge })
 	}
 	a.peers[name] = reported
 }
 
-// maxPeerAnswerAge bounds the age of the reports of other gateways that are remembered.
-const maxPeerAnswerAge = time.Minute
-
 // covers reports whether the store is known to have answered some gateway throughout.
 func (a *storeAnswers) covers(from, to bootclock.Instant) bool {
 	a.mu.Lock()
