review: a tenant that becomes isolated still shares KV cache that it made before

The namespace of tenants that aren't isolated stays the same when one of them becomes isolated, so that others go on using its parts.

--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -33,6 +33,15 @@
 	Tenant  string
 	Tokens  int64
 	Bodylen int
+	// Salt is that of the request, and Reused are the parts of its prompt that the runner found
+	// in its KV cache.
+	Salt   string
+	Reused []Part
+}
+
+// Part is a part of a prompt in the KV cache of a runner, and the request that made it.
+type Part struct {
+	ID, Tenant, Request string
 }
 
 // Runner is a stand-in for a runner: one of a model if Model is set, and of a plain service
@@ -59,6 +68,8 @@
 	done    int64
 	runs    []Run
 	running int
+	// cache are the parts that the runner keeps, by salt and ID.
+	cache map[string]Part
 }
 
 // Start lets the runner listen on a loopback address and register itself.
@@ -173,7 +184,7 @@
 	r.done++
 	time.AfterFunc(r.LoadTime, func() {
 		r.mu.Lock()
-		r.loading, r.version = false, order.Version
+		r.loading, r.version, r.cache = false, order.Version, nil
 		r.mu.Unlock()
 		r.register()
 	})
@@ -196,6 +207,25 @@
 	return in + out
 }
 
+// readPrompt reads the parts of a request's prompt. Those that are cached under the same salt, if
+// all before them are, are not read again. r.mu must be held.
+func (r *Runner) readPrompt(run *Run, header http.Header) {
+	if r.cache == nil {
+		r.cache = make(map[string]Part)
+	}
+	run.Salt = header.Get("Greengagegate-Cache-Salt")
+	isCached := true
+	for _, field := range strings.Split(header.Get("Greengagegate-Prefix-Hash"), ",") {
+		id, _, _ := strings.Cut(field, ":")
+		part, ok := r.cache[run.Salt+"/"+id]
+		if isCached = isCached && ok; isCached {
+			run.Reused = append(run.Reused, part)
+			continue
+		}
+		r.cache[run.Salt+"/"+id] = Part{ID: id, Tenant: run.Tenant, Request: run.ID}
+	}
+}
+
 func (r *Runner) handleRequest(w http.ResponseWriter, request *http.Request) {
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
@@ -222,7 +252,9 @@
 		return
 	}
 	r.running++
-	r.runs = append(r.runs, Run{At: time.Now(), ID: id, Tenant: request.Header.Get("Greengagegate-Tenant-Id"), Tokens: tokens, Bodylen: len(body)})
+	run := Run{At: time.Now(), ID: id, Tenant: request.Header.Get("Greengagegate-Tenant-Id"), Tokens: tokens, Bodylen: len(body)}
+	r.readPrompt(&run, request.Header)
+	r.runs = append(r.runs, run)
 	r.mu.Unlock()
 	defer func() {
 		r.mu.Lock()
