weights: log which record the orders lease was taken over from

The line on an acquisition told only the former holder and the wait, which are the same for an own write whose answer was lost, a restart and an expiry. It now states the basis of the takeover.

--- a/internal/weights/lease.go
+++ b/internal/weights/lease.go
@@ -50,7 +50,7 @@
 		wait = 0
 	}
 	m.ordersAllowedFrom = max(m.ordersAllowedFrom, bootclock.Now().Add(wait))
-	m.options.Log.Info().Int64("fence", fencingToken).Str("former", previousHolder).Dur("wait_ms", wait).Msg("weights: this gateway acquired the orders lease; it sends orders after the wait")
+	m.options.Log.Info().Int64("fence", fencingToken).Str("former", previousHolder).Str("basis", string(m.options.Lease.Basis())).Dur("wait_ms", wait).Msg("weights: this gateway acquired the orders lease; it sends orders after the wait")
 }
 
 // StepDown stops sending orders for good and releases the lease, so that another gateway
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -74,8 +74,10 @@
 	// heldVersion is the version of the record by which this process holds the lease, or
 	// held it last.
 	heldVersion int64
-	// previousHolder is the holder from which this process last took the lease over.
+	// previousHolder is the holder from which this process last took the lease over, and
+	// basis what this is known from.
 	previousHolder string
+	basis          Basis
 }
 
 // NewLease returns a lease on a key; it is not held before Acquire. Processes that run
@@ -130,8 +132,8 @@
 	if err != nil {
 		return 0, err
 	}
-	l.setHeld(token, requestedAt)
 	l.notePreviousHolder(&current, version)
+	l.setHeld(token, requestedAt)
 	return token, nil
 }
 
@@ -206,6 +208,7 @@
 func (l *Lease) notePreviousHolder(previous *leaseRecord, version int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.basis = l.basisOf(previous, version)
 	switch {
 	case version == store.VersionAbsent && l.seenEra == 0:
 	case version == store.VersionAbsent, !previous.isOfEra(version):
