lease: an own write whose answer was lost is no former holder

The process then read its own record, took its holder for the former one, which was itself, and sent orders without the wait.

The former holder is now noted from what a write is about to replace, and a record that is an own write without an answer replaces nothing that is known. After a renewal the process is its own former holder, so that a renewal without an answer makes it wait for nobody.

--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -390,3 +390,60 @@
 		t.Errorf("the wait ends %v later after the expiry, want it unchanged", m.ordersAllowedFrom.Sub(allowedFrom))
 	}
 }
+
+// handover is a store in which a former holder has given up the lease, and the manager of a
+// gateway that acquires it next.
+type handover struct {
+	t     *testing.T
+	store *memstore.Store
+	next  *Manager
+}
+
+func newHandover(t *testing.T) *handover {
+	h := &handover{t: t, store: memstore.New()}
+	former := NewLease(h.store, "former")
+	if _, err := former.Acquire(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if err := former.Release(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	h.next = h.start("next")
+	return h
+}
+
+// start returns the manager of a process that has just started.
+func (h *handover) start(name string) *Manager {
+	return New(Options{Name: name, Lease: NewLease(h.store, name), TakeoverDelay: time.Minute, Log: zerolog.Nop()})
+}
+
+// acquire lets a manager acquire the lease.
+func (h *handover) acquire(m *Manager) {
+	h.t.Helper()
+	token, err := m.options.Lease.Acquire(h.t.Context())
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	m.setOrdersAllowedFrom(token)
+}
+
+// checkWait fails the test unless a manager still has to wait for most of the delay.
+func (h *handover) checkWait(m *Manager) {
+	h.t.Helper()
+	if wait := m.ordersAllowedFrom.Sub(bootclock.Now()); wait < 50*time.Second {
+		h.t.Errorf("waiting for %v since another gateway gave orders, want about a minute", wait)
+	}
+}
+
+// A new holder whose write is carried out without an answer must not take its own record for
+// that of the former holder, and give orders at once.
+func TestNewHolderWaitsAfterUnansweredTakeover(t *testing.T) {
+	h := newHandover(t)
+	h.store.SetFaults(memstore.Faults{HoldWrites: 1})
+	if _, err := h.next.options.Lease.Acquire(t.Context()); !errors.Is(err, lease.ErrHeld) {
+		t.Fatalf("got %v of a write that is not carried out yet, want ErrHeld", err)
+	}
+	h.store.ExecuteHeldWrites()
+	h.acquire(h.next)
+	h.checkWait(h.next)
+}
--- a/lease/basis.go
+++ b/lease/basis.go
@@ -33,10 +33,10 @@
 		return BasisRestored
 	case previous.Holder != l.holder:
 		return BasisOtherHolder
-	case previous.Incarnation != l.incarnation:
-		return BasisFormerProcess
 	case version == l.heldVersion:
 		return BasisHeldBefore
+	case previous.Incarnation != l.incarnation:
+		return BasisFormerProcess
 	default:
 		return BasisUnansweredWrite
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -128,11 +128,11 @@
 	if !isOwn && !l.mayTake(&current, version) {
 		return 0, ErrHeld
 	}
+	l.notePreviousHolder(&current, version)
 	token, err := l.write(ctx, version, era)
 	if err != nil {
 		return 0, err
 	}
-	l.notePreviousHolder(&current, version)
 	l.setHeld(token, requestedAt)
 	return token, nil
 }
@@ -140,6 +140,9 @@
 // renew writes the record anew. It returns ErrHeld if the record has changed.
 func (l *Lease) renew(ctx context.Context, requestedAt time.Time) (int64, error) {
 	version := l.lastHeldVersion()
+	l.mu.Lock()
+	l.previousHolder = l.holder
+	l.mu.Unlock()
 	token, err := l.write(ctx, version, store.EraOf(version))
 	if err != nil {
 		return 0, err
@@ -203,24 +206,26 @@
 	l.expiresAt = requestedAt.Add(l.term - time.Duration(float64(l.term)*clockDriftFraction))
 }
 
-// notePreviousHolder records from whom the lease was taken over: this process itself if its
-// lease had expired and nobody has taken it since.
+// notePreviousHolder records from whom the lease is about to be taken over: this process
+// itself if its lease had expired and nobody has taken it since. A record that this process
+// has written without getting the reply says nothing of who held the lease before it; what
+// that write replaced stays recorded.
 func (l *Lease) notePreviousHolder(previous *leaseRecord, version int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.basis = l.basisOf(previous, version)
-	switch {
-	case version == store.VersionAbsent && l.seenEra == 0:
-	case version == store.VersionAbsent, !previous.isOfEra(version):
+	switch l.basis {
+	case BasisNoRecord, BasisUnansweredWrite:
+	case BasisRestored:
 		l.previousHolder = UnknownHolder
 	default:
 		l.previousHolder = previous.Holder
 	}
 }
 
-// PreviousHolder returns the name of the holder from which this process last took
-// the lease over, its own after an expiry in which nobody else took it, UnknownHolder if a restore of the store may have lost its record, or ""
-// if it never took over a stored lease.
+// PreviousHolder returns the name of the holder from which this process last took the lease
+// over, its own after a renewal or an expiry in which nobody else took it, UnknownHolder if a
+// restore of the store may have lost its record, or "" if it never took over a stored lease.
 func (l *Lease) PreviousHolder() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
