lease: the wait of a new holder outlives restarts and stops

Cause: the wait was kept in memory, and the record told who holds the lease, not who acts under it. The record now states who may have acted last and how much of the delay was left when it was written. A holder becomes the actor by a record of its own after the delay, and may act only when that write was answered. Durations are stored, so clocks are not compared. weights.Manager keeps no wait any more; Lease.MayAct decides.

TestNewHolderWaitsAfterRestartInItsWait failed before ('waiting for -1.19us since another gateway gave orders, want about a minute', three times), and so did the case of a planned stop.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -212,12 +212,11 @@
 
 func newWeightsManager(s *GatewaySettings, p Platform, st PolledStore, platformCatalog *catalog.Catalog, upstreamBalancer *balancer.Balancer, notices *gateway.Notices, log zerolog.Logger) *weights.Manager {
 	return weights.New(weights.Options{
-		Name:          s.Identity.Name,
-		Lease:         weights.NewLease(st, s.Identity.Name),
-		Catalog:       platformCatalog,
-		Engines:       p.Engines(notices),
-		Fleet:         upstreamBalancer,
-		TakeoverDelay: s.Bounds.Lease + takeoverMargin,
+		Name:    s.Identity.Name,
+		Lease:   weights.NewLease(st, s.Identity.Name, s.Bounds.Lease+takeoverMargin),
+		Catalog: platformCatalog,
+		Engines: p.Engines(notices),
+		Fleet:   upstreamBalancer,
 
 		StalenessLimit: s.Bounds.Weights,
 		Schedule:       s.features(p).weightsSchedule(),
--- a/internal/weights/lease.go
+++ b/internal/weights/lease.go
@@ -11,7 +11,7 @@
 // maintainLease acquires and renews the lease until ctx ends or the manager has
 // stepped down.
 func (m *Manager) maintainLease(ctx context.Context) {
-	for pause.For(ctx, renewInterval) == nil {
+	for pause.For(ctx, m.untilRenewal()) == nil {
 		if m.hasSteppedDown() {
 			return
 		}
@@ -28,7 +28,7 @@
 			m.fencingToken = fencingToken
 			m.leaseExpires = acquireStarted.Add(leaseTerm)
 			if !heldLease {
-				m.setOrdersAllowedFrom(fencingToken)
+				m.logAcquired(fencingToken)
 			}
 		}
 		holdsLease := m.holdsLeaseAt(bootclock.Now())
@@ -39,18 +39,20 @@
 	}
 }
 
-// setOrdersAllowedFrom sets from when orders may be sent after the lease was acquired: at
-// once, or Options.TakeoverDelay later when another gateway held the lease before, so that the
-// orders of both are well apart. A wait that has begun is not shortened by an expiry in
-// between. It must be called with m.mu held.
-func (m *Manager) setOrdersAllowedFrom(fencingToken int64) {
-	previousHolder := m.options.Lease.PreviousHolder()
-	wait := m.options.TakeoverDelay
-	if previousHolder == "" || previousHolder == m.options.Name {
-		wait = 0
+// untilRenewal returns when the lease is renewed next: at the end of the handover delay, since
+// only a renewal permits orders then, or after renewInterval if that is earlier.
+func (m *Manager) untilRenewal() time.Duration {
+	if wait := m.options.Lease.UntilAction(); wait > 0 {
+		return min(wait, renewInterval)
 	}
-	m.ordersAllowedFrom = max(m.ordersAllowedFrom, bootclock.Now().Add(wait))
-	m.options.Log.Info().Int64("fence", fencingToken).Str("former", previousHolder).Str("basis", string(m.options.Lease.Basis())).Dur("wait_ms", wait).Msg("weights: this gateway acquired the orders lease; it sends orders after the wait")
+	return renewInterval
+}
+
+// logAcquired logs that the lease was acquired.
+func (m *Manager) logAcquired(fencingToken int64) {
+	handover := m.options.Lease.Handover()
+	wait := max(0, m.options.Lease.UntilAction())
+	m.options.Log.Info().Int64("fence", fencingToken).Str("former", handover.Actor).Str("basis", string(handover.Basis)).Dur("wait_ms", wait).Msg("weights: this gateway acquired the orders lease; it sends orders after the wait")
 }
 
 // StepDown stops sending orders for good and releases the lease, so that another gateway
@@ -137,16 +139,12 @@
 
 // orderFencingToken returns the fencing token for an order that is sent now, and whether
 // an order may be sent now. An order may be sent if the lease lasts for more than
-// minLeaseForOrder from now, the wait of a new holder is over and Lease.Held returns
-// true. The token is meaningful only then.
+// minLeaseForOrder from now and Lease.MayAct returns true. The token is meaningful only then.
 func (m *Manager) orderFencingToken() (int64, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := bootclock.Now()
-	if !now.Add(minLeaseForOrder).Before(m.leaseExpires) || now.Before(m.ordersAllowedFrom) {
-		return 0, false
-	}
-	return m.fencingToken, m.holdsLeaseAt(now)
+	return m.fencingToken, now.Add(minLeaseForOrder).Before(m.leaseExpires) && m.options.Lease.MayAct()
 }
 
 // LeaseRemaining returns the time until the lease expires unless it is renewed; 0
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -85,9 +85,6 @@
 	Catalog *catalog.Catalog
 	Engines Engines
 	Fleet   Fleet
-	// TakeoverDelay is how long a new holder waits before its first order when another gateway
-	// held the lease before, so that orders of two holders are always well apart.
-	TakeoverDelay time.Duration
 	// StalenessLimit is how long older weights may be used after a newer version became
 	// known. It is the StalenessLimit of a PoolState.
 	StalenessLimit time.Duration
@@ -120,9 +117,6 @@
 	fencingToken int64
 	// leaseExpires is the end of the lease by this process's clock.
 	leaseExpires bootclock.Instant
-	// ordersAllowedFrom is when the first order may be sent since the lease was last
-	// acquired.
-	ordersAllowedFrom bootclock.Instant
 	// inRollout holds the IDs of the engines at which a rollout is in progress.
 	inRollout map[string]bool
 	// rolloutUpdates holds the newest RolloutUpdate by engine ID.
@@ -142,9 +136,12 @@
 	onUpdate func()
 }
 
-// NewLease returns the lease that permits its holder to give orders.
-func NewLease(s store.Store, name string) *lease.Lease {
-	return lease.NewLease(s, leaseKey, name, leaseTerm, bootTime)
+// NewLease returns the lease that permits its holder to give orders. takeoverDelay is how far
+// apart the orders of two holders are at least.
+func NewLease(s store.Store, name string, takeoverDelay time.Duration) *lease.Lease {
+	return lease.NewLease(lease.LeaseOptions{
+		Store: s, Key: leaseKey, Holder: name, Term: leaseTerm, HandoverDelay: takeoverDelay, Now: bootTime,
+	})
 }
 
 // bootTime returns the boot clock's reading as the time.Time that a Lease takes.
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -233,8 +233,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancels[name] = cancel
 	m := New(Options{
-		Name: name, Lease: NewLease(f.store, name), Catalog: f.catalog, Engines: f.engines, Fleet: newFakeFleet(),
-		TakeoverDelay: 3 * time.Second, StalenessLimit: 100 * time.Millisecond, Log: zerolog.Nop(),
+		Name: name, Lease: NewLease(f.store, name, 3*time.Second), Catalog: f.catalog, Engines: f.engines, Fleet: newFakeFleet(),
+		StalenessLimit: 100 * time.Millisecond, Log: zerolog.Nop(),
 	})
 	f.managers[name] = m
 	f.running.Go(func() { m.Run(ctx) })
@@ -362,35 +362,23 @@
 // A holder that was suspended for longer than its term, and that nobody replaced, must not wait
 // again for the holder before it: it would lose that time in each suspension.
 func TestHolderAfterExpiryDoesNotWaitAgain(t *testing.T) {
-	s := memstore.New()
-	former := NewLease(s, "former")
-	m := New(Options{Name: "own", Lease: NewLease(s, "own"), TakeoverDelay: time.Minute, Log: zerolog.Nop()})
-	acquire := func(l *lease.Lease) int64 {
-		token, err := l.Acquire(t.Context())
-		if err != nil {
-			t.Fatal(err)
-		}
-		return token
-	}
-	acquire(former)
-	if err := former.Release(t.Context()); err != nil {
-		t.Fatal(err)
-	}
-	m.setOrdersAllowedFrom(acquire(m.options.Lease))
-	allowedFrom := m.ordersAllowedFrom
-	if wait := allowedFrom.Sub(bootclock.Now()); wait < 50*time.Second {
-		t.Errorf("waiting for %v after the lease was taken from another holder, want a minute", wait)
-	}
+	h := newHandover(t)
+	h.acquire(h.next)
+	h.checkWait(h.next)
+	allowedFrom := h.next.options.Lease.Handover().Until
 	time.Sleep(leaseTerm + 100*time.Millisecond)
-	if m.options.Lease.Held() {
+	if h.next.options.Lease.Held() {
 		t.Fatal("the lease is still held after its term")
 	}
-	m.setOrdersAllowedFrom(acquire(m.options.Lease))
-	if m.ordersAllowedFrom != allowedFrom {
-		t.Errorf("the wait ends %v later after the expiry, want it unchanged", m.ordersAllowedFrom.Sub(allowedFrom))
+	h.acquire(h.next)
+	if got := h.next.options.Lease.Handover().Until; !got.Equal(allowedFrom) {
+		t.Errorf("the wait ends %v later after the expiry, want it unchanged", got.Sub(allowedFrom))
 	}
 }
 
+// testTakeoverDelay is so long that no test passes because it ended.
+const testTakeoverDelay = time.Minute
+
 // handover is a store in which a former holder has given up the lease, and the manager of a
 // gateway that acquires it next.
 type handover struct {
@@ -401,7 +389,7 @@
 
 func newHandover(t *testing.T) *handover {
 	h := &handover{t: t, store: memstore.New()}
-	former := NewLease(h.store, "former")
+	former := NewLease(h.store, "former", testTakeoverDelay)
 	if _, err := former.Acquire(t.Context()); err != nil {
 		t.Fatal(err)
 	}
@@ -414,24 +402,23 @@
 
 // start returns the manager of a process that has just started.
 func (h *handover) start(name string) *Manager {
-	return New(Options{Name: name, Lease: NewLease(h.store, name), TakeoverDelay: time.Minute, Log: zerolog.Nop()})
+	return New(Options{Name: name, Lease: NewLease(h.store, name, testTakeoverDelay), Log: zerolog.Nop()})
 }
 
 // acquire lets a manager acquire the lease.
 func (h *handover) acquire(m *Manager) {
 	h.t.Helper()
-	token, err := m.options.Lease.Acquire(h.t.Context())
-	if err != nil {
+	if _, err := m.options.Lease.Acquire(h.t.Context()); err != nil {
 		h.t.Fatal(err)
 	}
-	m.setOrdersAllowedFrom(token)
 }
 
 // checkWait fails the test unless a manager still has to wait for most of the delay.
 func (h *handover) checkWait(m *Manager) {
 	h.t.Helper()
-	if wait := m.ordersAllowedFrom.Sub(bootclock.Now()); wait < 50*time.Second {
-		h.t.Errorf("waiting for %v since another gateway gave orders, want about a minute", wait)
+	wait := m.options.Lease.UntilAction()
+	if m.options.Lease.MayAct() || wait < testTakeoverDelay-10*time.Second {
+		h.t.Errorf("waiting for %v since another gateway gave orders, want about %v", wait, testTakeoverDelay)
 	}
 }
 
@@ -447,3 +434,62 @@
 	h.acquire(h.next)
 	h.checkWait(h.next)
 }
+
+// A new holder that is killed in its wait and started again finds its own name in the record. It
+// must not take that for proof that it gave the last orders, however often it happens.
+func TestNewHolderWaitsAfterRestartInItsWait(t *testing.T) {
+	h := newHandover(t)
+	h.acquire(h.next)
+	for range 3 {
+		restarted := h.start("next")
+		h.acquire(restarted)
+		h.checkWait(restarted)
+	}
+}
+
+// A new holder that is stopped as planned in its wait hands the rest of the wait on: to the next
+// one, to itself, over two stops in a row. The gateway that gave the last orders need not wait.
+func TestWaitSurvivesPlannedStopsInIt(t *testing.T) {
+	h := newHandover(t)
+	for _, name := range []string{"next", "next", "third", "next"} {
+		m := h.start(name)
+		h.acquire(m)
+		h.checkWait(m)
+		if err := m.options.Lease.Release(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	former := h.start("former")
+	h.acquire(former)
+	if !former.options.Lease.MayAct() {
+		t.Errorf("the gateway that gave the last orders waits for %v, want no wait", former.options.Lease.UntilAction())
+	}
+}
+
+// A record of a version that did not state who acted last must not be taken for proof that nobody
+// else did.
+func TestHolderWaitsAfterRecordWithoutActor(t *testing.T) {
+	h := newHandover(t)
+	object, err := h.store.Get(t.Context(), leaseKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := h.store.Put(t.Context(), leaseKey, []byte(`{"holder":"next","life":5,"term":1500000000,"nonce":7}`), object.Version); err != nil {
+		t.Fatal(err)
+	}
+	h.acquire(h.next)
+	h.checkWait(h.next)
+}
+
+// When no gateway has ever held the lease, nobody can have given orders: the first one must not
+// wait, nor must it after a restart.
+func TestFirstHolderDoesNotWait(t *testing.T) {
+	h := &handover{t: t, store: memstore.New()}
+	for range 2 {
+		m := h.start("first")
+		h.acquire(m)
+		if !m.options.Lease.MayAct() {
+			t.Errorf("the first holder waits for %v, want no wait", m.options.Lease.UntilAction())
+		}
+	}
+}
--- a/lease/era_test.go
+++ b/lease/era_test.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	eraTerm    = time.Second
-	eraHolders = 3
+	eraTerm          = time.Second
+	eraHandoverDelay = 3 * eraTerm / 2
+	eraHolders       = 3
 )
 
 // eraFleet is a set of processes that compete for one lease on a store that is restored
@@ -30,19 +31,28 @@
 	interleave func()
 	// newestToken is the highest fencing token that a process has got.
 	newestToken int64
-	violation   string
+	// lastActed is when each process last acted, if it has. A process acts whenever it may.
+	lastActed [eraHolders]time.Time
+	violation string
 }
 
 func newEraFleet() *eraFleet {
 	f := &eraFleet{store: memstore.New(), now: time.Unix(1000, 0), inCall: make([]bool, eraHolders), interleave: func() {}}
 	f.store.Restore(0)
 	for i := range eraHolders {
-		s := &processStore{fleet: f, store: f.store}
-		f.leases = append(f.leases, NewLease(s, "lease", fmt.Sprint("process-", i), eraTerm, func() time.Time { return f.now }))
+		f.leases = append(f.leases, f.newLease(i))
 	}
 	return f
 }
 
+// newLease returns the lease of a process that has just started.
+func (f *eraFleet) newLease(i int) *Lease {
+	return NewLease(LeaseOptions{
+		Store: &processStore{fleet: f, store: f.store}, Key: "lease", Holder: fmt.Sprint("process-", i),
+		Term: eraTerm, HandoverDelay: eraHandoverDelay, Now: func() time.Time { return f.now },
+	})
+}
+
 // processStore is one process's driver of the store. It knows only the eras that its own
 // responses have stated, and the store compares revisions regardless of their era.
 type processStore struct {
@@ -99,17 +109,42 @@
 	f.check()
 }
 
+// release lets a process give up the lease, unless it is in a call.
+func (f *eraFleet) release(i int) {
+	if f.inCall[i] {
+		return
+	}
+	f.inCall[i] = true
+	// Whether the record could be written must not matter.
+	_ = f.leases[i].Release(context.Background())
+	f.inCall[i] = false
+	f.check()
+}
+
+// restart kills a process and starts it again, unless it is in a call.
+func (f *eraFleet) restart(i int) {
+	if !f.inCall[i] {
+		f.leases[i] = f.newLease(i)
+	}
+}
+
 func (f *eraFleet) advance(d time.Duration) {
 	f.now = f.now.Add(d)
 	f.check()
 }
 
-// check records a violation if two processes hold the lease.
+// check lets the processes act that may. It records a violation if two processes hold the lease,
+// or if two act within the handover delay.
 func (f *eraFleet) check() {
+	for i, l := range f.leases {
+		if l.MayAct() {
+			f.act(i)
+		}
+	}
 	var holders []string
 	for _, l := range f.leases {
 		if l.Held() {
-			holders = append(holders, l.holder)
+			holders = append(holders, l.options.Holder)
 		}
 	}
 	if len(holders) > 1 {
@@ -117,6 +152,15 @@
 	}
 }
 
+func (f *eraFleet) act(i int) {
+	for other, at := range f.lastActed {
+		if other != i && !at.IsZero() && f.now.Sub(at) < eraHandoverDelay {
+			f.violation = fmt.Sprintf("process %d acted %v after process %d", i, f.now.Sub(at), other)
+		}
+	}
+	f.lastActed[i] = f.now
+}
+
 // eraAction is one step of a schedule.
 type eraAction struct {
 	name string
@@ -134,30 +178,52 @@
 	{"execute-write", func(f *eraFleet) { f.store.ExecuteHeldWrites() }},
 }
 
+// handoverActions are all steps of the exhaustive search for holders that act too soon after each
+// other.
+var handoverActions = append([]eraAction{
+	{"release-0", func(f *eraFleet) { f.release(0) }},
+	{"release-1", func(f *eraFleet) { f.release(1) }},
+	{"restart-1", func(f *eraFleet) { f.restart(1) }},
+}, eraActions...)
+
 // TestLeaseOverErasExhaustively runs every schedule of a bounded length of three
 // processes, the clock, restores and late writes against the real lease. Process 0 holds
-// the lease at the start.
+// the lease and acts at the start.
 func TestLeaseOverErasExhaustively(t *testing.T) {
 	length := 6
 	if testing.Short() {
 		length = 5
 	}
+	runSchedules(t, eraActions, length)
+}
+
+// TestHandoverExhaustively runs every schedule of a bounded length that also has restarts and
+// planned stops.
+func TestHandoverExhaustively(t *testing.T) { runSchedules(t, handoverActions, 5) }
+
+// runSchedules runs every schedule of the given actions and length.
+func runSchedules(t *testing.T, actions []eraAction, length int) {
+	t.Helper()
 	schedules := 1
 	for range length {
-		schedules *= len(eraActions)
+		schedules *= len(actions)
 	}
 	for schedule := range schedules {
 		f := newEraFleet()
 		f.acquire(0)
 		f.advance(2 * eraTerm)
 		f.acquire(0)
-		if !f.leases[0].Held() {
-			t.Fatal("process 0 does not hold the lease at the start")
+		for range 4 {
+			f.advance(eraTerm / 2)
+			f.acquire(0)
+		}
+		if !f.leases[0].MayAct() {
+			t.Fatal("process 0 does not act under the lease at the start")
 		}
 		var steps []string
 		for rest, i := schedule, 0; i < length; i++ {
-			action := eraActions[rest%len(eraActions)]
-			rest /= len(eraActions)
+			action := actions[rest%len(actions)]
+			rest /= len(actions)
 			steps = append(steps, action.name)
 			action.do(f)
 		}
@@ -180,7 +246,7 @@
 		random := rand.New(rand.NewPCG(*seed, n))
 		depth := 0
 		step := func() {
-			switch random.IntN(12) {
+			switch random.IntN(14) {
 			case 0:
 				f.store.Restore(max(0, f.store.Revision()-int64(random.IntN(6))))
 			case 1:
@@ -189,6 +255,10 @@
 				f.store.SetFaults(memstore.Faults{LoseAnswers: 1})
 			case 3:
 				f.store.ExecuteHeldWrites()
+			case 12:
+				f.release(random.IntN(eraHolders))
+			case 13:
+				f.restart(random.IntN(eraHolders))
 			case 4, 5, 6:
 				f.advance(time.Duration(random.Int64N(int64(eraTerm) / 2)))
 			default:
@@ -211,14 +281,15 @@
 		f.interleave = func() {}
 		f.store.SetFaults(memstore.Faults{})
 		f.store.ExecuteHeldWrites()
-		held := false
+		held, acted := false, false
 		for range 12 {
 			f.advance(eraTerm / 2)
 			f.acquire(0)
 			held = held || f.leases[0].Held()
+			acted = acted || f.leases[0].MayAct()
 		}
-		if !held {
-			t.Fatalf("schedule %d of seed %d: the lease can't be taken after the faults", n, *seed)
+		if !held || !acted {
+			t.Fatalf("schedule %d of seed %d: the lease can't be taken after the faults, or its holder can't act", n, *seed)
 		}
 	}
 }
@@ -234,7 +305,7 @@
 	f.acquire(1)
 	f.advance(2 * eraTerm)
 	f.acquire(1)
-	if got := f.leases[1].PreviousHolder(); !f.leases[1].Held() || got != UnknownHolder {
-		t.Errorf("held %v with previous holder %q, want it held after an unknown one", f.leases[1].Held(), got)
+	if got := f.leases[1].Handover().Actor; !f.leases[1].Held() || got != UnknownHolder {
+		t.Errorf("held %v after %q acted, want it held after an unknown holder", f.leases[1].Held(), got)
 	}
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -18,10 +18,6 @@
 // ErrHeld reports that another process holds the lease, or may still hold it.
 var ErrHeld = errors.New("lease is held by another process")
 
-// UnknownHolder is the PreviousHolder of a lease that was taken after a restore of the
-// store, which may have lost the record of the last holder.
-const UnknownHolder = "unknown"
-
 // leaseRecord is the stored form of a lease.
 type leaseRecord struct {
 	Holder      string        `json:"holder"`
@@ -34,6 +30,12 @@
 	// with an earlier era than its version was kept by a restore, or was written under a
 	// condition that only a revision given out again has met.
 	Era int64 `json:"era,omitempty"`
+	// Actor is the holder that last may have acted under the lease, "" in records of versions
+	// that did not state it. While it is another than Holder, Holder waits for the end of the
+	// handover delay and has not acted.
+	Actor string `json:"actor,omitempty"`
+	// Wait is how much of the handover delay was left when the record was written.
+	Wait time.Duration `json:"wait,omitempty"`
 }
 
 // isOfEra reports whether the record was written in the era of its version.
@@ -46,14 +48,16 @@
 //
 // When the store is restored from an older copy, all leases end: the record of the last
 // holder may be lost. In the new era a process takes the lease only after it has known the
-// era for a whole term, when every lease of earlier eras is over. It is safe for concurrent
+// era for a whole term, when every lease of earlier eras is over.
+//
+// What two holders do in turn may have to be further apart than their terms. A holder that
+// was not the last one to act therefore acts only after LeaseOptions.HandoverDelay. Who acted
+// last, and the rest of that delay, are in the record; so neither a restart or a release
+// within the delay nor a lost reply ends it early. See MayAct. A Lease is safe for concurrent
 // use.
 type Lease struct {
-	store       store.Store
-	key         string
-	holder      string
+	options     LeaseOptions
 	incarnation uint64
-	term        time.Duration
 	now         func() time.Time
 
 	// callMu is held during calls to the store. It protects the fields below it.
@@ -74,19 +78,32 @@
 	// heldVersion is the version of the record by which this process holds the lease, or
 	// held it last.
 	heldVersion int64
-	// previousHolder is the holder from which this process last took the lease over, and
-	// basis what this is known from.
-	previousHolder string
-	basis          Basis
+	// handover is from whom this process last took the lease over, or is about to. isActor
+	// is true if the record by which it holds the lease names it as the actor.
+	handover Handover
+	isActor  bool
+}
+
+// LeaseOptions configures a Lease. Store, Key, Holder and Term are required.
+type LeaseOptions struct {
+	Store store.Store
+	Key   string
+	// Holder is the name of this process. Processes that run at the same time must have
+	// different names; a process that is started again keeps its name.
+	Holder string
+	Term   time.Duration
+	// HandoverDelay is how long after another holder can have acted last a holder may act.
+	HandoverDelay time.Duration
+	// Now reads a clock that never goes back. If nil, time.Now is used.
+	Now func() time.Time
 }
 
-// NewLease returns a lease on a key; it is not held before Acquire. Processes that run
-// at the same time must have different holder names. If now is nil, time.Now is used.
-func NewLease(s store.Store, key, holder string, term time.Duration, now func() time.Time) *Lease {
-	if now == nil {
-		now = time.Now
+// NewLease returns a lease that is not held before Acquire.
+func NewLease(options LeaseOptions) *Lease {
+	if options.Now == nil {
+		options.Now = time.Now
 	}
-	return &Lease{store: s, key: key, holder: holder, incarnation: rand.Uint64() | 1, term: term, now: now}
+	return &Lease{options: options, incarnation: rand.Uint64() | 1, now: options.Now}
 }
 
 // Held reports whether this process holds the lease now. It returns false after a
@@ -96,7 +113,7 @@
 func (l *Lease) Held() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.now().Before(l.expiresAt) && store.EraOf(l.heldVersion) == store.CurrentEra(l.store)
+	return l.now().Before(l.expiresAt) && store.EraOf(l.heldVersion) == store.CurrentEra(l.options.Store)
 }
 
 // Acquire takes or renews the lease and returns a fencing token, which is the version
@@ -110,7 +127,8 @@
 	requestedAt := l.now()
 	if l.Held() {
 		// A holder knows the record, so one call renews it unless it has changed.
-		token, err := l.renew(ctx, requestedAt)
+		version := l.lastHeldVersion()
+		token, err := l.writeHeld(ctx, version, store.EraOf(version), requestedAt)
 		if !errors.Is(err, ErrHeld) {
 			return token, err
 		}
@@ -119,7 +137,7 @@
 	if err != nil {
 		return 0, err
 	}
-	era := store.CurrentEra(l.store)
+	era := store.CurrentEra(l.options.Store)
 	if version != store.VersionAbsent && store.EraOf(version) != era {
 		return 0, ErrHeld
 	}
@@ -128,27 +146,8 @@
 	if !isOwn && !l.mayTake(&current, version) {
 		return 0, ErrHeld
 	}
-	l.notePreviousHolder(&current, version)
-	token, err := l.write(ctx, version, era)
-	if err != nil {
-		return 0, err
-	}
-	l.setHeld(token, requestedAt)
-	return token, nil
-}
-
-// renew writes the record anew. It returns ErrHeld if the record has changed.
-func (l *Lease) renew(ctx context.Context, requestedAt time.Time) (int64, error) {
-	version := l.lastHeldVersion()
-	l.mu.Lock()
-	l.previousHolder = l.holder
-	l.mu.Unlock()
-	token, err := l.write(ctx, version, store.EraOf(version))
-	if err != nil {
-		return 0, err
-	}
-	l.setHeld(token, requestedAt)
-	return token, nil
+	l.noteHandover(&current, version)
+	return l.writeHeld(ctx, version, era, requestedAt)
 }
 
 // noteSeen records when a version of the record and an era of the store were first seen.
@@ -173,13 +172,13 @@
 	}
 	// A holder of the same name is a previous incarnation of this process, which no longer
 	// runs. A record of this incarnation is of a write whose reply was lost.
-	return current.Holder == l.holder || current.Incarnation == l.incarnation || l.isExpired(current)
+	return current.Holder == l.options.Holder || current.Incarnation == l.incarnation || l.isExpired(current)
 }
 
 // isEraOld reports whether the leases of earlier eras are over: this process has known the
 // era for a whole term. A store without eras has no earlier ones.
 func (l *Lease) isEraOld() bool {
-	return l.seenEra == 0 || l.now().Sub(l.seenEraAt) >= withDrift(l.term)
+	return l.seenEra == 0 || l.now().Sub(l.seenEraAt) >= withDrift(l.options.Term)
 }
 
 // isExpired reports whether the current record has stayed unchanged for its whole term.
@@ -196,40 +195,23 @@
 	return l.heldVersion
 }
 
-// setHeld records that this process holds the lease by a version of the record. The term
-// counts from requestedAt.
-func (l *Lease) setHeld(version int64, requestedAt time.Time) {
-	l.seenVersion, l.seenAt = version, l.now()
+// writeHeld writes a record of this process and records that it holds the lease by it. The
+// term counts from requestedAt.
+func (l *Lease) writeHeld(ctx context.Context, expectedVersion, era int64, requestedAt time.Time) (int64, error) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.heldVersion = version
-	l.expiresAt = requestedAt.Add(l.term - time.Duration(float64(l.term)*clockDriftFraction))
-}
-
-// notePreviousHolder records from whom the lease is about to be taken over: this process
-// itself if its lease had expired and nobody has taken it since. A record that this process
-// has written without getting the reply says nothing of who held the lease before it; what
-// that write replaced stays recorded.
-func (l *Lease) notePreviousHolder(previous *leaseRecord, version int64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.basis = l.basisOf(previous, version)
-	switch l.basis {
-	case BasisNoRecord, BasisUnansweredWrite:
-	case BasisRestored:
-		l.previousHolder = UnknownHolder
-	default:
-		l.previousHolder = previous.Holder
+	actor, wait := l.state()
+	l.mu.Unlock()
+	version, err := l.write(ctx, expectedVersion, era, actor, wait)
+	if err != nil {
+		return 0, err
 	}
-}
-
-// PreviousHolder returns the name of the holder from which this process last took the lease
-// over, its own after a renewal or an expiry in which nobody else took it, UnknownHolder if a
-// restore of the store may have lost its record, or "" if it never took over a stored lease.
-func (l *Lease) PreviousHolder() string {
+	l.seenVersion, l.seenAt = version, l.now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.previousHolder
+	l.heldVersion, l.isActor = version, actor == l.options.Holder
+	term := l.options.Term
+	l.expiresAt = requestedAt.Add(term - time.Duration(float64(term)*clockDriftFraction))
+	return version, nil
 }
 
 // Release gives up the lease before its term ends, so that others need not wait.
@@ -243,20 +225,23 @@
 	l.mu.Lock()
 	l.expiresAt = time.Time{}
 	version := l.heldVersion
+	actor, wait := l.releasedState()
 	l.mu.Unlock()
 	// A record with a zero term is expired at once.
-	value, err := json.Marshal(leaseRecord{Holder: l.holder, Nonce: rand.Uint64(), Era: store.EraOf(version)})
+	value, err := json.Marshal(leaseRecord{
+		Holder: l.options.Holder, Incarnation: l.incarnation, Nonce: rand.Uint64(), Era: store.EraOf(version), Actor: actor, Wait: wait,
+	})
 	if err != nil {
 		return err
 	}
-	_, err = l.store.Put(ctx, l.key, value, version)
+	_, err = l.options.Store.Put(ctx, l.options.Key, value, version)
 	return err
 }
 
 // read returns the stored record and its version, or VersionAbsent if there is none.
 func (l *Lease) read(ctx context.Context) (leaseRecord, int64, error) {
 	var record leaseRecord
-	object, err := l.store.Get(ctx, l.key)
+	object, err := l.options.Store.Get(ctx, l.options.Key)
 	if errors.Is(err, store.ErrNotFound) {
 		return record, store.VersionAbsent, nil
 	}
@@ -269,13 +254,15 @@
 // write stores a record of this holder if the stored record has expectedVersion, and
 // returns the new version. Otherwise it returns ErrHeld, and also if the store was
 // restored since the stored record was read in the given era.
-func (l *Lease) write(ctx context.Context, expectedVersion, era int64) (int64, error) {
+func (l *Lease) write(ctx context.Context, expectedVersion, era int64, actor string, wait time.Duration) (int64, error) {
 	l.nonce = rand.Uint64()
-	value, err := json.Marshal(leaseRecord{Holder: l.holder, Incarnation: l.incarnation, Term: l.term, Nonce: l.nonce, Era: era})
+	value, err := json.Marshal(leaseRecord{
+		Holder: l.options.Holder, Incarnation: l.incarnation, Term: l.options.Term, Nonce: l.nonce, Era: era, Actor: actor, Wait: wait,
+	})
 	if err != nil {
 		return 0, err
 	}
-	version, err := l.store.Put(ctx, l.key, value, expectedVersion)
+	version, err := l.options.Store.Put(ctx, l.options.Key, value, expectedVersion)
 	if errors.Is(err, store.ErrUnknownOutcome) {
 		version, err = l.resolveUnknownOutcome(ctx)
 	}
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -17,7 +17,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const term = 10 * time.Second
 		s := memstore.New()
-		first, second := NewLease(s, "k", "a", term, nil), NewLease(s, "k", "b", term, nil)
+		first, second := NewLease(LeaseOptions{Store: s, Key: "k", Holder: "a", Term: term}), NewLease(LeaseOptions{Store: s, Key: "k", Holder: "b", Term: term})
 		ctx := context.Background()
 		s.SetFaults(memstore.Faults{LoseAnswers: 1})
 		firstToken, err := first.Acquire(ctx)
@@ -56,7 +56,8 @@
 		start := time.Now()
 		slow := func() time.Time { return start.Add(time.Since(start) * 99 / 100) }
 		fast := func() time.Time { return start.Add(time.Since(start) * 101 / 100) }
-		holder, contender := NewLease(s, "k", "a", term, slow), NewLease(s, "k", "b", term, fast)
+		holder := NewLease(LeaseOptions{Store: s, Key: "k", Holder: "a", Term: term, Now: slow})
+		contender := NewLease(LeaseOptions{Store: s, Key: "k", Holder: "b", Term: term, Now: fast})
 		for range 100 {
 			if _, err := holder.Acquire(context.Background()); err != nil {
 				t.Fatal(err)
@@ -77,7 +78,7 @@
 func TestReleasedLeaseIsTakenOverAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := memstore.New()
-		first, second := NewLease(s, "k", "a", leaseTerm, nil), NewLease(s, "k", "b", leaseTerm, nil)
+		first, second := NewLease(LeaseOptions{Store: s, Key: "k", Holder: "a", Term: leaseTerm}), NewLease(LeaseOptions{Store: s, Key: "k", Holder: "b", Term: leaseTerm})
 		acquire(t, first)
 		if _, err := second.Acquire(t.Context()); !errors.Is(err, ErrHeld) {
 			t.Fatalf("the second holder got %v, want ErrHeld", err)
@@ -89,8 +90,8 @@
 			t.Error("the released lease is still held")
 		}
 		acquire(t, second)
-		if got := second.PreviousHolder(); got != "a" {
-			t.Errorf("the previous holder is %q, want \"a\"", got)
+		if got := second.Handover().Actor; got != "a" {
+			t.Errorf("the last actor is %q, want \"a\"", got)
 		}
 		if err := first.Release(t.Context()); err != nil || !second.Held() {
 			t.Errorf("the second release returned %v or ended the new holder's lease", err)
@@ -104,13 +105,13 @@
 func TestRestartedHolderAcquiresAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := memstore.New()
-		firstToken := acquire(t, NewLease(s, "k", "a", leaseTerm, nil))
-		restarted := NewLease(s, "k", "a", leaseTerm, nil)
+		firstToken := acquire(t, NewLease(LeaseOptions{Store: s, Key: "k", Holder: "a", Term: leaseTerm}))
+		restarted := NewLease(LeaseOptions{Store: s, Key: "k", Holder: "a", Term: leaseTerm})
 		if token := acquire(t, restarted); token <= firstToken {
 			t.Errorf("fencing token %d after %d, want it to grow", token, firstToken)
 		}
-		if got := restarted.PreviousHolder(); got != "a" {
-			t.Errorf("the previous holder is %q, want \"a\"", got)
+		if got := restarted.Handover().Actor; got != "a" {
+			t.Errorf("the last actor is %q, want \"a\"", got)
 		}
 	})
 }
@@ -125,12 +126,12 @@
 }
 
 // A process whose lease expired while it was suspended, and that nobody else took, is its own
-// previous holder, whoever held the lease before.
-func TestHolderAfterExpiryIsItsOwnPreviousHolder(t *testing.T) {
+// last actor, whoever held the lease before.
+func TestHolderAfterExpiryIsItsOwnLastActor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const term = time.Second
 		s := memstore.New()
-		first, second := NewLease(s, "k", "a", term, nil), NewLease(s, "k", "b", term, nil)
+		first, second := NewLease(LeaseOptions{Store: s, Key: "k", Holder: "a", Term: term}), NewLease(LeaseOptions{Store: s, Key: "k", Holder: "b", Term: term})
 		acquire(t, first)
 		if err := first.Release(t.Context()); err != nil {
 			t.Fatal(err)
@@ -141,8 +142,8 @@
 			t.Fatal("the lease is still held after its term")
 		}
 		acquire(t, second)
-		if got := second.PreviousHolder(); got != "b" {
-			t.Errorf("the previous holder is %q, want \"b\"", got)
+		if got := second.Handover().Actor; got != "b" {
+			t.Errorf("the last actor is %q, want \"b\"", got)
 		}
 	})
 }
