weights: no order is under way when the orders lease ends

Found while mending the wait of a new holder, not reported: that wait counts from the release or the end of the lease, but an order that was sent just before could take up to 0.8 s longer, for instance over a link that loses packets, and so reach an engine within the bound of the next holder's first order.

A planned stop now waits for the answers to orders that were sent before it releases the lease, and an order may take no longer than the rest of the lease.

TestNoOrderIsUnderWayWhenLeaseEnds failed before: the order could take 799 ms of a lease of 600 ms, and the next holder acquired the lease beside it.

--- a/internal/weights/lease.go
+++ b/internal/weights/lease.go
@@ -55,8 +55,9 @@
 	m.options.Log.Info().Int64("fence", fencingToken).Str("former", handover.Actor).Str("basis", string(handover.Basis)).Dur("wait_ms", wait).Msg("weights: this gateway acquired the orders lease; it sends orders after the wait")
 }
 
-// StepDown stops sending orders for good and releases the lease, so that another gateway
-// can acquire it. If the release fails, the lease expires after its term.
+// StepDown stops sending orders for good, waits for the answers to those that were sent, and
+// releases the lease, so that another gateway can acquire it. If the release fails, the lease
+// expires after its term.
 func (m *Manager) StepDown(ctx context.Context) {
 	m.mu.Lock()
 	m.steppedDown = true
@@ -66,6 +67,8 @@
 	if !holdsLease {
 		return
 	}
+	// The wait of the next holder counts from the release.
+	m.orders.Wait()
 	ctx, cancel := context.WithTimeout(ctx, leaseCallTimeout)
 	defer cancel()
 	err := m.options.Lease.Release(ctx)
@@ -147,6 +150,23 @@
 	return m.fencingToken, now.Add(minLeaseForOrder).Before(m.leaseExpires) && m.options.Lease.MayAct()
 }
 
+// beginOrder returns the fencing token of an order that is about to be sent, and how long it may
+// take: no order is to be under way when the lease has ended. ok is false if no order may be
+// sent now. Otherwise the caller must call m.orders.Done when the order has been answered.
+func (m *Manager) beginOrder() (fencingToken int64, timeout time.Duration, ok bool) {
+	fencingToken, ok = m.orderFencingToken()
+	if !ok {
+		return 0, 0, false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.steppedDown {
+		return 0, 0, false
+	}
+	m.orders.Add(1)
+	return fencingToken, min(orderTimeout, m.leaseExpires.Sub(bootclock.Now())), true
+}
+
 // LeaseRemaining returns the time until the lease expires unless it is renewed; 0
 // when this gateway does not hold it.
 func (m *Manager) LeaseRemaining() time.Duration {
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -125,8 +125,9 @@
 	loadCount   map[string]int
 	loadLimit   map[string]int
 	steppedDown bool
-	// rollouts counts the goroutines that run rollOut for an engine.
-	rollouts sync.WaitGroup
+	// rollouts counts the goroutines that run rollOut for an engine, orders the orders that are
+	// under way.
+	rollouts, orders sync.WaitGroup
 	// otherHolder is the gateway that last reported that it holds the lease, and
 	// otherHolderSeen when it did.
 	otherHolder     string
--- a/internal/weights/rollout.go
+++ b/internal/weights/rollout.go
@@ -126,11 +126,12 @@
 	if !m.options.Fleet.MayCall(engine.ID) {
 		return Rejected, ErrEngineDeclines
 	}
-	fencingToken, ok := m.orderFencingToken()
+	fencingToken, timeout, ok := m.beginOrder()
 	if !ok {
 		return Rejected, ErrOrdersNotPermitted
 	}
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer m.orders.Done()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sentAt := bootclock.Now()
 	result, err := m.options.Engines.Order(ctx, &Order{
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -493,3 +493,49 @@
 		}
 	}
 }
+
+// heldEngines is an engine that answers orders only when release is closed.
+type heldEngines struct {
+	*fakeEngines
+	received chan time.Duration
+	release  chan struct{}
+}
+
+// Order implements Engines. It sends to received how long the order may take.
+func (e *heldEngines) Order(ctx context.Context, _ *Order) (Result, error) {
+	deadline, _ := ctx.Deadline()
+	e.received <- time.Until(deadline)
+	<-e.release
+	return Accepted, nil
+}
+
+// The wait of the next holder counts from the release or the end of the lease. No order must be
+// under way then, or it reaches an engine within the wait.
+func TestNoOrderIsUnderWayWhenLeaseEnds(t *testing.T) {
+	const remaining = 2 * minLeaseForOrder
+	h := &handover{t: t, store: memstore.New()}
+	m := h.start("first")
+	engines := &heldEngines{newFakeEngines(0), make(chan time.Duration), make(chan struct{})}
+	m.options.Engines, m.options.Fleet = engines, newFakeFleet()
+	h.acquire(m)
+	m.leaseExpires = bootclock.Now().Add(remaining)
+	go func() { _, _ = m.sendOrder(t.Context(), &catalog.Upstream{ID: "e0"}, testModel, 2, 0) }()
+	if timeout := <-engines.received; timeout > remaining {
+		t.Errorf("the order may take %v, want at most the rest of the lease, %v", timeout, remaining)
+	}
+	stopped := make(chan struct{})
+	go func() {
+		m.StepDown(t.Context())
+		close(stopped)
+	}()
+	eventually(t, "the holder steps down", m.hasSteppedDown)
+	time.Sleep(50 * time.Millisecond)
+	second := h.start("second")
+	if _, err := second.options.Lease.Acquire(t.Context()); !errors.Is(err, lease.ErrHeld) {
+		t.Errorf("the next holder got %v while an order is under way, want ErrHeld", err)
+	}
+	close(engines.release)
+	<-stopped
+	h.acquire(second)
+	h.checkWait(second)
+}
