gateway: customers share no parts of one that was isolated since

Cause: the namespace of the customers that are not isolated depended on the weights alone, so it stayed the same when a customer that had made parts in it became isolated. It now depends on which customers are isolated, too, and on nothing else, so that gateways agree on it after restarts and missed configurations.

Other changes of the configuration leave the namespace as it is.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -5,8 +5,12 @@
 
 import (
 	"crypto/sha256"
+	"slices"
+	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Kind specifies whether a route's requests may be repeated.
@@ -169,6 +173,10 @@
 	Keys map[KeyHash]*Customer
 	// KeysRequired reports whether routes need a key unless they are open.
 	KeysRequired bool
+	// SharedNamespace separates the cached prompt parts that customers may share from those that
+	// were shared while other customers were isolated; empty if no customer is isolated. It is
+	// set by SetCustomers.
+	SharedNamespace string
 	// LongestStream is the longest timeout of a route whose streams may be resumed; 0 if there
 	// is none. It is set by SetRoutes.
 	LongestStream time.Duration
@@ -176,6 +184,31 @@
 	routesByHost map[string][]*Route
 }
 
+// SetCustomers sets Customers and SharedNamespace. The namespace depends on which customers are
+// isolated and on nothing else: a part in it was made while all of them were, so none of them
+// made it, and gateways agree on it whichever configurations each of them has seen before. It is
+// the same again when the same customers are isolated again.
+func (c *Config) SetCustomers(customers map[string]*Customer) {
+	c.Customers, c.SharedNamespace = customers, ""
+	var isolated []string
+	for name, customer := range customers {
+		if customer.Isolated {
+			isolated = append(isolated, name)
+		}
+	}
+	if len(isolated) == 0 {
+		return
+	}
+	slices.Sort(isolated)
+	digest := xxhash.New()
+	for _, name := range isolated {
+		// Writes to a digest never fail.
+		_, _ = digest.WriteString(name)
+		_, _ = digest.Write([]byte{0})
+	}
+	c.SharedNamespace = strconv.FormatUint(digest.Sum64(), 16)
+}
+
 // SetRoutes sets the routes. It must be called before the configuration is published.
 func (c *Config) SetRoutes(routes []*Route) {
 	c.routesByHost = make(map[string][]*Route, len(routes))
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -13,16 +13,6 @@
 	"github.com/greengagegate/greengagegate/internal/exchange"
 )
 
-// cacheSalt returns the namespace of cached prompt parts. Parts that were computed with
-// different weights have different namespaces, and each isolated customer has its own.
-func cacheSalt(version int64, customer *catalog.Customer) string {
-	salt := "w" + strconv.FormatInt(version, 10)
-	if customer != nil && customer.Isolated {
-		salt += "." + customer.Name
-	}
-	return salt
-}
-
 // handleResponse classifies a response by its status and header and forwards it to the
 // caller, or decides whether another attempt may follow. The results are those of tryUpstream.
 func (j *job) handleResponse(ctx context.Context, s *send) (bool, *refusal) {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -359,12 +359,3 @@
 	s.report.recordResult(result)
 	j.attempts = append(j.attempts, attemptRecord{upstream: s.choice.Upstream.ID, result: result, duration: bootclock.Since(s.startedAt)})
 }
-
-// salt returns the cache namespace of the request's parts for a version of the weights. Parts
-// that were computed with an unknown version, which is 0, are shared with no other request.
-func (j *job) salt(version int64) string {
-	if version == 0 {
-		return "unknown." + j.call.ID
-	}
-	return cacheSalt(version, j.customer)
-}
