--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -300,14 +300,18 @@
 		return Origin{Record: *record, Finding: FindingRecord}
 	}
 	now, horizon := m.options.Now(), m.horizon()
-	isFresh := m.options.Catalog.ConfigEvidenceAge(now) <= freshFor
+	evidenceAge := m.options.Catalog.ConfigEvidenceAge(now)
+	isFresh := evidenceAge <= freshFor
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	own := m.history.view(pool, now)
 	for _, v := range views {
 		m.history.merge(pool, v, horizon, now)
 	}
-	if software, ok := singleVersion(own, views, isFresh, horizon); ok {
+	software, ok := singleVersion(own, views, isFresh, horizon)
+	m.options.Log.Info().Str("stream", key.text()).Str("pool", pool).Int("answers", len(views)).Interface("versions_age", own.Ages).Dur("known_for_ms", own.Span).
+		Dur("evidence_ms", evidenceAge).Bool("single", ok).Msg("origin: no gateway knows where a stream began; it goes on only if a single version can have begun it")
+	if ok {
 		return Origin{Record: Record{Pool: pool, Software: software}, Finding: FindingSingle}
 	}
 	return Origin{Finding: FindingUnknown}
