origin: a recent list does not show that no other version has joined

Streams that had begun at engines of a new software version went on at an engine of another version when they were resumed at a gateway that was cut off from the store and the other gateways for less than about a second (another operator's report).

Cause: a gateway that knew no origin of a stream, and got no answer, took its list of upstreams for complete while the evidence of its configuration was at most 2 s old. Now all other gateways must be in contact and answer, or a read from the store that is sent after the request arrived must show no further version. Requests share such reads. A gateway that has read no list yet counts as not answering.

TestGatewayThatIsCutOff is stricter: no age of the evidence is enough.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -85,6 +85,9 @@
 	// BatchChanges is true if changes may be delayed, so that changes which follow each other
 	// shortly take one poll.
 	BatchChanges bool
+	// Software returns the pool and the software version of the upstream in an object; ok is
+	// false if the object names none. It is nil unless the prefix has the upstreams.
+	Software func(object store.Object) (pool, software string, ok bool)
 }
 
 // Platform connects a gateway to the platform that it runs on.
@@ -131,6 +134,7 @@
 			exchange.NewPool,
 			func() *admin.Readiness { return new(admin.Readiness) },
 			func() *gatewayRank { return new(gatewayRank) },
+			func(st PolledStore) *versionsReader { return &versionsReader{store: st} },
 			func() *share.Manager { return share.New(s.Identity.Name, s.Bounds.QuotaSlack*slackFraction, nil) },
 			newBalancer,
 			func(log zerolog.Logger) *ratelimit.Tracker { return ratelimit.New(ratelimit.Options{Log: log}) },
@@ -312,7 +316,7 @@
 
 // followPlatform mirrors the platform's prefixes into the catalog and refreshes the
 // evidence that the configuration is the newest.
-func followPlatform(lifecycle fx.Lifecycle, s *GatewaySettings, p Platform, st PolledStore, source *relay.Manager, platformCatalog *catalog.Catalog, ownRank *gatewayRank, log zerolog.Logger) {
+func followPlatform(lifecycle fx.Lifecycle, s *GatewaySettings, p Platform, st PolledStore, source *relay.Manager, platformCatalog *catalog.Catalog, versions *versionsReader, ownRank *gatewayRank, log zerolog.Logger) {
 	options := MirrorOptions{UnlistedRetention: s.Bounds.unlistedRetention(), Rollouts: s.Rollout.Enabled()}
 	for _, mirrored := range p.MirroredPrefixes(platformCatalog, options, log) {
 		batchDelay := time.Duration(0)
@@ -323,7 +327,10 @@
 		if mirrored.Direct {
 			prefixSource = relay.DirectSource{Manager: source}
 		}
-		followPrefix(lifecycle, prefixSource, mirrored.Prefix, mirrored.Sink, batchDelay, log)
+		storeMirror := followPrefix(lifecycle, prefixSource, mirrored.Prefix, mirrored.Sink, batchDelay, log)
+		if mirrored.Software != nil {
+			versions.mirror, versions.software = storeMirror, mirrored.Software
+		}
 		if mirrored.EvidenceKey != "" {
 			refresher := &evidenceRefresher{store: st, key: mirrored.EvidenceKey, sink: mirrored.Sink, catalog: platformCatalog, rank: ownRank, log: log}
 			appendBackground(lifecycle, log, "evidence", refresher.run)
@@ -333,9 +340,10 @@
 
 // followPrefix mirrors a prefix of the store into sink. batchDelay is the pause after
 // changes.
-func followPrefix(lifecycle fx.Lifecycle, source mirror.Source, prefix string, sink mirror.Sink, batchDelay time.Duration, log zerolog.Logger) {
+func followPrefix(lifecycle fx.Lifecycle, source mirror.Source, prefix string, sink mirror.Sink, batchDelay time.Duration, log zerolog.Logger) *mirror.Mirror {
 	storeMirror := mirror.New(mirror.Options{Source: source, Prefix: prefix, Sink: sink, PollWait: pollWait, ChangeDelay: batchDelay, Log: log})
 	appendBackground(lifecycle, log, "mirror "+prefix, storeMirror.Run)
+	return storeMirror
 }
 
 // followRoster joins the list of gateways, follows it, and leaves it when the
--- a/internal/app/gatewaypeers.go
+++ b/internal/app/gatewaypeers.go
@@ -100,9 +100,9 @@
 	return manager
 }
 
-func newOrigins(lifecycle fx.Lifecycle, s *GatewaySettings, n *node.Node, platformCatalog *catalog.Catalog, peerManager *peering.Manager, r *roster.Roster, log zerolog.Logger) *origin.Manager {
+func newOrigins(lifecycle fx.Lifecycle, s *GatewaySettings, n *node.Node, platformCatalog *catalog.Catalog, versions *versionsReader, peerManager *peering.Manager, r *roster.Roster, log zerolog.Logger) *origin.Manager {
 	manager := origin.New(origin.Options{
-		Gateways: peerManager, Catalog: platformCatalog, Silences: r.TimeSinceContact, FirstStart: s.Start.First, Log: log,
+		Gateways: peerManager, Catalog: platformCatalog, Versions: versions, Silences: r.TimeSinceContact, FirstStart: s.Start.First, Log: log,
 	})
 	manager.Register(n.Server)
 	appendHook(lifecycle, func(context.Context) error { return nil }, func(context.Context) error {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -12,6 +12,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/bootclock"
@@ -27,6 +28,8 @@
 	pollMargin = 2500 * time.Millisecond
 	// listTimeout is the timeout of a list call.
 	listTimeout = 1500 * time.Millisecond
+	// aheadWait is how long the store may hold a poll of ReadAhead open, the least that it takes.
+	aheadWait = time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the exponential backoff after failed
 	// calls. Each delay is drawn at random between half of the backoff and all of it.
 	minRetryDelay = 50 * time.Millisecond
@@ -105,6 +108,8 @@
 	options    Options
 	retryDelay time.Duration
 	version    int64
+	// applied is the version up to which the sink has all changes; 0 before the first list.
+	applied atomic.Int64
 	// hasCopy is false before the first list and after the store has compacted the
 	// history.
 	hasCopy     bool
@@ -177,6 +182,26 @@
 		m.options.Sink.Apply(update.Objects)
 	}
 	m.version, m.hasCopy = max(m.version, update.Version), true
+	m.applied.Store(m.version)
+}
+
+// errNoCopy reports that no objects were read yet.
+var errNoCopy = errors.New("no objects were read yet")
+
+// ReadAhead returns the changes that the sink does not have yet, by a call to the store that is
+// sent now, or all objects if the store has compacted the history. The mirror passes them to the
+// sink independently. ReadAhead is safe for concurrent use.
+func (m *Mirror) ReadAhead(ctx context.Context, source store.Poller) ([]store.Object, error) {
+	after := m.applied.Load()
+	if after == 0 {
+		return nil, fault.Wrap(errNoCopy, "read ahead", m.options.Prefix)
+	}
+	changes, err := source.Poll(ctx, m.options.Prefix, after, aheadWait)
+	objects := changes.Objects
+	if errors.Is(err, store.ErrCompacted) {
+		objects, _, err = source.List(ctx, m.options.Prefix)
+	}
+	return objects, fault.Wrap(err, "read ahead", m.options.Prefix)
 }
 
 // noteEra tells the sink if all objects were read in a later era than before.
--- a/internal/origin/ask.go
+++ b/internal/origin/ask.go
@@ -6,6 +6,7 @@
 
 	"github.com/greengagegate/greengagegate/internal/contain"
 	"github.com/greengagegate/greengagegate/internal/fault"
+	"github.com/greengagegate/greengagegate/internal/peering"
 	"github.com/greengagegate/greengagegate/internal/rendezvous"
 	"github.com/greengagegate/greengagegate/internal/wire"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
@@ -23,11 +24,15 @@
 }
 
 // askOthers asks the first gateways in the order of a stream's key where it began. It returns
-// as soon as one of them knows it, or with the views of all that answered in time.
-func (m *Manager) askOthers(ctx context.Context, key Key, pool string) (*Record, []View) {
+// as soon as one of them knows it, or with the views of all that answered in time. complete is
+// true if there are other gateways, all of them are in contact and all that were asked answered.
+// A gateway that has read no list yet does not count: it knows nothing of what it began before it
+// was started again.
+func (m *Manager) askOthers(ctx context.Context, key Key, pool string) (record *Record, views []View, complete bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	names := rendezvous.Top(key.text(), m.inContact(), asked)
+	silences := m.options.Silences()
+	names := rendezvous.Top(key.text(), inContact(silences), asked)
 	answers := make(chan answer, len(names))
 	for _, name := range names {
 		go func() {
@@ -37,17 +42,17 @@
 			got = m.ask(ctx, name, key, pool)
 		}()
 	}
-	var views []View
 	for range names {
 		got := <-answers
 		if got.record != nil {
-			return got.record, nil
+			return got.record, nil, false
 		}
-		if got.view != nil {
+		if got.view != nil && got.view.hasList() {
 			views = append(views, *got.view)
 		}
 	}
-	return nil, views
+	complete = len(names) > 0 && len(views) == len(names) && len(peering.InContact(silences)) == len(silences)
+	return nil, views, complete
 }
 
 // ask asks one gateway.
--- a/internal/origin/cluster_test.go
+++ b/internal/origin/cluster_test.go
@@ -29,12 +29,18 @@
 
 	mu   sync.Mutex
 	lost map[string]bool
+	// stored is the list of upstreams in the store, which the gateways in storeless do not reach.
+	stored    []*catalog.Upstream
+	storeless map[string]bool
+	// reads counts the reads from the store, which take readTime.
+	reads    int
+	readTime time.Duration
 	// messages counts the calls by receiver, records the streams in them.
 	messages, records map[string]int
 }
 
 func newCluster(t *testing.T, gateways int) *cluster {
-	c := &cluster{t: t, byName: make(map[string]*Manager), lost: make(map[string]bool), messages: make(map[string]int), records: make(map[string]int)}
+	c := &cluster{t: t, byName: make(map[string]*Manager), lost: make(map[string]bool), storeless: make(map[string]bool), messages: make(map[string]int), records: make(map[string]int)}
 	c.clock.Store(int64(time.Hour))
 	for i := range gateways {
 		c.add(fmt.Sprintf("gateway-%d", i))
@@ -45,7 +51,10 @@
 // add starts a manager that knows no upstreams yet.
 func (c *cluster) add(name string) *Manager {
 	list := catalog.New()
-	m := New(Options{Gateways: c, Catalog: list, Silences: func() map[string]time.Duration { return c.silences(name) }, Log: zerolog.Nop(), Now: c.now})
+	m := New(Options{
+		Gateways: &clusterCaller{c, name}, Catalog: list, Versions: &clusterReader{c, name},
+		Silences: func() map[string]time.Duration { return c.silences(name) }, Log: zerolog.Nop(), Now: c.now,
+	})
 	c.managers, c.names, c.byName[name] = append(c.managers, m), append(c.names, name), m
 	c.catalogs = append(c.catalogs, list)
 	c.t.Cleanup(m.Close)
@@ -64,11 +73,17 @@
 	return silences
 }
 
+// clusterCaller sends requests of one gateway.
+type clusterCaller struct {
+	*cluster
+	from string
+}
+
 // Call implements peering.Caller.
-func (c *cluster) Call(_ context.Context, to string, _ wirepb.Kind, request, reply proto.Message) error {
+func (c *clusterCaller) Call(_ context.Context, to string, _ wirepb.Kind, request, reply proto.Message) error {
 	told := request.(*wirepb.OriginRequest)
 	c.mu.Lock()
-	isLost := c.lost[to]
+	isLost := c.lost[to] || c.lost[c.from]
 	c.messages[to]++
 	c.records[to] += len(told.Begun)
 	c.mu.Unlock()
@@ -79,17 +94,54 @@
 	return nil
 }
 
+// clusterReader reads from the store for one gateway.
+type clusterReader struct {
+	*cluster
+	name string
+}
+
+// ReadVersions implements VersionsReader.
+func (c *clusterReader) ReadVersions(context.Context) (map[string][]string, error) {
+	time.Sleep(c.readTime)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reads++
+	if c.storeless[c.name] {
+		return nil, errors.New("not reached")
+	}
+	versions := make(map[string][]string)
+	for _, upstream := range c.stored {
+		versions[upstream.Pool] = append(versions[upstream.Pool], upstream.Software)
+	}
+	return versions, nil
+}
+
+// cutFromStore makes the store unreachable for a gateway.
+func (c *cluster) cutFromStore(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.storeless[name] = true
+}
+
+// cutOff loses all calls from and to a gateway, also those to the store.
+func (c *cluster) cutOff(name string) {
+	c.lose(name)
+	c.cutFromStore(name)
+}
+
 func (c *cluster) lose(name string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lost[name] = true
 }
 
-// list makes gateways follow a list of upstreams, which the store has confirmed just now.
+// list puts a list of upstreams into the store, which gateways follow.
 func (c *cluster) list(upstreams []*catalog.Upstream, gateways ...int) {
+	c.mu.Lock()
+	c.stored = upstreams
+	c.mu.Unlock()
 	for _, i := range gateways {
 		c.catalogs[i].SetUpstreams(upstreams)
-		c.catalogs[i].ConfirmConfig(c.now())
 		c.managers[i].Observe(c.catalogs[i].Upstreams())
 	}
 }
@@ -101,13 +153,8 @@
 	}
 }
 
-// pass lets time pass, with the store in reach.
-func (c *cluster) pass(d time.Duration) {
-	c.clock.Add(int64(d))
-	for _, list := range c.catalogs {
-		list.ConfirmConfig(c.now())
-	}
-}
+// pass lets time pass.
+func (c *cluster) pass(d time.Duration) { c.clock.Add(int64(d)) }
 
 // settle waits until all that gateways tell each other has arrived.
 func (c *cluster) settle() {
--- a/internal/origin/decide.go
+++ b/internal/origin/decide.go
@@ -19,13 +19,9 @@
 
 // singleVersion returns the only version at which any stream can have begun within the
 // horizon, according to this gateway and the others that answered. ok is false if there are
-// several, or if it is not certain: no view reaches back far enough, or nobody has a recent
-// list. ownIsFresh states whether this gateway's list is recent; an answer counts as recent,
-// since versions that no gateway in contact has heard of have begun no stream there.
-func singleVersion(own View, others []View, ownIsFresh bool, horizon time.Duration) (software string, ok bool) {
-	if !ownIsFresh && len(others) == 0 {
-		return "", false
-	}
+// several, or if no view reaches back far enough. It does not show whether a gateway that did
+// not answer knows of another version.
+func singleVersion(own View, others []View, horizon time.Duration) (software string, ok bool) {
 	versions := make(map[string]bool)
 	longest := time.Duration(0)
 	for _, v := range append([]View{own}, others...) {
--- a/internal/origin/history.go
+++ b/internal/origin/history.go
@@ -31,6 +31,9 @@
 	return versions
 }
 
+// hasList reports whether the gateway has read a list of upstreams.
+func (v View) hasList() bool { return v.Span > 0 || len(v.Ages) > 0 }
+
 // isSingle reports whether it is certain that all streams which began within the horizon began
 // at the same version.
 func (v View) isSingle(horizon time.Duration) bool {
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -7,7 +7,10 @@
 // While they have several, or may have had within a horizon, each gateway tells two others of
 // each stream that begins, which rendezvous hashing of the stream selects. A gateway that does
 // not know a stream asks the first four in the same order. If none of them knows it, the
-// stream may go on only if no second version can have begun it; see Resolve.
+// stream may go on only if no second version can have begun it. That a gateway's list is recent
+// does not show this, however recent it is: while it is out of step, another gateway may begin
+// streams at upstreams that it has not heard of. Either all gateways have answered, or the store
+// is read after the request to resume the stream has arrived; see Resolve.
 package origin
 
 import (
@@ -35,9 +38,6 @@
 	// asked is the number of gateways that are asked for a stream. It is larger than copies
 	// because gateways that come or go in between change the order.
 	asked = 4
-	// freshFor is the age of the evidence of the configuration up to which a gateway counts as
-	// in contact with the platform store, so that its list of upstreams is recent.
-	freshFor = 2 * time.Second
 	// listDelay is how long after the start of an upstream a gateway may not know of it. A
 	// stream that began at an ID that then turned out to be another incarnation's may have
 	// begun at either.
@@ -77,11 +77,19 @@
 	Finding Finding
 }
 
+// VersionsReader reads from the platform store, with a call that is sent after ReadVersions was
+// called, which software versions the upstreams of each pool have, or have had, beyond those in
+// the catalog's list. A result without a pool means that there are no further ones.
+type VersionsReader interface {
+	ReadVersions(ctx context.Context) (map[string][]string, error)
+}
+
 // Options configures a Manager. All fields but FirstStart and Now are required.
 type Options struct {
 	// Gateways sends requests to the other gateways.
 	Gateways peering.Caller
 	Catalog  *catalog.Catalog
+	Versions VersionsReader
 	// Silences returns, for each other gateway by name, how long it has been silent.
 	Silences func() map[string]time.Duration
 	// FirstStart is true if the whole system starts for the first time.
@@ -96,6 +104,7 @@
 type Manager struct {
 	options Options
 	sender  *sender
+	reads   *reads
 
 	mu      sync.Mutex
 	history *history
@@ -114,6 +123,7 @@
 	}
 	m := &Manager{options: options, history: newHistory(options.FirstStart), table: newTable(), loggedSingle: make(map[string]bool)}
 	m.sender = newSender(m)
+	m.reads = newReads(options.Versions, options.Log)
 	return m
 }
 
@@ -122,8 +132,11 @@
 	server.Handle(wirepb.Kind_KIND_ORIGIN, m.handle)
 }
 
-// Close ends all sending and waits for it.
-func (m *Manager) Close() { m.sender.close() }
+// Close ends all sending and reading and waits for it.
+func (m *Manager) Close() {
+	m.sender.close()
+	m.reads.close()
+}
 
 // horizon returns how long after its first event a stream may be resumed: a caller's whole
 // patience is close to the timeout of its route.
@@ -228,8 +241,9 @@
 
 // inContact returns the other gateways that are in contact, or all if none is, which is the
 // case after this gateway was suspended.
-func (m *Manager) inContact() []string {
-	silences := m.options.Silences()
+func (m *Manager) inContact() []string { return inContact(m.options.Silences()) }
+
+func inContact(silences map[string]time.Duration) []string {
 	if names := peering.InContact(silences); len(names) > 0 {
 		return names
 	}
@@ -281,7 +295,7 @@
 
 // Resolve returns where a stream began that a caller resumes. pool is the pool that would
 // get it now. It asks other gateways unless this one knows the stream, and blocks for at most
-// askTimeout. If the finding is FindingUnknown, the stream must not go on.
+// askTimeout and readTimeout. If the finding is FindingUnknown, the stream must not go on.
 func (m *Manager) Resolve(ctx context.Context, key Key, pool string) Origin {
 	origin := m.resolve(ctx, key, pool)
 	if origin.Software == "" {
@@ -295,28 +309,51 @@
 	if record, ok := m.lookUp(key); ok {
 		return Origin{Record: record, Finding: FindingRecord}
 	}
-	record, views := m.askOthers(ctx, key, pool)
+	record, views, complete := m.askOthers(ctx, key, pool)
 	if record != nil {
 		return Origin{Record: *record, Finding: FindingRecord}
 	}
+	var read map[string][]string
+	var err error
+	if !complete {
+		read, err = m.reads.latest(ctx)
+	}
 	now, horizon := m.options.Now(), m.horizon()
-	evidenceAge := m.options.Catalog.ConfigEvidenceAge(now)
-	isFresh := evidenceAge <= freshFor
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	own := m.history.view(pool, now)
+	own := m.ownView(pool, read[pool], now)
 	for _, v := range views {
 		m.history.merge(pool, v, horizon, now)
 	}
-	software, ok := singleVersion(own, views, isFresh, horizon)
-	m.options.Log.Info().Str("stream", key.text()).Str("pool", pool).Int("answers", len(views)).Interface("versions_age", own.Ages).Dur("known_for_ms", own.Span).
-		Dur("evidence_ms", evidenceAge).Bool("single", ok).Msg("origin: no gateway knows where a stream began; it goes on only if a single version can have begun it")
-	if ok {
+	software, single := singleVersion(own, views, horizon)
+	m.options.Log.Info().Err(err).Str("stream", key.text()).Str("pool", pool).Int("answers", len(views)).Bool("all_answered", complete).
+		Interface("versions_age", own.Ages).Dur("known_for_ms", own.Span).Bool("single", single).
+		Msg("origin: no gateway knows where a stream began; it goes on only if a single version can have begun it, by the answers of all gateways or a read from the store")
+	if single && err == nil {
 		return Origin{Record: Record{Pool: pool, Software: software}, Finding: FindingSingle}
 	}
 	return Origin{Finding: FindingUnknown}
 }
 
+// ownView returns what this gateway knows of a pool: what it has observed, the list in the
+// catalog, which may not have been observed yet, and versions that were just read. m.mu must be
+// held.
+func (m *Manager) ownView(pool string, read []string, now bootclock.Instant) View {
+	v := m.history.view(pool, now)
+	if v.Ages == nil {
+		v.Ages = make(map[string]time.Duration)
+	}
+	if list := m.options.Catalog.Upstreams(); list != nil {
+		for _, upstream := range list.ByPool[pool] {
+			v.Ages[upstream.Software] = 0
+		}
+	}
+	for _, software := range read {
+		v.Ages[software] = 0
+	}
+	return v
+}
+
 // lookUp returns what this gateway knows of a stream.
 func (m *Manager) lookUp(key Key) (Record, bool) {
 	now, horizon := m.options.Now(), m.horizon()
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -164,7 +165,7 @@
 	}
 }
 
-// A gateway whose list may be old, and that nobody answers, must not rely on it.
+// A gateway that nobody answers must not rely on its list, however recent it is.
 func TestGatewayThatIsCutOff(t *testing.T) {
 	c := newCluster(t, 2)
 	c.listAll(upstreamsOf("v1"))
@@ -173,12 +174,89 @@
 	if got := c.managers[0].Resolve(t.Context(), keyOf(1), testPool); got.Finding != FindingSingle {
 		t.Errorf("got %+v with the store in reach, want the only version", got)
 	}
-	c.clock.Add(int64(freshFor + time.Millisecond))
+	c.cutFromStore(c.names[0])
 	if got := c.managers[0].Resolve(t.Context(), keyOf(1), testPool); got.Finding != FindingUnknown {
 		t.Errorf("got %+v without the store and other gateways, want unknown", got)
 	}
 }
 
+// Upstreams of another version join while gateways are out of step, and a stream that began there
+// is resumed at one of them. It must not go on at the version that they know, whoever else is out
+// of step with it.
+func TestStreamResumedAtGatewayOutOfStep(t *testing.T) {
+	for name, test := range map[string]struct {
+		cut func(c *cluster)
+		// gateways follow the list with the version that joins.
+		gateways []int
+	}{
+		"cut off alone":                         {func(c *cluster) { c.cutOff(c.names[2]) }, []int{0, 1, 3, 4}},
+		"cut off from gateways":                 {func(c *cluster) { c.lose(c.names[2]) }, []int{0, 1, 3, 4}},
+		"cut off from the store":                {func(c *cluster) { c.cutFromStore(c.names[2]) }, []int{0, 1, 3, 4}},
+		"the one that began it does not answer": {func(c *cluster) { c.lose(c.names[0]) }, []int{0}},
+		"out of step with others": {func(c *cluster) {
+			c.lose(c.names[0])
+			c.cutFromStore(c.names[2])
+		}, []int{0}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 5)
+			c.listAll(upstreamsOf("v1", "v1"))
+			c.pass(minHorizon)
+			test.cut(c)
+			joined := upstreamsOf("v1", "v1", "v2")
+			c.list(joined, test.gateways...)
+			c.managers[0].Began(keyOf(1), joined[2])
+			c.settle()
+			if got := c.managers[2].Resolve(t.Context(), keyOf(1), testPool); got.Finding != FindingUnknown && got.Software != "v2" {
+				t.Errorf("got %+v, want unknown or v2, at which the stream began", got)
+			}
+		})
+	}
+}
+
+// A gateway that has just been started again and has read no list does not know what it began
+// before. Its answer must not count as one.
+func TestAnswerOfGatewayWithoutListDoesNotCount(t *testing.T) {
+	c := newCluster(t, 2)
+	c.listAll(upstreamsOf("v1"))
+	c.pass(minHorizon)
+	c.managers[1].history = newHistory(false)
+	c.cutFromStore(c.names[0])
+	if got := c.managers[0].Resolve(t.Context(), keyOf(1), testPool); got.Finding != FindingUnknown {
+		t.Errorf("got %+v although the other gateway may have begun the stream before, want unknown", got)
+	}
+}
+
+// Load pattern: one version serves, a gateway is lost, and its streams are resumed at once at the
+// others. While all answer they cost no read from the store, and then few, which all share.
+func TestReadsFromStoreAreShared(t *testing.T) {
+	const streams = 200
+	c := newCluster(t, 5)
+	c.listAll(upstreamsOf("v1"))
+	c.pass(minHorizon)
+	resumeAll := func() {
+		var wg sync.WaitGroup
+		for i := range streams {
+			wg.Go(func() {
+				if got := c.managers[1].Resolve(t.Context(), keyOf(i), testPool); got.Finding != FindingSingle {
+					t.Errorf("stream %d: got %+v, want the only version", i, got)
+				}
+			})
+		}
+		wg.Wait()
+	}
+	resumeAll()
+	if c.reads > 0 {
+		t.Errorf("%d reads while all gateways answer, want none", c.reads)
+	}
+	c.lose(c.names[0])
+	c.readTime = 20 * time.Millisecond
+	resumeAll()
+	if c.reads == 0 || c.reads > 3 {
+		t.Errorf("%d reads for %d streams at once, want 1 to 3", c.reads, streams)
+	}
+}
+
 // A stream that began at an ID which is soon listed with another version may have begun at
 // either. One that began long before has begun at the former.
 func TestUpstreamThatComesBackAtOtherVersion(t *testing.T) {
