gateway: the first engine of the next version gets no streams of the former one

Cause: engines were asked for their incarnation only while several versions were known. That none is known does not show that there is none. An engine is now asked before any stream goes on there, and when it is reachable again after a failed connection.

--- a/internal/gateway/confirm.go
+++ b/internal/gateway/confirm.go
@@ -14,8 +14,11 @@
 )
 
 // An upstream can come back at another software version under its ID and address, and serve
-// before the list of upstreams says so. Requests name the ID only. While several versions
-// serve, the gateway therefore asks engines which incarnation they are.
+// before the list of upstreams says so. Requests name the ID only. The gateway therefore asks
+// engines which incarnation they are: before a stream goes on there and when they are reachable
+// again, and while several versions serve also after a stream has begun on a new connection. That
+// no second version is known does not show that there is none, since the first engine of the next
+// version comes back just so.
 
 // confirmTimeout bounds the question to an upstream which incarnation it is.
 const confirmTimeout = 150 * time.Millisecond
@@ -107,7 +110,7 @@
 // of its upstream, unless that is known for its connection. If it did not, the streams that
 // began on connections like it are of no certain version.
 func (j *job) confirmBegun(s *send) {
-	if !j.needsConfirmation() {
+	if j.pool.Engine == nil || j.gateway.Origins.IsSingle(j.pool.Name) {
 		return
 	}
 	g, upstream, askedAt := j.gateway, s.choice.Upstream, bootclock.Now()
@@ -125,16 +128,10 @@
 	}()
 }
 
-// needsConfirmation reports whether an upstream of the request's pool may have come back at
-// another version: several serve, and the pool has engines, which can be asked.
-func (j *job) needsConfirmation() bool {
-	return j.pool.Engine != nil && !j.gateway.Origins.IsSingle(j.pool.Name)
-}
-
 // confirmVersion reports whether the chosen upstream has the pinned software version, if there
 // is one. An upstream that does not answer, or is another incarnation, is not chosen again.
 func (j *job) confirmVersion(ctx context.Context, choice *balancer.Choice) bool {
-	if !j.pickRequest.SoftwarePinned || !j.needsConfirmation() {
+	if !j.pickRequest.SoftwarePinned || j.pool.Engine == nil {
 		return true
 	}
 	upstream := choice.Upstream
@@ -157,7 +154,7 @@
 // that does not answer counts as the same.
 func (g *Gateway) isReplaced(upstream *catalog.Upstream) bool {
 	config := g.Catalog.Config()
-	if config == nil || g.Origins.IsSingle(upstream.Pool) {
+	if config == nil {
 		return false
 	}
 	if pool := config.Pools[upstream.Pool]; pool == nil || pool.Engine == nil {
