dispatch: an error event, or an end without the count, is no end of a stream

Cause: the agent turned each event that is neither a start nor tokens into the end of the run, and the router took an end that counts no tokens, or fewer than were delivered, for complete. An event of another type is now an incomplete answer, and the end must count just the tokens that were received; the stream goes on elsewhere.

Stand-ins of agents in two tests sent an end without the count, which agents never do; they send it now.

--- a/internal/agent/runner/runner.go
+++ b/internal/agent/runner/runner.go
@@ -196,6 +196,9 @@
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
+		if err == nil {
+			err = event.Type.Check()
+		}
 		if err != nil {
 			return errors.Join(out.flush(), a.stream.Send(a.handleLostRun(ctx, err)))
 		}
--- a/internal/dispatch/promptfleet_test.go
+++ b/internal/dispatch/promptfleet_test.go
@@ -53,6 +53,8 @@
 	// cutOffset is the offset in the answer at which the next run breaks off without
 	// a crash. 0 means that it does not break off.
 	cutOffset int64
+	// cutEvent is the event with which that run ends; nil if it breaks off.
+	cutEvent *engine.RunEvent
 	// stallNextRun holds the next run before its first token until its stream is
 	// closed.
 	stallNextRun bool
@@ -90,6 +92,7 @@
 	}
 	run := &numberedRun{ctx: ctx, request: request, nextOffset: request.ResumeOffset, engineCrashed: e.crashed, incarnation: e.incarnation, cutOffset: e.cutOffset}
 	run.stalls, e.stallNextRun = e.stallNextRun, false
+	run.cutEvent = e.cutEvent
 	e.cutOffset = 0
 	if bytes.Contains(request.Prompt, []byte(latePoisonText)) {
 		run.crashOffset = latePoisonTokens
@@ -113,6 +116,8 @@
 	incarnation   uint64
 	engineCrashed chan struct{}
 	cutOffset     int64
+	// cutEvent is the last event of a run that is cut, if it is not nil.
+	cutEvent *engine.RunEvent
 	// crashOffset is the offset in the answer at which the run crashes the engine, if
 	// crashEngine is not nil.
 	crashOffset int64
@@ -146,6 +151,10 @@
 		r.crashEngine()
 		return engine.RunEvent{}, engine.ErrIncompleteAnswer
 	}
+	if r.cutOffset > 0 && r.nextOffset >= r.cutOffset && r.cutEvent != nil {
+		r.ended = true
+		return *r.cutEvent, nil
+	}
 	if r.cutOffset > 0 && r.nextOffset >= r.cutOffset {
 		return engine.RunEvent{}, engine.ErrIncompleteAnswer
 	}
--- a/internal/dispatch/promptrun.go
+++ b/internal/dispatch/promptrun.go
@@ -23,8 +23,8 @@
 	errSink = errors.New("caller left")
 	// errOffset means that received tokens do not continue the delivered ones.
 	errOffset = errors.New("tokens do not continue the stream")
-	// errIncomplete means that a run ended before all of its tokens were received.
-	errIncomplete = errors.New("end before the last token")
+	// errIncomplete means that the end of a run counts other tokens than were received.
+	errIncomplete = errors.New("end does not count the received tokens")
 	// errRetryBudget means that the upstream's retry budget does not allow a retry.
 	errRetryBudget = errors.New("retry budget is spent")
 )
@@ -151,18 +151,18 @@
 	return nil
 }
 
-// finish keeps the end of the run, or returns errIncomplete if tokens are missing.
+// finish keeps the end of the run, or returns errIncomplete if it does not count just the
+// tokens that were received: an end without the count does not show that the answer is whole.
 // The usage in the end counts each token once, even if the prompt was resumed.
 func (r *promptRun) finish(end *wirepb.RunEnd) error {
 	delivered := r.request.ResumeOffset
-	if end.Usage == nil {
-		end.Usage = &wirepb.Usage{PromptTokens: r.request.PromptTokens}
-	}
-	if end.Usage.CompletionTokens > delivered {
+	if end.Usage.GetCompletionTokens() != delivered {
 		r.recordRefusal(refusal.New(refusal.UpstreamLost, wirepb.RunState_RUN_UNKNOWN, errIncomplete.Error(), "check end", ""))
 		return fault.Wrap(errIncomplete, "check end", "")
 	}
-	end.Usage.CompletionTokens = delivered
+	if end.Usage == nil {
+		end.Usage = &wirepb.Usage{PromptTokens: r.request.PromptTokens}
+	}
 	invariant.Check(delivered <= r.request.MaxTokens, "dispatch.tokens_within_limit", "%d tokens of at most %d", delivered, r.request.MaxTokens)
 	r.runEnd = end
 	return nil
--- a/internal/dispatch/prompts_test.go
+++ b/internal/dispatch/prompts_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/greengagegate/greengagegate/internal/engine"
 	"github.com/greengagegate/greengagegate/internal/object"
 	"github.com/greengagegate/greengagegate/internal/picker"
 	"github.com/greengagegate/greengagegate/internal/quarantine"
@@ -26,6 +27,27 @@
 	checkComplete(t, got, end, err)
 }
 
+// TestErrorEventIsNoEndOfStream guards against an answer that is passed on as complete although
+// the engine ended its run with an error event, or with an end that does not count the tokens.
+func TestErrorEventIsNoEndOfStream(t *testing.T) {
+	for name, event := range map[string]engine.RunEvent{
+		"error event":        {Type: "error"},
+		"event without type": {},
+		"end without count":  {Type: engine.EventEnd},
+		"end at fewer":       {Type: engine.EventEnd, CompletionTokens: 7},
+		"end at more":        {Type: engine.EventEnd, CompletionTokens: 700},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPromptFleet(t, 3, 1)
+			for _, e := range p.engines {
+				e.cutOffset, e.cutEvent = 20, &event
+			}
+			got, end, err := p.prompt(0, 1, "prompt")
+			checkComplete(t, got, end, err)
+		})
+	}
+}
+
 // TestPoisonIsConvictedAndInnocentsComplete guards against a prompt that crashes
 // more than two engines when it is repeated, and against harmless prompts that
 // fail because they were in flight at its crashes.
--- a/internal/dispatch/report_test.go
+++ b/internal/dispatch/report_test.go
@@ -57,7 +57,7 @@
 		startScriptedAgent(t, "good",
 			&wirepb.RunEvent{Event: &wirepb.RunEvent_Started{Started: &wirepb.RunStarted{CachedTokens: 2_000}}},
 			&wirepb.RunEvent{Event: &wirepb.RunEvent_Tokens{Tokens: &wirepb.RunTokens{Count: 1, Text: []byte("x")}}},
-			&wirepb.RunEvent{Event: &wirepb.RunEvent_End{End: &wirepb.RunEnd{}}}),
+			&wirepb.RunEvent{Event: &wirepb.RunEvent_End{End: &wirepb.RunEnd{Usage: &wirepb.Usage{CompletionTokens: 1}}}}),
 	}
 	pool := wire.NewPool(&wirepb.Hello{}, wire.NewDialer(""))
 	defer pool.Close()
--- a/internal/dispatch/suspect_test.go
+++ b/internal/dispatch/suspect_test.go
@@ -45,7 +45,7 @@
 						if tokens > 0 {
 							_ = stream.Send(&wirepb.RunEvent{Event: &wirepb.RunEvent_Tokens{Tokens: &wirepb.RunTokens{Offset: request.ResumeOffset, Count: tokens}}})
 						}
-						_ = stream.Send(lastEvent(crashes))
+						_ = stream.Send(lastEvent(crashes, request.ResumeOffset+tokens))
 					})
 				})
 				candidates = append(candidates, picker.Candidate{Upstream: &object.Upstream{Name: fmt.Sprint(i), Address: address}})
@@ -62,11 +62,11 @@
 	}
 }
 
-// lastEvent returns the last event of a run that was completed or, if crashed is
-// true, ended by a crash of its engine.
-func lastEvent(crashed bool) *wirepb.RunEvent {
+// lastEvent returns the last event of a run that was completed after a number of tokens or, if
+// crashed is true, ended by a crash of its engine.
+func lastEvent(crashed bool, tokens int64) *wirepb.RunEvent {
 	if !crashed {
-		return &wirepb.RunEvent{Event: &wirepb.RunEvent_End{End: &wirepb.RunEnd{}}}
+		return &wirepb.RunEvent{Event: &wirepb.RunEvent_End{End: &wirepb.RunEnd{Usage: &wirepb.Usage{CompletionTokens: tokens}}}}
 	}
 	return &wirepb.RunEvent{Event: &wirepb.RunEvent_Refusal{Refusal: &wirepb.Refusal{
 		Code: string(refusal.UpstreamLost), Run: wirepb.RunState_RUN_UNKNOWN, Suspect: true,
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -57,6 +58,17 @@
 	EventEnd    EventType = "end"
 )
 
+// Check returns an error that wraps ErrIncompleteAnswer if the type is none of these: an engine
+// that fails may say so in an event, which must not be taken for the end of its run.
+func (t EventType) Check() error {
+	switch t {
+	case EventStart, EventTokens, EventEnd:
+		return nil
+	default:
+		return fmt.Errorf("%w: event of type %q", ErrIncompleteAnswer, string(t))
+	}
+}
+
 // RunEvent is an event of a running request.
 type RunEvent struct {
 	Type      EventType `json:"type"`
@@ -75,8 +87,9 @@
 	Incarnation      uint64 `json:"incarnation,omitempty"`
 }
 
-// Run is a running request. Next blocks until the next event, and returns io.EOF
-// after the end event and an error wrapping ErrIncompleteAnswer when the stream ends before it.
+// Run is a running request. Next blocks until the next event, and returns io.EOF after the end
+// event and an error wrapping ErrIncompleteAnswer when the stream ends before it or has an event of
+// another type.
 // Close cancels a run that has not ended. Next must be called by one goroutine at a
 // time; Close is safe for concurrent use.
 type Run interface {
--- a/internal/engine/httpengine/run.go
+++ b/internal/engine/httpengine/run.go
@@ -39,6 +39,9 @@
 	if event.RequestID != r.requestID {
 		return engine.RunEvent{}, r.closeWithError(engine.ErrWrongRequest)
 	}
+	if err := event.Type.Check(); err != nil {
+		return engine.RunEvent{}, r.closeWithError(err)
+	}
 	switch event.Type {
 	case engine.EventEnd:
 		r.ended = true
