catalog: weights that engines have are never newer than the target

The target is now the newest of what the store names, what listed engines of configured pools state and what other gateways report; engines load only versions that were published.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -112,3 +112,50 @@
 		t.Errorf("minimum version after a newer version was published: %d, want 2", got)
 	}
 }
+
+// Gateways that start take the newest version that the store names or that an engine states for the
+// target, in whatever order they learn of them, and count it as old.
+func TestTargetIsNoOlderThanWeightsOfEngines(t *testing.T) {
+	start := bootclock.Instant(1_000_000_000_000)
+	config := &Config{Version: 1, Pools: map[string]*Pool{"llm": {Name: "llm", Engine: &Engine{Models: []string{"m"}}}, "plain": {Name: "plain"}}}
+	list := []*Upstream{
+		{ID: "a", Pool: "llm", ModelVersions: map[string]int64{"m": 7, "other": 90}},
+		{ID: "b", Pool: "plain", ModelVersions: map[string]int64{"m": 91}},
+		{ID: "c", Pool: "unknown", ModelVersions: map[string]int64{"m": 92}},
+	}
+	steps := map[string]func(*Catalog){
+		"config":    func(c *Catalog) { c.SetConfig(config) },
+		"upstreams": func(c *Catalog) { c.SetUpstreams(list) },
+		"versions":  func(c *Catalog) { c.SetTargetVersions(map[string]int64{"m": 5}, start) },
+	}
+	for _, order := range [][]string{
+		{"config", "upstreams", "versions"}, {"config", "versions", "upstreams"}, {"upstreams", "config", "versions"},
+		{"upstreams", "versions", "config"}, {"versions", "config", "upstreams"}, {"versions", "upstreams", "config"},
+	} {
+		c := New()
+		for _, step := range order {
+			steps[step](c)
+		}
+		if got := c.TargetVersion("m"); got.Version != 7 || !got.AgeAssumed {
+			t.Errorf("%v: target %+v, want version 7 of an assumed age", order, got)
+		}
+		if got := c.TargetVersion("other"); got.Version != 0 {
+			t.Errorf("%v: target %+v of a model that the pool does not have, want none", order, got)
+		}
+		c.SetTargetVersions(map[string]int64{"m": 6}, start)
+		if got := c.TargetVersion("m").Version; got != 7 {
+			t.Errorf("%v: target %d after the store named an older version, want 7", order, got)
+		}
+	}
+}
+
+// A gateway that is started again alone learns of the newest version from the others, too, when no
+// engine has it yet.
+func TestNewerTargetOfPeerIsTakenOver(t *testing.T) {
+	c, now := New(), bootclock.Instant(1_000_000_000_000)
+	c.SetTargetVersions(map[string]int64{"m": 4}, now)
+	c.MergeVersionAge("m", DatedVersion{5, now.Add(-time.Second)})
+	if got := c.TargetVersion("m"); got.Version != 5 || got.AgeAssumed || got.KnownSince != now.Add(-time.Second) {
+		t.Errorf("target %+v, want version 5 since a second ago", got)
+	}
+}
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -89,12 +89,13 @@
 }
 
 // withReportedAge returns t updated with the age of the target version, or of an earlier
-// one, that a peer reported. It ignores versions newer than the target. Of two instants
-// it keeps the earlier one; a reported instant replaces an assumed one.
+// one, that a peer reported. A newer version than the target becomes the target: the store may
+// name an older one again, which only those who knew the newer one notice. Of two instants it
+// keeps the earlier one; a reported instant replaces an assumed one.
 func (t TargetVersion) withReportedAge(reported DatedVersion) TargetVersion {
 	switch {
 	case reported.Version > t.Version:
-		return t
+		return t.next(reported.Version, reported.KnownSince)
 	case reported.Version == t.Version && t.AgeAssumed:
 		t.KnownSince, t.AgeAssumed = reported.KnownSince, false
 	case reported.Version == t.Version:
@@ -193,29 +194,78 @@
 	if current := c.config.Load(); current != nil && config.Version <= current.Version {
 		return false
 	}
+	wasComplete := c.IsComplete()
 	c.config.Store(config)
 	c.configSet.Store(int64(bootclock.Now()))
+	c.raiseTargets(wasComplete)
 	c.notify()
 	return true
 }
 
-// SetUpstreams replaces the list of upstreams.
+// SetUpstreams replaces the list of upstreams. The versions of the weights that engines state in
+// it become target versions if they are newer; see SetTargetVersions.
 func (c *Catalog) SetUpstreams(list []*Upstream) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	wasComplete := c.IsComplete()
 	c.upstreams.Store(NewUpstreams(list))
+	c.raiseTargets(wasComplete)
 	c.notify()
 }
 
+// raiseTargets makes the newest versions that listed engines of configured pools state the target
+// versions if they are newer than those: engines load only versions that were published, and an
+// older one may have been written to the store since. While the catalog was not complete before,
+// they were published at an unknown time. c.mu must be held.
+func (c *Catalog) raiseTargets(wasComplete bool) {
+	if !c.IsComplete() {
+		return
+	}
+	merged := maps.Clone(*c.targetVersions.Load())
+	raised := false
+	for model, version := range statedVersions(c.config.Load(), c.upstreams.Load()) {
+		target := merged[model]
+		if version <= target.Version {
+			continue
+		}
+		raised = true
+		if wasComplete {
+			merged[model] = target.next(version, bootclock.Now())
+		} else {
+			merged[model] = TargetVersion{DatedVersion: DatedVersion{Version: version}, AgeAssumed: true, previous: target.previous}
+		}
+	}
+	if raised {
+		c.targetVersions.Store(&merged)
+	}
+}
+
+// statedVersions returns the newest version of each model that an engine of a pool with that model
+// states.
+func statedVersions(config *Config, upstreams *Upstreams) map[string]int64 {
+	newest := make(map[string]int64)
+	for name, pool := range config.Pools {
+		if pool.Engine == nil {
+			continue
+		}
+		for _, upstream := range upstreams.ByPool[name] {
+			for _, model := range pool.Engine.Models {
+				newest[model] = max(newest[model], upstream.ModelVersions[model])
+			}
+		}
+	}
+	return newest
+}
+
 // SetTargetVersions sets the published versions by model, which became known at now. A
-// version that is not newer than the model's current one is ignored. The versions of the
-// first call were published at an unknown time, before this process started, so they are
-// marked as AgeAssumed.
+// version that is not newer than the model's current one, or than one that an engine states, is
+// ignored. The versions of the first call were published at an unknown time, before this process
+// started, so they are marked as AgeAssumed.
 func (c *Catalog) SetTargetVersions(versions map[string]int64, now bootclock.Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	merged := make(map[string]TargetVersion)
-	first := c.targetVersions.Load() == nil
+	wasComplete, first := c.IsComplete(), c.targetVersions.Load() == nil
 	if !first {
 		merged = maps.Clone(*c.targetVersions.Load())
 	}
@@ -228,12 +278,13 @@
 		}
 	}
 	c.targetVersions.Store(&merged)
+	c.raiseTargets(wasComplete)
 	c.notify()
 }
 
-// MergeVersionAge updates the age of a model's target version, or of an earlier one, with
-// what a peer reported. The report is ignored before the first SetTargetVersions, and if
-// its version is newer than the target version or not positive.
+// MergeVersionAge updates a model's target version, its age, or that of an earlier one, with
+// what a peer reported. The report is ignored before the first SetTargetVersions, and if its
+// version is not positive.
 func (c *Catalog) MergeVersionAge(model string, reported DatedVersion) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
