gateway: uploads in chunks count while they are read

Cause: a body in chunks counted against the bound of buffered bytes only after io.ReadAll had read it. It is now read in blocks that count before they are allocated, like answers; what exceeds the bound is refused with 503.

Tests that used readAll read with io.ReadAll and io.ReadFull now.

--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -129,8 +129,12 @@
 		"versions":  func(c *Catalog) { c.SetTargetVersions(map[string]int64{"m": 5}, start) },
 	}
 	for _, order := range [][]string{
-		{"config", "upstreams", "versions"}, {"config", "versions", "upstreams"}, {"upstreams", "config", "versions"},
-		{"upstreams", "versions", "config"}, {"versions", "config", "upstreams"}, {"versions", "upstreams", "config"},
+		{"config", "upstreams", "versions"},
+		{"config", "versions", "upstreams"},
+		{"upstreams", "config", "versions"},
+		{"upstreams", "versions", "config"},
+		{"versions", "config", "upstreams"},
+		{"versions", "upstreams", "config"},
 	} {
 		c := New()
 		for _, step := range order {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -54,7 +54,8 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body is the content of the body in one or more parts.
+	Body [][]byte
 	// AtMostOnce reports whether the request must not be repeated when its outcome is
 	// unknown.
 	AtMostOnce bool
@@ -64,6 +65,15 @@
 	Matches func(http.Header) bool
 }
 
+// bodyLength returns the size of the body in bytes.
+func (r *Request) bodyLength() int {
+	length := 0
+	for _, part := range r.Body {
+		length += len(part)
+	}
+	return length
+}
+
 // maxInlineBodyBytes is the largest body that is written before the response is read.
 // Larger bodies are written concurrently with reading, since an upstream may respond
 // before it has read the whole body.
@@ -142,21 +152,28 @@
 // roundTrip writes the request and reads the head of its response. Responses that
 // do not match the request are skipped.
 func (c *conn) roundTrip(request *Request) (*Response, Progress, error) {
-	if len(request.Body) > maxBufferedBodyBytes {
+	bodyLength := request.bodyLength()
+	if bodyLength > maxBufferedBodyBytes {
 		c.limitUnacked(silenceTimeout)
 	} else {
 		c.limitUnacked(unackedTimeout)
 	}
-	message := encode(request)
+	head := encodeHead(request, bodyLength)
 	var writeDone chan error
-	if len(request.Body) <= maxInlineBodyBytes {
+	if bodyLength <= maxInlineBodyBytes {
+		message := head
+		for _, part := range request.Body {
+			message = append(message, part...)
+		}
 		if n, err := c.netConn.Write(message); err != nil {
 			return nil, writeProgress(n), err
 		}
 	} else {
+		// A large body is not copied.
+		message := append(net.Buffers{head}, request.Body...)
 		writeDone = make(chan error, 1)
 		go func() {
-			_, err := c.netConn.Write(message)
+			_, err := message.WriteTo(c.netConn)
 			writeDone <- err
 		}()
 	}
@@ -168,7 +185,7 @@
 		}
 		if request.Matches(response.Header) {
 			result := c.newResponse(response, writeDone, mismatched)
-			if len(request.Body) <= maxBufferedBodyBytes {
+			if bodyLength <= maxBufferedBodyBytes {
 				result.writeGrace = bufferedWriteGrace
 			}
 			return result, MaybeSent, nil
@@ -294,10 +311,14 @@
 	return 0
 }
 
-// encode returns the encoded request. request.Header must hold header names in their
-// canonical form, since they are written unchanged.
-func encode(request *Request) []byte {
-	size := len(request.Method) + len(request.Target) + len(request.Host) + len(request.Body) + 128
+// encodeHead returns the encoded request without its body, for which the result has room if it is
+// small. request.Header must hold header names in their canonical form, since they are written
+// unchanged.
+func encodeHead(request *Request, bodyLength int) []byte {
+	size := len(request.Method) + len(request.Target) + len(request.Host) + 128
+	if bodyLength <= maxInlineBodyBytes {
+		size += bodyLength
+	}
 	for name, values := range request.Header {
 		for _, value := range values {
 			size += len(name) + len(value) + 4
@@ -318,13 +339,12 @@
 			b = append(b, "\r\n"...)
 		}
 	}
-	if len(request.Body) > 0 || request.Method == http.MethodPost || request.Method == http.MethodPut {
+	if bodyLength > 0 || request.Method == http.MethodPost || request.Method == http.MethodPut {
 		b = append(b, "Content-Length: "...)
-		b = strconv.AppendInt(b, int64(len(request.Body)), 10)
+		b = strconv.AppendInt(b, int64(bodyLength), 10)
 		b = append(b, "\r\n"...)
 	}
-	b = append(b, "\r\n"...)
-	return append(b, request.Body...)
+	return append(b, "\r\n"...)
 }
 
 // dial opens a TCP connection to an upstream.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -74,7 +74,7 @@
 
 func newRequest(body string) *Request {
 	return &Request{
-		Method: http.MethodPost, Target: "/x?y=1", Host: "h", Header: http.Header{"A": {"b"}}, Body: []byte(body),
+		Method: http.MethodPost, Target: "/x?y=1", Host: "h", Header: http.Header{"A": {"b"}}, Body: [][]byte{[]byte(body)},
 		Matches: func(h http.Header) bool { return h.Get("Id") == "a" },
 	}
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -89,7 +89,7 @@
 // those of tryUpstream.
 func (j *job) forwardBuffered(s *send) (bool, *refusal) {
 	response := s.response
-	body, err := j.bufferBody(response.Body)
+	body, err := j.bufferBody(response.Body, maxResponseBytes)
 	if err != nil {
 		return j.handleUnreadBody(s, err)
 	}
@@ -115,7 +115,7 @@
 // are those of tryUpstream.
 func (j *job) handleUnreadBody(s *send, cause error) (bool, *refusal) {
 	result := "broken-off"
-	if errors.Is(cause, errResponseMemory) {
+	if errors.Is(cause, errBodyMemory) {
 		result = "no-memory"
 	}
 	j.outcome.err = cause
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -261,7 +261,7 @@
 		Target:     j.r.RequestURI,
 		Host:       j.r.Host,
 		Header:     codec.Headers(j.r.Header, call, metadata),
-		Body:       j.body,
+		Body:       j.bodyChunks(),
 		AtMostOnce: j.route.Kind == catalog.NonIdempotent,
 		Matches:    func(header http.Header) bool { return codec.IsResponseTo(call, header) },
 	}
--- a/internal/gateway/bufferedbody.go
+++ b/internal/gateway/bufferedbody.go
@@ -16,12 +16,12 @@
 )
 
 var (
-	errResponseTooLarge = errors.New("response body exceeds the size limit")
-	errResponseMemory   = errors.New("no memory is left for the response body")
+	errBodyTooLarge = errors.New("body exceeds the size limit")
+	errBodyMemory   = errors.New("no memory is left for the body")
 )
 
-// bufferedBody is the body of a response in memory. It consists of chunks, so that it
-// grows without copies.
+// bufferedBody is the body of a request or a response in memory. It consists of chunks, so that
+// it grows without copies.
 type bufferedBody struct {
 	chunks [][]byte
 	length int
@@ -29,15 +29,15 @@
 	capacity int64
 }
 
-// bufferBody reads a whole body. It returns errResponseTooLarge for one larger than
-// maxResponseBytes, errResponseMemory, or the error of source. After an error nothing of
-// the body counts as buffered.
-func (j *job) bufferBody(source io.Reader) (*bufferedBody, error) {
+// bufferBody reads a whole body. It returns errBodyTooLarge for one larger than limit,
+// errBodyMemory, or the error of source. The memory counts as buffered before it is allocated.
+// After an error nothing of the body counts.
+func (j *job) bufferBody(source io.Reader, limit int64) (*bufferedBody, error) {
 	body := &bufferedBody{}
 	for size := firstChunkBytes; ; size = min(2*size, maxChunkBytes) {
 		err := j.addChunk(body, source, size)
-		if body.length > maxResponseBytes {
-			err = errResponseTooLarge
+		if int64(body.length) > limit {
+			err = errBodyTooLarge
 		}
 		switch {
 		case errors.Is(err, io.EOF):
@@ -50,14 +50,14 @@
 }
 
 // addChunk reads the next chunk of a body. It returns io.EOF at the end of the body, and
-// errResponseMemory if the body would take more memory than it leaves free. So the largest
+// errBodyMemory if the body would take more memory than it leaves free. So the largest
 // bodies fail first when memory is scarce, and a body of one chunk never does.
 func (j *job) addChunk(body *bufferedBody, source io.Reader, size int) error {
 	body.capacity += int64(size)
 	j.addBuffered(int64(size))
 	free := j.gateway.Bounds.MaxBufferedBytes - j.gateway.buffered.Load()
 	if body.capacity > max(free, firstChunkBytes) {
-		return errResponseMemory
+		return errBodyMemory
 	}
 	chunk := make([]byte, size)
 	n, err := readFull(source, chunk)
--- a/internal/gateway/crashcheck_test.go
+++ b/internal/gateway/crashcheck_test.go
@@ -54,7 +54,7 @@
 // Requests with equal bodies and other last parts share all keys but the last one.
 func TestKeysOfRepeatedBodies(t *testing.T) {
 	keys := func(body, lastPart string) []poison.Key {
-		j := &job{r: httptest.NewRequest(http.MethodPost, "/x", nil), body: []byte(body)}
+		j := &job{r: httptest.NewRequest(http.MethodPost, "/x", nil), body: &bufferedBody{chunks: [][]byte{[]byte(body)}, length: len(body)}}
 		j.call = &Call{Parts: []balancer.Part{{ID: "first"}, {ID: lastPart}}}
 		return j.poisonKeys()
 	}
--- a/internal/gateway/flush_test.go
+++ b/internal/gateway/flush_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -33,7 +34,8 @@
 		t.Fatalf("got no response after %v: %v", time.Since(sentAt), err)
 	}
 	defer response.Body.Close()
-	body, err := readAll(response.Body, int64(len(event)))
+	body := make([]byte, len(event))
+	_, err = io.ReadFull(response.Body, body)
 	if took := time.Since(sentAt); err != nil || string(body) != event || took > route.Timeout/2 {
 		t.Errorf("got %q and error %v after %v, want the first event at once", body, err, took)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -176,7 +176,7 @@
 	route         *catalog.Route
 	customer      *catalog.Customer
 	pool          *catalog.Pool
-	body          []byte
+	body          *bufferedBody
 	bufferedBytes int64
 	// cost is the number of tokens charged to the customer; 0 if none were charged.
 	cost     float64
--- a/internal/gateway/poison.go
+++ b/internal/gateway/poison.go
@@ -18,7 +18,7 @@
 	}
 	shared := j.call.Parts[:max(0, len(j.call.Parts)-1)]
 	keys := make([]poison.Key, 0, len(shared)+2)
-	if len(j.call.Parts) > 0 && len(j.body) > 0 {
+	if len(j.call.Parts) > 0 && j.body != nil && j.body.length > 0 {
 		keys = append(keys, "body:"+j.digest(nil))
 	}
 	for _, part := range shared {
@@ -42,7 +42,9 @@
 		_, _ = digest.WriteString(field)
 		_, _ = digest.Write([]byte{0})
 	}
-	_, _ = digest.Write(j.body)
+	for _, chunk := range j.bodyChunks() {
+		_, _ = digest.Write(chunk)
+	}
 	return poison.Key(strconv.FormatUint(digest.Sum64(), 16))
 }
 
--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -19,36 +20,37 @@
 	if j.r.ContentLength > limit {
 		return refusedTooLarge
 	}
-	if !j.addBuffered(max(j.r.ContentLength, 0)) {
-		return refusedMemory
-	}
 	// The error is ignored: it means that the response writer has no read deadlines,
 	// which is the case in tests only.
 	_ = http.NewResponseController(j.w).SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := readAll(io.LimitReader(j.r.Body, limit+1), j.r.ContentLength)
+	body, err := j.readWhole(limit)
 	_ = http.NewResponseController(j.w).SetReadDeadline(time.Time{})
-	if err != nil {
+	switch {
+	case errors.Is(err, errBodyMemory):
+		return refusedMemory
+	case errors.Is(err, errBodyTooLarge):
+		return refusedTooLarge
+	case err != nil:
 		j.outcome.err = err
 		return refusedMalformed
 	}
-	if int64(len(body)) > limit {
-		return refusedTooLarge
-	}
-	if j.r.ContentLength < 0 && !j.addBuffered(int64(len(body))) {
-		return refusedMemory
-	}
 	j.body = body
 	return nil
 }
 
-// readAll reads length bytes, or up to the end of the source if length is negative.
-func readAll(source io.Reader, length int64) ([]byte, error) {
+// readWhole reads the body of the request: at once if its length is known, otherwise in chunks,
+// whose memory counts as they are read.
+func (j *job) readWhole(limit int64) (*bufferedBody, error) {
+	length := j.r.ContentLength
 	if length < 0 {
-		return io.ReadAll(source)
+		return j.bufferBody(j.r.Body, limit)
+	}
+	if !j.addBuffered(length) {
+		return nil, errBodyMemory
 	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(source, body)
-	return body, err
+	content := make([]byte, length)
+	_, err := io.ReadFull(j.r.Body, content)
+	return &bufferedBody{chunks: [][]byte{content}, length: int(length), capacity: length}, err
 }
 
 // addBuffered adds bytes to the buffered total until the job ends. It reports whether
@@ -58,3 +60,11 @@
 	j.bufferedBytes += bytes
 	return j.gateway.buffered.Add(bytes) <= j.gateway.Bounds.MaxBufferedBytes
 }
+
+// bodyChunks returns the content of the request's body; nil if it has none.
+func (j *job) bodyChunks() [][]byte {
+	if j.body == nil {
+		return nil
+	}
+	return j.body.chunks
+}
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -111,6 +112,6 @@
 		return "", fmt.Errorf("no response: %w", err)
 	}
 	defer response.Body.Close()
-	body, err := readAll(response.Body, -1)
+	body, err := io.ReadAll(response.Body)
 	return string(body), err
 }
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -102,7 +103,7 @@
 		t.Fatal(err)
 	}
 	defer response.Body.Close()
-	if _, err := readAll(response.Body, -1); err == nil {
+	if _, err := io.ReadAll(response.Body); err == nil {
 		t.Error("the stalled stream reached the caller as complete")
 	}
 	if took := time.Since(startedAt); took > 2*route.Timeout {
