gateway: log why a request was allowed on the weights of its engine

The line of a request had the target version and that of the engine, but not the least version that was allowed, where it came from or the time left to the bound, and requests that were served at once were mostly left out: the hypotheses of the incident could not be told apart. Now each request that was sent to older weights than the newest has a line, bounded apart from the lines of failures, with the basis, the least version, the versions that were known with their ages, and the time left. No decision changes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -83,7 +83,10 @@
 // concurrent use.
 type Gateway struct {
 	Options
+	// requestLog and weightsLog bound the lines of requests that failed or were tried again, and
+	// of those that were sent to older weights.
 	requestLog    *requestLog
+	weightsLog    *requestLog
 	crashChecks   crashChecks
 	confirmations confirmations
 	queues        poolQueues
@@ -96,7 +99,7 @@
 
 // New returns a gateway.
 func New(options Options) *Gateway {
-	return &Gateway{Options: options, requestLog: newRequestLog(options.Log)}
+	return &Gateway{Options: options, requestLog: newRequestLog(options.Log), weightsLog: newRequestLog(options.Log)}
 }
 
 // Drain makes the gateway close each caller's connection after the next response, so
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -21,8 +21,8 @@
 	// sampleInterval sets the sample of log lines: of the requests that were served by
 	// their first attempt, about one in sampleInterval is logged.
 	sampleInterval = 16
-	// maxLinesPerSecond bounds the log lines that one gateway writes for all other
-	// requests.
+	// maxLinesPerSecond bounds the log lines that one gateway writes for requests that were not
+	// served or took more than one attempt, and again for those that were sent to older weights.
 	maxLinesPerSecond = 100
 )
 
@@ -38,6 +38,8 @@
 	lastEventID string
 	// excluded states why no upstream could be picked.
 	excluded string
+	// weights is the decision on the weights of the last send; nil if it was not to an engine.
+	weights *weightsRecord
 	// wait is the request's wait in a queue or its refusal there; nil if there was neither.
 	wait *waitRecord
 	// convictedKey is the content because of which the request was not sent, or not again.
@@ -49,8 +51,7 @@
 	err    error
 }
 
-// requestLog writes a line for each request that was not served or took more than one
-// attempt, up to maxLinesPerSecond, and for a sample of the other requests.
+// requestLog bounds the log lines of requests by maxLinesPerSecond.
 type requestLog struct {
 	logger     zerolog.Logger
 	second     atomic.Int64
@@ -98,13 +99,26 @@
 	// request.
 	served := j.outcome.reason == "answered" && j.outcome.status < 500
 	servedByFirstAttempt := served && len(j.attempts) <= 1
-	if servedByFirstAttempt && (j.call == nil || xxhash.Sum64String(j.call.ID)%sampleInterval != 0) {
-		return
+	if j.mayLog(servedByFirstAttempt) {
+		j.writeLogLine(customer, duration, served)
 	}
-	if !servedByFirstAttempt && !j.gateway.requestLog.reserveLine(time.Now()) {
-		return
+}
+
+// mayLog reports whether the request gets a log line: each one that was not served, took more than
+// one attempt or was sent to older weights than the newest, up to maxLinesPerSecond, and a sample
+// of the others. Requests to older weights have a bound of their own, so that they, which are many
+// while new weights are rolled out, leave room for the failures.
+func (j *job) mayLog(servedByFirstAttempt bool) bool {
+	switch {
+	case !servedByFirstAttempt:
+		return j.gateway.requestLog.reserveLine(time.Now())
+	case j.call == nil:
+		return false
+	case xxhash.Sum64String(j.call.ID)%sampleInterval == 0:
+		return true
+	default:
+		return j.outcome.weights.isOlder() && j.gateway.weightsLog.reserveLine(time.Now())
 	}
-	j.writeLogLine(customer, duration, served)
 }
 
 // customerName returns the customer's name in metrics and logs.
@@ -155,6 +169,9 @@
 			Int64("prompt_tokens", j.pickRequest.PromptTokens).Int64("missing_tokens", j.choice.MissingTokens).
 			Float64("cost_ms", j.choice.ExpectedWaitMS).Str("copied_from", j.choice.CopySource).Str("saved_in", j.choice.SaveStore)
 	}
+	if j.outcome.weights != nil {
+		line = j.outcome.weights.logFields(line)
+	}
 	if j.outcome.timeToFirstEvent > 0 {
 		line = line.Dur("first_ms", j.outcome.timeToFirstEvent)
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -55,6 +55,7 @@
 	j.sendCount++
 	s := &send{choice: choice, attempt: j.gateway.Balancer.Begin(*choice, &j.pickRequest), startedAt: bootclock.Now()}
 	s.report = j.reportSend(choice, s.startedAt)
+	j.recordWeights(choice, s.startedAt)
 	j.endTurn()
 	s.ctx, s.cancel = context.WithCancelCause(ctx)
 	if limit, ok := j.beginLimit(choice); ok {
@@ -65,6 +66,15 @@
 	return s, err
 }
 
+// recordWeights records why the request may run on the weights of the chosen upstream.
+func (j *job) recordWeights(choice *balancer.Choice, now bootclock.Instant) {
+	if j.pool.Engine == nil || j.pickRequest.MinVersion == nil {
+		return
+	}
+	target := j.gateway.Catalog.TargetVersion(j.call.Model)
+	j.outcome.weights = newWeightsRecord(choice.Version, j.pickRequest.MinVersion(now), target, j.gateway.Bounds.StalenessLimit, now)
+}
+
 // beginLimit returns when the request must have begun at the chosen upstream, because the
 // upstream's weights become too old then. ok is false if there is no such limit or if the
 // request could not be sent again to another upstream.
