catalog: a version that was named stays binding when a newer one becomes known

Cause: next dropped the versions that were older than a minute when a newer one became known, and with them the only one that was binding: the minimum version fell to 0 until the newer one was old enough itself. The line of such a request says versions "3=52", min_version 0.

Change: a version is dropped only when a newer one has been known for the bound itself, so that neither MinVersion nor OutdatedAt depends on it. The bound is the setting, not a constant of the catalog.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -130,7 +130,7 @@
 		fx.Provide(
 			func() Platform { return p },
 			func(log zerolog.Logger) PolledStore { return p.Store(s.Store.URL, log) },
-			catalog.New,
+			newCatalog,
 			exchange.NewPool,
 			func() *admin.Readiness { return new(admin.Readiness) },
 			func() *gatewayRank { return new(gatewayRank) },
@@ -151,6 +151,12 @@
 	)
 }
 
+func newCatalog(s *GatewaySettings) *catalog.Catalog {
+	platformCatalog := catalog.New()
+	platformCatalog.SetStalenessLimit(s.Bounds.Weights)
+	return platformCatalog
+}
+
 func newBalancer(s *GatewaySettings, p Platform) *balancer.Balancer {
 	upstreamBalancer := balancer.New(s.Identity.Zone, nil)
 	features := s.features(p)
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -1,9 +1,7 @@
 package catalog
 
 import (
-	"cmp"
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,108 +25,6 @@
 	return u
 }
 
-// DatedVersion is a version of a model's weights and when it became known.
-type DatedVersion struct {
-	Version int64
-	// KnownSince is when the version became known, on this process's clock: the earliest
-	// instant at which this process or, by its report, a peer learned of the version.
-	KnownSince bootclock.Instant
-}
-
-// TargetVersion is the version of the weights that a model should have.
-type TargetVersion struct {
-	DatedVersion
-	// AgeAssumed is true if the age of the version is only assumed: it was published before
-	// this process started, at a time that no peer has reported yet. KnownSince is 0
-	// then, so the version counts as old.
-	AgeAssumed bool
-	// previous holds the earlier versions that MinVersion may still return, oldest first.
-	previous []DatedVersion
-}
-
-// previousRetention bounds the age of previous versions: a version that has been known
-// for that long is dropped when a newer one is published.
-const previousRetention = time.Minute
-
-// MinVersion returns the newest kept version that became known at least age ago, or 0 if
-// there is none. Previous versions are kept only if, when the next version was published,
-// their age was known and below previousRetention. Weights older than this version have
-// been out of date for at least that long.
-func (t TargetVersion) MinVersion(now bootclock.Instant, age time.Duration) int64 {
-	if t.Version > 0 && now.Sub(t.KnownSince) >= age {
-		return t.Version
-	}
-	for i := len(t.previous) - 1; i >= 0; i-- {
-		if now.Sub(t.previous[i].KnownSince) >= age {
-			return t.previous[i].Version
-		}
-	}
-	return 0
-}
-
-// OutdatedAt returns when weights of a version will have been out of date for age: age
-// after the first newer version became known. ok is false if no newer version is known, or
-// if it is only assumed when it became known.
-func (t TargetVersion) OutdatedAt(version int64, age time.Duration) (at bootclock.Instant, ok bool) {
-	for _, dated := range t.DatedVersions() {
-		if dated.Version > version {
-			return dated.KnownSince.Add(age), true
-		}
-	}
-	return 0, false
-}
-
-// DatedVersions returns the versions whose ages are known, oldest first, with the
-// target version last.
-func (t TargetVersion) DatedVersions() []DatedVersion {
-	dated := slices.Clone(t.previous)
-	if t.Version > 0 && !t.AgeAssumed {
-		dated = append(dated, t.DatedVersion)
-	}
-	return dated
-}
-
-// withReportedAge returns t updated with the age of the target version, or of an earlier
-// one, that a peer reported. A newer version than the target becomes the target: the store may
-// name an older one again, which only those who knew the newer one notice. Of two instants it
-// keeps the earlier one; a reported instant replaces an assumed one.
-func (t TargetVersion) withReportedAge(reported DatedVersion) TargetVersion {
-	switch {
-	case reported.Version > t.Version:
-		return t.next(reported.Version, reported.KnownSince)
-	case reported.Version == t.Version && t.AgeAssumed:
-		t.KnownSince, t.AgeAssumed = reported.KnownSince, false
-	case reported.Version == t.Version:
-		t.KnownSince = min(t.KnownSince, reported.KnownSince)
-	default:
-		t.previous = insertDatedVersion(t.previous, reported)
-	}
-	return t
-}
-
-// insertDatedVersion returns a copy of a list that is sorted by version, with one more
-// version. Of a version that is in the list already, the earlier instant is kept.
-func insertDatedVersion(list []DatedVersion, reported DatedVersion) []DatedVersion {
-	list = slices.Clone(list)
-	i, found := slices.BinarySearchFunc(list, reported, func(a, b DatedVersion) int { return cmp.Compare(a.Version, b.Version) })
-	if found {
-		list[i].KnownSince = min(list[i].KnownSince, reported.KnownSince)
-		return list
-	}
-	return slices.Insert(list, i, reported)
-}
-
-// next returns the target version that follows t when a newer version is published.
-func (t TargetVersion) next(version int64, now bootclock.Instant) TargetVersion {
-	next := TargetVersion{DatedVersion: DatedVersion{Version: version, KnownSince: now}}
-	for _, dated := range t.DatedVersions() {
-		if now.Sub(dated.KnownSince) < previousRetention {
-			next.previous = append(next.previous, dated)
-		}
-	}
-	return next
-}
-
 // Catalog holds the newest known state of the fleet. The configuration, the upstreams, the
 // target versions and the rollouts are each replaced as a whole and read without locks. A
 // Catalog is safe for concurrent use.
@@ -145,14 +41,26 @@
 	// list of upstreams was last known to be complete.
 	configSet          atomic.Int64
 	upstreamsConfirmed atomic.Int64
+	// stalenessLimit is the longest age for which MinVersion and OutdatedAt are asked.
+	stalenessLimit time.Duration
 
 	// mu serializes updates.
 	mu      sync.Mutex
 	changed chan struct{}
 }
 
+// defaultStalenessLimit is the limit before SetStalenessLimit is called.
+const defaultStalenessLimit = time.Minute
+
 // New returns an empty catalog.
-func New() *Catalog { return &Catalog{changed: make(chan struct{})} }
+func New() *Catalog {
+	return &Catalog{changed: make(chan struct{}), stalenessLimit: defaultStalenessLimit}
+}
+
+// SetStalenessLimit sets the longest age for which TargetVersion.MinVersion and OutdatedAt are asked.
+// Versions are kept for as long as these may return them. It must be called before the first version
+// is set.
+func (c *Catalog) SetStalenessLimit(limit time.Duration) { c.stalenessLimit = limit }
 
 // Config returns the current configuration, or nil before the first one.
 func (c *Catalog) Config() *Config { return c.config.Load() }
@@ -230,7 +138,7 @@
 		}
 		raised = true
 		if wasComplete {
-			merged[model] = target.next(version, bootclock.Now())
+			merged[model] = target.next(version, bootclock.Now(), c.stalenessLimit)
 		} else {
 			merged[model] = TargetVersion{DatedVersion: DatedVersion{Version: version}, AgeAssumed: true, previous: target.previous}
 		}
@@ -274,7 +182,7 @@
 		case first:
 			merged[model] = TargetVersion{DatedVersion: DatedVersion{Version: version}, AgeAssumed: true}
 		case version > merged[model].Version:
-			merged[model] = merged[model].next(version, now)
+			merged[model] = merged[model].next(version, now, c.stalenessLimit)
 		}
 	}
 	c.targetVersions.Store(&merged)
@@ -293,7 +201,7 @@
 		return
 	}
 	merged := maps.Clone(*all)
-	merged[model] = merged[model].withReportedAge(reported)
+	merged[model] = merged[model].withReportedAge(reported, c.stalenessLimit)
 	c.targetVersions.Store(&merged)
 }
 
