catalog: what a gateway read when it started stays binding and is told to the others

Cause: the age of a version that was read at a start is only assumed, and next kept only versions whose age is known, so the binding one was forgotten. raiseTargets dropped the known age of a version in the same way when the list of engines stated a newer one. While the age was assumed, nothing bound requests when no engine with newer weights could take one, however long ago it was read; nor were they taken back.

Change: each version has the time since which it was certainly known, and a mark that it may be older. Old by assumption is preferred only; from the bound after the first reading on it is certain. Gateways tell each other both, in a field of its own, so that one of the former software does not take an assumed age for a known one.

TestAssumedMinVersionIsDroppedWhenNoUpstreamHasIt now asks also that the certain minimum version holds; the field that it set became a function.

--- a/internal/app/gatewayupdates.go
+++ b/internal/app/gatewayupdates.go
@@ -61,13 +61,7 @@
 		}
 		update.Upstreams = append(update.Upstreams, note)
 	}
-	for model, target := range u.catalog.TargetVersions() {
-		for _, dated := range target.DatedVersions() {
-			update.Wanted = append(update.Wanted, &wirepb.WantedWeights{
-				Model: model, Version: dated.Version, AgeMs: now.Sub(dated.KnownSince).Milliseconds(),
-			})
-		}
-	}
+	update.Wanted, update.WantedEarlier = encodeTargetVersions(u.catalog.TargetVersions(), now)
 	for _, cacheReport := range u.cacheReportsFor(peer) {
 		update.Readings = append(update.Readings, &wirepb.PromptReading{
 			Upstream: cacheReport.Upstream, Salt: cacheReport.Salt, Parts: cacheReport.Parts,
@@ -120,8 +114,10 @@
 	}
 	now := bootclock.Now()
 	for _, target := range update.Wanted {
-		knownSince := now.Add(-time.Duration(target.AgeMs) * time.Millisecond)
-		u.catalog.MergeVersionAge(target.Model, catalog.DatedVersion{Version: target.Version, KnownSince: knownSince})
+		u.catalog.MergeVersionAge(target.Model, decodeDatedVersion(target, now, false))
+	}
+	for _, target := range update.WantedEarlier {
+		u.catalog.MergeVersionAge(target.Model, decodeDatedVersion(target, now, true))
 	}
 	for _, note := range update.Upstreams {
 		u.applyUpstreamNote(note, now)
@@ -167,6 +163,28 @@
 	u.balancer.HoldUntil(note.Id, until)
 }
 
+// encodeTargetVersions encodes the versions of the weights by model, apart for those whose ages are
+// known and those whose ages are assumed.
+func encodeTargetVersions(targets map[string]catalog.TargetVersion, now bootclock.Instant) (known, assumed []*wirepb.WantedWeights) {
+	for model, target := range targets {
+		for _, dated := range target.DatedVersions() {
+			message := &wirepb.WantedWeights{Model: model, Version: dated.Version, AgeMs: now.Sub(dated.KnownSince).Milliseconds()}
+			if dated.AgeAssumed {
+				assumed = append(assumed, message)
+			} else {
+				known = append(known, message)
+			}
+		}
+	}
+	return known, assumed
+}
+
+// decodeDatedVersion decodes a report that arrived at now.
+func decodeDatedVersion(message *wirepb.WantedWeights, now bootclock.Instant, ageAssumed bool) catalog.DatedVersion {
+	knownSince := now.Add(-time.Duration(message.AgeMs) * time.Millisecond)
+	return catalog.DatedVersion{Version: message.Version, KnownSince: knownSince, AgeAssumed: ageAssumed}
+}
+
 // encodeAnswering encodes when the store answered this gateway; nil if it never did. Both ends
 // are rounded so that the time never looks longer than it is.
 func encodeAnswering(known catalog.Answering, now bootclock.Instant) *wirepb.StoreAnswering {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -191,7 +191,7 @@
 // Pick returns the usable upstream with the lowest Choice.ExpectedWaitMS, plus a penalty at
 // engines for prompts of another size if EnableSizeSplit was called, or false when no
 // upstream can take the request. The Choice holds the numbers of excluded upstreams in
-// both cases. Pick ignores an assumed minimum version when no upstream can take the
+// both cases. Pick falls back to Request.CertainMinVersion when no upstream can take the
 // request and some are excluded for old weights. A Choice with a SaveStore counts as a
 // requested save: if the caller does not request the save, it is not offered again for
 // saveRetryInterval.
@@ -217,9 +217,9 @@
 // pickUsable returns the Choice of Pick without a SaveStore. b.mu must be held.
 func (b *Balancer) pickUsable(upstreams []*catalog.Upstream, request *Request, now bootclock.Instant) Choice {
 	best := b.pickShortestWait(upstreams, request, now)
-	if best.Upstream == nil && best.Excluded.OldWeights > 0 && request.MinVersionAssumed {
+	if best.Upstream == nil && best.Excluded.OldWeights > 0 && request.CertainMinVersion != nil {
 		relaxed := *request
-		relaxed.MinVersion = nil
+		relaxed.MinVersion = request.CertainMinVersion
 		best = b.pickShortestWait(upstreams, &relaxed, now)
 	}
 	return best
--- a/internal/balancer/eligibility_test.go
+++ b/internal/balancer/eligibility_test.go
@@ -108,7 +108,11 @@
 	if _, ok := f.balancer.Pick(f.upstreams, r); ok {
 		t.Error("an upstream with weights older than the minimum version was picked")
 	}
-	r.MinVersionAssumed = true
+	r.CertainMinVersion = always(2)
+	if _, ok := f.balancer.Pick(f.upstreams, r); ok {
+		t.Error("an upstream with weights older than the certain minimum version was picked")
+	}
+	r.CertainMinVersion = always(0)
 	f.pick(t, r)
 	f.balancer.RecordVersion("e01", testModel, 2)
 	if choice := f.pick(t, r); choice.Upstream.ID != "e01" {
--- a/internal/balancer/request.go
+++ b/internal/balancer/request.go
@@ -31,9 +31,9 @@
 	// instant may run. A later instant never has an older version. A nil MinVersion allows
 	// all versions.
 	MinVersion func(begin bootclock.Instant) int64
-	// MinVersionAssumed is true if the versions of MinVersion may be too high. MinVersion is
-	// then ignored when no upstream with such weights can take the request.
-	MinVersionAssumed bool
+	// CertainMinVersion takes the place of MinVersion when no upstream with such weights can take the
+	// request. It is nil unless the versions of MinVersion may be too high.
+	CertainMinVersion func(begin bootclock.Instant) int64
 	// PromptTokens is the number of prompt tokens.
 	PromptTokens int64
 	// Objective is the caller's target time to the first response, or 0 if it has none.
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -75,15 +75,15 @@
 	if got := c.TargetVersion("m"); !got.AgeAssumed || got.MinVersion(now, time.Minute) != 5 {
 		t.Errorf("%+v", got)
 	}
-	c.MergeVersionAge("m", DatedVersion{4, now})
+	c.MergeVersionAge("m", DatedVersion{Version: 4, KnownSince: now})
 	if got := c.TargetVersion("m"); !got.AgeAssumed {
 		t.Error("the age of an earlier version was applied to the target version")
 	}
-	c.MergeVersionAge("m", DatedVersion{5, now.Add(-time.Second)})
+	c.MergeVersionAge("m", DatedVersion{Version: 5, KnownSince: now.Add(-time.Second)})
 	if got := c.TargetVersion("m"); got.AgeAssumed || got.MinVersion(now, 2*time.Second) != 0 {
 		t.Errorf("%+v", got)
 	}
-	c.MergeVersionAge("m", DatedVersion{5, now})
+	c.MergeVersionAge("m", DatedVersion{Version: 5, KnownSince: now})
 	if got := c.TargetVersion("m"); got.KnownSince != now.Add(-time.Second) {
 		t.Error("a report from a peer that learned of the version later moved KnownSince to a later time")
 	}
@@ -158,7 +158,7 @@
 func TestNewerTargetOfPeerIsTakenOver(t *testing.T) {
 	c, now := New(), bootclock.Instant(1_000_000_000_000)
 	c.SetTargetVersions(map[string]int64{"m": 4}, now)
-	c.MergeVersionAge("m", DatedVersion{5, now.Add(-time.Second)})
+	c.MergeVersionAge("m", DatedVersion{Version: 5, KnownSince: now.Add(-time.Second)})
 	if got := c.TargetVersion("m"); got.Version != 5 || got.AgeAssumed || got.KnownSince != now.Add(-time.Second) {
 		t.Errorf("target %+v, want version 5 since a second ago", got)
 	}
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -130,18 +130,14 @@
 		return
 	}
 	merged := maps.Clone(*c.targetVersions.Load())
-	raised := false
+	now, raised := bootclock.Now(), false
 	for model, version := range statedVersions(c.config.Load(), c.upstreams.Load()) {
 		target := merged[model]
 		if version <= target.Version {
 			continue
 		}
 		raised = true
-		if wasComplete {
-			merged[model] = target.next(version, bootclock.Now(), c.stalenessLimit)
-		} else {
-			merged[model] = TargetVersion{DatedVersion: DatedVersion{Version: version}, AgeAssumed: true, previous: target.previous}
-		}
+		merged[model] = target.next(DatedVersion{Version: version, KnownSince: now, AgeAssumed: !wasComplete}, c.stalenessLimit)
 	}
 	if raised {
 		c.targetVersions.Store(&merged)
@@ -180,9 +176,9 @@
 	for model, version := range versions {
 		switch {
 		case first:
-			merged[model] = TargetVersion{DatedVersion: DatedVersion{Version: version}, AgeAssumed: true}
+			merged[model] = TargetVersion{DatedVersion: DatedVersion{Version: version, KnownSince: now, AgeAssumed: true}}
 		case version > merged[model].Version:
-			merged[model] = merged[model].next(version, now, c.stalenessLimit)
+			merged[model] = merged[model].next(DatedVersion{Version: version, KnownSince: now}, c.stalenessLimit)
 		}
 	}
 	c.targetVersions.Store(&merged)
@@ -201,7 +197,7 @@
 		return
 	}
 	merged := maps.Clone(*all)
-	merged[model] = merged[model].withReportedAge(reported, c.stalenessLimit)
+	merged[model] = merged[model].withReported(reported, c.stalenessLimit)
 	c.targetVersions.Store(&merged)
 }
 
--- a/internal/catalog/targetversion.go
+++ b/internal/catalog/targetversion.go
@@ -12,38 +12,72 @@
 type DatedVersion struct {
 	Version int64
 	// KnownSince is when the version became known, on this process's clock: the earliest
-	// instant at which this process or, by its report, a peer learned of the version.
+	// instant at which this process or, by its report, a peer knew of the version. It was published
+	// no later.
 	KnownSince bootclock.Instant
+	// AgeAssumed is true if the version was published before each process started that is
+	// known to know it, so that it may be older than KnownSince by any time. It is assumed to be old.
+	AgeAssumed bool
+}
+
+// isKnownFor reports whether the version has been known for age, as far as that is certain.
+func (d DatedVersion) isKnownFor(age time.Duration, now bootclock.Instant) bool {
+	return d.Version > 0 && now.Sub(d.KnownSince) >= age
+}
+
+// merge returns what two reports on the same version tell together.
+func (d DatedVersion) merge(other DatedVersion) DatedVersion {
+	d.KnownSince, d.AgeAssumed = min(d.KnownSince, other.KnownSince), d.AgeAssumed && other.AgeAssumed
+	return d
 }
 
 // TargetVersion is the version of the weights that a model should have.
 type TargetVersion struct {
 	DatedVersion
-	// AgeAssumed is true if the age of the version is only assumed: it was published before
-	// this process started, at a time that no peer has reported yet. KnownSince is 0
-	// then, so the version counts as old.
-	AgeAssumed bool
 	// previous holds the earlier versions that MinVersion and OutdatedAt depend on, oldest first.
 	previous []DatedVersion
 }
 
-// MinVersion returns the newest version that became known at least age ago, or 0 if there is none.
-// Weights older than this version have been out of date for at least that long.
+// Age returns how long the version has been known; very long if its age is assumed.
+func (t TargetVersion) Age(now bootclock.Instant) time.Duration {
+	if t.AgeAssumed {
+		return now.Sub(0)
+	}
+	return now.Sub(t.KnownSince)
+}
+
+// MinVersion returns the newest version that became known at least age ago, or whose age is assumed,
+// or 0 if there is none. It may be too high if AnyAgeAssumed; see CertainMinVersion.
 func (t TargetVersion) MinVersion(now bootclock.Instant, age time.Duration) int64 {
-	if t.Version > 0 && now.Sub(t.KnownSince) >= age {
+	return t.newest(func(d DatedVersion) bool { return d.AgeAssumed || d.isKnownFor(age, now) })
+}
+
+// CertainMinVersion returns the newest version that certainly became known at least age ago, or 0 if
+// there is none. Weights older than this version have been out of date for at least that long.
+func (t TargetVersion) CertainMinVersion(now bootclock.Instant, age time.Duration) int64 {
+	return t.newest(func(d DatedVersion) bool { return d.isKnownFor(age, now) })
+}
+
+// newest returns the newest version that a condition holds for, or 0.
+func (t TargetVersion) newest(holds func(DatedVersion) bool) int64 {
+	if holds(t.DatedVersion) {
 		return t.Version
 	}
-	for i := len(t.previous) - 1; i >= 0; i-- {
-		if now.Sub(t.previous[i].KnownSince) >= age {
-			return t.previous[i].Version
+	for _, dated := range slices.Backward(t.previous) {
+		if holds(dated) {
+			return dated.Version
 		}
 	}
 	return 0
 }
 
-// OutdatedAt returns when weights of a version will have been out of date for age: age
-// after the first of the newer versions became known. ok is false if no newer version is known, or
-// if it is only assumed when it became known.
+// AnyAgeAssumed reports whether the age of the target version or of an earlier one is assumed.
+func (t TargetVersion) AnyAgeAssumed() bool {
+	return t.AgeAssumed || slices.ContainsFunc(t.previous, func(d DatedVersion) bool { return d.AgeAssumed })
+}
+
+// OutdatedAt returns when weights of a version will certainly have been out of date for age: age
+// after the first of the newer versions became known. ok is false if no newer version is known.
 func (t TargetVersion) OutdatedAt(version int64, age time.Duration) (at bootclock.Instant, ok bool) {
 	for _, dated := range t.DatedVersions() {
 		if dated.Version > version && (!ok || dated.KnownSince.Add(age).Before(at)) {
@@ -53,52 +87,49 @@
 	return at, ok
 }
 
-// DatedVersions returns the versions whose ages are known, oldest first, with the
+// DatedVersions returns the versions that MinVersion and OutdatedAt depend on, oldest first, with the
 // target version last.
 func (t TargetVersion) DatedVersions() []DatedVersion {
 	dated := slices.Clone(t.previous)
-	if t.Version > 0 && !t.AgeAssumed {
+	if t.Version > 0 {
 		dated = append(dated, t.DatedVersion)
 	}
 	return dated
 }
 
-// withReportedAge returns t updated with the age of the target version, or of an earlier
-// one, that a peer reported. A newer version than the target becomes the target: the store may
-// name an older one again, which only those who knew the newer one notice. Of two instants it
-// keeps the earlier one; a reported instant replaces an assumed one.
-func (t TargetVersion) withReportedAge(reported DatedVersion, limit time.Duration) TargetVersion {
+// withReported returns t updated with what a peer reported of the target version, or of an earlier
+// one. A newer version than the target becomes the target: the store may name an older one again,
+// which only those who knew the newer one notice.
+func (t TargetVersion) withReported(reported DatedVersion, limit time.Duration) TargetVersion {
 	switch {
 	case reported.Version > t.Version:
-		return t.next(reported.Version, reported.KnownSince, limit)
-	case reported.Version == t.Version && t.AgeAssumed:
-		t.KnownSince, t.AgeAssumed = reported.KnownSince, false
+		return t.next(reported, limit)
 	case reported.Version == t.Version:
-		t.KnownSince = min(t.KnownSince, reported.KnownSince)
+		t.DatedVersion = t.merge(reported)
 	default:
 		t.previous = insertDatedVersion(t.previous, reported)
 	}
 	return t
 }
 
-// insertDatedVersion returns a copy of a list that is sorted by version, with one more
-// version. Of a version that is in the list already, the earlier instant is kept.
+// insertDatedVersion returns a copy of a list that is sorted by version, with one more report.
 func insertDatedVersion(list []DatedVersion, reported DatedVersion) []DatedVersion {
 	list = slices.Clone(list)
 	i, found := slices.BinarySearchFunc(list, reported, func(a, b DatedVersion) int { return cmp.Compare(a.Version, b.Version) })
 	if found {
-		list[i].KnownSince = min(list[i].KnownSince, reported.KnownSince)
+		list[i] = list[i].merge(reported)
 		return list
 	}
 	return slices.Insert(list, i, reported)
 }
 
-// next returns the target version that follows t when a newer version is published. Of the earlier
+// next returns the target version that follows t when a newer version becomes known. Of the earlier
 // versions it drops those on which nothing depends any more at ages of up to limit, because a newer
-// one has been known for so long. A version that is merely old stays.
-func (t TargetVersion) next(version int64, knownSince bootclock.Instant, limit time.Duration) TargetVersion {
-	next := TargetVersion{DatedVersion: DatedVersion{Version: version, KnownSince: knownSince}, previous: t.DatedVersions()}
-	binding := next.MinVersion(knownSince, limit)
+// one has been known for so long. A version that is merely old stays, and so does one whose age is
+// assumed.
+func (t TargetVersion) next(newer DatedVersion, limit time.Duration) TargetVersion {
+	next := TargetVersion{DatedVersion: newer, previous: t.DatedVersions()}
+	binding := next.CertainMinVersion(newer.KnownSince, limit)
 	next.previous = slices.DeleteFunc(next.previous, func(dated DatedVersion) bool { return dated.Version < binding })
 	return next
 }
--- a/internal/catalog/targetversion_test.go
+++ b/internal/catalog/targetversion_test.go
@@ -44,3 +44,75 @@
 		t.Errorf("%d versions are kept, want the target and those of the last %v with the one before them", got, testStalenessLimit)
 	}
 }
+
+// What a process read when it started stays binding when the next version is published, at the
+// latest from the bound after the reading on.
+func TestVersionReadAtStartStaysBindingWhenNextIsPublished(t *testing.T) {
+	for name, learn := range map[string]func(c *Catalog, at bootclock.Instant){
+		"from the store": func(c *Catalog, at bootclock.Instant) { c.SetTargetVersions(map[string]int64{"m": 6}, at) },
+		"from a peer":    func(c *Catalog, at bootclock.Instant) { c.MergeVersionAge("m", DatedVersion{Version: 6, KnownSince: at}) },
+	} {
+		c, start := New(), bootclock.Instant(time.Hour)
+		c.SetTargetVersions(map[string]int64{"m": 5}, start)
+		learn(c, start.Add(20*time.Second))
+		target := c.TargetVersion("m")
+		for _, age := range []time.Duration{20 * time.Second, 29 * time.Second} {
+			if got := target.CertainMinVersion(start.Add(age), testStalenessLimit); got != 5 {
+				t.Errorf("%s: minimum version %v after the start is %d, want 5", name, age, got)
+			}
+		}
+		if got := target.CertainMinVersion(start.Add(30*time.Second), testStalenessLimit); got != 6 {
+			t.Errorf("%s: minimum version 30s after the start is %d, want 6", name, got)
+		}
+	}
+}
+
+// A version whose age is unknown is binding from the bound after it was first read on: no lack of
+// newer weights lifts that. Before, it is only preferred.
+func TestUnknownAgeIsBindingOnceReadLongAgo(t *testing.T) {
+	c, start := New(), bootclock.Instant(time.Hour)
+	c.SetTargetVersions(map[string]int64{"m": 5}, start)
+	target := c.TargetVersion("m")
+	for age, want := range map[time.Duration]int64{0: 0, 9 * time.Second: 0, 10 * time.Second: 5} {
+		if got := target.CertainMinVersion(start.Add(age), testStalenessLimit); got != want {
+			t.Errorf("%v after the start %d is certain to be the minimum version, want %d", age, got, want)
+		}
+		if got := target.MinVersion(start.Add(age), testStalenessLimit); got != 5 {
+			t.Errorf("%v after the start the minimum version is %d, want 5", age, got)
+		}
+	}
+	if at, ok := target.OutdatedAt(4, testStalenessLimit); !ok || at != start.Add(testStalenessLimit) {
+		t.Errorf("version 4 is out of date at %v (%v), want 10s after the start", at.Sub(start), ok)
+	}
+}
+
+// Gateways that all started again tell each other when they read a version, which does not make
+// its age known.
+func TestPeersReadingAtStartLeavesAgeUnknown(t *testing.T) {
+	start := bootclock.Instant(time.Hour)
+	first, second := New(), New()
+	first.SetTargetVersions(map[string]int64{"m": 5}, start)
+	second.SetTargetVersions(map[string]int64{"m": 5}, start.Add(3*time.Second))
+	for _, dated := range first.TargetVersion("m").DatedVersions() {
+		second.MergeVersionAge("m", dated)
+	}
+	target := second.TargetVersion("m")
+	if !target.AgeAssumed || target.MinVersion(start, testStalenessLimit) != 5 {
+		t.Errorf("target %+v, want version 5 of an assumed age", target)
+	}
+	if got := target.CertainMinVersion(start.Add(testStalenessLimit), testStalenessLimit); got != 5 {
+		t.Errorf("10s after the first reading the minimum version is %d, want 5", got)
+	}
+}
+
+// A list of engines that is read after the target version does not make its age forgotten.
+func TestAgeOfVersionStaysWhenEnginesStateNewerOne(t *testing.T) {
+	c, start := New(), bootclock.Now()
+	c.SetTargetVersions(map[string]int64{"m": 5}, start)
+	c.MergeVersionAge("m", DatedVersion{Version: 5, KnownSince: start.Add(-testStalenessLimit)})
+	c.SetConfig(&Config{Version: 1, Pools: map[string]*Pool{"llm": {Name: "llm", Engine: &Engine{Models: []string{"m"}}}}})
+	c.SetUpstreams([]*Upstream{{ID: "a", Pool: "llm", ModelVersions: map[string]int64{"m": 7}}})
+	if got := c.TargetVersion("m").CertainMinVersion(start, testStalenessLimit); got != 5 {
+		t.Errorf("minimum version %d, want 5, which is known for 10s", got)
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -88,12 +88,15 @@
 	}
 	target := j.gateway.Catalog.TargetVersion(j.call.Model)
 	j.pickRequest.TargetVersion = 0
-	if bootclock.Since(target.KnownSince) > j.gateway.Bounds.WeightsGrace {
+	if target.Age(bootclock.Now()) > j.gateway.Bounds.WeightsGrace {
 		j.pickRequest.TargetVersion = target.Version
 	}
 	sendLimit := j.gateway.Bounds.StalenessLimit - sendMargin
-	j.pickRequest.MinVersionAssumed = target.AgeAssumed
 	j.pickRequest.MinVersion = func(begin bootclock.Instant) int64 { return target.MinVersion(begin, sendLimit) }
+	j.pickRequest.CertainMinVersion = nil
+	if target.AnyAgeAssumed() {
+		j.pickRequest.CertainMinVersion = func(begin bootclock.Instant) int64 { return target.CertainMinVersion(begin, sendLimit) }
+	}
 }
 
 // tryUpstream makes one attempt. done reports whether the caller has a response or has
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -80,7 +80,7 @@
 // request could not be sent again to another upstream.
 func (j *job) beginLimit(choice *balancer.Choice) (limit bootclock.Instant, ok bool) {
 	repeatable := j.route.Kind == catalog.Stream && j.mayRunAgain() && j.possibleRuns+1 < max(1, j.route.MaxRuns)
-	if j.pool.Engine == nil || !repeatable || j.pickRequest.MinVersionAssumed {
+	if j.pool.Engine == nil || !repeatable {
 		return 0, false
 	}
 	target := j.gateway.Catalog.TargetVersion(j.call.Model)
--- a/internal/gateway/weightsrecord.go
+++ b/internal/gateway/weightsrecord.go
@@ -67,14 +67,15 @@
 }
 
 // formatVersionAges returns each known version with the milliseconds since it became known, oldest
-// first; a question mark stands for an age that is only assumed.
+// first; a question mark follows a time since which the version was certainly known, while it may be older.
 func formatVersionAges(target catalog.TargetVersion, now bootclock.Instant) string {
 	var b strings.Builder
 	for _, dated := range target.DatedVersions() {
-		fmt.Fprintf(&b, "%d=%d ", dated.Version, now.Sub(dated.KnownSince).Milliseconds())
-	}
-	if target.AgeAssumed {
-		fmt.Fprintf(&b, "%d=?", target.Version)
+		fmt.Fprintf(&b, "%d=%d", dated.Version, now.Sub(dated.KnownSince).Milliseconds())
+		if dated.AgeAssumed {
+			b.WriteByte('?')
+		}
+		b.WriteByte(' ')
 	}
 	return strings.TrimSpace(b.String())
 }
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -244,7 +244,7 @@
 		return
 	}
 	newWeightsByZone := make(map[string]int)
-	state := PoolState{Engines: len(engines), TargetAge: bootclock.Since(target.KnownSince), StalenessLimit: m.options.StalenessLimit, Schedule: m.options.Schedule}
+	state := PoolState{Engines: len(engines), TargetAge: target.Age(bootclock.Now()), StalenessLimit: m.options.StalenessLimit, Schedule: m.options.Schedule}
 	var candidates []Candidate
 	m.mu.Lock()
 	defer m.mu.Unlock()
