gateway: each stream that waits on old weights is taken back, whether it may run again or not

Cause: only a send that may be repeated was taken back before the bound; for the others only the estimate of the wait kept the promise, which is wrong while a queue grows. The limit was read once, at the send: a version that was named, or whose age was learned, while the request waited did not bind it at all.

Change: every stream that has not begun is taken back, at a limit that is looked at again while it waits. One that may not run again ends with 502, which promises nothing, and is not sent again.

TestRequestThatMayNotRunAgainIsNotTakenBack asked for the opposite: that the request waits on, past the bound. It is replaced by one that asks for an end before the bound, no second send, and 502 answer-lost.

--- a/internal/catalog/targetversion_test.go
+++ b/internal/catalog/targetversion_test.go
@@ -50,7 +50,9 @@
 func TestVersionReadAtStartStaysBindingWhenNextIsPublished(t *testing.T) {
 	for name, learn := range map[string]func(c *Catalog, at bootclock.Instant){
 		"from the store": func(c *Catalog, at bootclock.Instant) { c.SetTargetVersions(map[string]int64{"m": 6}, at) },
-		"from a peer":    func(c *Catalog, at bootclock.Instant) { c.MergeVersionAge("m", DatedVersion{Version: 6, KnownSince: at}) },
+		"from a peer": func(c *Catalog, at bootclock.Instant) {
+			c.MergeVersionAge("m", DatedVersion{Version: 6, KnownSince: at})
+		},
 	} {
 		c, start := New(), bootclock.Instant(time.Hour)
 		c.SetTargetVersions(map[string]int64{"m": 5}, start)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -7,23 +7,13 @@
 
 	"github.com/greengagegate/greengagegate/internal/balancer"
 	"github.com/greengagegate/greengagegate/internal/bootclock"
-	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/eventstream"
 	"github.com/greengagegate/greengagegate/internal/exchange"
 )
 
-const (
-	// sendMargin is how long before older weights become too old the gateway stops sending
-	// requests to upstreams that have them. The wait that is expected there is added.
-	sendMargin = time.Second
-	// takeBackMargin is how long before the weights of an upstream become too old a request
-	// that has not begun there is taken back. It covers the time until the upstream
-	// notices.
-	takeBackMargin = 300 * time.Millisecond
-)
-
-// errTakenBack is the cause of the end of a send that had not begun in time.
-var errTakenBack = errors.New("the request did not begin before the upstream's weights became too old")
+// sendMargin is how long before older weights become too old the gateway stops sending
+// requests to upstreams that have them. The wait that is expected there is added.
+const sendMargin = time.Second
 
 // send is one attempt of a request at an upstream: a request that was sent and, unless
 // sending failed, the response to it.
@@ -42,8 +32,8 @@
 
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	// takeBack ends the send unless it is stopped; nil if the send has no such limit.
-	takeBack *time.Timer
+	// takeBack ends the send if it does not begin in time; nil if that cannot be observed.
+	takeBack *takeBack
 	// report tells the result to the rollout of software versions.
 	report responseReport
 }
@@ -58,9 +48,7 @@
 	j.recordWeights(choice, s.startedAt)
 	j.endTurn()
 	s.ctx, s.cancel = context.WithCancelCause(ctx)
-	if limit, ok := j.beginLimit(choice); ok {
-		s.takeBack = time.AfterFunc(limit.Sub(s.startedAt), func() { s.cancel(errTakenBack) })
-	}
+	j.watchBegin(s)
 	var err error
 	s.response, err = j.gateway.Pool.Do(s.ctx, choice.Upstream.Address, j.buildRequest(choice, lastEventID))
 	return s, err
@@ -75,18 +63,6 @@
 	j.outcome.weights = newWeightsRecord(choice.Version, j.pickRequest.MinVersion(now), target, j.gateway.Bounds.StalenessLimit, now)
 }
 
-// beginLimit returns when the request must have begun at the chosen upstream, because the
-// upstream's weights become too old then. ok is false if there is no such limit or if the
-// request could not be sent again to another upstream.
-func (j *job) beginLimit(choice *balancer.Choice) (limit bootclock.Instant, ok bool) {
-	repeatable := j.route.Kind == catalog.Stream && j.mayRunAgain() && j.possibleRuns+1 < max(1, j.route.MaxRuns)
-	if j.pool.Engine == nil || !repeatable {
-		return 0, false
-	}
-	target := j.gateway.Catalog.TargetVersion(j.call.Model)
-	return target.OutdatedAt(choice.Version, j.gateway.Bounds.StalenessLimit-takeBackMargin)
-}
-
 // eventResult is the result of eventstream.Reader.Next.
 type eventResult struct {
 	event eventstream.Event
@@ -122,8 +98,8 @@
 		return nil
 	}
 	s.begun = true
-	if s.takeBack != nil && !s.takeBack.Stop() {
-		s.cancel(errTakenBack)
+	if s.takeBack != nil {
+		s.takeBack.stop()
 	}
 	if s.isTakenBack() {
 		return errTakenBack
@@ -140,7 +116,7 @@
 // attempt. It may be called more than once.
 func (s *send) end() {
 	if s.takeBack != nil {
-		s.takeBack.Stop()
+		s.takeBack.stop()
 	}
 	if s.response != nil {
 		s.response.Close()
--- a/internal/gateway/takeback_test.go
+++ b/internal/gateway/takeback_test.go
@@ -75,18 +75,70 @@
 	}
 }
 
-// A request that must not run twice is not taken back, since it may have begun.
-func TestRequestThatMayNotRunAgainIsNotTakenBack(t *testing.T) {
-	route := &catalog.Route{
-		Name: "check", Host: "example.com", Prefix: "/", Kind: catalog.Stream, Timeout: 2 * time.Second,
+// onceRoute returns a route of streams that may not run again.
+func onceRoute() *catalog.Route {
+	return &catalog.Route{
+		Name: "check", Host: "example.com", Prefix: "/", Kind: catalog.Stream, Timeout: 3 * time.Second,
 		LatencyObjective: 500 * time.Millisecond, MaxRuns: 1, Open: true,
 	}
+}
+
+// A request that may not run again and waits at an engine must not begin there once the weights are
+// too old: it ends before, its outcome is unknown, and it is not sent again.
+func TestWaitingRequestThatMayNotRunAgainEndsBeforeWeightsAreTooOld(t *testing.T) {
 	aborted := make(chan bootclock.Instant, 1)
-	g := newTakeBackGateway(t, route, aborted)
-	j := newJob(g, httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/check", nil))
+	g := newTakeBackGateway(t, onceRoute(), aborted)
+	limit := bootclock.Now().Add(g.Bounds.StalenessLimit)
+	caller := httptest.NewRecorder()
+	j := newJob(g, caller, httptest.NewRequest(http.MethodPost, "/check", nil))
 	j.serve()
-	if len(j.attempts) != 1 || j.attempts[0].result != "no-answer" {
-		t.Errorf("got attempts %s, want one without an answer", formatAttempts(j.attempts))
+	if caller.Code != http.StatusBadGateway || j.outcome.reason != "answer-lost" {
+		t.Errorf("caller got status %d, reason %q, want 502 and answer-lost", caller.Code, j.outcome.reason)
+	}
+	if len(j.attempts) != 1 || j.attempts[0].result != "taken-back" {
+		t.Errorf("got attempts %s, want one that is taken back", formatAttempts(j.attempts))
+	}
+	if at := <-aborted; !at.Before(limit) {
+		t.Errorf("the request left the engine %v after the weights had become too old", at.Sub(limit))
+	}
+}
+
+// A request that was sent before the next version became known, or before its age did, waits at the
+// engine past the bound as well.
+func TestVersionThatBecomesKnownLaterEndsWait(t *testing.T) {
+	for name, learn := range map[string]func(c *catalog.Catalog, now bootclock.Instant){
+		"published": func(c *catalog.Catalog, now bootclock.Instant) {
+			c.SetTargetVersions(map[string]int64{takeBackModel: 3}, now)
+		},
+		"learned of late": func(c *catalog.Catalog, now bootclock.Instant) {
+			c.MergeVersionAge(takeBackModel, catalog.DatedVersion{Version: 3, KnownSince: now.Add(-10 * time.Second)})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			aborted := make(chan bootclock.Instant, 1)
+			g := newTakeBackGateway(t, onceRoute(), aborted)
+			engine := g.Catalog.Upstreams().ByID["a"]
+			g.Catalog = catalog.New()
+			config := &catalog.Config{Version: 1, Pools: map[string]*catalog.Pool{"pool": {Name: "pool", Engine: &catalog.Engine{Models: []string{takeBackModel}}}}}
+			route := onceRoute()
+			route.Pools = []catalog.WeightedPool{{Pool: "pool", Weight: 1}}
+			config.SetRoutes([]*catalog.Route{route})
+			g.Catalog.SetConfig(config)
+			g.Catalog.SetUpstreams([]*catalog.Upstream{engine})
+			g.Catalog.SetTargetVersions(map[string]int64{takeBackModel: 1}, bootclock.Now())
+			j := newJob(g, httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/check", nil))
+			known := make(chan bootclock.Instant, 1)
+			time.AfterFunc(200*time.Millisecond, func() {
+				now := bootclock.Now()
+				known <- now
+				learn(g.Catalog, now)
+			})
+			j.serve()
+			limit := (<-known).Add(g.Bounds.StalenessLimit)
+			if at := <-aborted; !at.Before(limit) || len(j.attempts) != 1 || j.attempts[0].result != "taken-back" {
+				t.Errorf("attempts %s, left the engine %v after the weights had become too old", formatAttempts(j.attempts), at.Sub(limit))
+			}
+		})
 	}
 }
 
