gateway: a stop lets no request through late, and answers those that still run at its end

Cause: admission looks at the stop before the body is read, and nothing looks after it: not the pause for an upstream, not the question for a trial, not the next send after a refusal.

Change: a request that no upstream may have run is refused with 503 once the gateway has closed, wherever it is. What still runs at the end of the stop is answered with 504 in time, not cut: also the requests of 6 s of work that were sent before the drain delay was over. Streams that have begun go on until the process ends. Sends that follow a run in doubt may go on, within that end.

TestRequestIsNotPassedOnAfterStop (body, pause), TestRefusedRequestIsNotSentAgainAfterStop and TestRequestInFlightIsAnsweredAtEndOfStop failed before (passed on, a second send, no answer).

--- a/internal/app/gatewaycallers.go
+++ b/internal/app/gatewaycallers.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/admin"
+	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/fault"
 	"github.com/greengagegate/greengagegate/internal/framing"
@@ -27,6 +29,9 @@
 	// idleCloseDelay is the time that idle connections get to close after their reads
 	// were made to time out.
 	idleCloseDelay = 300 * time.Millisecond
+	// answerMargin is how long before the end of a stop requests that still run are answered, so
+	// that their callers get the answers before the process ends.
+	answerMargin = 300 * time.Millisecond
 )
 
 // serveGatewayCallers starts the callers' listener after all other parts and stops it
@@ -58,7 +63,7 @@
 	stop := func(ctx context.Context) error {
 		cancel()
 		ready.Set(false)
-		g.Drain()
+		g.Drain(lastAnswerAt(ctx))
 		log.Info().Int64("active", g.Active()).Msg("app: gateway no longer ready; finishing requests in flight")
 		_ = pause.For(ctx, s.Stop.DrainDelay)
 		g.Close()
@@ -73,6 +78,15 @@
 	appendHook(lifecycle, start, stop)
 }
 
+// lastAnswerAt returns when the last answers must be given in a stop that ctx bounds.
+func lastAnswerAt(ctx context.Context) bootclock.Instant {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return bootclock.Instant(math.MaxInt64)
+	}
+	return bootclock.Now().Add(time.Until(deadline) - answerMargin)
+}
+
 // setGatewayReady sets ready once the configuration, the upstreams, the target versions, the
 // orders to roll out software versions, if they are followed, and the other gateways are known:
 // a gateway that knows of no others would take all that they share. It gives up when ctx ends.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -108,7 +108,7 @@
 		j.endTurn()
 		return false, refused
 	}
-	ctx, cancel := context.WithTimeout(j.r.Context(), j.timeLeft())
+	ctx, cancel := j.sendContext()
 	defer cancel()
 	s, err := j.send(ctx, &choice, j.call.LastEventID)
 	defer s.end()
@@ -150,7 +150,7 @@
 		if ok {
 			isFree := j.confirmVersion(ctx, &choice) && j.mayUse(ctx, &choice)
 			if isFree && j.mayTry(ctx) {
-				return choice, nil
+				return choice, j.checkStopping()
 			}
 			if !isFree && choice.Usable > 1 {
 				// Another upstream may take the request at once.
@@ -181,9 +181,11 @@
 		return j.unservedRefusal()
 	case j.timeLeft() < minTimeLeft:
 		return j.timeoutRefusal()
-	default:
-		return j.checkConviction()
 	}
+	if refused := j.checkStopping(); refused != nil {
+		return refused
+	}
+	return j.checkConviction()
 }
 
 // heldBackRefusal returns the refusal of a request for which no upstream was found in time.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,8 +90,7 @@
 	crashChecks   crashChecks
 	confirmations confirmations
 	queues        poolQueues
-	draining      atomic.Bool
-	closed        atomic.Bool
+	stop          stop
 	active        atomic.Int64
 	waiting       atomic.Int64
 	buffered      atomic.Int64
@@ -99,17 +98,9 @@
 
 // New returns a gateway.
 func New(options Options) *Gateway {
-	return &Gateway{Options: options, requestLog: newRequestLog(options.Log), weightsLog: newRequestLog(options.Log)}
-}
-
-// Drain makes the gateway close each caller's connection after the next response, so
-// that callers send further requests to other gateways.
-func (g *Gateway) Drain() { g.draining.Store(true) }
-
-// Close makes the gateway refuse all further requests and those that wait in a queue.
-func (g *Gateway) Close() {
-	g.closed.Store(true)
-	g.queues.close()
+	g := &Gateway{Options: options, requestLog: newRequestLog(options.Log), weightsLog: newRequestLog(options.Log)}
+	g.stop.ended, g.stop.endSends = context.WithCancel(context.Background())
+	return g
 }
 
 // Active returns the number of requests that are still being served.
@@ -127,7 +118,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.active.Add(1)
 	defer g.active.Add(-1)
-	if g.draining.Load() {
+	if g.stop.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	j := newJob(g, w, r)
@@ -209,6 +200,8 @@
 	// beyondShare is true if the request is beyond its customer's fair share; see
 	// waitqueue.Queue.Arrive.
 	beyondShare bool
+	// outliveStop lets the request's sends go on at the end of a stop.
+	outliveStop func() bool
 	outcome     outcome
 }
 
@@ -230,8 +223,8 @@
 // the request may be sent to an upstream.
 func (j *job) admit() *refusal {
 	g := j.gateway
-	if g.closed.Load() {
-		return refusedStopping
+	if refused := j.checkStopping(); refused != nil {
+		return refused
 	}
 	call, err := g.Codec.Describe(j.r)
 	if err != nil {
@@ -368,9 +361,6 @@
 	}
 }
 
-// timeLeft returns the time until the request's deadline.
-func (j *job) timeLeft() time.Duration { return j.deadline.Sub(bootclock.Now()) }
-
 // mayRunAgain reports whether the request may be sent again after an attempt that may
 // have run it. This holds for idempotent requests and for resumable streams.
 func (j *job) mayRunAgain() bool {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -202,6 +202,7 @@
 		return
 	}
 	forwarding.headerSent = true
+	j.outliveStop()
 	j.outcome.timeToFirstEvent = bootclock.Since(j.arrivedAt)
 	copyHeaders(j.w.Header(), response.Header)
 	j.w.WriteHeader(response.Status)
