--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -22,28 +22,22 @@
 // A request that has not been passed on when the gateway stops accepting work must not be passed on
 // after that, wherever it is: its run would be cut at the end of the stop.
 func TestRequestIsNotPassedOnAfterStop(t *testing.T) {
-	for name, test := range map[string]struct {
-		body  *pausedBody
-		delay func(g *Gateway) (release func())
-	}{
-		"while its body is read": {body: &pausedBody{rest: 100, release: make(chan struct{})}},
-		"while it waits for an upstream": {delay: func(g *Gateway) func() {
+	for name, begin := range map[string]func(g *Gateway) (request *http.Request, release func()){
+		"while its body is read": func(*Gateway) (*http.Request, func()) {
+			body := &pausedBody{rest: 100, release: make(chan struct{})}
+			request := httptest.NewRequest(http.MethodPost, "/charge", body)
+			request.ContentLength = -1
+			return request, func() { close(body.release) }
+		},
+		"while it waits for an upstream": func(g *Gateway) (*http.Request, func()) {
 			g.Balancer.HoldUntil("a", bootclock.Now().Add(time.Hour))
-			return func() { g.Balancer.HoldUntil("a", 0) }
-		}},
+			return httptest.NewRequest(http.MethodPost, "/charge", nil), func() { g.Balancer.HoldUntil("a", 0) }
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var runs atomic.Int64
 			g := newTestGateway(t, chargeRoute(), 1, func(http.ResponseWriter, *http.Request) { runs.Add(1) })
-			request := httptest.NewRequest(http.MethodPost, "/charge", nil)
-			release := func() {}
-			if test.body != nil {
-				request = httptest.NewRequest(http.MethodPost, "/charge", test.body)
-				request.ContentLength = -1
-				release = func() { close(test.body.release) }
-			} else {
-				release = test.delay(g)
-			}
+			request, release := begin(g)
 			caller, done := httptest.NewRecorder(), make(chan struct{})
 			go func() {
 				defer close(done)
