gateway: streams that may not run again are sent to older weights as long as others

Cause: the wider margin that came with taking them back, the whole objective before the bound, excluded the engines that were behind for two and a half seconds, while few others had new weights: callers were refused in place of served.

Change: the margin is the same for all; what waits too long is taken back.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -91,7 +91,7 @@
 	if target.Age(bootclock.Now()) > j.gateway.Bounds.WeightsGrace {
 		j.pickRequest.TargetVersion = target.Version
 	}
-	sendLimit := j.sendLimit()
+	sendLimit := j.gateway.Bounds.StalenessLimit - sendMargin
 	j.pickRequest.MinVersion = func(begin bootclock.Instant) int64 { return target.MinVersion(begin, sendLimit) }
 	j.pickRequest.CertainMinVersion = nil
 	if target.AnyAgeAssumed() {
--- a/internal/gateway/takeback.go
+++ b/internal/gateway/takeback.go
@@ -71,18 +71,6 @@
 	}
 }
 
-// sendLimit returns how long after newer weights became known the request may be sent to older ones.
-// A request that gets no further run has its objective to begin before it would be taken back: one
-// that waits longer is late.
-func (j *job) sendLimit() time.Duration {
-	limit := j.gateway.Bounds.StalenessLimit
-	margin := sendMargin
-	if !j.mayRunAgain() || j.possibleRuns+1 >= max(1, j.route.MaxRuns) {
-		margin += j.route.LatencyObjective
-	}
-	return limit - min(margin, limit/2)
-}
-
 // watchBegin starts the watch over a send whose begin can be observed. Of other responses than
 // streams, nothing tells when the upstream began.
 func (j *job) watchBegin(s *send) {
