agent, router: an answer without an end no longer fills the memory

Reported by other operators: a faulty runner sends bytes without an end, the process that called it keeps them all, and the requests of others end with it. Gateways bound what they keep; agents and routers did not everywhere.

Cause: the line of a run, the JSON answer to any other call of an engine and each answer of the product's store were read to their end, whatever their size; the head of a plain service's answer up to net/http's 10 MB; a router kept each token of a run to resume it, also beyond the tokens that the caller asked for, and text that counts as none.

Change: bounds in bytes for each of them, and a run that exceeds its tokens or their text has failed, so that another upstream may resume it. greengagectl reads the rollouts of a gateway with a bound, too.

TestEndlessAnswerOfEngineIsGivenUp, TestEndlessAnswerOfStoreIsGivenUp, TestEndlessRunIsGivenUp and TestEndlessHeadIsGivenUp failed before: all of the 64 and 256 MB that were sent were taken, the run went on after 100,000 events, 14.9 MB of a head.

--- a/internal/ctl/rollout.go
+++ b/internal/ctl/rollout.go
@@ -1,13 +1,13 @@
 package ctl
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
 	"text/tabwriter"
 
 	"github.com/greengagegate/greengagegate/internal/fault"
+	"github.com/greengagegate/greengagegate/internal/httpclient"
 	"github.com/greengagegate/greengagegate/internal/rollout"
 )
 
@@ -50,5 +50,5 @@
 		return nil, fault.New(fmt.Sprintf("status %d", response.StatusCode), "get rollouts", c.server)
 	}
 	var statuses []rollout.Status
-	return statuses, fault.Wrap(json.NewDecoder(response.Body).Decode(&statuses), "read rollouts", c.server)
+	return statuses, fault.Wrap(httpclient.DecodeJSON(response.Body, maxResponseBytes, &statuses), "read rollouts", c.server)
 }
--- a/internal/dispatch/promptrun.go
+++ b/internal/dispatch/promptrun.go
@@ -14,6 +14,10 @@
 // delivered at once. Smaller text may wait for the next event.
 const deliveryThresholdBytes = 4 << 10
 
+// maxTokenBytes bounds the text of a run, as a mean over the tokens that it may have. The text is
+// kept so that the run can be resumed.
+const maxTokenBytes = 512
+
 // noUpstreamRetryAfter is the time after which a caller is asked to try again
 // when no upstream was found.
 const noUpstreamRetryAfter = time.Second
@@ -25,6 +29,8 @@
 	errOffset = errors.New("tokens do not continue the stream")
 	// errIncomplete means that the end of a run counts other tokens than were received.
 	errIncomplete = errors.New("end does not count the received tokens")
+	// errTooMuch means that a run goes on beyond its limit of tokens.
+	errTooMuch = errors.New("run exceeds its limit of tokens")
 	// errRetryBudget means that the upstream's retry budget does not allow a retry.
 	errRetryBudget = errors.New("retry budget is spent")
 )
@@ -122,12 +128,17 @@
 }
 
 // addTokens appends received tokens and delivers them unless they may wait. It
-// returns errOffset if they do not continue those received before.
+// returns errOffset if they do not continue those received before, and errTooMuch, without
+// delivering them, if they exceed the run's limit.
 func (r *promptRun) addTokens(tokens *wirepb.RunTokens, more bool) error {
 	if tokens.Offset != r.request.ResumeOffset+r.pendingTokens {
 		r.recordRefusal(refusal.New(refusal.UpstreamLost, wirepb.RunState_RUN_UNKNOWN, errOffset.Error(), "check offset", ""))
 		return errors.Join(r.deliver(), fault.Wrap(errOffset, "check offset", ""))
 	}
+	if r.exceedsLimit(tokens) {
+		r.recordRefusal(refusal.New(refusal.UpstreamLost, wirepb.RunState_RUN_UNKNOWN, errTooMuch.Error(), "check limit", ""))
+		return errors.Join(r.deliver(), fault.Wrap(errTooMuch, "check limit", ""))
+	}
 	r.pendingText = append(r.pendingText, tokens.Text...)
 	r.pendingTokens += tokens.Count
 	if more && len(r.pendingText) < deliveryThresholdBytes {
@@ -136,6 +147,14 @@
 	return r.deliver()
 }
 
+// exceedsLimit reports whether the run would have more tokens than the caller asked for, or more text
+// than so many tokens have.
+func (r *promptRun) exceedsLimit(tokens *wirepb.RunTokens) bool {
+	limit := r.request.MaxTokens
+	textBytes := len(r.request.Generated) + len(r.pendingText) + len(tokens.Text)
+	return r.request.ResumeOffset+r.pendingTokens+tokens.Count > limit || int64(textBytes) > limit*maxTokenBytes
+}
+
 // deliver passes the pending tokens to the caller.
 func (r *promptRun) deliver() error {
 	if r.pendingTokens == 0 && len(r.pendingText) == 0 {
--- a/internal/engine/httpengine/driver.go
+++ b/internal/engine/httpengine/driver.go
@@ -18,6 +18,7 @@
 const (
 	maxIdleConns       = 8
 	maxSmallBodyBytes  = 4 << 10 // of a refusal, or of an answer that is discarded
+	maxAnswerBytes     = 1 << 20 // of any other answer to a call
 	maxCacheEventBytes = 1 << 20 // longest line of the cache event stream
 	cacheEventBuffer   = 256     // events
 )
@@ -143,7 +144,7 @@
 		_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxSmallBodyBytes))
 		return err
 	}
-	return json.NewDecoder(response.Body).Decode(out)
+	return httpclient.DecodeJSON(response.Body, maxAnswerBytes, out)
 }
 
 // send sends a request and returns the answer when its status is 200. Otherwise it
--- a/internal/engine/httpengine/run.go
+++ b/internal/engine/httpengine/run.go
@@ -71,19 +71,27 @@
 	}
 }
 
+// maxRunLineBytes is the largest size of a line of a run.
+const maxRunLineBytes = 1 << 20
+
+// errLineTooLong means that a line of a run is longer than maxRunLineBytes.
+var errLineTooLong = errors.New("the line is too long")
+
 // readLine returns the next line without its newline. The line is valid until the
 // next read from r.reader.
 func (r *run) readLine() ([]byte, error) {
 	line, err := r.reader.ReadSlice('\n')
-	if errors.Is(err, bufio.ErrBufferFull) {
-		start := bytes.Clone(line)
-		rest, restErr := r.reader.ReadBytes('\n')
-		line, err = append(start, rest...), restErr
+	if !errors.Is(err, bufio.ErrBufferFull) {
+		return bytes.TrimSuffix(line, []byte{'\n'}), err
 	}
-	if err != nil {
-		return nil, err
+	var long []byte
+	for errors.Is(err, bufio.ErrBufferFull) {
+		if long = append(long, line...); len(long) > maxRunLineBytes {
+			return nil, errLineTooLong
+		}
+		line, err = r.reader.ReadSlice('\n')
 	}
-	return line[:len(line)-1], nil
+	return bytes.TrimSuffix(append(long, line...), []byte{'\n'}), err
 }
 
 // Buffered implements engine.BufferedRun. It reports whether a whole line is buffered.
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -19,6 +19,8 @@
 const (
 	// MaxAnswerBytes is the size of the largest answer body that Do returns.
 	MaxAnswerBytes = 4 << 20
+	// maxHeadBytes is the largest head of an answer.
+	maxHeadBytes = 64 << 10
 
 	dialTimeout = 2 * time.Second
 )
@@ -90,7 +92,8 @@
 
 	var connected atomic.Bool
 	transport := &http.Transport{
-		DisableKeepAlives: true,
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: maxHeadBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := h.dialer.DialContext(ctx, network, address)
 			if err == nil {
--- a/store/httpstore/httpstore.go
+++ b/store/httpstore/httpstore.go
@@ -40,6 +40,9 @@
 const (
 	maxIdleConns    = 16
 	maxRefusalBytes = 4 << 10
+	// maxObjectBytes bounds an answer with one object, maxListingBytes one with a list.
+	maxObjectBytes  = 4 << 20
+	maxListingBytes = 64 << 20
 )
 
 // Refusal is the body of a response that refuses a call with one of the codes. Other
@@ -83,21 +86,21 @@
 // Get implements store.Store.
 func (c *Client) Get(ctx context.Context, key string) (store.Object, error) {
 	var object store.Object
-	err := c.read(ctx, PathObjects+url.PathEscape(key), &object)
+	err := c.read(ctx, PathObjects+url.PathEscape(key), maxObjectBytes, &object)
 	return object, fault.Wrap(err, "get object", c.base)
 }
 
 // List implements store.Store.
 func (c *Client) List(ctx context.Context, prefix string) ([]store.Object, int64, error) {
 	var listing Listing
-	err := c.read(ctx, PathList+"?"+url.Values{ParamPrefix: {prefix}}.Encode(), &listing)
+	err := c.read(ctx, PathList+"?"+url.Values{ParamPrefix: {prefix}}.Encode(), maxListingBytes, &listing)
 	return listing.Objects, listing.Version, fault.Wrap(err, "list objects", c.base)
 }
 
 // Hosts implements store.HostLister.
 func (c *Client) Hosts(ctx context.Context) ([]store.Host, error) {
 	var hosts []store.Host
-	err := c.read(ctx, PathHosts, &hosts)
+	err := c.read(ctx, PathHosts, maxListingBytes, &hosts)
 	return hosts, fault.Wrap(err, "list hosts", c.base)
 }
 
@@ -113,7 +116,8 @@
 	return fault.Wrap(err, "delete object", c.base)
 }
 
-func (c *Client) read(ctx context.Context, path string, out any) error {
+// read gets an answer of at most limit bytes and decodes it into out.
+func (c *Client) read(ctx context.Context, path string, limit int64, out any) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
 	if err != nil {
 		return err
@@ -126,7 +130,7 @@
 	if response.StatusCode != http.StatusOK {
 		return refusalError(response, store.ErrUnavailable)
 	}
-	if err := json.NewDecoder(response.Body).Decode(out); err != nil {
+	if err := httpclient.DecodeJSON(response.Body, limit, out); err != nil {
 		return errors.Join(store.ErrUnavailable, err)
 	}
 	return nil
@@ -153,7 +157,7 @@
 		return 0, refusalError(response, store.ErrUnknownOutcome)
 	}
 	var written Written
-	if err := json.NewDecoder(response.Body).Decode(&written); err != nil {
+	if err := httpclient.DecodeJSON(response.Body, maxObjectBytes, &written); err != nil {
 		return 0, errors.Join(store.ErrUnknownOutcome, err)
 	}
 	return written.Version, nil
