router: uploads that are whole after the drain delay are not forwarded

The same as at gateways: a request was checked when it arrived, and forwarded once its body was whole, however late in the stop. With the default settings a stop of 150 s outlasts the longest upload and run, so none was cut; with a shorter one it is.

Change: what has not been forwarded by the end of the drain delay is refused with 503 and not-run. TestUploadThatEndsAfterStopIsNotForwarded did not end before, since the request was placed.

Agents refuse new work from then on and run what they have taken; queued prompts have deadlines of 120 s at most, within the same 150 s. They are unchanged.

--- a/internal/app/router.go
+++ b/internal/app/router.go
@@ -145,7 +145,8 @@
 
 // serveCallers starts the callers' listener after all other parts and stops it first.
 // A stop reports the router as not ready to the load balancer, leaves membership,
-// makes connected callers reconnect elsewhere, and waits for requests in flight.
+// makes connected callers reconnect elsewhere, refuses what has not been forwarded by the end of
+// the drain delay, and waits for requests in flight.
 func serveCallers(
 	lifecycle fx.Lifecycle,
 	s *RouterSettings,
@@ -171,6 +172,7 @@
 		members.Leave()
 		server.Drain()
 		_ = pause.For(ctx, s.Stop.DrainDelay)
+		server.Refuse()
 		return nil
 	}
 	appendHook(lifecycle, start, stop)
--- a/internal/router/calls.go
+++ b/internal/router/calls.go
@@ -85,6 +85,11 @@
 		s.writeError(c, s.callError(ctx, err, "admit"))
 		return
 	}
+	if failure := s.checkStopping(); failure != nil {
+		ticket.Settle(0)
+		s.writeError(c, failure)
+		return
+	}
 	defer ticket.Settle(tokensPerCall)
 	request := callRequest(c, caller, customer, route, body)
 	reply, err := s.options.Caller.Call(ctx, set, route, request)
--- a/internal/router/prompts.go
+++ b/internal/router/prompts.go
@@ -214,6 +214,9 @@
 	}
 	var used int64
 	defer func() { ticket.Settle(used) }()
+	if failure := s.checkStopping(); failure != nil {
+		return failure
+	}
 	candidates, err := s.pickCandidates(ctx, set, p, id)
 	if err != nil && !errors.Is(err, picker.ErrNoUpstream) {
 		return s.promptError(ctx, err, "place", response)
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -78,6 +78,7 @@
 	options    Options
 	keyWatcher *keyWatcher
 	draining   atomic.Bool
+	refusing   atomic.Bool
 }
 
 // New returns a server and starts its background goroutine. Close must be called to
@@ -96,6 +97,23 @@
 // the header Connection: close.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// Refuse makes the server refuse requests that have not been forwarded, also those that have arrived
+// already: their run could outlast the stop.
+func (s *Server) Refuse() { s.refusing.Store(true) }
+
+// stoppingRetryAfter is the time after which a caller is asked to try again at another router.
+const stoppingRetryAfter = 200 * time.Millisecond
+
+// checkStopping returns an error for a request that has not been forwarded if the server refuses those.
+func (s *Server) checkStopping() *apiError {
+	if !s.refusing.Load() {
+		return nil
+	}
+	failure := newRefusal(http.StatusServiceUnavailable, "stopping", "admit", "the router is stopping")
+	failure.RetryAfter = stoppingRetryAfter
+	return failure
+}
+
 // Handler returns the HTTP handler for the callers' listener.
 func (s *Server) Handler() http.Handler {
 	gin.SetMode(gin.ReleaseMode)
