weights: what was known of the versions outlives a restart of all gateways

Cause: that version 2 was ever named, and since when, was known to running gateways only. After the start version 3 is the first one that they read, it binds when it is old enough by their own count, and until then any weights may be used if no engine with newer ones takes a request.

Change: the record of the orders lease carries a note of its holder: the versions that are not superseded and how long they had been known. Whoever reads the record, which a gateway does that starts when no other holds the lease, takes the ages as lower bounds; no clocks are compared, and no further call is made. A newer version that only the note names becomes the target, too. Reports that arrive before the store's versions are read wait for these.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -223,7 +223,7 @@
 func newWeightsManager(s *GatewaySettings, p Platform, st PolledStore, platformCatalog *catalog.Catalog, upstreamBalancer *balancer.Balancer, notices *gateway.Notices, log zerolog.Logger) *weights.Manager {
 	return weights.New(weights.Options{
 		Name:    s.Identity.Name,
-		Lease:   weights.NewLease(st, s.Identity.Name, s.Bounds.Lease+takeoverMargin),
+		Lease:   weights.NewLease(st, s.Identity.Name, s.Bounds.Lease+takeoverMargin, platformCatalog, log),
 		Catalog: platformCatalog,
 		Engines: p.Engines(notices),
 		Fleet:   upstreamBalancer,
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -41,6 +41,9 @@
 	// list of upstreams was last known to be complete.
 	configSet          atomic.Int64
 	upstreamsConfirmed atomic.Int64
+	// early holds the reports on versions that arrived before the first SetTargetVersions, by
+	// model.
+	early map[string][]DatedVersion
 	// stalenessLimit is the longest age for which MinVersion and OutdatedAt are asked.
 	stalenessLimit time.Duration
 
@@ -181,19 +184,29 @@
 			merged[model] = merged[model].next(DatedVersion{Version: version, KnownSince: now}, c.stalenessLimit)
 		}
 	}
+	for model, reports := range c.early {
+		for _, reported := range reports {
+			merged[model] = merged[model].withReported(reported, c.stalenessLimit)
+		}
+	}
+	c.early = nil
 	c.targetVersions.Store(&merged)
 	c.raiseTargets(wasComplete)
 	c.notify()
 }
 
 // MergeVersionAge updates a model's target version, its age, or that of an earlier one, with
-// what a peer reported. The report is ignored before the first SetTargetVersions, and if its
-// version is not positive.
+// what a peer reported. The report is ignored if its version is not positive; before the first
+// SetTargetVersions it waits for that.
 func (c *Catalog) MergeVersionAge(model string, reported DatedVersion) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if reported.Version <= 0 {
+		return
+	}
 	all := c.targetVersions.Load()
-	if all == nil || reported.Version <= 0 {
+	if all == nil {
+		c.addEarly(model, reported)
 		return
 	}
 	merged := maps.Clone(*all)
@@ -201,6 +214,14 @@
 	c.targetVersions.Store(&merged)
 }
 
+// addEarly keeps a report until the target versions are known. c.mu must be held.
+func (c *Catalog) addEarly(model string, reported DatedVersion) {
+	if c.early == nil {
+		c.early = make(map[string][]DatedVersion)
+	}
+	c.early[model] = insertDatedVersion(c.early[model], reported)
+}
+
 // Changed returns a channel that is closed at the next change of the configuration, the
 // upstreams, the target versions or the rollouts. A caller that waits for changes must fetch the
 // channel before it reads the state, so that it misses no change in between.
--- a/internal/weights/manager.go
+++ b/internal/weights/manager.go
@@ -138,10 +138,14 @@
 }
 
 // NewLease returns the lease that permits its holder to give orders. takeoverDelay is how far
-// apart the orders of two holders are at least.
-func NewLease(s store.Store, name string, takeoverDelay time.Duration) *lease.Lease {
+// apart the orders of two holders are at least. The lease's record carries what its holder knows of
+// versions, and what is read of it is merged into them.
+func NewLease(s store.Store, name string, takeoverDelay time.Duration, versions *catalog.Catalog, log zerolog.Logger) *lease.Lease {
+	reader := &noteReader{versions: versions, log: log}
 	return lease.NewLease(lease.LeaseOptions{
 		Store: s, Key: leaseKey, Holder: name, Term: leaseTerm, HandoverDelay: takeoverDelay, Now: bootTime,
+		Note:   func() []byte { return encodeNote(versions.TargetVersions(), bootclock.Now()) },
+		OnNote: reader.read,
 	})
 }
 
--- a/internal/weights/takeover_test.go
+++ b/internal/weights/takeover_test.go
@@ -43,7 +43,7 @@
 
 func newHandover(t *testing.T) *handover {
 	h := &handover{t: t, store: memstore.New()}
-	former := NewLease(h.store, "former", testTakeoverDelay)
+	former := NewLease(h.store, "former", testTakeoverDelay, catalog.New(), zerolog.Nop())
 	if _, err := former.Acquire(t.Context()); err != nil {
 		t.Fatal(err)
 	}
@@ -56,7 +56,7 @@
 
 // start returns the manager of a process that has just started.
 func (h *handover) start(name string) *Manager {
-	return New(Options{Name: name, Lease: NewLease(h.store, name, testTakeoverDelay), Log: zerolog.Nop()})
+	return New(Options{Name: name, Lease: NewLease(h.store, name, testTakeoverDelay, catalog.New(), zerolog.Nop()), Log: zerolog.Nop()})
 }
 
 // acquire lets a manager acquire the lease.
--- a/internal/weights/weights_test.go
+++ b/internal/weights/weights_test.go
@@ -232,7 +232,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancels[name] = cancel
 	m := New(Options{
-		Name: name, Lease: NewLease(f.store, name, 3*time.Second), Catalog: f.catalog, Engines: f.engines, Fleet: newFakeFleet(),
+		Name: name, Lease: NewLease(f.store, name, 3*time.Second, f.catalog, zerolog.Nop()), Catalog: f.catalog, Engines: f.engines, Fleet: newFakeFleet(),
 		StalenessLimit: 100 * time.Millisecond, Log: zerolog.Nop(),
 	})
 	f.managers[name] = m
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -36,6 +36,8 @@
 	Actor string `json:"actor,omitempty"`
 	// Wait is how much of the handover delay was left when the record was written.
 	Wait time.Duration `json:"wait,omitempty"`
+	// Note is what LeaseOptions.Note returned.
+	Note []byte `json:"note,omitempty"`
 }
 
 // isOfEra reports whether the record was written in the era of its version.
@@ -94,6 +96,12 @@
 	Term   time.Duration
 	// HandoverDelay is how long after another holder can have acted last a holder may act.
 	HandoverDelay time.Duration
+	// Note returns what the next record carries for those who read it, also after this process has
+	// ended; nil if there is nothing. If not nil, it is called before each write.
+	Note func() []byte
+	// OnNote, if not nil, is called with the note of each record that Acquire reads, which is as old
+	// as the record at least. Both are called with locks of the Lease held and must not block.
+	OnNote func(note []byte)
 	// Now reads a clock that never goes back. If nil, time.Now is used.
 	Now func() time.Time
 }
@@ -229,7 +237,7 @@
 	l.mu.Unlock()
 	// A record with a zero term is expired at once.
 	value, err := json.Marshal(leaseRecord{
-		Holder: l.options.Holder, Incarnation: l.incarnation, Nonce: rand.Uint64(), Era: store.EraOf(version), Actor: actor, Wait: wait,
+		Holder: l.options.Holder, Incarnation: l.incarnation, Nonce: rand.Uint64(), Era: store.EraOf(version), Actor: actor, Wait: wait, Note: l.note(),
 	})
 	if err != nil {
 		return err
@@ -248,7 +256,21 @@
 	if err != nil {
 		return record, 0, err
 	}
-	return record, object.Version, json.Unmarshal(object.Value, &record)
+	if err := json.Unmarshal(object.Value, &record); err != nil {
+		return record, object.Version, err
+	}
+	if l.options.OnNote != nil && len(record.Note) > 0 {
+		l.options.OnNote(record.Note)
+	}
+	return record, object.Version, nil
+}
+
+// note returns the note for the next record.
+func (l *Lease) note() []byte {
+	if l.options.Note == nil {
+		return nil
+	}
+	return l.options.Note()
 }
 
 // write stores a record of this holder if the stored record has expectedVersion, and
@@ -257,7 +279,7 @@
 func (l *Lease) write(ctx context.Context, expectedVersion, era int64, actor string, wait time.Duration) (int64, error) {
 	l.nonce = rand.Uint64()
 	value, err := json.Marshal(leaseRecord{
-		Holder: l.options.Holder, Incarnation: l.incarnation, Term: l.options.Term, Nonce: l.nonce, Era: era, Actor: actor, Wait: wait,
+		Holder: l.options.Holder, Incarnation: l.incarnation, Term: l.options.Term, Nonce: l.nonce, Era: era, Actor: actor, Wait: wait, Note: l.note(),
 	})
 	if err != nil {
 		return 0, err
