--- a/internal/gateway/takeback.go
+++ b/internal/gateway/takeback.go
@@ -13,7 +13,7 @@
 // A request may wait at an engine until the engine's weights are too old for it to begin. It is taken
 // back before that. One that may run again is then sent to another engine. One that may not gets no
 // answer, and the caller learns that it may have run: an answer on weights that the operator has
-// declared out of date would be worse, and one that has waited for so long is late.
+// declared out of date would be worse.
 
 const (
 	// takeBackMargin is how long before the weights of an upstream become too old a request
