--- a/internal/gateway/faultyupstreams_test.go
+++ b/internal/gateway/faultyupstreams_test.go
@@ -13,34 +13,20 @@
 	"github.com/greengagegate/greengagegate/internal/catalog"
 )
 
-// endlessAnswers are answers without an end: start is sent once, then repeated until the connection is
-// closed.
-var endlessAnswers = []struct{ start, repeated string }{
-	{"", "x"},
-	{"HTTP/1.1 200 OK\r\nA: ", "x"},
-	{"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
-	{"", "HTTP/1.1 100 Continue\r\n\r\n"},
-	{"HTTP/1.1 200 OK\r\n\r\n", "x"},
-	{"HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", "x"},
-	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
-	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
-	{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n"},
-	{"HTTP/1.1 503 Service Unavailable\r\n\r\n", "x"},
-	{"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: ", "x"},
-	{"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n", ": x\n"},
-}
-
-// sendEndless answers on the request's connection until it is closed.
-func sendEndless(w http.ResponseWriter, start, repeated string) {
-	connection, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return
-	}
-	defer func() { _ = connection.Close() }()
-	_, err = io.WriteString(connection, start)
-	for block := []byte(strings.Repeat(repeated, 1+4096/len(repeated))); err == nil; {
-		_, err = connection.Write(block)
-	}
+// endlessAnswers are answers without an end, each in another way.
+var endlessAnswers = []rawAnswer{
+	{repeated: "x"},
+	{start: "HTTP/1.1 200 OK\r\nA: ", repeated: "x"},
+	{start: "HTTP/1.1 200 OK\r\n", repeated: "A: b\r\n"},
+	{repeated: "HTTP/1.1 100 Continue\r\n\r\n"},
+	{start: "HTTP/1.1 200 OK\r\n\r\n", repeated: "x"},
+	{start: "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n\r\n", repeated: "x"},
+	{start: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", repeated: "1\r\nx\r\n"},
+	{start: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", repeated: "x"},
+	{start: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", repeated: "A: b\r\n"},
+	{start: "HTTP/1.1 503 Service Unavailable\r\n\r\n", repeated: "x"},
+	{start: "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: ", repeated: "x"},
+	{start: "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n", repeated: ": x\n"},
 }
 
 // Load pattern: several upstreams answer without an end, each in another way, while callers upload
@@ -63,7 +49,7 @@
 		_, _ = io.Copy(io.Discard, r.Body)
 		var form int
 		if _, err := fmt.Sscan(r.Header.Get("Form"), &form); err == nil {
-			sendEndless(w, endlessAnswers[form].start, endlessAnswers[form].repeated)
+			endlessAnswers[form].send(t, w)
 		}
 	})
 	config := &catalog.Config{Version: 2, Pools: g.Catalog.Config().Pools, Limits: catalog.Limits{MaxBodyBytes: bodyBytes}}
