--- a/internal/gateway/faultyupstreams_test.go
+++ b/internal/gateway/faultyupstreams_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -30,14 +31,14 @@
 }
 
 // Load pattern: several upstreams answer without an end, each in another way, while callers upload
-// large bodies. The memory of both together must stay bounded, and each request ends.
+// large bodies. The memory of both together must stay bounded, and uploads are served meanwhile.
 func TestMemoryWithEndlessAnswersBesideUploadsIsBounded(t *testing.T) {
 	const (
 		callers   = 240
 		uploads   = 60
 		bodyBytes = 512 << 10
 		maxBytes  = 16 << 20
-		// headBytes is the largest head of an answer, which is held twice while it is read.
+		// headBytes is the largest head of an answer. As much again is allowed for its parsed form.
 		headBytes = 64 << 10
 		// slack is for the buffers of connections at both ends.
 		slack = 16 << 20
@@ -62,8 +63,9 @@
 	for i := range callers {
 		wait.Go(func() { serveDiscarded(g, strings.NewReader("small"), fmt.Sprint(i%len(endlessAnswers))) })
 	}
-	for range uploads {
-		wait.Go(func() { serveDiscarded(g, strings.NewReader(body), "") })
+	statuses := make([]int, uploads)
+	for i := range uploads {
+		wait.Go(func() { statuses[i] = serveDiscarded(g, strings.NewReader(body), "") })
 	}
 	done := make(chan struct{})
 	go func() {
@@ -82,6 +84,9 @@
 	if most > bound {
 		t.Errorf("the heap grew by %d bytes, want at most %d", most, bound)
 	}
+	if !slices.Contains(statuses, http.StatusOK) || slices.Contains(statuses, 0) {
+		t.Errorf("statuses of the uploads: %v, want some 200 and an answer to each", statuses)
+	}
 	if got := g.Buffered(); got != 0 {
 		t.Errorf("%d bytes count as buffered after the requests, want none", got)
 	}
@@ -89,8 +94,8 @@
 }
 
 // serveDiscarded serves a request with a body of unknown length for a caller that reads the response
-// and keeps nothing.
-func serveDiscarded(g *Gateway, body io.Reader, form string) {
+// and keeps nothing. It returns the status.
+func serveDiscarded(g *Gateway, body io.Reader, form string) int {
 	request := httptest.NewRequest(http.MethodPost, "/draft", io.MultiReader(body))
 	request.ContentLength = -1
 	request.Header.Set("Form", form)
@@ -100,13 +105,18 @@
 			panic(cause)
 		}
 	}()
-	g.ServeHTTP(&discardingCaller{header: make(http.Header)}, request)
+	caller := &discardingCaller{header: make(http.Header)}
+	g.ServeHTTP(caller, request)
+	return caller.status
 }
 
 // discardingCaller implements http.ResponseWriter and http.Flusher.
-type discardingCaller struct{ header http.Header }
+type discardingCaller struct {
+	header http.Header
+	status int
+}
 
 func (c *discardingCaller) Header() http.Header         { return c.header }
 func (c *discardingCaller) Write(p []byte) (int, error) { return len(p), nil }
-func (c *discardingCaller) WriteHeader(int)             {}
+func (c *discardingCaller) WriteHeader(status int)      { c.status = status }
 func (c *discardingCaller) Flush()                      {}
