--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/exchange"
+	"github.com/greengagegate/greengagegate/internal/loglimit"
 	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/poison"
 	"github.com/greengagegate/greengagegate/internal/retry"
@@ -83,10 +84,10 @@
 // concurrent use.
 type Gateway struct {
 	Options
-	// requestLog and weightsLog bound the lines of requests that failed or were tried again, and
+	// requestLines and weightsLines bound the lines of requests that failed or were tried again, and
 	// of those that were sent to older weights.
-	requestLog    *requestLog
-	weightsLog    *requestLog
+	requestLines  *loglimit.Limiter
+	weightsLines  *loglimit.Limiter
 	crashChecks   crashChecks
 	confirmations confirmations
 	queues        poolQueues
@@ -98,7 +99,11 @@
 
 // New returns a gateway.
 func New(options Options) *Gateway {
-	g := &Gateway{Options: options, requestLog: newRequestLog(options.Log), weightsLog: newRequestLog(options.Log)}
+	g := &Gateway{
+		Options:      options,
+		requestLines: loglimit.New(options.Log, "gateway", maxLinesPerSecond),
+		weightsLines: loglimit.New(options.Log, "gateway", maxLinesPerSecond),
+	}
 	g.stop.ended, g.stop.endSends = context.WithCancel(context.Background())
 	return g
 }
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -51,34 +50,6 @@
 	err    error
 }
 
-// requestLog bounds the log lines of requests by maxLinesPerSecond.
-type requestLog struct {
-	logger     zerolog.Logger
-	second     atomic.Int64
-	lines      atomic.Int64
-	suppressed atomic.Int64
-}
-
-func newRequestLog(log zerolog.Logger) *requestLog { return &requestLog{logger: log} }
-
-// reserveLine counts a line in the second of now and reports whether it may be written.
-// In a new second it first logs how many lines were suppressed before.
-func (r *requestLog) reserveLine(now time.Time) bool {
-	second := now.Unix()
-	if previous := r.second.Load(); previous != second && r.second.CompareAndSwap(previous, second) {
-		if suppressed := r.suppressed.Swap(0); suppressed > 0 {
-			r.logger.Warn().Int64("lines", suppressed).Msg("gateway: lines left out")
-		}
-		r.lines.Store(0)
-	}
-	if r.lines.Add(1) <= maxLinesPerSecond {
-		return true
-	}
-	r.suppressed.Add(1)
-	metrics.Counter("gateway.lines_left_out").Inc(1)
-	return false
-}
-
 // finish subtracts the job's bodies from the buffered total and records the job's metrics
 // and log line. It is deferred because it must also run when abortResponse panics with
 // http.ErrAbortHandler.
@@ -111,13 +82,13 @@
 func (j *job) mayLog(servedByFirstAttempt bool) bool {
 	switch {
 	case !servedByFirstAttempt:
-		return j.gateway.requestLog.reserveLine(time.Now())
+		return j.gateway.requestLines.Reserve(time.Now())
 	case j.call == nil:
 		return false
 	case xxhash.Sum64String(j.call.ID)%sampleInterval == 0:
 		return true
 	default:
-		return j.outcome.weights.isOlder() && j.gateway.weightsLog.reserveLine(time.Now())
+		return j.outcome.weights.isOlder() && j.gateway.weightsLines.Reserve(time.Now())
 	}
 }
 
@@ -134,7 +105,7 @@
 	if !served {
 		level = zerolog.WarnLevel
 	}
-	line := j.gateway.requestLog.logger.WithLevel(level).
+	line := j.gateway.Log.WithLevel(level).
 		Str("outcome", j.outcome.reason).
 		Int("status", j.outcome.status).
 		Str("customer", customer).
