exchange: responses that no request is waiting for are logged and counted

An answer too many left no trace: a response to another request was skipped in silence, and a connection with unread bytes was closed like any other. Both get a line with the ID that was due and the one that came, and a counter. The request names its ID, and the codec that of a response, in place of a function that only compares them.

TestAnswersThatEndUnusually and its likes are unchanged; the test gateway's servers echo the ID now, since one test sends one.

--- a/internal/exchange/earlyreset_test.go
+++ b/internal/exchange/earlyreset_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/testhost"
+	"github.com/rs/zerolog"
 )
 
 // An upstream may answer before it has read a large body, without a length, and then reset
@@ -32,7 +33,7 @@
 			_ = connection.(*net.TCPConn).SetLinger(0)
 			_ = connection.Close()
 		}()
-		response, err := NewPool().Do(t.Context(), listener.Addr().String(), newRequest(strings.Repeat("x", largeBody)))
+		response, err := NewPool(zerolog.Nop()).Do(t.Context(), listener.Addr().String(), newRequest(strings.Repeat("x", largeBody)))
 		_ = listener.Close()
 		if err != nil {
 			continue
--- a/internal/exchange/endless_test.go
+++ b/internal/exchange/endless_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/testhost"
+	"github.com/rs/zerolog"
 )
 
 // endlessTimeout is the deadline of an exchange with an endless upstream. An exchange that
@@ -49,7 +50,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), endlessTimeout)
 	defer cancel()
-	pool := NewPool()
+	pool := NewPool(zerolog.Nop())
 	_, err := pool.Do(ctx, serveEndless(t, start, repeated), newRequest(""))
 	var failure *Error
 	if !errors.As(err, &failure) || failure.Progress != MaybeSent || ctx.Err() != nil {
@@ -86,7 +87,7 @@
 	u := serve(t, func(int, int, *http.Request) []byte {
 		return fmt.Appendf(nil, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
 	})
-	pool := NewPool()
+	pool := NewPool(zerolog.Nop())
 	for range 3 {
 		if got, err := doExchange(t.Context(), pool, u.address(), ""); err != nil || got != body {
 			t.Fatalf("got %d bytes and error %v, want the body", len(got), err)
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -59,10 +59,12 @@
 	// AtMostOnce reports whether the request must not be repeated when its outcome is
 	// unknown.
 	AtMostOnce bool
-	// Matches reports whether a response with this header belongs to the request.
-	// It must not be nil. Up to maxMismatchedResponses other responses are skipped;
+	// ID identifies the request in its responses; empty if they do not name it.
+	ID string
+	// ResponseID returns the ID of the request that a response with this header belongs to.
+	// It must not be nil. Up to maxMismatchedResponses responses to other requests are skipped;
 	// after more, or after a body larger than maxDiscardedBytes, the exchange fails.
-	Matches func(http.Header) bool
+	ResponseID func(http.Header) string
 }
 
 // bodyLength returns the size of the body in bytes.
@@ -152,6 +154,7 @@
 // roundTrip writes the request and reads the head of its response. Responses that
 // do not match the request are skipped.
 func (c *conn) roundTrip(request *Request) (*Response, Progress, error) {
+	c.lastID, c.responseID = request.ID, request.ResponseID
 	bodyLength := request.bodyLength()
 	if bodyLength > maxBufferedBodyBytes {
 		c.limitUnacked(silenceTimeout)
@@ -183,7 +186,8 @@
 		if err != nil {
 			return nil, MaybeSent, err
 		}
-		if request.Matches(response.Header) {
+		responseID := request.ResponseID(response.Header)
+		if responseID == request.ID {
 			result := c.newResponse(response, writeDone, mismatched)
 			if bodyLength <= maxBufferedBodyBytes {
 				result.writeGrace = bufferedWriteGrace
@@ -191,6 +195,7 @@
 			return result, MaybeSent, nil
 		}
 		mismatched = true
+		c.reportMismatch(request.ID, responseID, response.StatusCode)
 		if err := discardBody(response.Body); err != nil {
 			return nil, MaybeSent, err
 		}
@@ -271,18 +276,21 @@
 	c := r.conn
 	r.conn = nil
 	abortPrevented := r.stopAbort == nil || r.stopAbort()
-	if !abortPrevented || !r.isReusable(c) {
+	switch {
+	case !abortPrevented || !r.isReusable(c):
 		c.discard()
-		return
+	case c.reader.Buffered() > 0:
+		c.discardUnsolicited()
+	default:
+		c.release(keepAliveTimeout(r.Header))
 	}
-	c.release(keepAliveTimeout(r.Header))
 }
 
 // isReusable reports whether c may serve another request: the request was written
 // and the response read completely, and neither the upstream nor a mismatched
 // response requires closing the connection.
 func (r *Response) isReusable(c *conn) bool {
-	if !r.bodyRead || r.mismatched || r.response.Close || !r.Delimited || c.reader.Buffered() > 0 {
+	if !r.bodyRead || r.mismatched || r.response.Close || !r.Delimited {
 		return false
 	}
 	if r.writeDone == nil {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/testhost"
+	"github.com/rs/zerolog"
 )
 
 // upstream is a scripted server. For each request the script receives the index of the
@@ -75,7 +76,7 @@
 func newRequest(body string) *Request {
 	return &Request{
 		Method: http.MethodPost, Target: "/x?y=1", Host: "h", Header: http.Header{"A": {"b"}}, Body: [][]byte{[]byte(body)},
-		Matches: func(h http.Header) bool { return h.Get("Id") == "a" },
+		ID: "a", ResponseID: func(h http.Header) string { return h.Get("Id") },
 	}
 }
 
@@ -95,7 +96,7 @@
 
 func TestConnectionsAreReused(t *testing.T) {
 	u := serve(t, func(int, int, *http.Request) []byte { return []byte(validResponse) })
-	pool := NewPool()
+	pool := NewPool(zerolog.Nop())
 	for range 5 {
 		if got, err := doExchange(t.Context(), pool, u.address(), strings.Repeat("x", 20_000)); err != nil || got != "ok" {
 			t.Fatalf("got %q, %v", got, err)
@@ -122,7 +123,7 @@
 			}
 			return []byte(validResponse)
 		})
-		pool := NewPool()
+		pool := NewPool(zerolog.Nop())
 		for range 3 {
 			if got, err := doExchange(t.Context(), pool, u.address(), "body"); err != nil || got != "ok" {
 				t.Errorf("%s: got %q, %v", name, got, err)
@@ -139,7 +140,7 @@
 // again.
 func TestUnreadResponseClosesConnection(t *testing.T) {
 	u := serve(t, func(int, int, *http.Request) []byte { return []byte(validResponse) })
-	pool := NewPool()
+	pool := NewPool(zerolog.Nop())
 	response, err := pool.Do(t.Context(), u.address(), newRequest(""))
 	if err != nil {
 		t.Fatal(err)
@@ -155,7 +156,7 @@
 // request without a valid response must report MaybeSent.
 func TestErrorReportsProgress(t *testing.T) {
 	freeAddress := testhost.Free(t)
-	pool := NewPool()
+	pool := NewPool(zerolog.Nop())
 	_, err := doExchange(t.Context(), pool, freeAddress, "")
 	var failure *Error
 	if !errors.As(err, &failure) || failure.Progress != NotSent {
@@ -187,7 +188,7 @@
 		return []byte("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\npart")
 	})
 	ctx, cancel := context.WithCancel(t.Context())
-	response, err := NewPool().Do(ctx, u.address(), newRequest(""))
+	response, err := NewPool(zerolog.Nop()).Do(ctx, u.address(), newRequest(""))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -237,7 +238,7 @@
 	exchanged := make(chan struct{})
 	address, received := serveEarlyResponse(t, exchanged)
 	body := strings.Repeat("x", 8<<20)
-	pool := NewPool()
+	pool := NewPool(zerolog.Nop())
 	got, err := doExchange(t.Context(), pool, address, body)
 	close(exchanged)
 	if err != nil || got != "ok" {
@@ -258,7 +259,7 @@
 	close(readNow)
 	address, received := serveEarlyResponse(t, readNow)
 	body := strings.Repeat("x", 8<<20)
-	pool := NewPool()
+	pool := NewPool(zerolog.Nop())
 	if got, err := doExchange(t.Context(), pool, address, body); err != nil || got != "ok" {
 		t.Fatalf("got %q, %v", got, err)
 	}
@@ -280,7 +281,7 @@
 		time.Sleep(50 * time.Millisecond)
 		_ = connection.(*net.TCPConn).CloseWrite()
 	}()
-	if got, err := doExchange(t.Context(), NewPool(), u.address(), ""); err != nil || got != "ok" {
+	if got, err := doExchange(t.Context(), NewPool(zerolog.Nop()), u.address(), ""); err != nil || got != "ok" {
 		t.Errorf("got %q, %v", got, err)
 	}
 }
@@ -307,7 +308,7 @@
 		return []byte(validResponse)
 	}
 	u, v := serve(t, script), serve(t, script)
-	pool := NewPool()
+	pool := NewPool(zerolog.Nop())
 	send := func(u *upstream, atMostOnce bool) error {
 		r := newRequest("body")
 		r.AtMostOnce = atMostOnce
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -6,13 +6,17 @@
 	"errors"
 	"math"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/fault"
+	"github.com/greengagegate/greengagegate/internal/loglimit"
 	"github.com/greengagegate/greengagegate/internal/metrics"
+	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 )
 
@@ -59,13 +63,12 @@
 // limitUnacked makes the connection fail when the upstream's host does not acknowledge sent
 // data or keep-alive probes within the timeout. Errors are ignored.
 func (c *conn) limitUnacked(timeout time.Duration) {
-	tcp, ok := c.netConn.(*net.TCPConn)
-	if !ok || c.unackedLimit == timeout {
+	if c.unackedLimit == timeout {
 		return
 	}
 	c.unackedLimit = timeout
-	raw, err := tcp.SyscallConn()
-	if err != nil {
+	raw, ok := c.rawConn()
+	if !ok {
 		return
 	}
 	// If the option cannot be set, the keep-alive probes still detect an unresponsive
@@ -78,6 +81,9 @@
 // Pool keeps idle connections to upstreams and reuses the most recently used one
 // first. It is safe for concurrent use.
 type Pool struct {
+	log   zerolog.Logger
+	lines *loglimit.Limiter
+
 	mu   sync.Mutex
 	idle map[string][]*conn
 	// open counts the connections to each address, including idle ones.
@@ -92,8 +98,11 @@
 }
 
 // NewPool returns an empty pool.
-func NewPool() *Pool {
-	return &Pool{idle: make(map[string][]*conn), open: make(map[string]int)}
+func NewPool(log zerolog.Logger) *Pool {
+	return &Pool{
+		log: log, lines: loglimit.New(log, "exchange", maxLinesPerSecond),
+		idle: make(map[string][]*conn), open: make(map[string]int),
+	}
 }
 
 // conn is a connection to an upstream, used by one exchange at a time.
@@ -110,6 +119,9 @@
 	unackedLimit time.Duration
 	// uses counts the completed exchanges.
 	uses int
+	// lastID is the ID of the last request, and responseID its Request.ResponseID.
+	lastID     string
+	responseID func(http.Header) string
 	// idleSince is when the connection became idle; expires is when it is closed if it is
 	// still idle.
 	idleSince time.Time
@@ -119,6 +131,16 @@
 	discarded atomic.Bool
 }
 
+// rawConn returns the TCP connection for system calls; ok is false if it is none or closed.
+func (c *conn) rawConn() (raw syscall.RawConn, ok bool) {
+	tcp, ok := c.netConn.(*net.TCPConn)
+	if !ok {
+		return nil, false
+	}
+	raw, err := tcp.SyscallConn()
+	return raw, err == nil
+}
+
 // abort closes the network connection, so that the current exchange fails. It does
 // not update the pool's counters; discard does.
 func (c *conn) abort() { _ = c.netConn.Close() }
@@ -142,10 +164,11 @@
 func (p *Pool) acquire(ctx context.Context, address string, atMostOnce bool) (*conn, error) {
 	idleLimit := p.idleLimit(atMostOnce)
 	for c := p.popIdle(address, idleLimit); c != nil; c = p.popIdle(address, idleLimit) {
-		if time.Now().Before(c.expires) && c.isHealthy() {
+		state := c.idleState()
+		if state == healthy && time.Now().Before(c.expires) {
 			return c, nil
 		}
-		c.discard()
+		c.retire(state)
 	}
 	return p.connect(ctx, address)
 }
@@ -273,30 +296,6 @@
 	}
 }
 
-// isHealthy reports whether the upstream has neither closed the connection nor sent
-// anything on it since its last response.
-func (c *conn) isHealthy() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	tcp, ok := c.netConn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	healthy := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, peekErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		healthy = peekErr == unix.EAGAIN
-		return true
-	})
-	return err == nil && healthy
-}
-
 // Sweep closes idle connections that have expired. It must be called periodically.
 func (p *Pool) Sweep() {
 	now := time.Now()
@@ -320,7 +319,7 @@
 	}
 	p.mu.Unlock()
 	for _, c := range expired {
-		c.discard()
+		c.retire(c.idleState())
 	}
 }
 
@@ -328,7 +327,7 @@
 // upstream at the address is removed.
 func (p *Pool) CloseIdle(address string) {
 	for c := p.popIdle(address, noIdleLimit); c != nil; c = p.popIdle(address, noIdleLimit) {
-		c.discard()
+		c.retire(c.idleState())
 	}
 }
 
--- a/internal/exchange/silence_test.go
+++ b/internal/exchange/silence_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/testhost"
+	"github.com/rs/zerolog"
 	"golang.org/x/sys/unix"
 )
 
@@ -36,7 +37,7 @@
 		fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 7\r\n\r\n%7d", n)
 	}()
 	const size = 1 << 20
-	got, err := doExchange(t.Context(), NewPool(), listener.Addr().String(), strings.Repeat("x", size))
+	got, err := doExchange(t.Context(), NewPool(zerolog.Nop()), listener.Addr().String(), strings.Repeat("x", size))
 	if err != nil || strings.TrimSpace(got) != fmt.Sprint(size) {
 		t.Errorf("the upstream read %q bytes, error %v, want %d", got, err, size)
 	}
@@ -46,7 +47,7 @@
 // long as unackedTimeout, and the next request on the connection must.
 func TestSilenceIsToleratedForOneResponse(t *testing.T) {
 	u := serve(t, func(int, int, *http.Request) []byte { return []byte(validResponse) })
-	pool := NewPool()
+	pool := NewPool(zerolog.Nop())
 	for range 2 {
 		response, err := pool.Do(t.Context(), u.address(), newRequest(""))
 		if err != nil {
--- /dev/null
+++ b/internal/exchange/unsolicited.go
@@ -0,0 +1,122 @@
+package exchange
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"time"
+
+	"github.com/greengagegate/greengagegate/internal/metrics"
+	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
+)
+
+// An upstream may send responses that no request is waiting for: copies of earlier ones, or
+// responses to requests that were given up. The functions of this file report them.
+
+// maxLinesPerSecond bounds the log lines about such responses.
+const maxLinesPerSecond = 20
+
+// reportMismatch reports a response to another request than the one that is under way. It is
+// skipped, and the connection is closed after the exchange.
+func (c *conn) reportMismatch(awaited, received string, status int) {
+	metrics.Counter("exchange.mismatched_responses").Inc(1)
+	if line := c.warn(); line != nil {
+		line.Str("awaited", awaited).Str("received", received).Int("status", status).
+			Msg("exchange: upstream sent a response to another request; skipping it")
+	}
+}
+
+// discardUnsolicited reports the response that the upstream sent while no request was under
+// way, as far as it has arrived, and closes the connection.
+func (c *conn) discardUnsolicited() {
+	defer c.discard()
+	metrics.Counter("exchange.unsolicited_responses").Inc(1)
+	line := c.warn()
+	if line == nil {
+		return
+	}
+	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(c.arrived())), nil)
+	if err == nil {
+		line = line.Str("received", c.responseID(response.Header)).Int("status", response.StatusCode)
+	}
+	line.Str("former", c.lastID).Err(err).
+		Msg("exchange: upstream sent bytes that no request was waiting for; closing the connection")
+}
+
+// arrived returns the first bytes that have arrived and have not been read, without waiting
+// for more.
+func (c *conn) arrived() []byte {
+	// Peek never fails for bytes that are buffered.
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	raw, ok := c.rawConn()
+	if !ok {
+		return buffered
+	}
+	content := make([]byte, readBufferBytes)
+	n := copy(content, buffered)
+	// After an error only the buffered bytes are known.
+	_ = raw.Read(func(fd uintptr) bool {
+		if received, _, err := unix.Recvfrom(int(fd), content[n:], unix.MSG_PEEK|unix.MSG_DONTWAIT); err == nil {
+			n += received
+		}
+		return true
+	})
+	return content[:n]
+}
+
+// warn returns a line about the connection, or nil if the bound on lines is reached.
+func (c *conn) warn() *zerolog.Event {
+	if !c.pool.lines.Reserve(time.Now()) {
+		return nil
+	}
+	return c.pool.log.Warn().Str("address", c.address).Str("local", c.netConn.LocalAddr().String())
+}
+
+// idleState is what can be seen of a connection on which no request is under way.
+type idleState uint8
+
+const (
+	// healthy means that the connection is open and nothing has arrived on it.
+	healthy idleState = iota
+	// closed means that the upstream has closed the connection, or that it failed.
+	closed
+	// unsolicited means that the upstream has sent bytes.
+	unsolicited
+)
+
+// idleState returns the state of an idle connection.
+func (c *conn) idleState() idleState {
+	if c.reader.Buffered() > 0 {
+		return unsolicited
+	}
+	raw, ok := c.rawConn()
+	if !ok {
+		return healthy
+	}
+	state := closed
+	err := raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		n, _, peekErr := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case peekErr == unix.EAGAIN:
+			state = healthy
+		case peekErr == nil && n > 0:
+			state = unsolicited
+		}
+		return true
+	})
+	if err != nil {
+		return closed
+	}
+	return state
+}
+
+// retire closes a connection that is not used again, and reports what arrived on it.
+func (c *conn) retire(state idleState) {
+	if state == unsolicited {
+		c.discardUnsolicited()
+		return
+	}
+	c.discard()
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -268,7 +268,8 @@
 		Header:     codec.Headers(j.r.Header, call, metadata),
 		Body:       j.bodyChunks(),
 		AtMostOnce: j.route.Kind == catalog.NonIdempotent,
-		Matches:    func(header http.Header) bool { return codec.IsResponseTo(call, header) },
+		ID:         call.ID,
+		ResponseID: codec.ResponseID,
 	}
 }
 
--- a/internal/gateway/codec.go
+++ b/internal/gateway/codec.go
@@ -92,8 +92,9 @@
 	Headers(in http.Header, call *Call, metadata *ForwardMetadata) http.Header
 	// Classify reads the status and header of a response.
 	Classify(status int, header http.Header) ResponseStatus
-	// IsResponseTo reports whether a response with the given header belongs to the call.
-	IsResponseTo(call *Call, header http.Header) bool
+	// ResponseID returns the Call.ID of the request that a response with the given header
+	// belongs to.
+	ResponseID(header http.Header) string
 	// EventVersion returns the version of the weights that an event of a stream reports; 0 if
 	// it reports none.
 	EventVersion(event []byte) int64
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -46,7 +46,7 @@
 	return ResponseStatus{IsComplete: true, NotRun: misdirected, Misdirected: misdirected, InstanceID: header.Get("Life")}
 }
 
-func (idCodec) IsResponseTo(*Call, http.Header) bool { return true }
+func (idCodec) ResponseID(header http.Header) string { return header.Get("Id") }
 func (idCodec) EventVersion([]byte) int64            { return 0 }
 
 // newTestGateway returns a gateway with one route and a number of upstreams, which are
@@ -64,7 +64,10 @@
 	testCatalog.SetConfig(config)
 	var listed []*catalog.Upstream
 	for i := range upstreams {
-		server := httptest.NewServer(handler)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header()["Id"] = r.Header["Id"]
+			handler(w, r)
+		}))
 		t.Cleanup(server.Close)
 		listed = append(listed, &catalog.Upstream{ID: string(rune('a' + i)), Pool: "pool", Address: server.Listener.Addr().String()})
 	}
@@ -72,7 +75,7 @@
 	testBalancer := balancer.New("zone", nil)
 	testBalancer.SyncUpstreams(testCatalog.Upstreams())
 	return New(Options{
-		Catalog: testCatalog, Codec: idCodec{}, Pool: exchange.NewPool(), Balancer: testBalancer,
+		Catalog: testCatalog, Codec: idCodec{}, Pool: exchange.NewPool(zerolog.Nop()), Balancer: testBalancer,
 		Notices: &Notices{Balancer: testBalancer, Limits: ratelimit.New(ratelimit.Options{}), Log: zerolog.Nop()},
 		Shares:  share.New("own", 0, nil), SharedBudget: retry.NewSharedBudget(1, 100),
 		Poison:  poison.New(poison.Options{Log: zerolog.Nop()}),
