exchange: a connection never carries two requests with the same ID

What callers saw: 503 with Retry-After for a request that ran (REFUSED), and, with a second server in the pool, a request that may run once ran twice (TWICE).

Cause: an upstream that starts anew with a new ID is listed under both for a while. It answers 421 to what names the former one, the connection stays open, and the request is sent again to the same address under the other ID, on the same connection. A copy of the 421 that arrives then bears the right ID. An ID tells which request an answer belongs to, not which sending of it.

Fix: a connection remembers the IDs that it has carried, and is passed over for a request with one of them. That holds for every way to the same ID: another listed ID at the address, an upstream that is listed again, a caller that uses an ID twice, copies of successes. A copy cannot arrive on another connection. Requests with other IDs keep using the connection, so that a refusal costs no new one.

The requests of the exchange tests have IDs of their own now, since they count connections; their bounds are unchanged.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -59,7 +59,8 @@
 	// AtMostOnce reports whether the request must not be repeated when its outcome is
 	// unknown.
 	AtMostOnce bool
-	// ID identifies the request in its responses; empty if they do not name it.
+	// ID identifies the request in its responses; empty if they do not name it. The request
+	// is not sent on a connection that has carried one with the same ID before.
 	ID string
 	// ResponseID returns the ID of the request that a response with this header belongs to.
 	// It must not be nil. Up to maxMismatchedResponses responses to other requests are skipped;
@@ -130,7 +131,7 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &Error{Progress: NotSent, cause: fault.Wrap(err, "connect", address)}
 	}
-	c, err := p.acquire(ctx, address, request.AtMostOnce)
+	c, err := p.acquire(ctx, address, request)
 	if err != nil {
 		return nil, &Error{Progress: NotSent, cause: fault.Wrap(err, "connect", address)}
 	}
@@ -155,6 +156,7 @@
 // do not match the request are skipped.
 func (c *conn) roundTrip(request *Request) (*Response, Progress, error) {
 	c.lastID, c.responseID = request.ID, request.ResponseID
+	c.carried.add(request.ID)
 	bodyLength := request.bodyLength()
 	if bodyLength > maxBufferedBodyBytes {
 		c.limitUnacked(silenceTimeout)
@@ -287,10 +289,10 @@
 }
 
 // isReusable reports whether c may serve another request: the request was written
-// and the response read completely, and neither the upstream nor a mismatched
-// response requires closing the connection.
+// and the response read completely, neither the upstream nor a mismatched response requires
+// closing the connection, and it may carry further requests.
 func (r *Response) isReusable(c *conn) bool {
-	if !r.bodyRead || r.mismatched || r.response.Close || !r.Delimited {
+	if !r.bodyRead || r.mismatched || r.response.Close || !r.Delimited || c.carried.isFull() {
 		return false
 	}
 	if r.writeDone == nil {
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -73,10 +75,21 @@
 
 const validResponse = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok"
 
+// requestCount numbers the requests of newRequest.
+var requestCount atomic.Int64
+
+// newRequest returns a request with an ID of its own. Upstreams call each request "a" in their
+// responses.
 func newRequest(body string) *Request {
+	id := fmt.Sprint("request-", requestCount.Add(1))
 	return &Request{
 		Method: http.MethodPost, Target: "/x?y=1", Host: "h", Header: http.Header{"A": {"b"}}, Body: [][]byte{[]byte(body)},
-		ID: "a", ResponseID: func(h http.Header) string { return h.Get("Id") },
+		ID: id, ResponseID: func(h http.Header) string {
+			if received := h.Get("Id"); received != "a" {
+				return received
+			}
+			return id
+		},
 	}
 }
 
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -118,7 +119,8 @@
 	// unackedLimit is the timeout that limitUnacked has set, or 0.
 	unackedLimit time.Duration
 	// uses counts the completed exchanges.
-	uses int
+	uses    int
+	carried carried
 	// lastID is the ID of the last request, and responseID its Request.ResponseID.
 	lastID     string
 	responseID func(http.Header) string
@@ -159,11 +161,11 @@
 	return open, idle
 }
 
-// acquire returns a healthy idle connection or, if there is none, a new one. Idle
-// connections that expired or are not healthy are closed.
-func (p *Pool) acquire(ctx context.Context, address string, atMostOnce bool) (*conn, error) {
-	idleLimit := p.idleLimit(atMostOnce)
-	for c := p.popIdle(address, idleLimit); c != nil; c = p.popIdle(address, idleLimit) {
+// acquire returns a healthy idle connection for the request or, if there is none, a new one.
+// Idle connections that expired or are not healthy are closed.
+func (p *Pool) acquire(ctx context.Context, address string, request *Request) (*conn, error) {
+	idleLimit := p.idleLimit(request.AtMostOnce)
+	for c := p.popIdle(address, idleLimit, request.ID); c != nil; c = p.popIdle(address, idleLimit, request.ID) {
 		state := c.idleState()
 		if state == healthy && time.Now().Before(c.expires) {
 			return c, nil
@@ -244,22 +246,25 @@
 	return fault.Wrap(err, "check", address)
 }
 
-// popIdle removes and returns the most recently used idle connection to an address. It
-// returns nil if there is none or it was idle for more than idleLimit.
-func (p *Pool) popIdle(address string, idleLimit time.Duration) *conn {
+// popIdle removes and returns the most recently used idle connection to an address that has not
+// carried a request with the given ID. It returns nil if there is none or it was idle for more
+// than idleLimit.
+func (p *Pool) popIdle(address string, idleLimit time.Duration, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	if len(list) == 0 {
-		return nil
-	}
-	c := list[len(list)-1]
-	if c.idleTime = time.Since(c.idleSince); c.idleTime > idleLimit {
-		return nil
+	for i, c := range slices.Backward(list) {
+		if c.idleTime = time.Since(c.idleSince); c.idleTime > idleLimit {
+			return nil
+		}
+		if c.carried.has(id) {
+			metrics.Counter("exchange.connections_passed_over").Inc(1)
+			continue
+		}
+		p.idle[address] = slices.Delete(list, i, i+1)
+		return c
 	}
-	list[len(list)-1] = nil
-	p.idle[address] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // release puts the connection back into the pool, or closes it if its deadline cannot be
@@ -326,7 +331,7 @@
 // CloseIdle closes the idle connections to an address. It is called when the
 // upstream at the address is removed.
 func (p *Pool) CloseIdle(address string) {
-	for c := p.popIdle(address, noIdleLimit); c != nil; c = p.popIdle(address, noIdleLimit) {
+	for c := p.popIdle(address, noIdleLimit, ""); c != nil; c = p.popIdle(address, noIdleLimit, "") {
 		c.retire(c.idleState())
 	}
 }
--- a/internal/exchange/unsolicited_test.go
+++ b/internal/exchange/unsolicited_test.go
@@ -18,10 +18,10 @@
 		response string
 		want     []string
 	}{
-		"before the response": {extra + validResponse, []string{`"awaited":"a"`, `"received":"late"`, `"status":503`}},
-		"after the response":  {validResponse + extra, []string{`"former":"a"`, `"received":"late"`, `"status":503`}},
-		"head incomplete":     {validResponse + "HTTP/1.1 503", []string{`"former":"a"`, `"error":"unexpected EOF"`}},
-		"before and after":    {extra + validResponse + extra, []string{`"awaited":"a"`}},
+		"before the response": {extra + validResponse, []string{`"awaited":"request-`, `"received":"late"`, `"status":503`}},
+		"after the response":  {validResponse + extra, []string{`"former":"request-`, `"received":"late"`, `"status":503`}},
+		"head incomplete":     {validResponse + "HTTP/1.1 503", []string{`"former":"request-`, `"error":"unexpected EOF"`}},
+		"before and after":    {extra + validResponse + extra, []string{`"awaited":"request-`}},
 		"none":                {validResponse, nil},
 	}
 	for name, c := range cases {
