intake: callers' connections leave descriptors for upstreams, the store and readiness

Callers saw neither answers nor readiness once as many idle, kept or slow connections were open as the gateway has descriptors: the callers' listener accepted until none was left.

internal/intake owns callers' connections. It bounds their number by the descriptors and the memory, and closes for a new one those that have never sent a request, then those that are idle for longest, never one whose request is served. It replaces framing.Listener: the check of the framing is part of reading, and the scanner reports the ends of heads and requests without an allocation a line. A line that matters and is cut off is ambiguous now; before, a length behind 32 KiB of zeros was read as 0.

--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/exchange"
 	"github.com/greengagegate/greengagegate/internal/gateway"
+	"github.com/greengagegate/greengagegate/internal/intake"
 	"github.com/greengagegate/greengagegate/internal/mirror"
 	"github.com/greengagegate/greengagegate/internal/node"
 	"github.com/greengagegate/greengagegate/internal/origin"
@@ -142,7 +143,7 @@
 				return &gateway.Notices{Balancer: b, Limits: limits, Log: log}
 			},
 			func(log zerolog.Logger) *poison.Tracker { return poison.New(poison.Options{Log: log}) },
-			newSharedBudget, newGatewayNode, newGateway, newWeightsManager, newPeering, newRelay, newRoster, newShareLink, newPermits, newOrigins, newRollouts,
+			newCallerConnections, newSharedBudget, newGatewayNode, newGateway, newWeightsManager, newPeering, newRelay, newRoster, newShareLink, newPermits, newOrigins, newRollouts,
 		),
 		fx.Invoke(
 			serveGatewayAdmin, serveReadiness, startPeering, runRelay, followCatalog, followPlatform, followRoster,
@@ -169,6 +170,10 @@
 	return upstreamBalancer
 }
 
+func newCallerConnections(s *GatewaySettings, log zerolog.Logger) *intake.Manager {
+	return intake.New(intake.Options{Door: "callers", Limits: s.Memory.callerLimits(), Log: log})
+}
+
 func newSharedBudget(s *GatewaySettings) *retry.SharedBudget {
 	return retry.NewSharedBudget(s.Bounds.RetryRatio*retryRatioFraction, s.Bounds.RetrySlack*slackFraction)
 }
--- a/internal/app/gatewaycallers.go
+++ b/internal/app/gatewaycallers.go
@@ -12,8 +12,8 @@
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/fault"
-	"github.com/greengagegate/greengagegate/internal/framing"
 	"github.com/greengagegate/greengagegate/internal/gateway"
+	"github.com/greengagegate/greengagegate/internal/intake"
 	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/internal/roster"
 	"github.com/greengagegate/greengagegate/internal/weights"
@@ -37,7 +37,7 @@
 // serveGatewayCallers starts the callers' listener after all other parts and stops it
 // first. A stop reports the gateway as not ready, waits for the drain delay and for
 // requests in flight, then gives up the orders lease.
-func serveGatewayCallers(lifecycle fx.Lifecycle, s *GatewaySettings, g *gateway.Gateway, weightsManager *weights.Manager, platformCatalog *catalog.Catalog, r *roster.Roster, ready *admin.Readiness, log zerolog.Logger) {
+func serveGatewayCallers(lifecycle fx.Lifecycle, s *GatewaySettings, g *gateway.Gateway, connections *intake.Manager, weightsManager *weights.Manager, platformCatalog *catalog.Catalog, r *roster.Roster, ready *admin.Readiness, log zerolog.Logger) {
 	idleConnections := newIdleTracker()
 	server := &http.Server{
 		Handler:           g,
@@ -53,7 +53,7 @@
 			return fault.Wrap(err, "listen for callers", s.Callers.Listen)
 		}
 		go func() {
-			if err := server.Serve(framing.Listener{Listener: listener}); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			if err := connections.Serve(server, listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
 				log.Error().Err(err).Msg("app: callers' listener failed; it accepts no new connections until a restart")
 			}
 		}()
--- a/internal/app/gatewaygauges.go
+++ b/internal/app/gatewaygauges.go
@@ -10,6 +10,7 @@
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/exchange"
 	"github.com/greengagegate/greengagegate/internal/gateway"
+	"github.com/greengagegate/greengagegate/internal/intake"
 	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/poison"
 	"github.com/greengagegate/greengagegate/internal/ratelimit"
@@ -28,6 +29,7 @@
 
 	Catalog        *catalog.Catalog
 	Gateway        *gateway.Gateway
+	Connections    *intake.Manager
 	Pool           *exchange.Pool
 	Balancer       *balancer.Balancer
 	Shares         *share.Manager
@@ -125,6 +127,10 @@
 	metrics.Gauge("ratelimit.limited").Update(int64(g.sources.Limits.Limited()))
 	metrics.Gauge("poison.suspects").Update(int64(g.sources.Poison.Suspects()))
 	metrics.Gauge("poison.convicted").Update(int64(g.sources.Poison.Convictions()))
+	callers := g.sources.Connections.Status()
+	metrics.Gauge("intake.connections", "door", "callers").Update(int64(callers.Connections))
+	metrics.Gauge("intake.head_bytes", "door", "callers").Update(callers.HeadBytes)
+	metrics.Gauge("intake.body_bytes", "door", "callers").Update(callers.BodyBytes)
 	g.queued.Begin()
 	for _, queue := range g.sources.Gateway.QueueStatuses() {
 		g.queued.Set(int64(queue.Waiting), "customer", queue.Customer, "route", queue.Route)
--- a/internal/app/gatewaysettings.go
+++ b/internal/app/gatewaysettings.go
@@ -101,33 +101,6 @@
 	return max(0, min(relistTime, b.Drain-drainMargin))
 }
 
-// Memory holds the settings for the memory of the process.
-type Memory struct {
-	// LimitMB is the memory that the process may use, in units of 1,000,000 bytes; 0
-	// means no limit.
-	LimitMB int64 `ini:"limit_mb"`
-}
-
-const (
-	megabyte = 1_000_000
-	// heapFraction is the fraction of the memory that the Go runtime may use. The rest
-	// is for the program image and for unread data in kernel buffers.
-	heapFraction = 0.65
-	// bodyFraction is the fraction of the memory that bodies of requests and of responses
-	// may take.
-	bodyFraction = 0.25
-	// defaultMaxBufferedBytes bounds these bodies when LimitMB is 0.
-	defaultMaxBufferedBytes = 1 << 30
-)
-
-// maxBufferedBytes returns the number of bytes of bodies that may be held at once.
-func (m *Memory) maxBufferedBytes() int64 {
-	if m.LimitMB <= 0 {
-		return defaultMaxBufferedBytes
-	}
-	return int64(float64(m.LimitMB*megabyte) * bodyFraction)
-}
-
 // Start holds what is known of the start of the process.
 type Start struct {
 	// First is true if the whole system starts for the first time, so that no stream can have
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -60,43 +59,18 @@
 	}
 }
 
-// net/http reads a request with both a length and a transfer coding as chunked, and
-// the bytes after the last chunk as a second request. Neither request may reach the
-// handler, and the caller must get status 400.
-func TestListenerRejectsSmuggledRequest(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	handledPaths := make(chan string, 4)
-	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { handledPaths <- r.URL.Path })}
-	go func() { _ = server.Serve(Listener{Listener: listener}) }()
-	defer func() { _ = server.Close() }()
-	connection, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = connection.Close() }()
-	hiddenRequest := "GET /hidden HTTP/1.1\r\nHost: x\r\n\r\n"
-	text := "POST /outer HTTP/1.1\r\nHost: x\r\nContent-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hiddenRequest
-	if _, err := io.WriteString(connection, text); err != nil {
-		t.Fatal(err)
-	}
-	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if response.StatusCode != http.StatusBadRequest {
-		t.Errorf("status %d, want 400", response.StatusCode)
-	}
-	rest, _ := io.ReadAll(response.Body)
-	if !strings.Contains(string(rest), "ambiguous") {
-		t.Errorf("response body %q does not state the reason", rest)
+// A value that is cut off because its line is long could be read as another one.
+func TestScannerRejectsLongLinesThatMatter(t *testing.T) {
+	zeros := strings.Repeat("0", 2*maxLineBytes)
+	cases := map[string]string{
+		"length":     "POST /a HTTP/1.1\r\nContent-Length: " + zeros + "5\r\n\r\n",
+		"coding":     "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked" + strings.Repeat(" ", 2*maxLineBytes) + "x\r\n\r\n",
+		"chunk size": "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + zeros + "5\r\n",
 	}
-	select {
-	case path := <-handledPaths:
-		t.Errorf("handler received the request for %s", path)
-	default:
+	for name, text := range cases {
+		if err := scanAll(t, text, 7); !errors.Is(err, ErrAmbiguous) {
+			t.Errorf("scan %s, 7 bytes at a time: got %v, want ErrAmbiguous", name, err)
+		}
 	}
 }
 
@@ -129,3 +103,32 @@
 		}
 	})
 }
+
+// Each chunk costs a line; tiny chunks must not cost an allocation each.
+func BenchmarkScanChunksOfOneByte(b *testing.B) {
+	head := []byte("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n")
+	chunks := []byte(strings.Repeat("1\r\nx\r\n", 680))
+	var s Scanner
+	if err := s.Scan(head); err != nil {
+		b.Fatal(err)
+	}
+	b.SetBytes(int64(len(chunks)))
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := s.Scan(chunks); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// Most requests are small and arrive whole.
+func BenchmarkScanSmallRequests(b *testing.B) {
+	request := []byte(lengthPost + plainGet)
+	var s Scanner
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := s.Scan(request); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
