intake: the heads of all callers together are bounded

Callers' unfinished heads, and whole ones whose bodies did not end, took a gateway beyond the memory of its machine: each may take 64 KiB of text, short lines twenty times as much once they are parsed, and nothing bounded their sum.

A head stays in the connection as raw bytes until it is whole, and counts; a whole one counts with an estimate of its parsed size. At 0.08 of limit_mb the unfinished requests that hold most for longest are closed with 408, and a large whole head is refused with 503; both have not run. Connections that would take more wait until closed ones have released their memory.

--- a/internal/app/gatewaymemory.go
+++ b/internal/app/gatewaymemory.go
@@ -41,6 +41,11 @@
 	// bodyFraction is the fraction of the memory that bodies of requests and of responses
 	// may take.
 	bodyFraction = 0.25
+	// unfinishedFraction is the fraction of the bodies' memory that unfinished bodies of requests
+	// may take. The rest is free for requests that are whole.
+	unfinishedFraction = 0.5
+	// headFraction is the fraction of the memory that heads of requests may take.
+	headFraction = 0.08
 	// connectionFraction is the fraction of the memory that connections of callers may take
 	// beside what they have received, and connectionBytes what each takes: the stack of its
 	// goroutine and the buffers of the HTTP server.
@@ -52,6 +57,8 @@
 	reservedFDs = 400
 	// minConnections is the least number of callers' connections.
 	minConnections = 16
+	// defaultHeadBytes bounds heads when LimitMB is 0.
+	defaultHeadBytes = 256 << 20
 	// defaultMaxBufferedBytes bounds these bodies when LimitMB is 0.
 	defaultMaxBufferedBytes = 1 << 30
 )
@@ -68,8 +75,11 @@
 func (m *Memory) callerLimits() intake.Limits {
 	limits := intake.Limits{
 		Connections: m.maxConnections(),
-		HeadBytes:   math.MaxInt64,
-		BodyBytes:   math.MaxInt64,
+		HeadBytes:   defaultHeadBytes,
+		BodyBytes:   int64(unfinishedFraction * float64(m.maxBufferedBytes())),
+	}
+	if m.LimitMB > 0 {
+		limits.HeadBytes = int64(headFraction * float64(m.LimitMB*megabyte))
 	}
 	return limits
 }
