gateway: unfinished bodies leave room for requests that are whole

Callers whose requests were whole got 503 with the reason memory while bodies that had stopped just short of their end held the memory for bodies, for up to 10 s.

Unfinished bodies may take half of that memory. Above it the ones that hold most for longest are closed with 503, which stays true: a connection is not closed for others once its body is whole. One body alone may take more than half, so that each body that was served in calm still is.

--- a/internal/gateway/bufferedbody.go
+++ b/internal/gateway/bufferedbody.go
@@ -55,6 +55,9 @@
 func (j *job) addChunk(body *bufferedBody, source io.Reader, size int) error {
 	body.capacity += int64(size)
 	j.addBuffered(int64(size))
+	if !j.upload.HoldBody(int64(size)) {
+		return errBodyMemory
+	}
 	free := j.gateway.Bounds.MaxBufferedBytes - j.gateway.buffered.Load()
 	if body.capacity > max(free, firstChunkBytes) {
 		return errBodyMemory
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/exchange"
+	"github.com/greengagegate/greengagegate/internal/intake"
 	"github.com/greengagegate/greengagegate/internal/loglimit"
 	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/poison"
@@ -166,16 +167,18 @@
 
 // job is one request of a caller.
 type job struct {
-	gateway       *Gateway
-	w             http.ResponseWriter
-	r             *http.Request
-	arrivedAt     bootclock.Instant
-	config        *catalog.Config
-	call          *Call
-	route         *catalog.Route
-	customer      *catalog.Customer
-	pool          *catalog.Pool
-	body          *bufferedBody
+	gateway   *Gateway
+	w         http.ResponseWriter
+	r         *http.Request
+	arrivedAt bootclock.Instant
+	config    *catalog.Config
+	call      *Call
+	route     *catalog.Route
+	customer  *catalog.Customer
+	pool      *catalog.Pool
+	body      *bufferedBody
+	// upload is the caller's connection while the body is read from it; nil otherwise.
+	upload        *intake.Conn
 	bufferedBytes int64
 	// cost is the number of tokens charged to the customer; 0 if none were charged.
 	cost     float64
--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/greengagegate/greengagegate/internal/intake"
 )
 
 // bodyTimeout bounds the reading of a request's body.
@@ -20,13 +22,17 @@
 	if j.r.ContentLength > limit {
 		return refusedTooLarge
 	}
+	j.upload = intake.FromContext(j.r.Context())
+	j.upload.BeginBody()
 	// The error is ignored: it means that the response writer has no read deadlines,
 	// which is the case in tests only.
 	_ = http.NewResponseController(j.w).SetReadDeadline(time.Now().Add(bodyTimeout))
 	body, err := j.readWhole(limit)
+	isOpen := j.upload.EndBody()
+	j.upload = nil
 	_ = http.NewResponseController(j.w).SetReadDeadline(time.Time{})
 	switch {
-	case errors.Is(err, errBodyMemory):
+	case errors.Is(err, errBodyMemory), !isOpen:
 		return refusedMemory
 	case errors.Is(err, errBodyTooLarge):
 		return refusedTooLarge
@@ -45,7 +51,7 @@
 	if length < 0 {
 		return j.bufferBody(j.r.Body, limit)
 	}
-	if !j.addBuffered(length) {
+	if !j.upload.HoldBody(length) || !j.addBuffered(length) {
 		return nil, errBodyMemory
 	}
 	content := make([]byte, length)
