gateway: the server does not wait for good for the rest of a refused body

Callers found no connection and readiness checks no descriptor beside requests that were refused before their bodies had ended, for example for an unknown key: net/http reads up to 256 KB of the rest before it sends the response, without a time limit, and the connection counted as serving.

A refused request's connection may be closed for others while its body is unread, and the wait for the rest is bounded like the reading of a body.

--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -172,6 +172,7 @@
 	j.outcome.status = refused.status
 	j.outcome.reason = refused.reason
 	j.refund()
+	j.boundUnreadBody()
 	header := j.w.Header()
 	if refused.retryAfter > 0 {
 		header.Set("Retry-After", formatSeconds(refused.retryAfter))
--- a/internal/gateway/requestbody.go
+++ b/internal/gateway/requestbody.go
@@ -44,6 +44,17 @@
 	return nil
 }
 
+// boundUnreadBody limits how long the HTTP server waits for the rest of a body that was not read
+// whole, before it sends the response.
+func (j *job) boundUnreadBody() {
+	if j.r.ContentLength == 0 || j.body != nil {
+		return
+	}
+	intake.FromContext(j.r.Context()).BeginBody()
+	// The error is ignored as in readBody.
+	_ = http.NewResponseController(j.w).SetReadDeadline(time.Now().Add(bodyTimeout))
+}
+
 // readWhole reads the body of the request: at once if its length is known, otherwise in chunks,
 // whose memory counts as they are read.
 func (j *job) readWhole(limit int64) (*bufferedBody, error) {
