intake: long bodies are read in turns, so that small requests find the processor free

Callers and readiness checks got no answer beside a hundred or more bodies in chunks of one byte: each byte costs a chunk line for the framing and for net/http, and every small request waited behind all goroutines that had such bytes to read.

From 64 KiB on, a body's connection takes turns with others; while others wait, as much time stays free as the turns take. A connection that is closed for others, or whose time is over, leaves the queue at once and releases its memory.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -19,6 +19,9 @@
 	maxHeadBytes = 68 << 10
 	// lineOverhead is the memory of a parsed header beside its text, in bytes.
 	lineOverhead = 160
+	// freeBodyBytes is the size of a body, with the framing of its chunks, that is read without
+	// turns.
+	freeBodyBytes = 64 << 10
 	// writeTimeout bounds each write for which the handler has set no time limit.
 	writeTimeout = 10 * time.Second
 	// refusalTimeout bounds the write of a refusal by the connection itself.
@@ -54,6 +57,9 @@
 	// hasWriteDeadline is true while the handler's time limit for writes is in force.
 	hasWriteDeadline atomic.Bool
 
+	// turn is when the turn began that the connection has; nil if it has none.
+	turn atomic.Pointer[time.Time]
+
 	// The other fields are used by Read, and by finishRequest, which does not run beside Read.
 	scanner framing.Scanner
 	// pending are bytes that were received and not passed on; scanned of them have been scanned, and
@@ -62,14 +68,15 @@
 	scanned, ready int
 	// early is the number of bytes of an unfinished head that may be passed on.
 	early int
-	// headLength is the scanned bytes of the current head.
-	headLength int64
-	rejected   bool
+	// headLength and bodyLength are the scanned bytes of the current request.
+	headLength, bodyLength int64
+	rejected               bool
 }
 
 // Read implements net.Conn. It passes on heads when they are whole, and at most the rest of one
 // request.
 func (c *Conn) Read(p []byte) (int, error) {
+	c.leaveTurn()
 	for {
 		switch {
 		case c.rejected:
@@ -106,6 +113,11 @@
 	if n == 0 {
 		return 0, c.readError(err)
 	}
+	if !c.enterTurn() {
+		// What was received is lost, so nothing can be read any more.
+		c.rejected = true
+		return 0, os.ErrDeadlineExceeded
+	}
 	if len(c.pending) > 0 {
 		c.pending = append(c.pending, p[:n]...)
 		return 0, nil
@@ -147,6 +159,7 @@
 		return 0, false, c.respond("framing", ambiguousResponse)
 	}
 	if !wasInHead {
+		c.bodyLength += int64(parsed)
 		return parsed, true, nil
 	}
 	c.headLength += int64(parsed)
@@ -160,6 +173,7 @@
 	if err != nil {
 		return 0, false, c.respond("framing", ambiguousResponse)
 	}
+	c.bodyLength = int64(rest)
 	return parsed + rest, true, nil
 }
 
@@ -210,7 +224,7 @@
 	if !isAdmitted {
 		return c.respond("heads", noMemoryResponse)
 	}
-	c.early, c.headLength = 0, 0
+	c.early, c.headLength, c.bodyLength = 0, 0, 0
 	return nil
 }
 
@@ -263,6 +277,21 @@
 	return os.ErrDeadlineExceeded
 }
 
+// enterTurn waits for a turn if a long body is read. It returns false like await.
+func (c *Conn) enterTurn() bool {
+	if c.bodyLength <= freeBodyBytes || c.scanner.InHead() {
+		return true
+	}
+	t := c.manager.turnstile
+	if turn := t.enter(); turn != nil && !c.await(turn) {
+		t.quit(turn)
+		return false
+	}
+	now := time.Now()
+	c.turn.Store(&now)
+	return true
+}
+
 // await waits until done is closed. It returns false if the connection is closed for others or the
 // time limit of reads ends before.
 func (c *Conn) await(done <-chan struct{}) bool {
@@ -281,8 +310,16 @@
 	return false
 }
 
+// leaveTurn ends the connection's turn if it has one.
+func (c *Conn) leaveTurn() {
+	if began := c.turn.Swap(nil); began != nil {
+		c.manager.turnstile.leave(time.Since(*began))
+	}
+}
+
 // Write implements net.Conn. It has a time limit of its own unless the handler has set one.
 func (c *Conn) Write(p []byte) (int, error) {
+	c.leaveTurn()
 	if !c.hasWriteDeadline.Load() {
 		if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 			return 0, err
@@ -329,6 +366,7 @@
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
+	c.leaveTurn()
 	err := c.Conn.Close()
 	m := c.manager
 	m.mu.Lock()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -40,9 +40,10 @@
 
 // Manager bounds the connections of one listener. It is safe for concurrent use.
 type Manager struct {
-	door  string
-	log   zerolog.Logger
-	lines *loglimit.Limiter
+	door      string
+	log       zerolog.Logger
+	lines     *loglimit.Limiter
+	turnstile *turnstile
 
 	mu     sync.Mutex
 	ledger *ledger
@@ -55,7 +56,7 @@
 // New returns a manager.
 func New(options Options) *Manager {
 	m := &Manager{
-		door: options.Door, log: options.Log, ledger: newLedger(options.Limits),
+		door: options.Door, log: options.Log, ledger: newLedger(options.Limits), turnstile: new(turnstile),
 		lines: loglimit.New(options.Log, "intake", maxLinesPerSecond),
 	}
 	m.changed = sync.NewCond(&m.mu)
@@ -171,6 +172,7 @@
 	room := make(chan struct{})
 	m.waiting = append(m.waiting, room)
 	m.mu.Unlock()
+	c.leaveTurn()
 	c.await(room)
 }
 
