exchange: a connection that has carried the request's ID is closed, not kept beside others

Found by the review of: a caller that gives all its requests one ID makes the gateway open a connection for each of them and keep it for up to 30 s.

A connection that is passed over is closed now, so that the idle ones are bounded by what runs at once, and the decision has a line.

--- a/internal/exchange/carried.go
+++ b/internal/exchange/carried.go
@@ -12,10 +12,10 @@
 
 // maxCarried is the number of requests after which a connection is closed, which bounds the
 // memory for their IDs.
-const maxCarried = 1024
+const maxCarried = 512
 
 // carried holds the IDs of the requests that a connection has carried, as hashes. A collision
-// only makes a request use another connection.
+// only costs a connection.
 type carried struct{ hashes []uint64 }
 
 // add adds the ID of a request. Requests without an ID are not added.
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -7,7 +7,6 @@
 	"math"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -162,14 +161,18 @@
 }
 
 // acquire returns a healthy idle connection for the request or, if there is none, a new one.
-// Idle connections that expired or are not healthy are closed.
+// Idle connections that expired, are not healthy or have carried the request are closed.
 func (p *Pool) acquire(ctx context.Context, address string, request *Request) (*conn, error) {
 	idleLimit := p.idleLimit(request.AtMostOnce)
-	for c := p.popIdle(address, idleLimit, request.ID); c != nil; c = p.popIdle(address, idleLimit, request.ID) {
+	for c := p.popIdle(address, idleLimit); c != nil; c = p.popIdle(address, idleLimit) {
 		state := c.idleState()
-		if state == healthy && time.Now().Before(c.expires) {
+		hasCarried := c.carried.has(request.ID)
+		if state == healthy && !hasCarried && time.Now().Before(c.expires) {
 			return c, nil
 		}
+		if hasCarried {
+			c.reportCarried(request.ID)
+		}
 		c.retire(state)
 	}
 	return p.connect(ctx, address)
@@ -246,25 +249,22 @@
 	return fault.Wrap(err, "check", address)
 }
 
-// popIdle removes and returns the most recently used idle connection to an address that has not
-// carried a request with the given ID. It returns nil if there is none or it was idle for more
-// than idleLimit.
-func (p *Pool) popIdle(address string, idleLimit time.Duration, id string) *conn {
+// popIdle removes and returns the most recently used idle connection to an address. It
+// returns nil if there is none or it was idle for more than idleLimit.
+func (p *Pool) popIdle(address string, idleLimit time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[address]
-	for i, c := range slices.Backward(list) {
-		if c.idleTime = time.Since(c.idleSince); c.idleTime > idleLimit {
-			return nil
-		}
-		if c.carried.has(id) {
-			metrics.Counter("exchange.connections_passed_over").Inc(1)
-			continue
-		}
-		p.idle[address] = slices.Delete(list, i, i+1)
-		return c
+	if len(list) == 0 {
+		return nil
 	}
-	return nil
+	c := list[len(list)-1]
+	if c.idleTime = time.Since(c.idleSince); c.idleTime > idleLimit {
+		return nil
+	}
+	list[len(list)-1] = nil
+	p.idle[address] = list[:len(list)-1]
+	return c
 }
 
 // release puts the connection back into the pool, or closes it if its deadline cannot be
@@ -331,7 +331,7 @@
 // CloseIdle closes the idle connections to an address. It is called when the
 // upstream at the address is removed.
 func (p *Pool) CloseIdle(address string) {
-	for c := p.popIdle(address, noIdleLimit, ""); c != nil; c = p.popIdle(address, noIdleLimit, "") {
+	for c := p.popIdle(address, noIdleLimit); c != nil; c = p.popIdle(address, noIdleLimit) {
 		c.retire(c.idleState())
 	}
 }
--- a/internal/exchange/unsolicited.go
+++ b/internal/exchange/unsolicited.go
@@ -21,18 +21,28 @@
 // skipped, and the connection is closed after the exchange.
 func (c *conn) reportMismatch(awaited, received string, status int) {
 	metrics.Counter("exchange.mismatched_responses").Inc(1)
-	if line := c.warn(); line != nil {
+	if line := c.line(zerolog.WarnLevel); line != nil {
 		line.Str("awaited", awaited).Str("received", received).Int("status", status).
 			Msg("exchange: upstream sent a response to another request; skipping it")
 	}
 }
 
+// reportCarried reports that the connection is closed because it has carried a request with this
+// ID before, so that a late copy of that answer could be taken for the one that is due.
+func (c *conn) reportCarried(id string) {
+	metrics.Counter("exchange.connections_not_reused").Inc(1)
+	if line := c.line(zerolog.InfoLevel); line != nil {
+		line.Str("request", id).
+			Msg("exchange: connection has carried a request with this ID before; closing it")
+	}
+}
+
 // discardUnsolicited reports the response that the upstream sent while no request was under
 // way, as far as it has arrived, and closes the connection.
 func (c *conn) discardUnsolicited() {
 	defer c.discard()
 	metrics.Counter("exchange.unsolicited_responses").Inc(1)
-	line := c.warn()
+	line := c.line(zerolog.WarnLevel)
 	if line == nil {
 		return
 	}
@@ -65,12 +75,12 @@
 	return content[:n]
 }
 
-// warn returns a line about the connection, or nil if the bound on lines is reached.
-func (c *conn) warn() *zerolog.Event {
+// line returns a log line about the connection, or nil if the bound on lines is reached.
+func (c *conn) line(level zerolog.Level) *zerolog.Event {
 	if !c.pool.lines.Reserve(time.Now()) {
 		return nil
 	}
-	return c.pool.log.Warn().Str("address", c.address).Str("local", c.netConn.LocalAddr().String())
+	return c.pool.log.WithLevel(level).Str("address", c.address).Str("local", c.netConn.LocalAddr().String())
 }
 
 // idleState is what can be seen of a connection on which no request is under way.
