exchange: HEAD requests have connections of their own

Where the body of a response ends depends on the method of its request. A late copy was read with the method of the request that was under way: after a GET, the copy's body was taken for the next head, and after a HEAD, bytes of the true response for the copy's body. Callers got 502 for a request that ran. TestCopyIsReadToItsOwnEnd failed in both orders; the other eight shapes of copies held before.

A HEAD request neither takes a kept connection nor leaves one, so that all responses on a connection are read in one way.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -296,7 +296,7 @@
 // request: the request was written completely, neither the upstream nor a mismatched response
 // requires closing the connection, and it may carry further requests.
 func (r *Response) isReusable(c *conn) bool {
-	if r.mismatched || r.response.Close || c.carried.isFull() {
+	if r.mismatched || r.response.Close || c.carried.isFull() || r.response.Request.Method == http.MethodHead {
 		return false
 	}
 	if r.writeDone == nil {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -161,8 +161,13 @@
 }
 
 // acquire returns a healthy idle connection for the request or, if there is none, a new one.
-// Idle connections that expired, are not healthy or have carried the request are closed.
+// Idle connections that expired, are not healthy or have carried the request are closed. A
+// HEAD request gets a connection of its own: where the body of a late response ends depends on
+// the method of its request.
 func (p *Pool) acquire(ctx context.Context, address string, request *Request) (*conn, error) {
+	if request.Method == http.MethodHead {
+		return p.connect(ctx, address)
+	}
 	idleLimit := p.idleLimit(request.AtMostOnce)
 	for c := p.popIdle(address, idleLimit); c != nil; c = p.popIdle(address, idleLimit) {
 		state := c.idleState()
