exchange: a response on a connection without requests no longer panics

Found by reading; no caller is known to have seen it.

Cause: since the line about bytes that no request was waiting for states the ID in the response, which the connection's last request reads. A connection that Probe opened has carried none.

Evidence: TestResponseOnConnectionWithoutRequestIsReported panicked with a nil pointer dereference in discardUnsolicited before the change (1 of 1 run) and passes now: without a request the line states the status alone.

--- a/internal/exchange/unsolicited.go
+++ b/internal/exchange/unsolicited.go
@@ -38,7 +38,11 @@
 	}
 	response, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(c.arrived())), nil)
 	if err == nil {
-		line = line.Str("received", c.responseID(response.Header)).Int("status", response.StatusCode)
+		line = line.Int("status", response.StatusCode)
+		// A connection of Probe may not have carried a request yet.
+		if c.responseID != nil {
+			line = line.Str("received", c.responseID(response.Header))
+		}
 	}
 	line.Str("former", c.lastID).Err(err).
 		Msg("exchange: upstream sent bytes that no request was waiting for; closing the connection")
--- a/internal/exchange/unsolicited_test.go
+++ b/internal/exchange/unsolicited_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/greengagegate/greengagegate/internal/testhost"
 	"github.com/rs/zerolog"
 )
 
@@ -46,3 +48,30 @@
 		})
 	}
 }
+
+// A server may answer a connection that has carried no request, for example that it idled too long.
+func TestResponseOnConnectionWithoutRequestIsReported(t *testing.T) {
+	listener, err := net.Listen("tcp", testhost.AnyPort())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = connection.Write([]byte("HTTP/1.1 408 Request Timeout\r\nId: none\r\nContent-Length: 0\r\n\r\n"))
+	}()
+	var out bytes.Buffer
+	pool := NewPool(zerolog.New(&out))
+	address := listener.Addr().String()
+	if err := pool.Probe(t.Context(), address); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(10 * time.Millisecond)
+	pool.CloseIdle(address)
+	if open, _ := pool.Connections(); open != 0 || !strings.Contains(out.String(), `"status":408`) {
+		t.Errorf("%d open connections and log %q, want none and a line with status 408", open, out.String())
+	}
+}
