gateway: a silent stream that another upstream runs does not go on at the first

Cause: a hedge lets the silent upstream keep the stream until another has sent its first event, or for 300 ms after that has accepted the request. An upstream that accepts a request with status 200 runs it, since one that has not begun can still refuse it. If the silent upstream went on within these 300 ms, it kept the stream and worked on for as long as the stream took. Two decisions, each right alone, let both upstreams run.

Once another upstream has accepted the stream, the silent one keeps it only if the other fails before its first event, or if its own stream has ended. An event of the silent one waits for that for up to 300 ms, so none is lost. Streams that were never silent for the stall timeout are not affected, and no request is sent more often.

What remains: an upstream may begin up to the delay of the network before its acceptance arrives.

--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -27,6 +27,8 @@
 
 const (
 	undecided hedgeState = iota
+	// accepted means that another upstream runs the stream, but has sent no event yet.
+	accepted
 	// kept means that the silent upstream has gone on.
 	kept
 	// moved means that the silent upstream has been given up.
@@ -36,9 +38,10 @@
 // stallWatch hedges a stream: when it is silent for longer than a timeout, other upstreams
 // are asked to continue it, while the silent upstream keeps its chance. The stream moves
 // with the first event of another upstream, or maxOverlap after that has accepted the
-// request; until then the silent one may go on, and its event cancels the hedge. A silent
-// upstream is often sound, and ending its response before another has taken over would lose
-// an answer that nobody else can give.
+// request. The silent one may go on until another has accepted the request, and its event then
+// cancels the hedge; after that, only if the other fails, because two upstreams must not work on
+// the stream for long. A silent upstream is often sound, and ending its response before another
+// has taken over would lose an answer that nobody else can give.
 //
 // start and stop must be called by the goroutine that reads the stream. Between the end of
 // the timeout and the return of stop, the hedge uses the job, and the reader must not.
@@ -53,6 +56,8 @@
 	cancel   context.CancelCauseFunc
 	endPause context.CancelFunc
 	state    atomic.Int32
+	// wentOn is true once the silent upstream has gone on.
+	wentOn atomic.Bool
 	// done is closed when the hedge has ended. next is valid from then on: the send that
 	// continues the stream, or nil.
 	done chan struct{}
@@ -70,6 +75,7 @@
 	pauseContext, endPause := context.WithCancel(hedgeContext)
 	w.cancel, w.endPause, w.done, w.next = cancel, endPause, make(chan struct{}), nil
 	w.state.Store(undecided)
+	w.wentOn.Store(false)
 	w.timer = time.AfterFunc(w.timeout, func() {
 		defer close(w.done)
 		defer contain.Panics(w.job.gateway.Log, "gateway", w.silent.choice.Upstream.ID)
@@ -78,8 +84,8 @@
 }
 
 // stop ends the wait that start began. err is the result of reading the silent upstream: an
-// event or the end of the stream cancels the hedge, and after a failure stop waits for the
-// hedge's result. It returns the send that continues the stream or nil. If it is not nil,
+// event or the end of the stream cancels the hedge; after a failure, or an event while another
+// upstream runs the stream, stop waits for the hedge's result. It returns the send that continues the stream or nil. If it is not nil,
 // the silent upstream's send has been cancelled.
 func (w *stallWatch) stop(err error) *send {
 	if w.timer == nil {
@@ -92,8 +98,8 @@
 		w.cancel(errHedgeNotNeeded)
 		return nil
 	}
-	if !isStreamFailure(err) && w.state.CompareAndSwap(undecided, kept) {
-		w.cancel(errHedgeNotNeeded)
+	if !isStreamFailure(err) {
+		w.keepSilent(errors.Is(err, io.EOF))
 	}
 	<-w.done
 	if w.next == nil {
@@ -137,8 +143,28 @@
 // giveUpSilent ends the silent upstream's send. It reports false if that upstream has gone
 // on, so that its send must not end.
 func (w *stallWatch) giveUpSilent() bool {
-	if w.state.CompareAndSwap(undecided, moved) {
+	if w.state.CompareAndSwap(undecided, moved) || w.state.CompareAndSwap(accepted, moved) {
 		w.silent.cancel(errMoved)
 	}
 	return w.state.Load() == moved
 }
+
+// keepSilent cancels the hedge, because the silent upstream has gone on or its stream has ended,
+// unless another upstream runs the stream and the silent one still does.
+func (w *stallWatch) keepSilent(ended bool) {
+	w.wentOn.Store(true)
+	if w.state.CompareAndSwap(undecided, kept) || ended && w.state.CompareAndSwap(accepted, kept) {
+		w.cancel(errHedgeNotNeeded)
+	}
+}
+
+// accept records that another upstream runs the stream.
+func (w *stallWatch) accept() { w.state.CompareAndSwap(undecided, accepted) }
+
+// reopen is called when the upstream that had accepted the stream has failed. The silent upstream
+// may go on again, and does if it has in the meantime.
+func (w *stallWatch) reopen() {
+	if w.state.CompareAndSwap(accepted, undecided) && w.wentOn.Load() {
+		w.keepSilent(false)
+	}
+}
--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -143,6 +144,30 @@
 	}
 }
 
+// An event of the silent upstream that arrives while another one has accepted the stream must not be
+// lost if that one fails.
+func TestSilentStreamGoesOnIfTheUpstreamThatAcceptedItFails(t *testing.T) {
+	t.Parallel()
+	g := newTestGateway(t, resumableRoute(), 2, silentThen(minStallTimeout+100*time.Millisecond, func(w http.ResponseWriter, _ *http.Request) {
+		w.(http.Flusher).Flush()
+		time.Sleep(200 * time.Millisecond)
+		panic(http.ErrAbortHandler)
+	}))
+	caller := httptest.NewRecorder()
+	j := newJob(g, caller, httptest.NewRequest(http.MethodPost, "/draft", nil))
+	j.serve()
+	if got := caller.Body.String(); strings.Count(got, "data:") != 2 || running(g) != 0 {
+		t.Errorf("caller got %q and %d sends are running, want both events and none", got, running(g))
+	}
+	results := make([]string, len(j.attempts))
+	for i, attempt := range j.attempts {
+		results[i] = attempt.result
+	}
+	if want := []string{"silent", "broken-off", "answered"}; !slices.Equal(results, want) {
+		t.Errorf("got attempts %q, want %q", results, want)
+	}
+}
+
 // A stream whose caller leaves while it is resumed after a failure was not broken off.
 func TestCallerThatLeavesDuringResumeIsLogged(t *testing.T) {
 	t.Parallel()
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -56,7 +56,11 @@
 	}
 	if err := j.awaitFirstEvent(s, watch); err != nil {
 		defer s.end()
-		return nil, j.handleResumeError(s, err)
+		refused := j.handleResumeError(s, err)
+		if watch != nil {
+			watch.reopen()
+		}
+		return nil, refused
 	}
 	return s, nil
 }
@@ -72,6 +76,7 @@
 		}
 		return nil
 	}
+	watch.accept()
 	overlap := time.AfterFunc(maxOverlap, func() { watch.giveUpSilent() })
 	defer overlap.Stop()
 	err := s.readAhead()
