httpstore: each call has a connection of its own

What could be seen: routers and agents take a write that the store has carried out for refused, or one list or object for another, after an answer too many. Nobody has seen it.

Cause: as in the platform's client; nothing in an answer names its call.

Evidence: TestCopyOfRefusalIsNotTheAnswerToTheNextWrite failed on for all three codes, and TestCopyOfAnswerIsNotTheAnswerToAnotherRead got an object for a list.

Fix: a connection for each call; watches had one before.

--- a/store/httpstore/httpstore.go
+++ b/store/httpstore/httpstore.go
@@ -38,7 +38,6 @@
 )
 
 const (
-	maxIdleConns    = 16
 	maxRefusalBytes = 4 << 10
 	// maxObjectBytes bounds an answer with one object, maxListingBytes one with a list.
 	maxObjectBytes  = 4 << 20
@@ -64,7 +63,8 @@
 }
 
 // Client implements store.Store and store.HostLister. It never retries a change:
-// when the response to a change is lost, it returns store.ErrUnknownOutcome.
+// when the response to a change is lost, it returns store.ErrUnknownOutcome. Nothing in a
+// response names the call that it answers, so each call has a connection of its own.
 type Client struct {
 	base   string
 	client *http.Client
@@ -77,7 +77,7 @@
 
 // New returns a client of the service at the base URL, such as "http://127.0.0.1:7400".
 func New(base string) *Client {
-	return &Client{base: base, client: &http.Client{Transport: httpclient.NewTransport(maxIdleConns)}}
+	return &Client{base: base, client: httpclient.NewSingleUse()}
 }
 
 // Close closes idle connections.
