httpengine: each call has a connection of its own

What could be seen: an agent takes an order for carried out that its engine refused, or an answer about blocks for a report of the load. A report without an incarnation counts as a crash of the engine. Nobody has seen it.

Cause: orders, reports and block transfers shared connections, and nothing in an answer names its call. Runs had a connection each before.

Fix: a connection for each call.

--- a/internal/engine/httpengine/driver.go
+++ b/internal/engine/httpengine/driver.go
@@ -16,36 +16,30 @@
 )
 
 const (
-	maxIdleConns       = 8
 	maxSmallBodyBytes  = 4 << 10 // of a refusal, or of an answer that is discarded
 	maxAnswerBytes     = 1 << 20 // of any other answer to a call
 	maxCacheEventBytes = 1 << 20 // longest line of the cache event stream
 	cacheEventBuffer   = 256     // events
 )
 
-// Driver is an engine.Driver for the engine at one base URL. Each run has its own
+// Driver is an engine.Driver for the engine at one base URL. Each call has its own
 // connection, so that a late answer cannot be mistaken for the answer to another
-// run. All other calls share a pool of connections.
+// call. The engine runs on the same host, where a connection costs little.
 type Driver struct {
-	baseURL    string
-	runClient  *http.Client
-	callClient *http.Client
+	baseURL string
+	client  *http.Client
 }
 
 var _ engine.Driver = (*Driver)(nil)
 
 // New returns a driver for the engine at baseURL, such as "http://127.0.0.1:8000".
 func New(baseURL string) *Driver {
-	runTransport := httpclient.NewTransport(0)
-	runTransport.DisableCompression = true
-	runTransport.DisableKeepAlives = true
-	callTransport := httpclient.NewTransport(maxIdleConns)
-	callTransport.DisableCompression = true
-	return &Driver{baseURL: baseURL, runClient: &http.Client{Transport: runTransport}, callClient: &http.Client{Transport: callTransport}}
+	disableCompression := func(transport *http.Transport) { transport.DisableCompression = true }
+	return &Driver{baseURL: baseURL, client: httpclient.NewSingleUse(disableCompression)}
 }
 
 // Close closes the idle connections.
-func (d *Driver) Close() { d.callClient.CloseIdleConnections() }
+func (d *Driver) Close() { d.client.CloseIdleConnections() }
 
 // Run implements engine.Driver. It returns when the engine has accepted or refused the request.
 func (d *Driver) Run(ctx context.Context, request engine.RunRequest) (engine.Run, error) {
@@ -56,7 +50,7 @@
 	body := io.MultiReader(bytes.NewReader(header), bytes.NewReader(request.Prompt), bytes.NewReader(request.Generated))
 	length := int64(len(header) + len(request.Prompt) + len(request.Generated))
 	ctx, cancel := context.WithCancel(ctx)
-	response, err := send(ctx, d.runClient, http.MethodPost, d.baseURL+PathRun, body, length)
+	response, err := send(ctx, d.client, http.MethodPost, d.baseURL+PathRun, body, length)
 	if err != nil {
 		cancel()
 		return nil, fault.Wrap(err, "start run", d.baseURL)
@@ -107,7 +101,7 @@
 
 // Events implements engine.Driver.
 func (d *Driver) Events(ctx context.Context, after uint64) (<-chan engine.CacheEvent, error) {
-	response, err := send(ctx, d.callClient, http.MethodGet, d.baseURL+PathEvents+"?after="+strconv.FormatUint(after, 10), nil, 0)
+	response, err := send(ctx, d.client, http.MethodGet, d.baseURL+PathEvents+"?after="+strconv.FormatUint(after, 10), nil, 0)
 	if err != nil {
 		return nil, fault.Wrap(err, "open events", d.baseURL)
 	}
@@ -135,7 +129,7 @@
 		}
 		method, body = http.MethodPost, encoded
 	}
-	response, err := send(ctx, d.callClient, method, d.baseURL+path, bytes.NewReader(body), int64(len(body)))
+	response, err := send(ctx, d.client, method, d.baseURL+path, bytes.NewReader(body), int64(len(body)))
 	if err != nil {
 		return err
 	}
