intake: a request that follows without a pause begins after the response before it

A second request that arrives with the first was admitted when net/http looked one byte ahead, while the first was served. At the end of the first response the connection counted as idle although the second request was about to be passed on, so it could be closed for others, and a refusal of the second could be written into the response of the first. Look-ahead reads scan one byte now.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -84,7 +84,7 @@
 		case c.ready > 0:
 			return c.passOn(p), nil
 		case c.scanned < len(c.pending):
-			if err := c.scanPending(); err != nil {
+			if err := c.scanPending(len(p)); err != nil {
 				return 0, err
 			}
 		default:
@@ -136,9 +136,15 @@
 	return 0, c.holdHead()
 }
 
-// scanPending scans pending bytes and decides how many may be passed on.
-func (c *Conn) scanPending() error {
-	parsed, isWhole, err := c.scan(c.pending[c.scanned:])
+// scanPending scans pending bytes and decides how many may be passed on to a read of a size.
+func (c *Conn) scanPending(size int) error {
+	data := c.pending[c.scanned:]
+	if size == 1 && c.scanner.InHead() {
+		// While the server serves a request, it reads one byte of the next one to notice that the
+		// client leaves. The next request must not begin before the response has ended.
+		data = data[:1]
+	}
+	parsed, isWhole, err := c.scan(data)
 	if err != nil {
 		return err
 	}
@@ -182,10 +188,8 @@
 	if c.headLength > maxHeadBytes {
 		return c.respond("head-size", tooLargeHeadResponse)
 	}
-	if c.early == 0 {
-		c.ready = min(earlyBytes, c.scanned)
-		c.early = c.ready
-	}
+	c.ready = min(earlyBytes-c.early, c.scanned)
+	c.early += c.ready
 	m := c.manager
 	m.mu.Lock()
 	now := time.Now()
@@ -376,50 +380,3 @@
 	m.noteRelease()
 	return err
 }
-
-// BeginBody is called by a handler before it reads the request's body, or when it refuses a request
-// whose body has not ended, since the HTTP server reads some of it first. Until EndBody the
-// connection may be closed for others.
-func (c *Conn) BeginBody() {
-	if c == nil {
-		return
-	}
-	m := c.manager
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	c.entry.enter(inBody, time.Now())
-	m.noteClosable()
-}
-
-// HoldBody is called by a handler when the unfinished body takes a number of bytes more. If it
-// returns false, the body must not take them: the connection was closed for others.
-func (c *Conn) HoldBody(bytes int64) bool {
-	if c == nil {
-		return true
-	}
-	m := c.manager
-	m.mu.Lock()
-	now := time.Now()
-	c.entry.progressAt = now
-	c.entry.received += bytes
-	m.ledger.holdBody(&c.entry, bytes)
-	m.close(m.ledger.trimBodies(now), "bodies")
-	m.awaitMemory(c)
-	return !c.interrupted.Load()
-}
-
-// EndBody is called by a handler that has read the whole body or has given up. From then on the
-// connection is not closed for others. If it returns false, it was closed before, and the request
-// must be refused.
-func (c *Conn) EndBody() bool {
-	if c == nil {
-		return true
-	}
-	m := c.manager
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.ledger.holdBody(&c.entry, -c.entry.bodyBytes)
-	m.noteRelease()
-	c.entry.enter(served, time.Now())
-	return !c.entry.closing
-}
--- a/internal/intake/conn_test.go
+++ b/internal/intake/conn_test.go
@@ -153,6 +153,52 @@
 	}
 }
 
+// Requests that follow each other without a pause are served one after the other. While one is served,
+// the connection must not count as idle, and nothing may be written into its response.
+func TestPipelinedRequestKeepsItsConnection(t *testing.T) {
+	begun, release := make(chan struct{}), make(chan struct{})
+	address := startServer(t, Limits{Connections: 2, HeadBytes: 1 << 20, BodyBytes: 1}, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/first":
+			// The server looks for the next request meanwhile.
+			time.Sleep(50 * time.Millisecond)
+		case "/slow":
+			close(begun)
+			<-release
+			if err := r.Context().Err(); err != nil {
+				w.WriteHeader(http.StatusInternalServerError)
+			}
+		}
+	})
+	pipelining := dial(t, address)
+	ambiguous := "GET /bad HTTP/1.1\r\nHost: x\r\nContent-Length: x\r\n\r\n"
+	if _, err := io.WriteString(pipelining, "GET /first HTTP/1.1\r\nHost: x\r\n\r\nGET /slow HTTP/1.1\r\nHost: x\r\n\r\n"+ambiguous); err != nil {
+		t.Fatal(err)
+	}
+	<-begun
+	for range 5 {
+		connection := dial(t, address)
+		if _, err := io.WriteString(connection, "GET /quick HTTP/1.1\r\nHost: x\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := http.ReadResponse(bufio.NewReader(connection), nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	close(release)
+	reader := bufio.NewReader(pipelining)
+	for _, want := range []int{http.StatusOK, http.StatusOK, http.StatusBadRequest} {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		if response.StatusCode != want {
+			t.Errorf("status %d, want %d", response.StatusCode, want)
+		}
+	}
+}
+
 // An unfinished head that is closed for others gets status 408, which states that nothing has run.
 func TestUnfinishedHeadThatIsClosedIsAnswered(t *testing.T) {
 	address := startServer(t, Limits{Connections: 100, HeadBytes: 16 << 10, BodyBytes: 1}, func(http.ResponseWriter, *http.Request) {})
