intake: small bodies do not wait for connections that are being closed

A client that reads no response keeps its closed connection, and what that holds, for up to 10 s, and every body waited for that. A body of up to 16 KiB goes on; all bodies together stay bounded by the gateway's memory for bodies.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// smallBodyBytes is the memory of a body that does not wait until others have released theirs.
+const smallBodyBytes = 16 << 10
+
 // BeginBody is called by a handler before it reads the request's body, or when it refuses a request
 // whose body has not ended, since the HTTP server reads some of it first. Until EndBody the
 // connection may be closed for others.
@@ -29,6 +32,10 @@
 	c.entry.received += bytes
 	m.ledger.holdBody(&c.entry, bytes)
 	m.close(m.ledger.trimBodies(now), "bodies")
+	if c.entry.bodyBytes <= smallBodyBytes {
+		m.mu.Unlock()
+		return !c.interrupted.Load()
+	}
 	m.awaitMemory(c)
 	return !c.interrupted.Load()
 }
--- a/internal/intake/conn_test.go
+++ b/internal/intake/conn_test.go
@@ -215,6 +215,28 @@
 	}
 }
 
+// Connections that were closed for others may take seconds to release what they hold, since their
+// clients read no response. Small bodies must not wait for that.
+func TestSmallBodiesDoNotWaitForClosedConnections(t *testing.T) {
+	m := New(Options{Limits: wideLimits})
+	m.ledger.closingBytes = wideLimits.HeadBytes
+	c := &Conn{manager: m, closed: make(chan struct{})}
+	c.entry.conn = c
+	held := make(chan bool, 1)
+	go func() {
+		c.BeginBody()
+		held <- c.HoldBody(smallBodyBytes) && c.EndBody()
+	}()
+	select {
+	case ok := <-held:
+		if !ok {
+			t.Error("the body was refused")
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the body waits")
+	}
+}
+
 func BenchmarkSmallRequests(b *testing.B) {
 	address := startServer(b, wideLimits, func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
