--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/contain"
+	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/pause"
 )
 
@@ -122,6 +123,7 @@
 		if w.next == nil {
 			w.job.choice = silentChoice
 		}
+		metrics.Counter("gateway.hedges", "result", w.result()).Inc(1)
 	}()
 	for {
 		next := w.job.resume(ctx, w.lastEventID, w)
@@ -140,6 +142,18 @@
 	}
 }
 
+// result returns the result of a hedge that has ended, as metrics name it.
+func (w *stallWatch) result() string {
+	switch {
+	case w.next != nil:
+		return "moved"
+	case w.state.Load() == kept:
+		return "kept"
+	default:
+		return "failed"
+	}
+}
+
 // giveUpSilent ends the silent upstream's send. It reports false if that upstream has gone
 // on, so that its send must not end.
 func (w *stallWatch) giveUpSilent() bool {
