balancer: an attempt at a former incarnation no longer excludes the one that is listed now

Cause, from that gateway's log: an engine started anew and kept its ID. Its new start time was read at 55.192 s; at 55.403 s a connection to the former incarnation was reset. Attempt.MarkUnreachable marked the state of the ID, which was that of the new incarnation by then, and the probe that ends the mark returned at once, since the start time that it was given is no longer listed. Nothing else ends the mark. MarkReplaced of an attempt had the same fault; Balancer.MarkReplaced compares the start times already.

Evidence: TestAttemptAtFormerIncarnationDoesNotExcludeTheNext failed before: 1 of 2 upstreams was usable, the other "down".

Fix: an attempt keeps the start time of the incarnation that it was sent to, and marks only that.

--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -16,6 +16,8 @@
 	priority      int
 	done          bool
 	upstreamID    string
+	// startedMillis is the start time of the incarnation that the request was sent to.
+	startedMillis int64
 	salt          string
 	parts         []Part
 	prefill       enginerate.Start
@@ -89,10 +91,14 @@
 // MarkUnreachable records that the upstream could not be reached, and reports whether the
 // upstream was not marked as unreachable before. The upstream gets no requests until
 // Balancer.MarkReachable is called, another attempt succeeds or SyncUpstreams lists a new
-// incarnation.
+// incarnation. The call has no effect when another incarnation is listed than the one that the
+// request was sent to.
 func (a *Attempt) MarkUnreachable() bool {
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
+	if a.startedMillis != a.state.startedMillis {
+		return false
+	}
 	wasUnreachable := a.state.unreachable
 	a.state.unreachable = true
 	return !wasUnreachable
@@ -100,10 +106,14 @@
 
 // MarkReplaced records that another incarnation answered at the address of the upstream,
 // and reports whether the upstream was not marked as replaced before. The upstream gets
-// no requests until SyncUpstreams lists a new start time or address for it.
+// no requests until SyncUpstreams lists a new start time or address for it. The call has no
+// effect when another incarnation is listed than the one that the request was sent to.
 func (a *Attempt) MarkReplaced() bool {
 	a.balancer.mu.Lock()
 	defer a.balancer.mu.Unlock()
+	if a.startedMillis != a.state.startedMillis {
+		return false
+	}
 	wasReplaced := a.state.replaced
 	a.state.replaced = true
 	return !wasReplaced
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -272,7 +272,7 @@
 	s := b.stateFor(choice.Upstream.ID)
 	b.prefillRate.add(float64(choice.MissingTokens), b.now())
 	s.meanLoad.update(s.running, s.backlogTokens, b.now())
-	attempt := &Attempt{balancer: b, state: s, backlogTokens: choice.MissingTokens, upstreamID: choice.Upstream.ID, parts: request.Parts}
+	attempt := &Attempt{balancer: b, state: s, backlogTokens: choice.MissingTokens, upstreamID: choice.Upstream.ID, startedMillis: choice.Upstream.StartedMillis, parts: request.Parts}
 	attempt.prefill = s.beginPrefill(choice.MissingTokens, request, b.now())
 	s.running++
 	s.backlogTokens += choice.MissingTokens
--- a/internal/balancer/eligibility_test.go
+++ b/internal/balancer/eligibility_test.go
@@ -167,3 +167,21 @@
 		t.Error("want no upstream and no wait, since the only one of the version was tried")
 	}
 }
+
+// A connection to the former incarnation that breaks after the next one is listed must not exclude
+// that one, which no probe would bring back.
+func TestAttemptAtFormerIncarnationDoesNotExcludeTheNext(t *testing.T) {
+	f := newTestFleet(2)
+	request := testRequest("x")
+	broken := f.balancer.Begin(Choice{Upstream: f.upstreams[0]}, request)
+	misdirected := f.balancer.Begin(Choice{Upstream: f.upstreams[0]}, request)
+	restarted := *f.upstreams[0]
+	restarted.StartedMillis = 2
+	f.balancer.SyncUpstreams(catalog.NewUpstreams([]*catalog.Upstream{&restarted, f.upstreams[1]}))
+	if broken.MarkUnreachable() || misdirected.MarkReplaced() {
+		t.Error("an attempt at the former incarnation marked the next one")
+	}
+	if choice := f.pick(t, testRequest("x")); choice.Usable != 2 {
+		t.Errorf("%d upstreams usable after the restart, want 2: %v", choice.Usable, choice.Excluded)
+	}
+}
