--- a/internal/exchange/copies_test.go
+++ b/internal/exchange/copies_test.go
@@ -15,7 +15,7 @@
 
 // exchangeAfter sends a request of one method and then one of another on the same connection,
 // on which a copy of the first response, with its body as sent, precedes the second one.
-func exchangeAfter(t *testing.T, first, second, copied string) (status int, body string, err error, log string) {
+func exchangeAfter(t *testing.T, first, second, copied string) (status int, body, log string, err error) {
 	u := serve(t, func(connection, n int, r *http.Request) []byte {
 		id := r.Header.Get("Id")
 		head := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 2\r\n\r\n", id)
@@ -38,17 +38,17 @@
 		defer cancel()
 		response, err := pool.Do(ctx, u.address(), request)
 		if err != nil {
-			return 0, "", err, out.String()
+			return 0, "", out.String(), err
 		}
 		content, err := io.ReadAll(response.Body)
 		if err != nil {
-			return response.Status, string(content), err, out.String()
+			return response.Status, string(content), out.String(), err
 		}
 		response.MarkBodyRead()
 		response.Close()
 		status, body = response.Status, string(content)
 	}
-	return status, body, nil, out.String()
+	return status, body, out.String(), nil
 }
 
 // A copy of a response to HEAD has a length and no body, and one of a response to another method
@@ -67,7 +67,7 @@
 		{"copy without an ID", http.MethodGet, http.MethodGet, strings.Replace(refusal, "Id: n0", "X: n0", 1) + "full"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			status, body, err, log := exchangeAfter(t, c.first, c.second, c.copied)
+			status, body, log, err := exchangeAfter(t, c.first, c.second, c.copied)
 			if err != nil || status != http.StatusOK {
 				t.Errorf("status %d, body %q, error %v, want the response to the second request; log %s", status, body, err, log)
 			}
