--- a/internal/app/common.go
+++ b/internal/app/common.go
@@ -26,10 +26,11 @@
 )
 
 // common provides the parts that routers and agents share. It sets the role and a
-// new incarnation in the settings.
+// new incarnation in the settings, and the memory limit of the Go runtime.
 func common(c *Common, role membership.Role) fx.Option {
 	c.Identity.Role = role
 	c.Identity.Incarnation = node.NewIncarnation()
+	c.Memory.apply()
 	return fx.Options(
 		fx.Supply(c),
 		fx.Provide(
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"runtime/debug"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -122,9 +121,7 @@
 func Gateway(s *GatewaySettings, p Platform) fx.Option {
 	s.Identity.Role = membership.RoleRouter
 	s.Identity.Incarnation = node.NewIncarnation()
-	if s.Memory.LimitMB > 0 {
-		debug.SetMemoryLimit(int64(float64(s.Memory.LimitMB*megabyte) * heapFraction))
-	}
+	s.Memory.apply()
 	return fx.Options(
 		fx.Supply(s),
 		fx.Provide(
--- a/internal/app/gatewaysettings.go
+++ b/internal/app/gatewaysettings.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"runtime/debug"
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/node"
@@ -120,6 +121,13 @@
 	defaultMaxBufferedBytes = 1 << 30
 )
 
+// apply bounds the memory of the Go runtime to a part of LimitMB.
+func (m *Memory) apply() {
+	if m.LimitMB > 0 {
+		debug.SetMemoryLimit(int64(float64(m.LimitMB*megabyte) * heapFraction))
+	}
+}
+
 // maxBufferedBytes returns the number of bytes of bodies that may be held at once.
 func (m *Memory) maxBufferedBytes() int64 {
 	if m.LimitMB <= 0 {
--- a/internal/app/settings.go
+++ b/internal/app/settings.go
@@ -118,6 +118,7 @@
 	Store      Store
 	Membership Membership
 	Admin      Admin
+	Memory     Memory
 	Stop       Stop
 	Runtime    Runtime
 }
@@ -132,6 +133,7 @@
 		{Name: "store", Target: &c.Store},
 		{Name: "membership", Target: &c.Membership},
 		{Name: "admin", Target: &c.Admin},
+		{Name: "memory", Target: &c.Memory},
 		{Name: "stop", Target: &c.Stop},
 		{Name: "runtime", Target: &c.Runtime},
 	}
