router: the bodies of all requests have a bound together

Callers saw a router that ran out of memory: each body could take 4 MiB for 20 s before its key was looked up, and nothing bounded their sum.

Memory is taken before it is allocated; a request gets no more than it leaves free, so the largest fail first, small ones always fit, and one alone within the limits is always read. The refusal is 503 with the code memory, not-run and Retry-After. After any refusal of a body the read deadline stays in force and the connection is closed: net/http would otherwise read on without a time limit.

--- a/internal/app/router.go
+++ b/internal/app/router.go
@@ -117,7 +117,9 @@
 		Prompter:  prompter,
 		Caller:    caller,
 		Limits:    s.Limits,
-		Log:       log,
+
+		MaxBufferedBytes: s.Memory.maxBufferedBytes(),
+		Log:              log,
 	})
 }
 
--- a/internal/router/parse.go
+++ b/internal/router/parse.go
@@ -1,9 +1,7 @@
 package router
 
 import (
-	"bytes"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -11,6 +9,7 @@
 
 	"github.com/bytedance/sonic"
 	"github.com/gin-gonic/gin"
+	"github.com/greengagegate/greengagegate/internal/bodymem"
 )
 
 // decoder decodes JSON with the same behavior as encoding/json.
@@ -172,8 +171,16 @@
 	return nil
 }
 
+// bodyCopies is the number of times that a body is in memory at once: as it was received, parsed, in
+// the message for an agent, and encoded.
+const bodyCopies = 4
+
+// memoryRetryAfter is the time after which memory for a body is likely to be free.
+const memoryRetryAfter = time.Second
+
 // readBody reads the whole request body. It fails if the body is larger than
-// MaxBodyBytes or takes longer than BodyTimeout.
+// MaxBodyBytes, takes longer than BodyTimeout or would take more memory than is left. The
+// memory counts as held until the request ends.
 func (s *Server) readBody(c *gin.Context) ([]byte, *apiError) {
 	const step = "read body"
 	limits := s.options.Limits
@@ -182,14 +189,20 @@
 	}
 	control := http.NewResponseController(c.Writer)
 	_ = control.SetReadDeadline(time.Now().Add(limits.BodyTimeout))
-	body, err := readAll(http.MaxBytesReader(c.Writer, c.Request.Body, limits.MaxBodyBytes), c.Request.ContentLength)
-	_ = control.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case err == nil:
+	body, err := s.holdBody(c).ReadAll(c.Request.Body, limits.MaxBodyBytes, bodyCopies)
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
-	case errors.As(err, &tooLarge):
+	}
+	// The rest of the body is not read: the connection ends with the response.
+	c.Header("Connection", "close")
+	switch {
+	case errors.Is(err, bodymem.ErrTooLarge):
 		return nil, newRefusal(http.StatusRequestEntityTooLarge, "body_too_large", step, "the body is too large")
+	case errors.Is(err, bodymem.ErrMemory):
+		failure := newRefusal(http.StatusServiceUnavailable, "memory", step, "the router has no memory for the body")
+		failure.RetryAfter = memoryRetryAfter
+		return nil, failure
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, newRefusal(http.StatusRequestTimeout, "body_timeout", step, "the body arrived too slowly")
 	default:
@@ -197,17 +210,19 @@
 	}
 }
 
-// maxPreallocatedBytes bounds the memory that is allocated because a caller declares
-// a content length, before it sends the body.
-const maxPreallocatedBytes = 256 << 10
+// bodyContextKey is the key of the request's bodymem.Hold in the gin context.
+const bodyContextKey = "body"
+
+// holdBody returns the hold for the request's body.
+func (s *Server) holdBody(c *gin.Context) *bodymem.Hold {
+	hold := s.bodies.NewHold()
+	c.Set(bodyContextKey, hold)
+	return hold
+}
 
-// readAll reads r to the end. The initial size of the buffer is declaredLength, if it
-// is positive, up to maxPreallocatedBytes.
-func readAll(r io.Reader, declaredLength int64) ([]byte, error) {
-	var buffer bytes.Buffer
-	if declaredLength > 0 {
-		buffer.Grow(int(min(declaredLength, maxPreallocatedBytes)) + bytes.MinRead)
+// releaseBody gives back the memory of the request's body, if it was read.
+func releaseBody(c *gin.Context) {
+	if value, ok := c.Get(bodyContextKey); ok {
+		value.(*bodymem.Hold).Release()
 	}
-	_, err := buffer.ReadFrom(r)
-	return buffer.Bytes(), err
 }
--- a/internal/router/refusals_test.go
+++ b/internal/router/refusals_test.go
@@ -57,6 +57,25 @@
 	}
 }
 
+// Guards against bodies that take more memory than the router may use, and against a refusal of one
+// that does not state that it was not run.
+func TestBodyBeyondMemoryIsRefused(t *testing.T) {
+	server := New(Options{Source: newFakeSource(newTestSet(object.KeyActive)), Limits: DefaultLimits(), MaxBufferedBytes: 64 << 10})
+	defer server.Close()
+	other := server.bodies.NewHold()
+	other.Grow(32 << 10)
+	c, _ := gin.CreateTestContext(httptest.NewRecorder())
+	c.Request = httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(strings.Repeat("tariff", 10_000)))
+	_, failure := server.readBody(c)
+	if failure == nil || failure.Status != http.StatusServiceUnavailable || failure.Code != "memory" || failure.Run != RunStateNotRun || failure.RetryAfter <= 0 {
+		t.Errorf("got error %+v", failure)
+	}
+	releaseBody(c)
+	if held := server.bodies.Held(); held != 32<<10 {
+		t.Errorf("%d bytes held after the end, want those of the other request", held)
+	}
+}
+
 // panickingAdmission is an admission.Controller that panics.
 type panickingAdmission struct{}
 
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -2,17 +2,20 @@
 // admits their requests against the limits of their customers, forwards prompts to
 // model engines and calls to plain services, and returns the responses. Responses
 // to prompts may be streamed for as long as PromptTimeout; each request holds its
-// body in memory.
+// body in memory, and MaxBufferedBytes bounds their sum.
 package router
 
 import (
+	"cmp"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/gin-gonic/gin"
 	"github.com/greengagegate/greengagegate/internal/admission"
+	"github.com/greengagegate/greengagegate/internal/bodymem"
 	"github.com/greengagegate/greengagegate/internal/dispatch"
+	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/object"
 	"github.com/greengagegate/greengagegate/internal/picker"
 	"github.com/rs/zerolog"
@@ -62,6 +65,9 @@
 	}
 }
 
+// DefaultMaxBufferedBytes is the default of Options.MaxBufferedBytes.
+const DefaultMaxBufferedBytes = 1 << 30
+
 // Options holds the dependencies and limits of a Server.
 type Options struct {
 	Source    object.Source
@@ -70,28 +76,41 @@
 	Prompter  *dispatch.Prompter
 	Caller    *dispatch.Caller
 	Limits    Limits
-	Log       zerolog.Logger
+	// MaxBufferedBytes bounds the memory of the bodies of all requests. 0 means
+	// DefaultMaxBufferedBytes.
+	MaxBufferedBytes int64
+	Log              zerolog.Logger
 }
 
 // Server handles the requests of callers.
 type Server struct {
 	options    Options
 	keyWatcher *keyWatcher
+	bodies     *bodymem.Budget
 	draining   atomic.Bool
 	refusing   atomic.Bool
+	// unregisterGauges ends the computation of the gauges.
+	unregisterGauges func()
 }
 
 // New returns a server and starts its background goroutine. Close must be called to
 // stop the goroutine.
 func New(options Options) *Server {
-	s := &Server{options: options, keyWatcher: newKeyWatcher(options.Source)}
+	s := &Server{
+		options: options, keyWatcher: newKeyWatcher(options.Source),
+		bodies: bodymem.NewBudget(cmp.Or(options.MaxBufferedBytes, DefaultMaxBufferedBytes)),
+	}
+	s.unregisterGauges = metrics.RegisterCollector(func() { metrics.Gauge("router.buffered_bytes").Update(s.bodies.Held()) })
 	go s.keyWatcher.run()
 	return s
 }
 
 // Close stops the server's background goroutine. It must be called once, after the
 // last request has ended.
-func (s *Server) Close() { s.keyWatcher.close() }
+func (s *Server) Close() {
+	s.unregisterGauges()
+	s.keyWatcher.close()
+}
 
 // Drain makes connected callers reconnect elsewhere: from now on, each response has
 // the header Connection: close.
@@ -138,7 +157,8 @@
 	}
 }
 
-// assignRequestID is middleware that assigns an id to each request. While the server
+// assignRequestID is middleware that assigns an id to each request, and gives back the memory
+// of its body at the end. While the server
 // is draining, it also makes the connection close after the response.
 func (s *Server) assignRequestID(c *gin.Context) {
 	id := newRequestID()
@@ -147,6 +167,7 @@
 	if s.draining.Load() {
 		c.Header("Connection", "close")
 	}
+	defer releaseBody(c)
 	c.Next()
 }
 
