wire: the listener for peers accepts again after a lack of descriptors

After a moment without free descriptors a process accepted no session of a peer until its restart: Serve returned on the first error of Accept. Gateways then lost each other's shares and announcements, routers their agents. TestServerAcceptsAgainAfterLackOfDescriptors failed before (no Hello after three failed accepts), and so did the cases of peers in TestSilentCrowdAtOneDoorLeavesOthersOpen, which stays listed until connections are bounded too. Serve now logs the error and tries again after 5 ms to 1 s, as net/http does; it ends when the listener is closed.

--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -8,12 +8,17 @@
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/contain"
-	"github.com/greengagegate/greengagegate/internal/fault"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 	"github.com/hashicorp/yamux"
 	"github.com/rs/zerolog"
 )
 
+const (
+	// minAcceptPause and maxAcceptPause bound the pause after an accept that failed.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
+)
+
 // Request holds the id and the sender's Hello of an accepted stream. The request
 // message itself is read from the stream by the handler.
 type Request struct {
@@ -61,17 +66,22 @@
 	s.handlers[kind] = handler
 }
 
-// Serve accepts sessions. It returns nil when the listener has been closed, and an
-// error when accepting fails.
+// Serve accepts sessions. It returns nil when the listener has been closed. After other errors, such
+// as a lack of descriptors, it accepts again after a pause.
 func (s *Server) Serve(listener net.Listener) error {
+	pause := minAcceptPause
 	for {
 		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
-			return fault.Wrap(err, "accept session", listener.Addr().String())
+			s.log.Warn().Err(err).Str("address", listener.Addr().String()).Dur("pause_ms", pause).Msg("wire: accepting a session failed; trying again after a pause")
+			time.Sleep(pause)
+			pause = min(2*pause, maxAcceptPause)
+			continue
 		}
+		pause = minAcceptPause
 		go s.serveConn(conn)
 	}
 }
