wire: connections of peers have a bound, and a Hello a small one

A new connection takes the place of the oldest one without a Hello, or else of the one without streams that was idle for longest; one with streams is never closed for another. A Hello was accepted up to 8 MiB and read byte by byte; 4 KiB is enough (TestLargeHelloIsRefused). Frames no longer allocate what a peer only announces. A lack of room is logged and counted.

--- a/internal/app/common.go
+++ b/internal/app/common.go
@@ -56,6 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
+	n.Server.SetLimits(c.Memory.peerLimits(c.Inner))
 	appendHook(lifecycle, n.Start, n.Stop)
 	return n, nil
 }
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -171,7 +171,12 @@
 }
 
 func newGatewayNode(s *GatewaySettings, log zerolog.Logger) (*node.Node, error) {
-	return node.New(s.Identity, s.Inner, tlsconf.Files{}, log)
+	n, err := node.New(s.Identity, s.Inner, tlsconf.Files{}, log)
+	if err != nil {
+		return nil, err
+	}
+	n.Server.SetLimits(s.Memory.peerLimits(s.Inner))
+	return n, nil
 }
 
 func newGateway(
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,9 @@
 	Advertise string `ini:"advertise"`
 	// BindSource binds outgoing connections to the IP address of Listen.
 	BindSource bool `ini:"bind_source"`
+	// MaxSessions is the number of connections from peers that are open at once; 0 means that it
+	// follows from the descriptors of the process.
+	MaxSessions int `ini:"max_sessions"`
 }
 
 // Validate implements settings.Validator.
@@ -48,6 +51,9 @@
 	if i.Advertise == "" {
 		i.Advertise = i.Listen
 	}
+	if i.MaxSessions < 0 {
+		return "max_sessions", errors.New("must not be negative")
+	}
 	return "advertise", checkIPAndPort(i.Advertise)
 }
 
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -12,6 +12,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -59,21 +60,27 @@
 // ends before the first byte of a frame. A frame that fits in the buffer of r is
 // decoded from that buffer, which saves an allocation.
 func readFrame(r *bufio.Reader, message proto.Message) error {
+	return readFrameUpTo(r, MaxFrameBytes, message)
+}
+
+// readFrameUpTo is readFrame with another size of the largest message.
+func readFrameUpTo(r *bufio.Reader, maxBytes uint64, message proto.Message) error {
 	size, err := binary.ReadUvarint(r)
 	if err != nil {
 		return err
 	}
-	if size > MaxFrameBytes {
+	if size > maxBytes {
 		return fmt.Errorf("%w: %d bytes", ErrFrameTooLarge, size)
 	}
 	if int(size) <= r.Size() {
 		return readSmallFrame(r, int(size), message)
 	}
-	buffer := make([]byte, size)
-	if _, err := io.ReadFull(r, buffer); err != nil {
+	// The buffer grows with what arrives: a peer may announce more than it sends.
+	var buffer bytes.Buffer
+	if n, err := io.CopyN(&buffer, r, int64(size)); n < int64(size) || err != nil {
 		return io.ErrUnexpectedEOF
 	}
-	return proto.Unmarshal(buffer, message)
+	return proto.Unmarshal(buffer.Bytes(), message)
 }
 
 // readSmallFrame decodes a message that fits in the buffer of r. Unmarshal copies
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/contain"
+	"github.com/greengagegate/greengagegate/internal/loglimit"
+	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 	"github.com/hashicorp/yamux"
 	"github.com/rs/zerolog"
@@ -17,6 +19,8 @@
 	// minAcceptPause and maxAcceptPause bound the pause after an accept that failed.
 	minAcceptPause = 5 * time.Millisecond
 	maxAcceptPause = time.Second
+	// maxLinesPerSecond bounds the log lines about connections that are closed.
+	maxLinesPerSecond = 20
 )
 
 // Request holds the id and the sender's Hello of an accepted stream. The request
@@ -39,7 +43,8 @@
 	log        zerolog.Logger
 	mu         sync.Mutex
 	handlers   map[wirepb.Kind]Handler
-	sessions   map[*yamux.Session]struct{}
+	sessions   *sessionTable
+	lines      *loglimit.Limiter
 	streams    sync.WaitGroup
 	closing    bool
 	ctx        context.Context
@@ -53,12 +58,18 @@
 		localHello: localHello,
 		log:        log,
 		handlers:   make(map[wirepb.Kind]Handler),
-		sessions:   make(map[*yamux.Session]struct{}),
+		sessions:   newSessionTable(DefaultLimits().Sessions),
+		lines:      loglimit.New(log, "wire", maxLinesPerSecond),
 		ctx:        ctx,
 		cancel:     cancel,
 	}
 }
 
+// SetLimits replaces DefaultLimits. It must be called before Serve.
+func (s *Server) SetLimits(limits Limits) {
+	s.sessions = newSessionTable(limits.Sessions)
+}
+
 // Handle registers the handler of a kind. It must be called before Serve.
 func (s *Server) Handle(kind wirepb.Kind, handler Handler) {
 	s.mu.Lock()
@@ -82,11 +93,49 @@
 			continue
 		}
 		pause = minAcceptPause
-		go s.serveConn(conn)
+		s.accept(conn)
+	}
+}
+
+// accept serves a connection, and closes another one if there are too many.
+func (s *Server) accept(conn net.Conn) {
+	entry, removed := s.sessions.add(conn, time.Now())
+	if removed != nil {
+		s.reportClosed(removed.conn, "sessions")
+		// Closing may wait for a write.
+		go s.close(removed)
+	}
+	if entry == nil {
+		s.reportClosed(conn, "sessions")
+		_ = conn.Close()
+		return
 	}
+	go s.serveConn(entry)
 }
 
-func (s *Server) serveConn(conn net.Conn) {
+// close closes a connection that is no longer in the table.
+func (s *Server) close(entry *accepted) {
+	s.sessions.mu.Lock()
+	mux := entry.mux
+	s.sessions.mu.Unlock()
+	if mux != nil {
+		_ = mux.Close()
+		return
+	}
+	_ = entry.conn.Close()
+}
+
+// reportClosed reports that a connection was closed because of a bound.
+func (s *Server) reportClosed(conn net.Conn, bound string) {
+	metrics.Counter("wire.sessions_closed", "bound", bound).Inc(1)
+	if s.lines.Reserve(time.Now()) {
+		s.log.Warn().Str("peer", conn.RemoteAddr().String()).Str("bound", bound).Int("sessions", s.sessions.len()).Msg("wire: connection of a peer was closed because of a bound")
+	}
+}
+
+func (s *Server) serveConn(entry *accepted) {
+	conn := entry.conn
+	defer s.sessions.remove(entry)
 	address := conn.RemoteAddr().String()
 	hello, err := exchangeHello(conn, cloneHello(s.localHello))
 	if err != nil {
@@ -100,31 +149,36 @@
 		_ = conn.Close()
 		return
 	}
-	if !s.addSession(mux) {
-		_ = mux.Close()
+	defer func() { _ = mux.Close() }()
+	if !s.sessions.setMux(entry, mux) || s.isClosing() {
 		return
 	}
-	defer s.removeSession(mux)
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	for {
-		stream, err := mux.AcceptStream()
+		muxStream, err := mux.AcceptStream()
 		if err != nil {
 			return
 		}
 		if !s.addStream() {
-			_ = stream.Close()
+			_ = muxStream.Close()
 			continue
 		}
-		go s.serveStream(ctx, stream, hello, address, coalescing)
+		s.sessions.addStreams(entry, 1)
+		go func() {
+			defer s.streams.Done()
+			defer s.sessions.addStreams(entry, -1)
+			s.serveStream(ctx, muxStream, hello, coalescing)
+		}()
 	}
 }
 
-func (s *Server) serveStream(ctx context.Context, conn net.Conn, hello *wirepb.Hello, address string, sessionConn *coalescingConn) {
-	defer s.streams.Done()
+// serveStream passes a stream to the handler of its kind and closes it.
+func (s *Server) serveStream(ctx context.Context, muxStream *yamux.Stream, hello *wirepb.Hello, sessionConn *coalescingConn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream := newStream(ctx, conn, address, sessionConn)
+	address := muxStream.RemoteAddr().String()
+	stream := newStream(ctx, muxStream, address, sessionConn)
 	defer func() { _ = stream.Close() }()
 	defer contain.Panics(s.log, "wire", address)
 	open := new(wirepb.Open)
@@ -146,22 +200,10 @@
 	handler(ctx, Request{ID: open.RequestId, Peer: hello}, stream)
 }
 
-// addSession records a session and reports whether the server still accepts sessions.
-func (s *Server) addSession(mux *yamux.Session) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closing {
-		return false
-	}
-	s.sessions[mux] = struct{}{}
-	return true
-}
-
-func (s *Server) removeSession(mux *yamux.Session) {
+func (s *Server) isClosing() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.sessions, mux)
-	_ = mux.Close()
+	return s.closing
 }
 
 // addStream counts a stream and reports whether the server still accepts streams.
@@ -182,10 +224,10 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
 	s.closing = true
-	for mux := range s.sessions {
+	s.mu.Unlock()
+	for _, mux := range s.sessions.muxes() {
 		_ = mux.GoAway()
 	}
-	s.mu.Unlock()
 	done := make(chan struct{})
 	go func() {
 		s.streams.Wait()
@@ -198,9 +240,7 @@
 		err = ctx.Err()
 	}
 	s.cancel()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for mux := range s.sessions {
+	for _, mux := range s.sessions.muxes() {
 		_ = mux.Close()
 	}
 	return err
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -48,7 +48,7 @@
 		return nil, err
 	}
 	peerHello := new(wirepb.Hello)
-	if err := readFrame(bufio.NewReaderSize(oneByteReader{conn}, 1), peerHello); err != nil {
+	if err := readFrameUpTo(bufio.NewReaderSize(oneByteReader{conn}, 1), maxHelloBytes, peerHello); err != nil {
 		return nil, err
 	}
 	if peerHello.Version != Version {
