wire: what peers have sent and handlers have not taken has a bound

The server now counts what it has accepted and not passed on, by reading the headers of the multiplexer's frames: 16 KiB for each stream and the data that no handler has taken. Above an eighth of [memory] limit_mb, or 256 MiB without a limit, the session that holds the most is closed; the other peers are not touched. Streams that have ended do not count (TestEndedStreamsAreNotCounted).

--- a/internal/app/doors.go
+++ b/internal/app/doors.go
@@ -9,6 +9,9 @@
 )
 
 const (
+	// receivedFraction is the fraction of the memory that peers' streams may take with what they
+	// have received and their handlers have not taken.
+	receivedFraction = 0.125
 	// peerFDFraction is the fraction of the descriptors that connections of peers may take.
 	peerFDFraction = 0.125
 	// minPeerSessions is the least number of peers' connections.
@@ -22,6 +25,9 @@
 	if inner.MaxSessions > 0 {
 		limits.Sessions = inner.MaxSessions
 	}
+	if m.LimitMB > 0 {
+		limits.ReceivedBytes = int64(receivedFraction * float64(m.LimitMB*megabyte))
+	}
 	return limits
 }
 
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -44,6 +44,7 @@
 	mu         sync.Mutex
 	handlers   map[wirepb.Kind]Handler
 	sessions   *sessionTable
+	received   *receiveBudget
 	lines      *loglimit.Limiter
 	streams    sync.WaitGroup
 	closing    bool
@@ -59,6 +60,7 @@
 		log:        log,
 		handlers:   make(map[wirepb.Kind]Handler),
 		sessions:   newSessionTable(DefaultLimits().Sessions),
+		received:   newReceiveBudget(DefaultLimits().ReceivedBytes),
 		lines:      loglimit.New(log, "wire", maxLinesPerSecond),
 		ctx:        ctx,
 		cancel:     cancel,
@@ -68,6 +70,7 @@
 // SetLimits replaces DefaultLimits. It must be called before Serve.
 func (s *Server) SetLimits(limits Limits) {
 	s.sessions = newSessionTable(limits.Sessions)
+	s.received = newReceiveBudget(limits.ReceivedBytes)
 }
 
 // Handle registers the handler of a kind. It must be called before Serve.
@@ -101,12 +104,12 @@
 func (s *Server) accept(conn net.Conn) {
 	entry, removed := s.sessions.add(conn, time.Now())
 	if removed != nil {
-		s.reportClosed(removed.conn, "sessions")
+		s.reportClosed(removed.conn, "sessions", 0)
 		// Closing may wait for a write.
 		go s.close(removed)
 	}
 	if entry == nil {
-		s.reportClosed(conn, "sessions")
+		s.reportClosed(conn, "sessions", 0)
 		_ = conn.Close()
 		return
 	}
@@ -125,11 +128,12 @@
 	_ = entry.conn.Close()
 }
 
-// reportClosed reports that a connection was closed because of a bound.
-func (s *Server) reportClosed(conn net.Conn, bound string) {
+// reportClosed reports that a connection was closed because of a bound. held is the number of bytes
+// that it has sent and no handler has taken.
+func (s *Server) reportClosed(conn net.Conn, bound string, held int64) {
 	metrics.Counter("wire.sessions_closed", "bound", bound).Inc(1)
 	if s.lines.Reserve(time.Now()) {
-		s.log.Warn().Str("peer", conn.RemoteAddr().String()).Str("bound", bound).Int("sessions", s.sessions.len()).Msg("wire: connection of a peer was closed because of a bound")
+		s.log.Warn().Str("peer", conn.RemoteAddr().String()).Str("bound", bound).Int64("held_bytes", held).Int("sessions", s.sessions.len()).Msg("wire: connection of a peer was closed because of a bound")
 	}
 }
 
@@ -143,7 +147,12 @@
 		s.log.Debug().Err(err).Str("peer", address).Msg("wire: Hello exchange with peer failed; closing the connection")
 		return
 	}
-	coalescing := newCoalescingConn(conn)
+	received := s.received.newSession(func(held int64) {
+		s.reportClosed(conn, "received", held)
+		_ = conn.Close()
+	})
+	defer received.end()
+	coalescing := newCoalescingConn(&scannedConn{Conn: conn, received: received})
 	mux, err := yamux.Server(coalescing, yamuxConfig())
 	if err != nil {
 		_ = conn.Close()
@@ -168,17 +177,19 @@
 		go func() {
 			defer s.streams.Done()
 			defer s.sessions.addStreams(entry, -1)
-			s.serveStream(ctx, muxStream, hello, coalescing)
+			defer received.endStream(muxStream.StreamID())
+			s.serveStream(ctx, muxStream, received, hello, coalescing)
 		}()
 	}
 }
 
 // serveStream passes a stream to the handler of its kind and closes it.
-func (s *Server) serveStream(ctx context.Context, muxStream *yamux.Stream, hello *wirepb.Hello, sessionConn *coalescingConn) {
+func (s *Server) serveStream(ctx context.Context, muxStream *yamux.Stream, received *receivedBytes, hello *wirepb.Hello, sessionConn *coalescingConn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	address := muxStream.RemoteAddr().String()
 	stream := newStream(ctx, muxStream, address, sessionConn)
+	stream.onReceived = func(bytes int64) { received.take(muxStream.StreamID(), bytes) }
 	defer func() { _ = stream.Close() }()
 	defer contain.Panics(s.log, "wire", address)
 	open := new(wirepb.Open)
--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -39,12 +39,18 @@
 	countState atomic.Int32
 	// onClose releases the session on the dialing side. It is nil on the accepting side.
 	onClose func()
+	// onReceived is called with the number of bytes that each Recv has taken. It is nil on the
+	// dialing side.
+	onReceived func(bytes int64)
+	// read is the number of bytes that reader has read, and taken that which Recv has taken.
+	read, taken int64
 }
 
 // newStream returns a stream on conn. When ctx ends, its reads and writes fail,
 // including those that are blocked.
 func newStream(ctx context.Context, conn net.Conn, peerAddress string, sessionConn *coalescingConn) *Stream {
-	s := &Stream{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), peerAddress: peerAddress, sessionConn: sessionConn}
+	s := &Stream{conn: conn, peerAddress: peerAddress, sessionConn: sessionConn}
+	s.reader = bufio.NewReaderSize((*streamReader)(s), readBufferBytes)
 	s.unbindContext = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	return s
 }
@@ -90,7 +96,23 @@
 // Recv reads one frame into message and blocks until it has arrived. The error
 // wraps io.EOF when the peer closed the stream between two frames.
 func (s *Stream) Recv(message proto.Message) error {
-	return fault.Wrap(readFrame(s.reader, message), "receive", s.peerAddress)
+	err := readFrame(s.reader, message)
+	if s.onReceived != nil {
+		taken := s.read - int64(s.reader.Buffered())
+		s.onReceived(taken - s.taken)
+		s.taken = taken
+	}
+	return fault.Wrap(err, "receive", s.peerAddress)
+}
+
+// streamReader reads from the connection of a Stream and counts the bytes.
+type streamReader Stream
+
+// Read implements io.Reader.
+func (r *streamReader) Read(p []byte) (int, error) {
+	n, err := r.conn.Read(p)
+	r.read += int64(n)
+	return n, err
 }
 
 // Buffered reports whether the whole next frame has been read from the connection, so that
