publish: bodies of the operators' API have a bound together

A publication of 16 MiB had no time limit, and the body of a drain no size limit at all. Both are read with bodymem in 20 s: 16 MiB for each and for all, one alone may exceed the sum with its copies. A refusal for memory is 503 with Retry-After and the outcome not-run.

--- a/internal/app/crowd_test.go
+++ b/internal/app/crowd_test.go
@@ -186,14 +186,18 @@
 	f.requireServed()
 }
 
-// A crowd whose publications stop just short of their end fills the memory of the router.
+// A crowd whose publications or drains stop just short of their end fills the memory of the router.
 func TestRouterOutlivesUnfinishedBodiesOfOperators(t *testing.T) {
-	f := newCrowdFleet(t, processLimits{memoryMB: crowdMemoryMB})
-	c := gather(t, 30, f.settings.Operators.Listen, sendUnfinishedBody("/operator/v1/publish", 16<<20))
-	f.requireReady(f.settings.Admin.Listen)
-	c.leave()
-	f.router.requireMemory()
-	f.requireServed()
+	for name, path := range map[string]string{"publish": "/operator/v1/publish", "drain": "/operator/v1/upstreams/billing-1/drain"} {
+		t.Run(name, func(t *testing.T) {
+			f := newCrowdFleet(t, processLimits{memoryMB: crowdMemoryMB})
+			c := gather(t, 30, f.settings.Operators.Listen, sendUnfinishedBody(path, 16<<20))
+			f.requireReady(f.settings.Admin.Listen)
+			c.leave()
+			f.router.requireMemory()
+			f.requireServed()
+		})
+	}
 }
 
 // A crowd whose Hellos stop just short of their end fills the memory of the router.
--- a/internal/publish/handler.go
+++ b/internal/publish/handler.go
@@ -1,18 +1,30 @@
 package publish
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
 	"github.com/gin-gonic/gin"
+	"github.com/gin-gonic/gin/binding"
+	"github.com/greengagegate/greengagegate/internal/bodymem"
 	"github.com/greengagegate/greengagegate/internal/configsync"
 	"github.com/greengagegate/greengagegate/internal/object"
 	"github.com/greengagegate/greengagegate/internal/status"
 	"github.com/greengagegate/greengagegate/membership"
 )
 
-// maxRequestBytes is the largest body of a request to publish.
-const maxRequestBytes = 16 << 20
+const (
+	// maxRequestBytes is the largest body of a request.
+	maxRequestBytes = 16 << 20
+	// maxBodiesBytes bounds the memory of the bodies of all requests; one alone may exceed it.
+	maxBodiesBytes = 16 << 20
+	// bodyCopies is the number of times that a body is in memory at once: as it was received,
+	// parsed, and encoded for the store.
+	bodyCopies = 3
+	// bodyTimeout bounds the time to read a body.
+	bodyTimeout = 20 * time.Second
+)
 
 // Handler serves the operators' API of one process.
 type Handler struct {
@@ -20,12 +32,13 @@
 	manager       *configsync.Manager
 	view          membership.View
 	statusQuerier status.Querier
+	bodies        *bodymem.Budget
 }
 
 // NewHandler returns a Handler that publishes through publisher and shows what
 // manager, view and statusQuerier know.
 func NewHandler(publisher *Publisher, manager *configsync.Manager, view membership.View, statusQuerier status.Querier) *Handler {
-	return &Handler{publisher: publisher, manager: manager, view: view, statusQuerier: statusQuerier}
+	return &Handler{publisher: publisher, manager: manager, view: view, statusQuerier: statusQuerier, bodies: bodymem.NewBudget(maxBodiesBytes)}
 }
 
 // Register adds the routes of the API to r, below /operator/v1.
@@ -50,16 +63,42 @@
 }
 
 func (h *Handler) publish(c *gin.Context) {
-	c.Request.Body = http.MaxBytesReader(c.Writer, c.Request.Body, maxRequestBytes)
 	var request Request
-	if err := c.ShouldBindJSON(&request); err != nil {
-		c.JSON(http.StatusBadRequest, notRunResult(h.manager.Revision(), err.Error()))
+	release, ok := h.readRequest(c, &request)
+	defer release()
+	if !ok {
 		return
 	}
 	result := h.publisher.Publish(c.Request.Context(), request)
 	c.JSON(httpStatus[result.Outcome], result)
 }
 
+// readRequest reads the body of a request into request, and refuses the request if that fails.
+// release gives the memory of the body back.
+func (h *Handler) readRequest(c *gin.Context, request any) (release func(), ok bool) {
+	hold := h.bodies.NewHold()
+	control := http.NewResponseController(c.Writer)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := hold.ReadAll(c.Request.Body, maxRequestBytes, bodyCopies)
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
+		err = binding.JSON.BindBody(body, request)
+	} else {
+		// The rest of the body is not read: the connection ends with the response.
+		c.Header("Connection", "close")
+	}
+	switch {
+	case err == nil:
+		return hold.Release, true
+	case errors.Is(err, bodymem.ErrMemory):
+		c.Header("Retry-After", "1")
+		c.JSON(http.StatusServiceUnavailable, notRunResult(h.manager.Revision(), err.Error()))
+	default:
+		c.JSON(http.StatusBadRequest, notRunResult(h.manager.Revision(), err.Error()))
+	}
+	return hold.Release, false
+}
+
 // objects returns the objects of this process's current configuration that have the requested
 // kind and name. Without a kind or name, all kinds or names match.
 func (h *Handler) objects(c *gin.Context) {
@@ -149,8 +188,9 @@
 
 func (h *Handler) drain(c *gin.Context) {
 	var request drainRequest
-	if err := c.ShouldBindJSON(&request); err != nil {
-		c.JSON(http.StatusBadRequest, notRunResult(h.manager.Revision(), err.Error()))
+	release, ok := h.readRequest(c, &request)
+	defer release()
+	if !ok {
 		return
 	}
 	name := c.Param("name")
