app, router: a body that is not read does not keep its connection without a time limit

A request whose body no handler reads (a readiness check with a Content-Length, a call without a route) kept its connection for ever: net/http reads the rest of the body after the response, and none of the listeners had a time limit for that; idle connections of the admin, readiness and operators' listeners had none either. Listeners for checks no longer wait for bodies, the router's callers get 0.5 s for one that was refused before it was read, operators 20 s; heads are 16 KiB, idle connections are closed after 30 s, responses end after 3 minutes, which also bounds profiles.

--- a/internal/app/common.go
+++ b/internal/app/common.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/greengagegate/greengagegate/internal/admin"
 	"github.com/greengagegate/greengagegate/internal/configsync"
@@ -100,8 +99,7 @@
 
 // serveAdmin serves health checks, metrics and profiles.
 func serveAdmin(lifecycle fx.Lifecycle, c *Common, ready *admin.Readiness, log zerolog.Logger) {
-	server := &http.Server{Handler: admin.NewRouter(ready), ReadHeaderTimeout: 5 * time.Second}
-	serveHTTP(lifecycle, server, c.Admin.Listen, nil, log)
+	serveHTTP(lifecycle, newSmallServer(admin.NewRouter(ready), 0), c.Admin.Listen, nil, log)
 }
 
 // serveHTTP listens on address when the application starts and shuts the server
--- a/internal/app/crowd_test.go
+++ b/internal/app/crowd_test.go
@@ -84,6 +84,12 @@
 // sendNothing is the send function of members that only connect.
 func sendNothing(net.Conn) error { return nil }
 
+// sendUnreadBody sends a request without a route, whose body never comes.
+func sendUnreadBody(conn net.Conn) error {
+	_, err := io.WriteString(conn, "POST /none HTTP/1.1\r\nHost: calls\r\nContent-Length: 100\r\n\r\n")
+	return err
+}
+
 // sendUnfinishedBody returns the send function of members whose request to path has a chunked
 // body of size bytes, the beginning of a JSON object, and stops one chunk short of its end.
 func sendUnfinishedBody(path string, size int) func(conn net.Conn) error {
@@ -220,43 +226,52 @@
 	f.requireServed()
 }
 
+// door is an address of a crowdFleet, with the process that listens and its address for checks.
+type door struct {
+	address, admin string
+	process        *childProcess
+}
+
+// doors returns the doors of the fleet.
+func (f *crowdFleet) doors() map[string]door {
+	router, agent := f.settings, f.agentSettings
+	return map[string]door{
+		"router callers":   {router.CallersListen.Listen, router.Admin.Listen, f.router},
+		"router operators": {router.Operators.Listen, router.Admin.Listen, f.router},
+		"router admin":     {router.Admin.Listen, router.Admin.Listen, f.router},
+		"router peers":     {router.Inner.Listen, router.Admin.Listen, f.router},
+		"agent admin":      {agent.Admin.Listen, agent.Admin.Listen, f.agent},
+		"agent peers":      {agent.Inner.Listen, agent.Admin.Listen, f.agent},
+	}
+}
+
 // Silent connections at one door take the descriptors of all doors, and the peers' door closes for good.
 func TestSilentCrowdAtOneDoorLeavesOthersOpen(t *testing.T) {
-	doors := map[string]func(f *crowdFleet) (address, admin string, process *childProcess){
-		"router callers": func(f *crowdFleet) (string, string, *childProcess) {
-			return f.settings.CallersListen.Listen, f.settings.Admin.Listen, f.router
-		},
-		"router operators": func(f *crowdFleet) (string, string, *childProcess) {
-			return f.settings.Operators.Listen, f.settings.Admin.Listen, f.router
-		},
-		"router admin": func(f *crowdFleet) (string, string, *childProcess) {
-			return f.settings.Admin.Listen, f.settings.Admin.Listen, f.router
-		},
-		"router peers": func(f *crowdFleet) (string, string, *childProcess) {
-			return f.settings.Inner.Listen, f.settings.Admin.Listen, f.router
-		},
-		"agent admin": func(f *crowdFleet) (string, string, *childProcess) {
-			return f.agentSettings.Admin.Listen, f.agentSettings.Admin.Listen, f.agent
-		},
-		"agent peers": func(f *crowdFleet) (string, string, *childProcess) {
-			return f.agentSettings.Inner.Listen, f.agentSettings.Admin.Listen, f.agent
-		},
+	for _, name := range []string{"router callers", "router operators", "router admin", "router peers", "agent admin", "agent peers"} {
+		t.Run(name, func(t *testing.T) { crowdAtOneDoor(t, name, sendNothing) })
 	}
-	for name, door := range doors {
-		t.Run(name, func(t *testing.T) {
-			f := newCrowdFleet(t, processLimits{descriptors: crowdDescriptors})
-			address, admin, process := door(f)
-			c := gather(t, 2*crowdDescriptors, address, sendNothing)
-			process.requireDescriptors()
-			f.requireReady(admin)
-			c.leave()
-			process.requireAlive()
-			f.requirePeers()
-			f.requireServed()
-		})
+}
+
+// Connections whose bodies no handler reads are kept without a time limit and take all descriptors.
+func TestCrowdWithUnreadBodiesAtOneDoorLeavesOthersOpen(t *testing.T) {
+	for _, name := range []string{"router callers", "router operators", "router admin", "agent admin"} {
+		t.Run(name, func(t *testing.T) { crowdAtOneDoor(t, name, sendUnreadBody) })
 	}
 }
 
+// crowdAtOneDoor checks that a process with a crowd at one of its doors keeps the others open.
+func crowdAtOneDoor(t *testing.T, name string, send func(conn net.Conn) error) {
+	f := newCrowdFleet(t, processLimits{descriptors: crowdDescriptors})
+	d := f.doors()[name]
+	c := gather(t, 2*crowdDescriptors, d.address, send)
+	d.process.requireDescriptors()
+	f.requireReady(d.admin)
+	c.leave()
+	d.process.requireAlive()
+	f.requirePeers()
+	f.requireServed()
+}
+
 // requirePeers fails the test unless the doors for peers of the router and the agent answer a Hello.
 func (f *crowdFleet) requirePeers() {
 	f.t.Helper()
--- a/internal/app/doors.go
+++ b/internal/app/doors.go
@@ -2,7 +2,9 @@
 
 import (
 	"math"
+	"net/http"
 	"syscall"
+	"time"
 
 	"github.com/greengagegate/greengagegate/internal/node"
 	"github.com/greengagegate/greengagegate/internal/wire"
@@ -18,6 +20,38 @@
 	minPeerSessions = 16
 )
 
+const (
+	// smallHeaderBytes bounds the head of a request to a listener that is not for callers.
+	smallHeaderBytes = 16 << 10
+	// smallHeaderTimeout bounds the time to read such a head, and of the handshake before it.
+	smallHeaderTimeout = 5 * time.Second
+	// smallIdleTimeout is how long idle connections of such a listener are kept open.
+	smallIdleTimeout = 30 * time.Second
+	// operatorBodyTimeout bounds the time to read the body of an operator's request.
+	operatorBodyTimeout = 20 * time.Second
+	// smallWriteTimeout bounds a response, and so the length of a profile.
+	smallWriteTimeout = 3 * time.Minute
+)
+
+// newSmallServer returns the server of a listener that is not for callers. bodyTimeout bounds the time
+// for which the body of a request is read, also after the response; 0 means that bodies are not read.
+// Without it a connection with a body that never ends would be kept without a time limit.
+func newSmallServer(handler http.Handler, bodyTimeout time.Duration) *http.Server {
+	return &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.ContentLength != 0 {
+				// The call fails only on a closed connection.
+				_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
+			}
+			handler.ServeHTTP(w, r)
+		}),
+		ReadHeaderTimeout: smallHeaderTimeout,
+		IdleTimeout:       smallIdleTimeout,
+		WriteTimeout:      smallWriteTimeout,
+		MaxHeaderBytes:    smallHeaderBytes,
+	}
+}
+
 // peerLimits returns the bounds on what peers may hold.
 func (m *Memory) peerLimits(inner node.Inner) wire.Limits {
 	limits := wire.DefaultLimits()
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -264,16 +264,14 @@
 func serveGatewayAdmin(lifecycle fx.Lifecycle, s *GatewaySettings, ready *admin.Readiness, rollouts *rollout.Manager, log zerolog.Logger) {
 	router := admin.NewRouter(ready)
 	router.GET(rollout.StatusesPath, func(c *gin.Context) { c.JSON(http.StatusOK, rollouts.Statuses()) })
-	server := &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout}
-	serveHTTP(lifecycle, server, s.Admin.Listen, nil, log)
+	serveHTTP(lifecycle, newSmallServer(router, 0), s.Admin.Listen, nil, log)
 }
 
 func serveReadiness(lifecycle fx.Lifecycle, s *GatewaySettings, ready *admin.Readiness, log zerolog.Logger) {
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
 	engine.GET(s.Readiness.Path, ready.Handle)
-	server := &http.Server{Handler: engine, ReadHeaderTimeout: readHeaderTimeout}
-	serveHTTP(lifecycle, server, s.Readiness.Listen, nil, log)
+	serveHTTP(lifecycle, newSmallServer(engine, 0), s.Readiness.Listen, nil, log)
 }
 
 // startPeering serves requests of peers. It depends on the roster because the roster
--- a/internal/app/router.go
+++ b/internal/app/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -140,8 +139,7 @@
 	engine := gin.New()
 	engine.Use(gin.Recovery())
 	publish.NewHandler(publish.NewPublisher(configSync), configSync, view, status.NewClient(n.Pool)).Register(engine)
-	server := &http.Server{Handler: engine, ReadHeaderTimeout: 5 * time.Second}
-	serveHTTP(lifecycle, server, s.Operators.Listen, certificates, log)
+	serveHTTP(lifecycle, newSmallServer(engine, operatorBodyTimeout), s.Operators.Listen, certificates, log)
 	return nil
 }
 
--- a/internal/router/server.go
+++ b/internal/router/server.go
@@ -157,6 +157,10 @@
 	}
 }
 
+// unreadBodyTimeout bounds the time for which net/http reads the body of a request that was refused
+// before its body was read.
+const unreadBodyTimeout = 500 * time.Millisecond
+
 // assignRequestID is middleware that assigns an id to each request, and gives back the memory
 // of its body at the end. While the server
 // is draining, it also makes the connection close after the response.
@@ -168,6 +172,10 @@
 		c.Header("Connection", "close")
 	}
 	defer releaseBody(c)
+	if c.Request.ContentLength != 0 {
+		// The call fails only for response writers in tests.
+		_ = http.NewResponseController(c.Writer).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	}
 	c.Next()
 }
 
