--- a/internal/app/doors.go
+++ b/internal/app/doors.go
@@ -1,9 +1,7 @@
 package app
 
 import (
-	"math"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/node"
@@ -55,7 +53,7 @@
 // peerLimits returns the bounds on what peers may hold.
 func (m *Memory) peerLimits(inner node.Inner) wire.Limits {
 	limits := wire.DefaultLimits()
-	limits.Sessions = max(minPeerSessions, min(limits.Sessions, int(peerFDFraction*float64(descriptorLimit()))))
+	limits.Sessions = max(minPeerSessions, min(limits.Sessions, int(peerFDFraction*float64(m.maxFDs()))))
 	if inner.MaxSessions > 0 {
 		limits.Sessions = inner.MaxSessions
 	}
@@ -64,12 +62,3 @@
 	}
 	return limits
 }
-
-// descriptorLimit returns the number of descriptors that the process may use.
-func descriptorLimit() int {
-	var limit syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
-		return math.MaxInt32
-	}
-	return int(limit.Cur)
-}
