app: connections to each HTTP listener have a bound, so that the others stay open

Callers, operators and monitoring saw a process that answered nobody: a crowd of 400 silent connections, or of connections with a body that never comes, at any one listener of a router or an agent took all of its 200 descriptors (201 open, want at most 180, and no readiness check answered). Routers' callers get the bounds of the gateway's (package intake); a body that is read may be closed for others and is then refused with 503, not-run. Readiness, admin and operators' listeners get a 32nd of the descriptors each, from 8 to 64; more connections close those whose request is not known yet.

--- a/internal/app/common.go
+++ b/internal/app/common.go
@@ -11,7 +11,9 @@
 	"github.com/greengagegate/greengagegate/internal/configsync"
 	"github.com/greengagegate/greengagegate/internal/contain"
 	"github.com/greengagegate/greengagegate/internal/fault"
+	"github.com/greengagegate/greengagegate/internal/intake"
 	"github.com/greengagegate/greengagegate/internal/invariant"
+	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/node"
 	"github.com/greengagegate/greengagegate/internal/object"
 	"github.com/greengagegate/greengagegate/internal/status"
@@ -99,33 +101,53 @@
 
 // serveAdmin serves health checks, metrics and profiles.
 func serveAdmin(lifecycle fx.Lifecycle, c *Common, ready *admin.Readiness, log zerolog.Logger) {
-	serveHTTP(lifecycle, newSmallServer(admin.NewRouter(ready), 0), c.Admin.Listen, nil, log)
+	serveHTTP(lifecycle, newSmallServer(admin.NewRouter(ready), 0), httpDoor{name: "admin", address: c.Admin.Listen, limits: c.Memory.smallLimits()}, log)
 }
 
-// serveHTTP listens on address when the application starts and shuts the server
-// down when it stops. Connections use TLS unless certificates is nil.
-func serveHTTP(lifecycle fx.Lifecycle, server *http.Server, address string, certificates *tlsconf.Reloader, log zerolog.Logger) {
+// httpDoor is an HTTP listener of a process.
+type httpDoor struct {
+	// name stands for the listener in metrics and log lines.
+	name, address string
+	// certificates are nil if connections do not use TLS.
+	certificates *tlsconf.Reloader
+	limits       intake.Limits
+}
+
+// serveHTTP opens a door when the application starts and shuts the server down when it stops.
+func serveHTTP(lifecycle fx.Lifecycle, server *http.Server, door httpDoor, log zerolog.Logger) {
+	connections := intake.New(intake.Options{Door: door.name, Limits: door.limits, Log: log})
+	var unregister func()
 	start := func(context.Context) error {
-		listener, err := net.Listen("tcp", address)
+		listener, err := net.Listen("tcp", door.address)
 		if err != nil {
-			return fault.Wrap(err, "listen", address)
+			return fault.Wrap(err, "listen", door.address)
 		}
-		if certificates != nil {
-			listener = tls.NewListener(listener, certificates.Server())
+		if door.certificates != nil {
+			listener = tls.NewListener(listener, door.certificates.Server())
 		}
+		unregister = metrics.RegisterCollector(func() { collectDoor(door.name, connections) })
 		go func() {
-			if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-				log.Error().Err(err).Str("address", address).Msg("app: HTTP listener failed; it accepts no new connections until a restart")
+			if err := connections.Serve(server, listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				log.Error().Err(err).Str("address", door.address).Msg("app: HTTP listener failed; it accepts no new connections until a restart")
 			}
 		}()
 		return nil
 	}
 	stop := func(ctx context.Context) error {
-		return fault.Wrap(server.Shutdown(ctx), "finish requests", address)
+		defer unregister()
+		return fault.Wrap(server.Shutdown(ctx), "finish requests", door.address)
 	}
 	appendHook(lifecycle, start, stop)
 }
 
+// collectDoor sets the gauges of a listener.
+func collectDoor(name string, connections *intake.Manager) {
+	status := connections.Status()
+	metrics.Gauge("intake.connections", "door", name).Update(int64(status.Connections))
+	metrics.Gauge("intake.head_bytes", "door", name).Update(status.HeadBytes)
+	metrics.Gauge("intake.body_bytes", "door", name).Update(status.BodyBytes)
+}
+
 // newReloader returns the reloader of certificate files, or nil when TLS is not
 // configured.
 func newReloader(files tlsconf.Files) (*tlsconf.Reloader, error) {
--- a/internal/app/doors.go
+++ b/internal/app/doors.go
@@ -1,9 +1,11 @@
 package app
 
 import (
+	"math"
 	"net/http"
 	"time"
 
+	"github.com/greengagegate/greengagegate/internal/intake"
 	"github.com/greengagegate/greengagegate/internal/node"
 	"github.com/greengagegate/greengagegate/internal/wire"
 )
@@ -19,7 +21,14 @@
 )
 
 const (
-	// smallHeaderBytes bounds the head of a request to a listener that is not for callers.
+	// smallFDFraction is the fraction of the descriptors that connections to a listener that is not
+	// for callers may take; their number is between minSmallConnections and maxSmallConnections.
+	smallFDFraction     = 1.0 / 32
+	minSmallConnections = 8
+	maxSmallConnections = 64
+	// smallHeadBytes bounds the heads of all requests to such a listener.
+	smallHeadBytes = 1 << 20
+	// smallHeaderBytes bounds the head of one request.
 	smallHeaderBytes = 16 << 10
 	// smallHeaderTimeout bounds the time to read such a head, and of the handshake before it.
 	smallHeaderTimeout = 5 * time.Second
@@ -50,6 +59,16 @@
 	}
 }
 
+// smallLimits returns the bounds of a listener that is not for callers.
+func (m *Memory) smallLimits() intake.Limits {
+	connections := int(smallFDFraction * float64(m.maxFDs()))
+	return intake.Limits{
+		Connections: max(minSmallConnections, min(connections, maxSmallConnections)),
+		HeadBytes:   smallHeadBytes,
+		BodyBytes:   math.MaxInt64,
+	}
+}
+
 // peerLimits returns the bounds on what peers may hold.
 func (m *Memory) peerLimits(inner node.Inner) wire.Limits {
 	limits := wire.DefaultLimits()
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -269,14 +269,14 @@
 func serveGatewayAdmin(lifecycle fx.Lifecycle, s *GatewaySettings, ready *admin.Readiness, rollouts *rollout.Manager, log zerolog.Logger) {
 	router := admin.NewRouter(ready)
 	router.GET(rollout.StatusesPath, func(c *gin.Context) { c.JSON(http.StatusOK, rollouts.Statuses()) })
-	serveHTTP(lifecycle, newSmallServer(router, 0), s.Admin.Listen, nil, log)
+	serveHTTP(lifecycle, newSmallServer(router, 0), httpDoor{name: "admin", address: s.Admin.Listen, limits: s.Memory.smallLimits()}, log)
 }
 
 func serveReadiness(lifecycle fx.Lifecycle, s *GatewaySettings, ready *admin.Readiness, log zerolog.Logger) {
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
 	engine.GET(s.Readiness.Path, ready.Handle)
-	serveHTTP(lifecycle, newSmallServer(engine, 0), s.Readiness.Listen, nil, log)
+	serveHTTP(lifecycle, newSmallServer(engine, 0), httpDoor{name: "readiness", address: s.Readiness.Listen, limits: s.Memory.smallLimits()}, log)
 }
 
 // startPeering serves requests of peers. It depends on the roster because the roster
--- a/internal/app/gatewaygauges.go
+++ b/internal/app/gatewaygauges.go
@@ -127,10 +127,7 @@
 	metrics.Gauge("ratelimit.limited").Update(int64(g.sources.Limits.Limited()))
 	metrics.Gauge("poison.suspects").Update(int64(g.sources.Poison.Suspects()))
 	metrics.Gauge("poison.convicted").Update(int64(g.sources.Poison.Convictions()))
-	callers := g.sources.Connections.Status()
-	metrics.Gauge("intake.connections", "door", "callers").Update(int64(callers.Connections))
-	metrics.Gauge("intake.head_bytes", "door", "callers").Update(callers.HeadBytes)
-	metrics.Gauge("intake.body_bytes", "door", "callers").Update(callers.BodyBytes)
+	collectDoor("callers", g.sources.Connections)
 	g.queued.Begin()
 	for _, queue := range g.sources.Gateway.QueueStatuses() {
 		g.queued.Set(int64(queue.Waiting), "customer", queue.Customer, "route", queue.Route)
--- a/internal/app/router.go
+++ b/internal/app/router.go
@@ -139,7 +139,8 @@
 	engine := gin.New()
 	engine.Use(gin.Recovery())
 	publish.NewHandler(publish.NewPublisher(configSync), configSync, view, status.NewClient(n.Pool)).Register(engine)
-	serveHTTP(lifecycle, newSmallServer(engine, operatorBodyTimeout), s.Operators.Listen, certificates, log)
+	door := httpDoor{name: "operators", address: s.Operators.Listen, certificates: certificates, limits: s.Memory.smallLimits()}
+	serveHTTP(lifecycle, newSmallServer(engine, operatorBodyTimeout), door, log)
 	return nil
 }
 
@@ -161,7 +162,8 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	serveHTTP(lifecycle, server.HTTPServer(), s.CallersListen.Listen, certificates, log)
+	door := httpDoor{name: "callers", address: s.CallersListen.Listen, certificates: certificates, limits: s.Memory.callerLimits()}
+	serveHTTP(lifecycle, server.HTTPServer(), door, log)
 	start := func(context.Context) error {
 		go setRouterReady(ctx, source, ready)
 		return nil
--- a/internal/bodymem/bodymem.go
+++ b/internal/bodymem/bodymem.go
@@ -40,6 +40,10 @@
 
 // Hold is the part of a Budget that one request takes. It is not safe for concurrent use.
 type Hold struct {
+	// OnRead is called by ReadAll with the size of each chunk before it is read. If it returns false,
+	// ReadAll returns ErrMemory. It may be nil.
+	OnRead func(bytes int64) bool
+
 	budget *Budget
 	bytes  int64
 }
@@ -84,7 +88,7 @@
 // readChunks reads to the end of source.
 func (h *Hold) readChunks(source io.Reader, limit int64) (chunks [][]byte, length int64, err error) {
 	for size := firstChunkBytes; ; size = min(2*size, maxChunkBytes) {
-		if !h.Grow(int64(size)) {
+		if !h.Grow(int64(size)) || h.OnRead != nil && !h.OnRead(int64(size)) {
 			return nil, 0, ErrMemory
 		}
 		chunk, err := readChunk(source, size)
--- a/internal/router/parse.go
+++ b/internal/router/parse.go
@@ -10,6 +10,7 @@
 	"github.com/bytedance/sonic"
 	"github.com/gin-gonic/gin"
 	"github.com/greengagegate/greengagegate/internal/bodymem"
+	"github.com/greengagegate/greengagegate/internal/intake"
 )
 
 // decoder decodes JSON with the same behavior as encoding/json.
@@ -189,7 +190,15 @@
 	}
 	control := http.NewResponseController(c.Writer)
 	_ = control.SetReadDeadline(time.Now().Add(limits.BodyTimeout))
-	body, err := s.holdBody(c).ReadAll(c.Request.Body, limits.MaxBodyBytes, bodyCopies)
+	connection := intake.FromContext(c.Request.Context())
+	connection.BeginBody()
+	hold := s.holdBody(c)
+	hold.OnRead = connection.HoldBody
+	body, err := hold.ReadAll(c.Request.Body, limits.MaxBodyBytes, bodyCopies)
+	if !connection.EndBody() {
+		// The connection was closed for others while the body was read.
+		err = bodymem.ErrMemory
+	}
 	if err == nil {
 		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
