wire: no connection of a peer is accepted before the one that gave way is closed

Beside 2,000 connections to a gateway's listener for peers, opened again when they were closed, 1,390 to 1,466 of 1,500 descriptors were open although 187 connections were allowed: the process accepted faster than the goroutines of closed connections ended. Serve waits until the closed connection is gone, for 0.1 s at most.

--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -19,6 +19,8 @@
 	// minAcceptPause and maxAcceptPause bound the pause after an accept that failed.
 	minAcceptPause = 5 * time.Millisecond
 	maxAcceptPause = time.Second
+	// closeWait is the longest time for which Serve waits for a connection that it has closed.
+	closeWait = 100 * time.Millisecond
 	// maxLinesPerSecond bounds the log lines about connections that are closed.
 	maxLinesPerSecond = 20
 )
@@ -105,8 +107,7 @@
 	entry, removed := s.sessions.add(conn, time.Now())
 	if removed != nil {
 		s.reportClosed(removed.conn, "sessions", 0)
-		// Closing may wait for a write.
-		go s.close(removed)
+		s.close(removed)
 	}
 	if entry == nil {
 		s.reportClosed(conn, "sessions", 0)
@@ -116,16 +117,19 @@
 	go s.serveConn(entry)
 }
 
-// close closes a connection that is no longer in the table.
+// close closes a connection that is no longer in the table, and waits for up to closeWait until its
+// descriptor is free: connections could be accepted faster than others are closed.
 func (s *Server) close(entry *accepted) {
-	s.sessions.mu.Lock()
-	mux := entry.mux
-	s.sessions.mu.Unlock()
-	if mux != nil {
-		_ = mux.Close()
-		return
+	closeInBackground(entry.conn)
+	select {
+	case <-entry.done:
+	case <-time.After(closeWait):
 	}
-	_ = entry.conn.Close()
+}
+
+// closeInBackground closes a connection without waiting: with TLS, closing writes to the peer.
+func closeInBackground(conn net.Conn) {
+	go func() { _ = conn.Close() }()
 }
 
 // reportClosed reports that a connection was closed because of a bound. held is the number of bytes
@@ -139,6 +143,7 @@
 
 func (s *Server) serveConn(entry *accepted) {
 	conn := entry.conn
+	defer close(entry.done)
 	defer s.sessions.remove(entry)
 	address := conn.RemoteAddr().String()
 	hello, err := exchangeHello(conn, cloneHello(s.localHello))
@@ -149,7 +154,7 @@
 	}
 	received := s.received.newSession(func(held int64) {
 		s.reportClosed(conn, "received", held)
-		_ = conn.Close()
+		closeInBackground(conn)
 	})
 	defer received.end()
 	coalescing := newCoalescingConn(&scannedConn{Conn: conn, received: received})
--- a/internal/wire/sessions.go
+++ b/internal/wire/sessions.go
@@ -11,6 +11,8 @@
 // accepted is a connection from a peer. The fields are guarded by the mutex of its sessionTable.
 type accepted struct {
 	conn net.Conn
+	// done is closed when the connection is closed and nothing uses it any more.
+	done chan struct{}
 	// mux is nil until the Hellos are exchanged.
 	mux *yamux.Session
 	// since is when the connection was accepted or its last stream was closed.
@@ -42,7 +44,7 @@
 		}
 		delete(t.entries, removed)
 	}
-	entry = &accepted{conn: conn, since: now}
+	entry = &accepted{conn: conn, done: make(chan struct{}), since: now}
 	t.entries[entry] = struct{}{}
 	return entry, removed
 }
