--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"runtime/debug"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -123,9 +122,7 @@
 func Gateway(s *GatewaySettings, p Platform) fx.Option {
 	s.Identity.Role = membership.RoleRouter
 	s.Identity.Incarnation = node.NewIncarnation()
-	if s.Memory.LimitMB > 0 {
-		debug.SetMemoryLimit(int64(float64(s.Memory.LimitMB*megabyte) * heapFraction))
-	}
+	s.Memory.apply()
 	return fx.Options(
 		fx.Supply(s),
 		fx.Provide(
@@ -179,7 +176,12 @@
 }
 
 func newGatewayNode(s *GatewaySettings, log zerolog.Logger) (*node.Node, error) {
-	return node.New(s.Identity, s.Inner, tlsconf.Files{}, log)
+	n, err := node.New(s.Identity, s.Inner, tlsconf.Files{}, log)
+	if err != nil {
+		return nil, err
+	}
+	n.Server.SetLimits(s.Memory.peerLimits(s.Inner))
+	return n, nil
 }
 
 func newGateway(
@@ -267,16 +269,14 @@
 func serveGatewayAdmin(lifecycle fx.Lifecycle, s *GatewaySettings, ready *admin.Readiness, rollouts *rollout.Manager, log zerolog.Logger) {
 	router := admin.NewRouter(ready)
 	router.GET(rollout.StatusesPath, func(c *gin.Context) { c.JSON(http.StatusOK, rollouts.Statuses()) })
-	server := &http.Server{Handler: router, ReadHeaderTimeout: readHeaderTimeout}
-	serveHTTP(lifecycle, server, s.Admin.Listen, nil, log)
+	serveHTTP(lifecycle, newSmallServer(router, 0), httpDoor{name: "admin", address: s.Admin.Listen, limits: s.Memory.smallLimits()}, log)
 }
 
 func serveReadiness(lifecycle fx.Lifecycle, s *GatewaySettings, ready *admin.Readiness, log zerolog.Logger) {
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
 	engine.GET(s.Readiness.Path, ready.Handle)
-	server := &http.Server{Handler: engine, ReadHeaderTimeout: readHeaderTimeout}
-	serveHTTP(lifecycle, server, s.Readiness.Listen, nil, log)
+	serveHTTP(lifecycle, newSmallServer(engine, 0), httpDoor{name: "readiness", address: s.Readiness.Listen, limits: s.Memory.smallLimits()}, log)
 }
 
 // startPeering serves requests of peers. It depends on the roster because the roster
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -8,12 +8,23 @@
 	"time"
 
 	"github.com/greengagegate/greengagegate/internal/contain"
-	"github.com/greengagegate/greengagegate/internal/fault"
+	"github.com/greengagegate/greengagegate/internal/loglimit"
+	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/wire/wirepb"
 	"github.com/hashicorp/yamux"
 	"github.com/rs/zerolog"
 )
 
+const (
+	// minAcceptPause and maxAcceptPause bound the pause after an accept that failed.
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
+	// closeWait is the longest time for which Serve waits for a connection that it has closed.
+	closeWait = 100 * time.Millisecond
+	// maxLinesPerSecond bounds the log lines about connections that are closed.
+	maxLinesPerSecond = 20
+)
+
 // Request holds the id and the sender's Hello of an accepted stream. The request
 // message itself is read from the stream by the handler.
 type Request struct {
@@ -34,7 +45,9 @@
 	log        zerolog.Logger
 	mu         sync.Mutex
 	handlers   map[wirepb.Kind]Handler
-	sessions   map[*yamux.Session]struct{}
+	sessions   *sessionTable
+	received   *receiveBudget
+	lines      *loglimit.Limiter
 	streams    sync.WaitGroup
 	closing    bool
 	ctx        context.Context
@@ -48,12 +61,20 @@
 		localHello: localHello,
 		log:        log,
 		handlers:   make(map[wirepb.Kind]Handler),
-		sessions:   make(map[*yamux.Session]struct{}),
+		sessions:   newSessionTable(DefaultLimits().Sessions),
+		received:   newReceiveBudget(DefaultLimits().ReceivedBytes),
+		lines:      loglimit.New(log, "wire", maxLinesPerSecond),
 		ctx:        ctx,
 		cancel:     cancel,
 	}
 }
 
+// SetLimits replaces DefaultLimits. It must be called before Serve.
+func (s *Server) SetLimits(limits Limits) {
+	s.sessions = newSessionTable(limits.Sessions)
+	s.received = newReceiveBudget(limits.ReceivedBytes)
+}
+
 // Handle registers the handler of a kind. It must be called before Serve.
 func (s *Server) Handle(kind wirepb.Kind, handler Handler) {
 	s.mu.Lock()
@@ -61,22 +82,69 @@
 	s.handlers[kind] = handler
 }
 
-// Serve accepts sessions. It returns nil when the listener has been closed, and an
-// error when accepting fails.
+// Serve accepts sessions. It returns nil when the listener has been closed. After other errors, such
+// as a lack of descriptors, it accepts again after a pause.
 func (s *Server) Serve(listener net.Listener) error {
+	pause := minAcceptPause
 	for {
 		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		if err != nil {
-			return fault.Wrap(err, "accept session", listener.Addr().String())
+			s.log.Warn().Err(err).Str("address", listener.Addr().String()).Dur("pause_ms", pause).Msg("wire: accepting a session failed; trying again after a pause")
+			time.Sleep(pause)
+			pause = min(2*pause, maxAcceptPause)
+			continue
 		}
-		go s.serveConn(conn)
+		pause = minAcceptPause
+		s.accept(conn)
 	}
 }
 
-func (s *Server) serveConn(conn net.Conn) {
+// accept serves a connection, and closes another one if there are too many.
+func (s *Server) accept(conn net.Conn) {
+	entry, removed := s.sessions.add(conn, time.Now())
+	if removed != nil {
+		s.reportClosed(removed.conn, "sessions", 0)
+		s.close(removed)
+	}
+	if entry == nil {
+		s.reportClosed(conn, "sessions", 0)
+		_ = conn.Close()
+		return
+	}
+	go s.serveConn(entry)
+}
+
+// close closes a connection that is no longer in the table, and waits for up to closeWait until its
+// descriptor is free: connections could be accepted faster than others are closed.
+func (s *Server) close(entry *accepted) {
+	closeInBackground(entry.conn)
+	select {
+	case <-entry.done:
+	case <-time.After(closeWait):
+	}
+}
+
+// closeInBackground closes a connection without waiting: with TLS, closing writes to the peer.
+func closeInBackground(conn net.Conn) {
+	go func() { _ = conn.Close() }()
+}
+
+// reportClosed reports that a connection was closed because of a bound. held is the number of bytes
+// that it has sent and no handler has taken.
+func (s *Server) reportClosed(conn net.Conn, bound string, held int64) {
+	metrics.Counter("wire.sessions_closed", "bound", bound).Inc(1)
+	if s.lines.Reserve(time.Now()) {
+		s.log.Warn().Str("peer", conn.RemoteAddr().String()).Str("bound", bound).Int64("held_bytes", held).Int("sessions", s.sessions.len()).Msg("wire: connection of a peer was closed because of a bound")
+	}
+}
+
+func (s *Server) serveConn(entry *accepted) {
+	conn := entry.conn
+	defer close(entry.done)
+	defer s.sessions.remove(entry)
 	address := conn.RemoteAddr().String()
 	hello, err := exchangeHello(conn, cloneHello(s.localHello))
 	if err != nil {
@@ -84,37 +152,49 @@
 		s.log.Debug().Err(err).Str("peer", address).Msg("wire: Hello exchange with peer failed; closing the connection")
 		return
 	}
-	coalescing := newCoalescingConn(conn)
+	received := s.received.newSession(func(held int64) {
+		s.reportClosed(conn, "received", held)
+		closeInBackground(conn)
+	})
+	defer received.end()
+	coalescing := newCoalescingConn(&scannedConn{Conn: conn, received: received})
 	mux, err := yamux.Server(coalescing, yamuxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return
 	}
-	if !s.addSession(mux) {
-		_ = mux.Close()
+	defer func() { _ = mux.Close() }()
+	if !s.sessions.setMux(entry, mux) || s.isClosing() {
 		return
 	}
-	defer s.removeSession(mux)
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	for {
-		stream, err := mux.AcceptStream()
+		muxStream, err := mux.AcceptStream()
 		if err != nil {
 			return
 		}
 		if !s.addStream() {
-			_ = stream.Close()
+			_ = muxStream.Close()
 			continue
 		}
-		go s.serveStream(ctx, stream, hello, address, coalescing)
+		s.sessions.addStreams(entry, 1)
+		go func() {
+			defer s.streams.Done()
+			defer s.sessions.addStreams(entry, -1)
+			defer received.endStream(muxStream.StreamID())
+			s.serveStream(ctx, muxStream, received, hello, coalescing)
+		}()
 	}
 }
 
-func (s *Server) serveStream(ctx context.Context, conn net.Conn, hello *wirepb.Hello, address string, sessionConn *coalescingConn) {
-	defer s.streams.Done()
+// serveStream passes a stream to the handler of its kind and closes it.
+func (s *Server) serveStream(ctx context.Context, muxStream *yamux.Stream, received *receivedBytes, hello *wirepb.Hello, sessionConn *coalescingConn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream := newStream(ctx, conn, address, sessionConn)
+	address := muxStream.RemoteAddr().String()
+	stream := newStream(ctx, muxStream, address, sessionConn)
+	stream.onReceived = func(bytes int64) { received.take(muxStream.StreamID(), bytes) }
 	defer func() { _ = stream.Close() }()
 	defer contain.Panics(s.log, "wire", address)
 	open := new(wirepb.Open)
@@ -136,22 +216,10 @@
 	handler(ctx, Request{ID: open.RequestId, Peer: hello}, stream)
 }
 
-// addSession records a session and reports whether the server still accepts sessions.
-func (s *Server) addSession(mux *yamux.Session) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closing {
-		return false
-	}
-	s.sessions[mux] = struct{}{}
-	return true
-}
-
-func (s *Server) removeSession(mux *yamux.Session) {
+func (s *Server) isClosing() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.sessions, mux)
-	_ = mux.Close()
+	return s.closing
 }
 
 // addStream counts a stream and reports whether the server still accepts streams.
@@ -172,10 +240,10 @@
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.mu.Lock()
 	s.closing = true
-	for mux := range s.sessions {
+	s.mu.Unlock()
+	for _, mux := range s.sessions.muxes() {
 		_ = mux.GoAway()
 	}
-	s.mu.Unlock()
 	done := make(chan struct{})
 	go func() {
 		s.streams.Wait()
@@ -188,9 +256,7 @@
 		err = ctx.Err()
 	}
 	s.cancel()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for mux := range s.sessions {
+	for _, mux := range s.sessions.muxes() {
 		_ = mux.Close()
 	}
 	return err
