--- a/internal/app/gatewaymemory.go
+++ b/internal/app/gatewaymemory.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math"
+	"runtime/debug"
 
 	"github.com/greengagegate/greengagegate/internal/intake"
 	"golang.org/x/sys/unix"
@@ -63,6 +64,13 @@
 	defaultMaxBufferedBytes = 1 << 30
 )
 
+// apply bounds the memory of the Go runtime to a part of LimitMB.
+func (m *Memory) apply() {
+	if m.LimitMB > 0 {
+		debug.SetMemoryLimit(int64(float64(m.LimitMB*megabyte) * heapFraction))
+	}
+}
+
 // maxBufferedBytes returns the number of bytes of bodies that may be held at once.
 func (m *Memory) maxBufferedBytes() int64 {
 	if m.LimitMB <= 0 {
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -19,6 +19,9 @@
 	maxHeadBytes = 68 << 10
 	// lineOverhead is the memory of a parsed header beside its text, in bytes.
 	lineOverhead = 160
+	// freeBodyBytes is the size of a body, with the framing of its chunks, that is read without
+	// turns.
+	freeBodyBytes = 64 << 10
 	// writeTimeout bounds each write for which the handler has set no time limit.
 	writeTimeout = 10 * time.Second
 	// refusalTimeout bounds the write of a refusal by the connection itself.
@@ -54,6 +57,9 @@
 	// hasWriteDeadline is true while the handler's time limit for writes is in force.
 	hasWriteDeadline atomic.Bool
 
+	// turn is when the turn began that the connection has; nil if it has none.
+	turn atomic.Pointer[time.Time]
+
 	// The other fields are used by Read, and by finishRequest, which does not run beside Read.
 	scanner framing.Scanner
 	// pending are bytes that were received and not passed on; scanned of them have been scanned, and
@@ -62,14 +68,15 @@
 	scanned, ready int
 	// early is the number of bytes of an unfinished head that may be passed on.
 	early int
-	// headLength is the scanned bytes of the current head.
-	headLength int64
-	rejected   bool
+	// headLength and bodyLength are the scanned bytes of the current request.
+	headLength, bodyLength int64
+	rejected               bool
 }
 
 // Read implements net.Conn. It passes on heads when they are whole, and at most the rest of one
 // request.
 func (c *Conn) Read(p []byte) (int, error) {
+	c.leaveTurn()
 	for {
 		switch {
 		case c.rejected:
@@ -77,7 +84,7 @@
 		case c.ready > 0:
 			return c.passOn(p), nil
 		case c.scanned < len(c.pending):
-			if err := c.scanPending(); err != nil {
+			if err := c.scanPending(len(p)); err != nil {
 				return 0, err
 			}
 		default:
@@ -106,6 +113,11 @@
 	if n == 0 {
 		return 0, c.readError(err)
 	}
+	if !c.enterTurn() {
+		// What was received is lost, so nothing can be read any more.
+		c.rejected = true
+		return 0, os.ErrDeadlineExceeded
+	}
 	if len(c.pending) > 0 {
 		c.pending = append(c.pending, p[:n]...)
 		return 0, nil
@@ -124,9 +136,15 @@
 	return 0, c.holdHead()
 }
 
-// scanPending scans pending bytes and decides how many may be passed on.
-func (c *Conn) scanPending() error {
-	parsed, isWhole, err := c.scan(c.pending[c.scanned:])
+// scanPending scans pending bytes and decides how many may be passed on to a read of a size.
+func (c *Conn) scanPending(size int) error {
+	data := c.pending[c.scanned:]
+	if size == 1 && c.scanner.InHead() {
+		// While the server serves a request, it reads one byte of the next one to notice that the
+		// client leaves. The next request must not begin before the response has ended.
+		data = data[:1]
+	}
+	parsed, isWhole, err := c.scan(data)
 	if err != nil {
 		return err
 	}
@@ -147,6 +165,7 @@
 		return 0, false, c.respond("framing", ambiguousResponse)
 	}
 	if !wasInHead {
+		c.bodyLength += int64(parsed)
 		return parsed, true, nil
 	}
 	c.headLength += int64(parsed)
@@ -160,6 +179,7 @@
 	if err != nil {
 		return 0, false, c.respond("framing", ambiguousResponse)
 	}
+	c.bodyLength = int64(rest)
 	return parsed + rest, true, nil
 }
 
@@ -168,10 +188,8 @@
 	if c.headLength > maxHeadBytes {
 		return c.respond("head-size", tooLargeHeadResponse)
 	}
-	if c.early == 0 {
-		c.ready = min(earlyBytes, c.scanned)
-		c.early = c.ready
-	}
+	c.ready = min(earlyBytes-c.early, c.scanned)
+	c.early += c.ready
 	m := c.manager
 	m.mu.Lock()
 	now := time.Now()
@@ -210,7 +228,7 @@
 	if !isAdmitted {
 		return c.respond("heads", noMemoryResponse)
 	}
-	c.early, c.headLength = 0, 0
+	c.early, c.headLength, c.bodyLength = 0, 0, 0
 	return nil
 }
 
@@ -263,6 +281,21 @@
 	return os.ErrDeadlineExceeded
 }
 
+// enterTurn waits for a turn if a long body is read. It returns false like await.
+func (c *Conn) enterTurn() bool {
+	if c.bodyLength <= freeBodyBytes || c.scanner.InHead() {
+		return true
+	}
+	t := c.manager.turnstile
+	if turn := t.enter(); turn != nil && !c.await(turn) {
+		t.quit(turn)
+		return false
+	}
+	now := time.Now()
+	c.turn.Store(&now)
+	return true
+}
+
 // await waits until done is closed. It returns false if the connection is closed for others or the
 // time limit of reads ends before.
 func (c *Conn) await(done <-chan struct{}) bool {
@@ -281,8 +314,16 @@
 	return false
 }
 
+// leaveTurn ends the connection's turn if it has one.
+func (c *Conn) leaveTurn() {
+	if began := c.turn.Swap(nil); began != nil {
+		c.manager.turnstile.leave(time.Since(*began))
+	}
+}
+
 // Write implements net.Conn. It has a time limit of its own unless the handler has set one.
 func (c *Conn) Write(p []byte) (int, error) {
+	c.leaveTurn()
 	if !c.hasWriteDeadline.Load() {
 		if err := c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 			return 0, err
@@ -329,6 +370,7 @@
 
 // Close implements net.Conn.
 func (c *Conn) Close() error {
+	c.leaveTurn()
 	err := c.Conn.Close()
 	m := c.manager
 	m.mu.Lock()
@@ -338,50 +380,3 @@
 	m.noteRelease()
 	return err
 }
-
-// BeginBody is called by a handler before it reads the request's body, or when it refuses a request
-// whose body has not ended, since the HTTP server reads some of it first. Until EndBody the
-// connection may be closed for others.
-func (c *Conn) BeginBody() {
-	if c == nil {
-		return
-	}
-	m := c.manager
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	c.entry.enter(inBody, time.Now())
-	m.noteClosable()
-}
-
-// HoldBody is called by a handler when the unfinished body takes a number of bytes more. If it
-// returns false, the body must not take them: the connection was closed for others.
-func (c *Conn) HoldBody(bytes int64) bool {
-	if c == nil {
-		return true
-	}
-	m := c.manager
-	m.mu.Lock()
-	now := time.Now()
-	c.entry.progressAt = now
-	c.entry.received += bytes
-	m.ledger.holdBody(&c.entry, bytes)
-	m.close(m.ledger.trimBodies(now), "bodies")
-	m.awaitMemory(c)
-	return !c.interrupted.Load()
-}
-
-// EndBody is called by a handler that has read the whole body or has given up. From then on the
-// connection is not closed for others. If it returns false, it was closed before, and the request
-// must be refused.
-func (c *Conn) EndBody() bool {
-	if c == nil {
-		return true
-	}
-	m := c.manager
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.ledger.holdBody(&c.entry, -c.entry.bodyBytes)
-	m.noteRelease()
-	c.entry.enter(served, time.Now())
-	return !c.entry.closing
-}
