--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -8,14 +8,17 @@
 	"github.com/gin-gonic/gin"
 	"github.com/greengagegate/greengagegate/internal/admin"
 	"github.com/greengagegate/greengagegate/internal/balancer"
+	"github.com/greengagegate/greengagegate/internal/bootclock"
 	"github.com/greengagegate/greengagegate/internal/cachestore"
 	"github.com/greengagegate/greengagegate/internal/catalog"
 	"github.com/greengagegate/greengagegate/internal/exchange"
 	"github.com/greengagegate/greengagegate/internal/gateway"
 	"github.com/greengagegate/greengagegate/internal/intake"
+	"github.com/greengagegate/greengagegate/internal/metrics"
 	"github.com/greengagegate/greengagegate/internal/mirror"
 	"github.com/greengagegate/greengagegate/internal/node"
 	"github.com/greengagegate/greengagegate/internal/origin"
+	"github.com/greengagegate/greengagegate/internal/outage"
 	"github.com/greengagegate/greengagegate/internal/pause"
 	"github.com/greengagegate/greengagegate/internal/peering"
 	"github.com/greengagegate/greengagegate/internal/permit"
@@ -63,13 +66,7 @@
 )
 
 // PolledStore is a platform's store that also reports changes by long polls.
-type PolledStore interface {
-	store.Store
-	store.Poller
-	store.StatusWriter
-	// Probe makes a cheap call to test the path to the store. The response may be stale.
-	Probe(ctx context.Context) error
-}
+type PolledStore = outage.Store
 
 // MirroredPrefix is a prefix of the store and the sink that receives its content.
 type MirroredPrefix struct {
@@ -127,7 +124,10 @@
 		fx.Supply(s),
 		fx.Provide(
 			func() Platform { return p },
-			func(log zerolog.Logger) PolledStore { return p.Store(s.Store.URL, log) },
+			func() *outage.Tracker { return new(outage.Tracker) },
+			func(tracker *outage.Tracker, log zerolog.Logger) PolledStore {
+				return outage.NewGuard(p.Store(s.Store.URL, log), tracker, log)
+			},
 			newCatalog,
 			exchange.NewPool,
 			func() *admin.Readiness { return new(admin.Readiness) },
@@ -354,9 +354,20 @@
 func followPrefix(lifecycle fx.Lifecycle, source mirror.Source, prefix string, sink mirror.Sink, batchDelay time.Duration, log zerolog.Logger) *mirror.Mirror {
 	storeMirror := mirror.New(mirror.Options{Source: source, Prefix: prefix, Sink: sink, PollWait: pollWait, ChangeDelay: batchDelay, Log: log})
 	appendBackground(lifecycle, log, "mirror "+prefix, storeMirror.Run)
+	registerMirrorGauges(lifecycle, prefix, storeMirror)
 	return storeMirror
 }
 
+// registerMirrorGauges computes the ages of a mirror whenever the metrics are read, while the
+// application runs.
+func registerMirrorGauges(lifecycle fx.Lifecycle, prefix string, storeMirror *mirror.Mirror) {
+	registerCollector(lifecycle, func() {
+		ages := storeMirror.Ages(bootclock.Now())
+		metrics.Gauge("mirror.copy_age_ms", "prefix", prefix).Update(ages.Copy.Milliseconds())
+		metrics.Gauge("mirror.call_age_ms", "prefix", prefix).Update(ages.Call.Milliseconds())
+	})
+}
+
 // followRoster joins the list of gateways, follows it, and leaves it when the
 // application stops.
 func followRoster(lifecycle fx.Lifecycle, source *relay.Manager, r *roster.Roster, log zerolog.Logger) {
--- a/internal/app/gatewaygauges.go
+++ b/internal/app/gatewaygauges.go
@@ -44,10 +44,14 @@
 // registerGatewayGauges computes the gauges whenever the metrics are read, while the
 // application runs.
 func registerGatewayGauges(lifecycle fx.Lifecycle, sources gatewayGaugeSources) {
-	gauges := newGatewayGauges(&sources)
+	registerCollector(lifecycle, newGatewayGauges(&sources).collect)
+}
+
+// registerCollector calls collect whenever the metrics are read, while the application runs.
+func registerCollector(lifecycle fx.Lifecycle, collect func()) {
 	var unregister func()
 	appendHook(lifecycle, func(context.Context) error {
-		unregister = metrics.RegisterCollector(gauges.collect)
+		unregister = metrics.RegisterCollector(collect)
 		return nil
 	}, func(context.Context) error {
 		unregister()
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -23,9 +23,6 @@
 )
 
 const (
-	// pollMargin is added to Options.PollWait to get the timeout of a poll. A store may answer
-	// a poll without changes later than it was asked to, which is no outage.
-	pollMargin = 2500 * time.Millisecond
 	// listTimeout is the timeout of a list call.
 	listTimeout = 1500 * time.Millisecond
 	// aheadWait is how long the store may hold a poll of ReadAhead open, the least that it takes.
@@ -52,7 +49,7 @@
 	BeginEra()
 	// MarkUnreachable reports that a call to the store failed. It is called after each
 	// failed call, except a poll whose history was compacted, which is followed by a
-	// list. The next Confirm ends the interruption.
+	// list, and one that ended with store.ErrPollLost, which is sent again. The next Confirm ends the interruption.
 	MarkUnreachable()
 }
 
@@ -110,6 +107,9 @@
 	version    int64
 	// applied is the version up to which the sink has all changes; 0 before the first list.
 	applied atomic.Int64
+	// sentAt is when the open call was sent, 0 if none is open. confirmedAt is when the last call was
+	// sent that the store itself answered, 0 before the first.
+	sentAt, confirmedAt atomic.Int64
 	// hasCopy is false before the first list and after the store has compacted the
 	// history.
 	hasCopy     bool
@@ -124,14 +124,16 @@
 func (m *Mirror) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := m.callOnce(ctx)
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return
-		}
-		if err != nil {
+		case errors.Is(err, store.ErrPollLost):
+			// The store answers other calls, so this is no outage, and the next poll needs no delay.
+		case err != nil:
 			m.handleFailure(ctx, err)
-			continue
+		default:
+			m.handleSuccess()
 		}
-		m.handleSuccess()
 	}
 }
 
@@ -153,17 +155,20 @@
 func (m *Mirror) read(ctx context.Context) error {
 	step, after, timeout := "list", int64(0), listTimeout
 	if m.hasCopy {
-		step, after, timeout = "poll", m.version, m.options.PollWait+pollMargin
+		step, after, timeout = "poll", m.version, m.options.PollWait+store.ResponseMargin
 	}
 	requestedAt := bootclock.Now()
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	m.sentAt.Store(int64(requestedAt))
 	update, err := m.options.Source.Read(callCtx, m.options.Prefix, after, m.options.PollWait)
+	m.sentAt.Store(0)
 	if err != nil {
 		return fault.Wrap(err, step, m.options.Prefix)
 	}
 	m.apply(&update)
 	if !update.Relayed {
+		m.confirmedAt.Store(int64(requestedAt))
 		m.options.Sink.Confirm(requestedAt)
 	}
 	if !update.Full && len(update.Objects) > 0 {
@@ -185,6 +190,29 @@
 	m.applied.Store(m.version)
 }
 
+// Ages is how old the knowledge of a Mirror is.
+type Ages struct {
+	// Copy is the time since the last call was sent that the store itself answered; 0 before the
+	// first.
+	Copy time.Duration
+	// Call is how long the open call has been open; 0 if none is.
+	Call time.Duration
+}
+
+// Ages returns the ages at an instant. It is safe for concurrent use.
+func (m *Mirror) Ages(now bootclock.Instant) Ages {
+	return Ages{Copy: ageOf(&m.confirmedAt, now), Call: ageOf(&m.sentAt, now)}
+}
+
+// ageOf returns the time since an instant, or 0 if that is 0.
+func ageOf(instant *atomic.Int64, now bootclock.Instant) time.Duration {
+	at := bootclock.Instant(instant.Load())
+	if at == 0 {
+		return 0
+	}
+	return max(0, now.Sub(at))
+}
+
 // errNoCopy reports that no objects were read yet.
 var errNoCopy = errors.New("no objects were read yet")
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -196,7 +196,7 @@
 // worked for maxPathAge. It must be called with m.mu held.
 func (m *Manager) noteFailedRead(err error) {
 	now := bootclock.Now()
-	if errors.Is(err, store.ErrCompacted) || now.Sub(m.pathWorkedAt) < maxPathAge {
+	if errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrPollLost) || now.Sub(m.pathWorkedAt) < maxPathAge {
 		return
 	}
 	m.unfitUntil[m.options.Name] = now.Add(unfitPause)
--- a/store/poll.go
+++ b/store/poll.go
@@ -2,9 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 )
 
+// ResponseMargin is how much later than it was asked to a store may answer a call. A call without
+// a response for longer has failed.
+const ResponseMargin = 2500 * time.Millisecond
+
+// ErrPollLost means that an outage that has ended may have lost a poll or its response. The store
+// answers other calls, so the caller may poll again at once.
+var ErrPollLost = errors.New("the poll may be lost")
+
 // Changes is the result of a Poll.
 type Changes struct {
 	// Objects are the changed objects in version order; a deleted object has Deleted set.
@@ -21,6 +30,6 @@
 	// Poll returns the changes to keys with the given prefix that have a version above
 	// after. It blocks until there is a change, for at most wait. It returns
 	// ErrCompacted when the store no longer has the changes since that version, or when the
-	// version belongs to an era that has ended.
+	// version belongs to an era that has ended, and may return ErrPollLost.
 	Poll(ctx context.Context, prefix string, after int64, wait time.Duration) (Changes, error)
 }
--- a/store/store.go
+++ b/store/store.go
@@ -38,6 +38,9 @@
 	ErrUnavailable = errors.New("store unavailable")
 	// ErrUnknownOutcome means that the response was lost: the change may or may not have taken effect.
 	ErrUnknownOutcome = errors.New("outcome unknown")
+	// ErrNoResponse means that no response arrived, or only a part of one: the store or the path
+	// to it may be in an outage. Drivers join it with ErrUnavailable or ErrUnknownOutcome.
+	ErrNoResponse = errors.New("no response from the store")
 	// ErrCompacted means that a watch asked for changes since a version that the
 	// store's change history no longer covers.
 	ErrCompacted = errors.New("version compacted")
