--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -124,10 +124,7 @@
 		fx.Supply(s),
 		fx.Provide(
 			func() Platform { return p },
-			func() *outage.Tracker { return new(outage.Tracker) },
-			func(tracker *outage.Tracker, log zerolog.Logger) PolledStore {
-				return outage.NewGuard(p.Store(s.Store.URL, log), tracker, log)
-			},
+			func(log zerolog.Logger) PolledStore { return outage.NewGuard(p.Store(s.Store.URL, log), log) },
 			newCatalog,
 			exchange.NewPool,
 			func() *admin.Readiness { return new(admin.Readiness) },
--- a/internal/outage/guard.go
+++ b/internal/outage/guard.go
@@ -23,12 +23,11 @@
 	Probe(ctx context.Context) error
 }
 
-// Guard passes calls on to a store and records in a Tracker which are answered. It ends a poll
-// with store.ErrPollLost when an outage may have lost it. It implements Store and
-// store.EraSource.
+// Guard passes calls on to a store and records which are answered. It ends a poll with
+// store.ErrPollLost when an outage may have lost it. It implements Store and store.EraSource.
 type Guard struct {
 	Store
-	tracker *Tracker
+	tracker Tracker
 	log     zerolog.Logger
 }
 
@@ -39,9 +38,7 @@
 
 // NewGuard returns a Guard of a store whose errors wrap store.ErrNoResponse as the package store
 // specifies.
-func NewGuard(next Store, tracker *Tracker, log zerolog.Logger) *Guard {
-	return &Guard{Store: next, tracker: tracker, log: log}
-}
+func NewGuard(next Store, log zerolog.Logger) *Guard { return &Guard{Store: next, log: log} }
 
 // record records the outcome of a call that was sent at an instant. A call that the caller gave up
 // shows nothing, nor does one of an era that has ended, which drivers may fail without sending it.
@@ -56,8 +53,8 @@
 		ended = g.tracker.RecordAnswer(sentAt)
 	}
 	if ended {
-		known, now := g.tracker.Known(), bootclock.Now()
-		g.log.Info().Dur("failed_ms", now.Sub(known.FailedAt)).Dur("answered_ms", now.Sub(known.AnsweredAt)).
+		calls, now := g.tracker.Calls(), bootclock.Now()
+		g.log.Info().Dur("failed_ms", now.Sub(calls.FailedAt)).Dur("answered_ms", now.Sub(calls.AnsweredAt)).
 			Msg("outage: the store answers again; open polls that were sent before may be lost and are sent again")
 	}
 }
@@ -153,8 +150,8 @@
 // noteLoss logs and counts a poll that was given up.
 func (g *Guard) noteLoss(prefix string, sentAt bootclock.Instant) {
 	metrics.Counter("store.polls_lost", "prefix", prefix).Inc(1)
-	known, now := g.tracker.Known(), bootclock.Now()
+	calls, now := g.tracker.Calls(), bootclock.Now()
 	g.log.Info().Str("prefix", prefix).Dur("poll_ms", now.Sub(sentAt)).
-		Dur("failed_ms", now.Sub(known.FailedAt)).Dur("answered_ms", now.Sub(known.AnsweredAt)).
+		Dur("failed_ms", now.Sub(calls.FailedAt)).Dur("answered_ms", now.Sub(calls.AnsweredAt)).
 		Msg("outage: a poll has been open since before the store answered again; sending it again")
 }
--- a/internal/outage/tracker.go
+++ b/internal/outage/tracker.go
@@ -11,7 +11,7 @@
 	"github.com/greengagegate/greengagegate/internal/bootclock"
 )
 
-// Calls states what a gateway knows of its calls to the store. The zero value knows nothing.
+// Calls states when calls to the store were sent. The zero value knows of none.
 type Calls struct {
 	// AnsweredAt is when the last call was sent that was answered, with success or not.
 	AnsweredAt bootclock.Instant
@@ -19,56 +19,45 @@
 	FailedAt bootclock.Instant
 }
 
-// Tracker finds the ends of outages in the calls of this gateway and of others. The zero value is
-// ready for use. It is safe for concurrent use.
+// Tracker finds the ends of outages in the calls of this gateway. The zero value is ready for use.
+// It is safe for concurrent use.
 //
 // Load pattern: the store is silent for a few seconds, at any moment of a poll. All gateways of the
 // fleet may have a poll in flight that is lost, so that none is ahead of the others.
 type Tracker struct {
-	mu sync.Mutex
-	// own are the calls of this gateway, known those of all gateways.
-	own, known Calls
+	mu    sync.Mutex
+	calls Calls
 	// endedAt is when the call was sent that showed the end of the last outage; 0 before the first.
 	endedAt bootclock.Instant
 	// ended is closed when endedAt changes; nil if nothing waits for it.
 	ended chan struct{}
 }
 
-// RecordAnswer records that a call of this gateway that was sent at an instant was answered. It
-// reports whether that shows the end of an outage.
+// RecordAnswer records that a call that was sent at an instant was answered. It reports whether that
+// shows the end of an outage.
 func (t *Tracker) RecordAnswer(sentAt bootclock.Instant) (ended bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.own.AnsweredAt = max(t.own.AnsweredAt, sentAt)
-	return t.add(t.own)
+	t.calls.AnsweredAt = max(t.calls.AnsweredAt, sentAt)
+	return t.checkEnd()
 }
 
-// RecordFailure records that a call of this gateway that was sent at an instant got no response.
-// It reports whether that shows an outage that has ended.
+// RecordFailure records that a call that was sent at an instant got no response. It reports whether
+// that shows an outage that has ended.
 func (t *Tracker) RecordFailure(sentAt bootclock.Instant) (ended bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.own.FailedAt = max(t.own.FailedAt, sentAt)
-	return t.add(t.own)
+	t.calls.FailedAt = max(t.calls.FailedAt, sentAt)
+	return t.checkEnd()
 }
 
-// RecordPeer records what another gateway knows of its calls. It reports whether that shows the
-// end of an outage.
-func (t *Tracker) RecordPeer(calls Calls) (ended bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.add(calls)
-}
-
-// add adds calls to the known ones. t.mu must be held.
-func (t *Tracker) add(calls Calls) (ended bool) {
-	t.known.AnsweredAt = max(t.known.AnsweredAt, calls.AnsweredAt)
-	t.known.FailedAt = max(t.known.FailedAt, calls.FailedAt)
-	// A failure that was sent before the end of the last outage belongs to that outage.
-	if t.known.FailedAt <= t.endedAt || t.known.AnsweredAt <= t.known.FailedAt {
+// checkEnd notes the end of an outage. A failure that was sent before the end of the last one
+// belongs to that one. t.mu must be held.
+func (t *Tracker) checkEnd() (ended bool) {
+	if t.calls.FailedAt <= t.endedAt || t.calls.AnsweredAt <= t.calls.FailedAt {
 		return false
 	}
-	t.endedAt = t.known.AnsweredAt
+	t.endedAt = t.calls.AnsweredAt
 	if t.ended != nil {
 		close(t.ended)
 		t.ended = nil
@@ -76,18 +65,11 @@
 	return true
 }
 
-// Own returns what this gateway knows of its own calls.
-func (t *Tracker) Own() Calls {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.own
-}
-
-// Known returns what is known of the calls of all gateways.
-func (t *Tracker) Known() Calls {
+// Calls returns when the last calls were sent.
+func (t *Tracker) Calls() Calls {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.known
+	return t.calls
 }
 
 // MayBeLost reports whether a call that was sent at an instant and is still open may have been lost
