Polls wait 2 s after a change, 10 s only without further ones (DRAIN)

A short outage can lose the polls of all gateways and no other call: a change of the list makes all of them poll at the same time, and the next other call of the fleet may be a second away. Nothing tells them then before the timeout of the poll.

Now the store may hold the first poll after a list or a change open for 2 s, and the next ones for 4, 8 and 10 s. A lost poll ends 4.5 s after a change at the latest, while in quiet times there are no more calls than before.

Waits of 2 s at all times would add four polls each 10 s for each gateway and prefix.

What remains: an outage of less than about a second that meets the polls of all gateways in a quiet time, when these poll at the same moment.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -3,9 +3,11 @@
 // the store is unreachable, and lists again when the store has compacted the
 // history that the next poll needs or was restored from an older copy.
 //
-// One mirror has one call to the store outstanding at a time. Without changes it
-// makes one poll per Options.PollWait; while calls fail, it waits a random delay of
-// 25 to 400 ms before each call.
+// One mirror has one call to the store outstanding at a time. Directly after a list or a change,
+// the store may hold a poll open for a short time, and without changes for longer each time, up to
+// Options.PollWait: mirrors of several gateways poll at the same time after a change, so that a
+// short outage can lose the polls of all of them, and changes come in series. While calls fail, a
+// mirror waits a random delay of 25 to 400 ms before each call.
 package mirror
 
 import (
@@ -23,6 +25,9 @@
 )
 
 const (
+	// minPollWait is how long the store may hold a poll open after a list or a change. The wait
+	// doubles with each poll without changes.
+	minPollWait = 2 * time.Second
 	// listTimeout is the timeout of a list call.
 	listTimeout = 1500 * time.Millisecond
 	// aheadWait is how long the store may hold a poll of ReadAhead open, the least that it takes.
@@ -92,7 +97,7 @@
 	Source Source
 	Prefix string
 	Sink   Sink
-	// PollWait is how long the store may hold a poll open while there are no changes.
+	// PollWait is the longest time for which the store may hold a poll open.
 	PollWait time.Duration
 	// ChangeDelay is the delay between a poll that returned changes and the next poll,
 	// so that changes in quick succession are returned by one poll.
@@ -104,7 +109,9 @@
 type Mirror struct {
 	options    Options
 	retryDelay time.Duration
-	version    int64
+	// pollWait is how long the store may hold the next poll open.
+	pollWait time.Duration
+	version  int64
 	// applied is the version up to which the sink has all changes; 0 before the first list.
 	applied atomic.Int64
 	// sentAt is when the open call was sent, 0 if none is open. confirmedAt is when the last call was
@@ -117,7 +124,9 @@
 }
 
 // New returns a Mirror that has not read any objects yet; see Run.
-func New(options Options) *Mirror { return &Mirror{options: options, retryDelay: minRetryDelay} }
+func New(options Options) *Mirror {
+	return &Mirror{options: options, retryDelay: minRetryDelay, pollWait: min(minPollWait, options.PollWait)}
+}
 
 // Run lists the objects and polls for changes until ctx ends. It retries failed
 // calls without limit. Only one call of Run may be active at a time.
@@ -155,18 +164,19 @@
 func (m *Mirror) read(ctx context.Context) error {
 	step, after, timeout := "list", int64(0), listTimeout
 	if m.hasCopy {
-		step, after, timeout = "poll", m.version, m.options.PollWait+store.ResponseMargin
+		step, after, timeout = "poll", m.version, m.pollWait+store.ResponseMargin
 	}
 	requestedAt := bootclock.Now()
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	m.sentAt.Store(int64(requestedAt))
-	update, err := m.options.Source.Read(callCtx, m.options.Prefix, after, m.options.PollWait)
+	update, err := m.options.Source.Read(callCtx, m.options.Prefix, after, m.pollWait)
 	m.sentAt.Store(0)
 	if err != nil {
 		return fault.Wrap(err, step, m.options.Prefix)
 	}
 	m.apply(&update)
+	m.setPollWait(update.Full || len(update.Objects) > 0)
 	if !update.Relayed {
 		m.confirmedAt.Store(int64(requestedAt))
 		m.options.Sink.Confirm(requestedAt)
@@ -177,6 +187,15 @@
 	return nil
 }
 
+// setPollWait sets the wait of the next poll after a read.
+func (m *Mirror) setPollWait(hadChanges bool) {
+	if hadChanges {
+		m.pollWait = min(minPollWait, m.options.PollWait)
+		return
+	}
+	m.pollWait = min(2*m.pollWait, m.options.PollWait)
+}
+
 // apply passes an update to the sink.
 func (m *Mirror) apply(update *Update) {
 	switch {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -144,3 +144,44 @@
 		}
 	})
 }
+
+// waitStore records how long each poll may wait.
+type waitStore struct {
+	scriptedStore
+	waits []time.Duration
+}
+
+func (s *waitStore) Poll(ctx context.Context, prefix string, after int64, wait time.Duration) (store.Changes, error) {
+	s.waits = append(s.waits, wait)
+	return s.scriptedStore.Poll(ctx, prefix, after, wait)
+}
+
+// Guards against polls that stay open for long without a response after an outage in which a
+// change made all gateways poll (DRAIN), and against short polls while nothing changes.
+func TestPollsWaitShortlyAfterChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		quiet := func() (store.Changes, error) { return store.Changes{Version: 11}, nil }
+		changed := func() (store.Changes, error) {
+			return store.Changes{Objects: []store.Object{{Key: "k/b"}}, Version: 12}, nil
+		}
+		lost := func() (store.Changes, error) { return store.Changes{}, store.ErrPollLost }
+		scripted := &waitStore{}
+		for _, answer := range []func() (store.Changes, error){quiet, quiet, quiet, quiet, lost, quiet, changed, quiet, lost, quiet} {
+			scripted.pollAnswers = append(scripted.pollAnswers, answer)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		sink := &recordingSink{}
+		New(Options{Source: StoreSource{scripted}, Prefix: "k/", Sink: sink, PollWait: 10 * time.Second, Log: zerolog.Nop()}).Run(ctx)
+		want := []time.Duration{2, 4, 8, 10, 10, 10, 10, 2, 4, 4, 8}
+		for i := range want {
+			want[i] *= time.Second
+		}
+		if !slices.Equal(scripted.waits, want) {
+			t.Errorf("waits %v, want %v", scripted.waits, want)
+		}
+		if slices.Contains(sink.calls, "interrupted") {
+			t.Error("a poll that may be lost was taken for a failure of the store")
+		}
+	})
+}
