--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +24,9 @@
 	maxHeadBytes = 64 << 10
 
 	dialTimeout = 2 * time.Second
+	// writeGrace is how long Do waits for the call to be written completely once an answer without
+	// a length has ended.
+	writeGrace = time.Second
 )
 
 var (
@@ -76,7 +80,8 @@
 }
 
 // Do implements Driver. It returns an error wrapping ErrOutcomeUnknown when the
-// answer is incomplete, is larger than MaxAnswerBytes or has another request id.
+// answer is incomplete, is larger than MaxAnswerBytes or has another request id. An answer
+// without a length is complete only if the call was written completely.
 func (h *HTTP) Do(ctx context.Context, call Call) (Answer, error) {
 	request, err := http.NewRequestWithContext(ctx, call.Method, h.baseURL+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
@@ -90,6 +95,15 @@
 	}
 	request.Header.Set(RequestIDHeader, call.RequestID)
 
+	written := make(chan error, 1)
+	request = request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			select {
+			case written <- info.Err:
+			default:
+			}
+		},
+	}))
 	var connected atomic.Bool
 	transport := &http.Transport{
 		DisableKeepAlives:      true,
@@ -115,8 +129,33 @@
 	if err != nil || len(body) > MaxAnswerBytes {
 		return Answer{}, fault.Wrap(errors.Join(ErrOutcomeUnknown, err), "read answer", h.baseURL)
 	}
+	if !isDelimited(response) {
+		if err := awaitWrite(written); err != nil {
+			return Answer{}, fault.Wrap(errors.Join(ErrOutcomeUnknown, err), "write call", h.baseURL)
+		}
+	}
 	if echoedID := response.Header.Get(RequestIDHeader); echoedID != "" && echoedID != call.RequestID {
 		return Answer{}, fault.Wrap(ErrOutcomeUnknown, "match answer", h.baseURL)
 	}
 	return Answer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
+
+// isDelimited reports whether the end of an answer shows in the answer itself, and not only in the
+// end of its connection.
+func isDelimited(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
+// errNotWritten means that the answer ended before the call was written completely.
+var errNotWritten = errors.New("the call was not written completely when the answer ended")
+
+// awaitWrite returns nil if the call was written completely. If the connection is reset while the
+// call is being written, the write gets the error, and a read of the answer may see a regular end.
+func awaitWrite(written <-chan error) error {
+	select {
+	case err := <-written:
+		return err
+	case <-time.After(writeGrace):
+		return errNotWritten
+	}
+}
