--- a/internal/dispatch/calls.go
+++ b/internal/dispatch/calls.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -170,7 +172,16 @@
 	if err := stream.Recv(reply); err != nil {
 		return refusedCall(refusal.AgentLost, wirepb.RunState_RUN_UNKNOWN, err.Error(), address)
 	}
-	return reply
+	return checkReply(reply, address)
+}
+
+// checkReply returns the reply of an agent, or a refusal in its place if its status is not that of
+// a final answer, which a caller cannot be given.
+func checkReply(reply *wirepb.CallReply, address string) *wirepb.CallReply {
+	if reply.Refusal != nil || reply.Status >= http.StatusOK {
+		return reply
+	}
+	return refusedCall(refusal.AgentLost, wirepb.RunState_RUN_UNKNOWN, fmt.Sprintf("the reply has the status %d", reply.Status), address)
 }
 
 // mergeReply returns the reply of the newer attempt. If that is a refusal and an
--- a/internal/dispatch/calls_test.go
+++ b/internal/dispatch/calls_test.go
@@ -32,3 +32,19 @@
 		}
 	}
 }
+
+// Guards against a reply of an agent with an impossible status that is given to the caller (MIXED).
+func TestReplyWithImpossibleStatusIsRefused(t *testing.T) {
+	for _, status := range []int32{-1, 0, 20, 99, 101, 199} {
+		reply := checkReply(&wirepb.CallReply{Status: status, Body: []byte("body")}, "agent")
+		if reply.Refusal == nil || reply.Refusal.Run != wirepb.RunState_RUN_UNKNOWN || len(reply.Body) > 0 {
+			t.Errorf("status %d: got %v, want a refusal of which it is unknown whether it ran", status, reply)
+		}
+	}
+	refused := refusedCall(refusal.QueueFull, wirepb.RunState_RUN_NOT_RUN, "", "")
+	for _, reply := range []*wirepb.CallReply{refused, {Status: 200}, {Status: 599}, {Status: 999}} {
+		if got := checkReply(reply, "agent"); got != reply {
+			t.Errorf("got %v, want %v unchanged", got, reply)
+		}
+	}
+}
--- a/internal/engine/httpengine/driver.go
+++ b/internal/engine/httpengine/driver.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -168,8 +169,12 @@
 	return nil, refusalError(response)
 }
 
-// refusalError returns the error for an answer with a status other than 200.
+// refusalError returns the error for an answer with a status other than 200. Only the status of an
+// error can state a refusal.
 func refusalError(response *http.Response) error {
+	if response.StatusCode < http.StatusBadRequest {
+		return errors.Join(engine.ErrIncompleteAnswer, fmt.Errorf("unexpected status %q", response.Status))
+	}
 	var refusal Refusal
 	err := json.NewDecoder(io.LimitReader(response.Body, maxSmallBodyBytes)).Decode(&refusal)
 	if err != nil {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -166,9 +166,7 @@
 		}
 		lost := func() (store.Changes, error) { return store.Changes{}, store.ErrPollLost }
 		scripted := &waitStore{}
-		for _, answer := range []func() (store.Changes, error){quiet, quiet, quiet, quiet, lost, quiet, changed, quiet, lost, quiet} {
-			scripted.pollAnswers = append(scripted.pollAnswers, answer)
-		}
+		scripted.pollAnswers = []func() (store.Changes, error){quiet, quiet, quiet, quiet, lost, quiet, changed, quiet, lost, quiet}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		sink := &recordingSink{}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -80,8 +81,8 @@
 }
 
 // Do implements Driver. It returns an error wrapping ErrOutcomeUnknown when the
-// answer is incomplete, is larger than MaxAnswerBytes or has another request id. An answer
-// without a length is complete only if the call was written completely.
+// answer is incomplete, is larger than MaxAnswerBytes, has another request id, or a status that
+// no final answer can have. An answer without a length is complete only if the call was written completely.
 func (h *HTTP) Do(ctx context.Context, call Call) (Answer, error) {
 	request, err := http.NewRequestWithContext(ctx, call.Method, h.baseURL+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
@@ -125,6 +126,9 @@
 		return Answer{}, fault.Wrap(errors.Join(ErrOutcomeUnknown, err), "call service", h.baseURL)
 	}
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode < http.StatusOK {
+		return Answer{}, fault.Wrap(errors.Join(ErrOutcomeUnknown, errStatus), fmt.Sprintf("read status %q", response.Status), h.baseURL)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
 	if err != nil || len(body) > MaxAnswerBytes {
 		return Answer{}, fault.Wrap(errors.Join(ErrOutcomeUnknown, err), "read answer", h.baseURL)
@@ -140,6 +144,9 @@
 	return Answer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
 
+// errStatus means that an answer has a status below 200, which no final answer can have.
+var errStatus = errors.New("the status is not that of a final answer")
+
 // isDelimited reports whether the end of an answer shows in the answer itself, and not only in the
 // end of its connection.
 func isDelimited(response *http.Response) bool {
--- a/store/httpstore/httpstore.go
+++ b/store/httpstore/httpstore.go
@@ -164,8 +164,12 @@
 }
 
 // refusalError returns the error for the refusal code in the response body. When
-// the body has no known code, it returns fallback joined with the HTTP status.
+// the body has no known code, or the status is not that of an error, it returns fallback
+// joined with the HTTP status.
 func refusalError(response *http.Response, fallback error) error {
+	if response.StatusCode < http.StatusBadRequest {
+		return errors.Join(fallback, errors.New(response.Status))
+	}
 	var refusal Refusal
 	_ = json.NewDecoder(io.LimitReader(response.Body, maxRefusalBytes)).Decode(&refusal)
 	switch refusal.Code {
