Short first polls at two gateways only; the others learn from them

One or two gateways that notice a change are enough: the others learn of servers as from a peer that is ahead and of versions with the next update. The configuration has its own reads, the list of gateways no tight bound.

--- a/internal/app/evidence.go
+++ b/internal/app/evidence.go
@@ -43,6 +43,13 @@
 	r.index.Store(index)
 }
 
+// shortWaitGateways is the number of gateways, the first by rank, whose polls wait shortly after a
+// change. The others learn from them that they are behind.
+const shortWaitGateways = 2
+
+// pollsShortly reports whether this gateway is one of shortWaitGateways.
+func (r *gatewayRank) pollsShortly() bool { return r.index.Load() < shortWaitGateways }
+
 // evidenceRefresher queries the store for the configuration when neither the store
 // nor a peer has confirmed for some time that the current configuration is the newest.
 // Gateways query in the order of their ranks, which keeps the load on the store low.
--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -335,7 +335,12 @@
 		if mirrored.Direct {
 			prefixSource = relay.DirectSource{Manager: source}
 		}
-		storeMirror := followPrefix(lifecycle, prefixSource, mirrored.Prefix, mirrored.Sink, batchDelay, log)
+		shortWaits := ownRank.pollsShortly
+		if mirrored.EvidenceKey != "" {
+			// The reads for the evidence find changes as well.
+			shortWaits = nil
+		}
+		storeMirror := followPrefix(lifecycle, prefixSource, mirrored.Prefix, mirrored.Sink, batchDelay, shortWaits, log)
 		if mirrored.Software != nil {
 			versions.mirror, versions.software = storeMirror, mirrored.Software
 		}
@@ -347,9 +352,11 @@
 }
 
 // followPrefix mirrors a prefix of the store into sink. batchDelay is the pause after
-// changes.
-func followPrefix(lifecycle fx.Lifecycle, source mirror.Source, prefix string, sink mirror.Sink, batchDelay time.Duration, log zerolog.Logger) *mirror.Mirror {
-	storeMirror := mirror.New(mirror.Options{Source: source, Prefix: prefix, Sink: sink, PollWait: pollWait, ChangeDelay: batchDelay, Log: log})
+// changes, shortWaits is mirror.Options.ShortWaits.
+func followPrefix(lifecycle fx.Lifecycle, source mirror.Source, prefix string, sink mirror.Sink, batchDelay time.Duration, shortWaits func() bool, log zerolog.Logger) *mirror.Mirror {
+	storeMirror := mirror.New(mirror.Options{
+		Source: source, Prefix: prefix, Sink: sink, PollWait: pollWait, ChangeDelay: batchDelay, ShortWaits: shortWaits, Log: log,
+	})
 	appendBackground(lifecycle, log, "mirror "+prefix, storeMirror.Run)
 	registerMirrorGauges(lifecycle, prefix, storeMirror)
 	return storeMirror
@@ -372,7 +379,7 @@
 		r.Leave(ctx)
 		return nil
 	})
-	followPrefix(lifecycle, source, roster.Prefix, r, changeBatchDelay, log)
+	followPrefix(lifecycle, source, roster.Prefix, r, changeBatchDelay, nil, log)
 	appendBackground(lifecycle, log, "roster join", r.Join)
 	appendBackground(lifecycle, log, "roster", r.Maintain)
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -3,11 +3,12 @@
 // the store is unreachable, and lists again when the store has compacted the
 // history that the next poll needs or was restored from an older copy.
 //
-// One mirror has one call to the store outstanding at a time. Directly after a list or a change,
-// the store may hold a poll open for a short time, and without changes for longer each time, up to
-// Options.PollWait: mirrors of several gateways poll at the same time after a change, so that a
-// short outage can lose the polls of all of them, and changes come in series. While calls fail, a
-// mirror waits a random delay of 25 to 400 ms before each call.
+// One mirror has one call to the store outstanding at a time. Without changes it makes one poll per
+// Options.PollWait; while calls fail, it waits a random delay of 25 to 400 ms before each call.
+//
+// Load pattern: a change makes all gateways poll at the same time, and an outage that is too short
+// for any other call loses these polls. A few mirrors of the fleet therefore poll shortly after a
+// list or a change and wait for longer each time without one; see Options.ShortWaits.
 package mirror
 
 import (
@@ -25,9 +26,9 @@
 )
 
 const (
-	// minPollWait is how long the store may hold a poll open after a list or a change. The wait
-	// doubles with each poll without changes.
-	minPollWait = 2 * time.Second
+	// shortPollWait is how long the store may hold a poll open after a list or a change if
+	// Options.ShortWaits is true. The wait doubles with each poll without changes.
+	shortPollWait = time.Second
 	// listTimeout is the timeout of a list call.
 	listTimeout = 1500 * time.Millisecond
 	// aheadWait is how long the store may hold a poll of ReadAhead open, the least that it takes.
@@ -102,7 +103,10 @@
 	// ChangeDelay is the delay between a poll that returned changes and the next poll,
 	// so that changes in quick succession are returned by one poll.
 	ChangeDelay time.Duration
-	Log         zerolog.Logger
+	// ShortWaits reports whether polls after a list or a change wait for shortPollWait only, so that
+	// a lost one ends soon. It must be safe for concurrent use; nil means that they never do.
+	ShortWaits func() bool
+	Log        zerolog.Logger
 }
 
 // Mirror keeps a Sink up to date with the objects under one prefix.
@@ -125,7 +129,7 @@
 
 // New returns a Mirror that has not read any objects yet; see Run.
 func New(options Options) *Mirror {
-	return &Mirror{options: options, retryDelay: minRetryDelay, pollWait: min(minPollWait, options.PollWait)}
+	return &Mirror{options: options, retryDelay: minRetryDelay, pollWait: options.PollWait}
 }
 
 // Run lists the objects and polls for changes until ctx ends. It retries failed
@@ -189,11 +193,14 @@
 
 // setPollWait sets the wait of the next poll after a read.
 func (m *Mirror) setPollWait(hadChanges bool) {
-	if hadChanges {
-		m.pollWait = min(minPollWait, m.options.PollWait)
-		return
+	switch {
+	case m.options.ShortWaits == nil || !m.options.ShortWaits():
+		m.pollWait = m.options.PollWait
+	case hadChanges:
+		m.pollWait = min(shortPollWait, m.options.PollWait)
+	default:
+		m.pollWait = min(2*m.pollWait, m.options.PollWait)
 	}
-	m.pollWait = min(2*m.pollWait, m.options.PollWait)
 }
 
 // apply passes an update to the sink.
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -170,8 +170,11 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		sink := &recordingSink{}
-		New(Options{Source: StoreSource{scripted}, Prefix: "k/", Sink: sink, PollWait: 10 * time.Second, Log: zerolog.Nop()}).Run(ctx)
-		want := []time.Duration{2, 4, 8, 10, 10, 10, 10, 2, 4, 4, 8}
+		New(Options{
+			Source: StoreSource{scripted}, Prefix: "k/", Sink: sink, PollWait: 10 * time.Second, Log: zerolog.Nop(),
+			ShortWaits: func() bool { return true },
+		}).Run(ctx)
+		want := []time.Duration{1, 2, 4, 8, 10, 10, 10, 1, 2, 2, 4}
 		for i := range want {
 			want[i] *= time.Second
 		}
