--- a/internal/app/gateway.go
+++ b/internal/app/gateway.go
@@ -335,12 +335,12 @@
 		if mirrored.Direct {
 			prefixSource = relay.DirectSource{Manager: source}
 		}
-		shortWaits := ownRank.pollsShortly
-		if mirrored.EvidenceKey != "" {
-			// The reads for the evidence find changes as well.
-			shortWaits = nil
+		mirrorOptions := mirror.Options{Source: prefixSource, Prefix: mirrored.Prefix, Sink: mirrored.Sink, ChangeDelay: batchDelay, Log: log}
+		if mirrored.EvidenceKey == "" {
+			// Reads for the evidence would find changes as well.
+			mirrorOptions.ShortWaits = ownRank.pollsShortly
 		}
-		storeMirror := followPrefix(lifecycle, prefixSource, mirrored.Prefix, mirrored.Sink, batchDelay, shortWaits, log)
+		storeMirror := followPrefix(lifecycle, mirrorOptions)
 		if mirrored.Software != nil {
 			versions.mirror, versions.software = storeMirror, mirrored.Software
 		}
@@ -351,14 +351,12 @@
 	}
 }
 
-// followPrefix mirrors a prefix of the store into sink. batchDelay is the pause after
-// changes, shortWaits is mirror.Options.ShortWaits.
-func followPrefix(lifecycle fx.Lifecycle, source mirror.Source, prefix string, sink mirror.Sink, batchDelay time.Duration, shortWaits func() bool, log zerolog.Logger) *mirror.Mirror {
-	storeMirror := mirror.New(mirror.Options{
-		Source: source, Prefix: prefix, Sink: sink, PollWait: pollWait, ChangeDelay: batchDelay, ShortWaits: shortWaits, Log: log,
-	})
-	appendBackground(lifecycle, log, "mirror "+prefix, storeMirror.Run)
-	registerMirrorGauges(lifecycle, prefix, storeMirror)
+// followPrefix mirrors a prefix of the store into a sink, with polls of pollWait.
+func followPrefix(lifecycle fx.Lifecycle, options mirror.Options) *mirror.Mirror {
+	options.PollWait = pollWait
+	storeMirror := mirror.New(options)
+	appendBackground(lifecycle, options.Log, "mirror "+options.Prefix, storeMirror.Run)
+	registerMirrorGauges(lifecycle, options.Prefix, storeMirror)
 	return storeMirror
 }
 
@@ -379,7 +377,7 @@
 		r.Leave(ctx)
 		return nil
 	})
-	followPrefix(lifecycle, source, roster.Prefix, r, changeBatchDelay, nil, log)
+	followPrefix(lifecycle, mirror.Options{Source: source, Prefix: roster.Prefix, Sink: r, ChangeDelay: changeBatchDelay, Log: log})
 	appendBackground(lifecycle, log, "roster join", r.Join)
 	appendBackground(lifecycle, log, "roster", r.Maintain)
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -55,7 +55,8 @@
 	BeginEra()
 	// MarkUnreachable reports that a call to the store failed. It is called after each
 	// failed call, except a poll whose history was compacted, which is followed by a
-	// list, and one that ended with store.ErrPollLost, which is sent again. The next Confirm ends the interruption.
+	// list, and one that ended with store.ErrPollLost, which is sent again. The next
+	// Confirm ends the interruption.
 	MarkUnreachable()
 }
 
--- a/internal/outage/guard.go
+++ b/internal/outage/guard.go
@@ -24,7 +24,8 @@
 }
 
 // Guard passes calls on to a store and records which are answered. It ends a poll with
-// store.ErrPollLost when an outage may have lost it. It implements Store and store.EraSource.
+// store.ErrPollLost when an outage may have lost it. Watch is passed on unchanged. It implements
+// Store and store.EraSource.
 type Guard struct {
 	Store
 	tracker Tracker
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -82,7 +82,8 @@
 
 // Do implements Driver. It returns an error wrapping ErrOutcomeUnknown when the
 // answer is incomplete, is larger than MaxAnswerBytes, has another request id, or a status that
-// no final answer can have. An answer without a length is complete only if the call was written completely.
+// no final answer can have. An answer without a length is complete only if the call was written
+// completely.
 func (h *HTTP) Do(ctx context.Context, call Call) (Answer, error) {
 	request, err := http.NewRequestWithContext(ctx, call.Method, h.baseURL+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
