review: case 11, large configurations that change fill the memory; case 14

The log of changes that a gateway keeps for peers is bounded by number, not by size: after about 215 versions of a configuration of 490,000 bytes both gateways exceed 112 MB and are killed at once (review/11/run.sh). Case 14: OPTIONS * gets 200 without a seal (review/14/run.sh).

--- a/review/stand3/client.go
+++ b/review/stand3/client.go
@@ -7,9 +7,8 @@
 	"time"
 )
 
-// charge sends a charge on a connection of its own and returns the status of the answer, or 0 if there
-// is none.
-func charge(s *stand, g *gateway, id string) int {
+// charge sends a charge and returns the status of the answer, or 0 if there is none.
+func (s *stand) charge(client *http.Client, g *gateway, id string) int {
 	request, err := http.NewRequest(http.MethodPost, "http://"+g.front+"/charges/"+id, strings.NewReader("charge"))
 	if err != nil {
 		panic(err)
@@ -19,7 +18,6 @@
 	request.Header.Set("Greengagegate-Deadline-Ms", "1500")
 	request.Header.Set("Authorization", "Bearer key-of-agents-1")
 	s.record.add("client sends %s to %s", id, g.name)
-	client := http.Client{Timeout: 1500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
 		s.record.add("client gets no answer to %s: %v", id, err)
@@ -30,3 +28,8 @@
 	s.record.add("client gets %d for %s, seal %q, body %.40q, %v", response.StatusCode, id, response.Header.Get("Greengagegate-Response-Seal"), body, err)
 	return response.StatusCode
 }
+
+// newClient returns a client that opens a connection for each request.
+func newClient() *http.Client {
+	return &http.Client{Timeout: 1500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+}
--- a/review/stand3/foreignentry.go
+++ b/review/stand3/foreignentry.go
@@ -48,7 +48,7 @@
 	}
 	succeeded := 0
 	for i := range foreignCharges {
-		if charge(s, g, "charge-"+strconv.Itoa(i)) == http.StatusOK {
+		if s.charge(newClient(), g, "charge-"+strconv.Itoa(i)) == http.StatusOK {
 			succeeded++
 		}
 		time.Sleep(20 * time.Millisecond)
--- a/review/stand3/gateway.go
+++ b/review/stand3/gateway.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"regexp"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -142,3 +143,21 @@
 	}
 	return fmt.Errorf("%s is not ready after %v", g.name, timeout)
 }
+
+// privateKB returns the memory in kB that the process has for itself alone; 0 if it has ended.
+func (g *gateway) privateKB() int {
+	g.mu.Lock()
+	pid := g.process.Process.Pid
+	g.mu.Unlock()
+	status, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/status")
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(status), "\n") {
+		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "RssAnon:" {
+			kB, _ := strconv.Atoi(fields[1])
+			return kB
+		}
+	}
+	return 0
+}
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 )
 
 // Exit codes of a case.
@@ -19,7 +20,9 @@
 
 // cases are the cases by name. trouble is false if the case runs without its disruption.
 var cases = map[string]func(c *stand, trouble bool) (broke bool, err error){
+	"config-memory": configMemory,
 	"foreign-entry": foreignEntry,
+	"options":       serverOptions,
 	"slow-reader":   slowReader,
 }
 
@@ -30,8 +33,9 @@
 	store             *store
 	storeAddress      string
 	gateways          []*gateway
-	// servers is the number of servers that were started.
-	servers int
+	runners           []*runner
+	// kills counts the processes that the platform has killed.
+	kills atomic.Int32
 }
 
 // newStand starts the store.
@@ -62,6 +66,18 @@
 	calls.Wait()
 }
 
+// hasRun reports whether a request has run.
+func (s *stand) hasRun(id string) bool {
+	for _, r := range s.runners {
+		for _, one := range r.ran() {
+			if one.id == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // runCase runs a case and returns the exit code.
 func runCase(name, folder string) int {
 	play, ok := cases[name]
--- a/review/stand3/runner.go
+++ b/review/stand3/runner.go
@@ -30,12 +30,12 @@
 
 // startServer starts a server that is not in the store's list.
 func startServer(s *stand, id string) *runner {
-	s.servers++
-	listener, err := net.Listen("tcp", "127.0.8."+strconv.Itoa(s.servers)+":0")
+	listener, err := net.Listen("tcp", "127.0.8."+strconv.Itoa(len(s.runners)+1)+":0")
 	if err != nil {
 		panic(err)
 	}
 	r := &runner{id: id, address: listener.Addr().String(), record: s.record}
+	s.runners = append(s.runners, r)
 	go func() { _ = http.Serve(listener, r) }()
 	return r
 }
--- a/review/stand3/slowreader.go
+++ b/review/stand3/slowreader.go
@@ -17,9 +17,9 @@
 
 const (
 	// statementBytes is the size of the long answers.
-	statementBytes = 1 << 20
+	statementBytes = 2 << 20
 	// slowRate is how fast the clients read in the disruption, in bytes per second.
-	slowRate = 30_000
+	slowRate = 40_000
 	// slowClients is the number of clients.
 	slowClients = 6
 )
