review: case 13, one entry of another writer stops a model for good

A listed entry without a sequence raises the target version of the weights, which never falls again, also not by a restart: review/13/run.sh.

--- a/review/stand3/client.go
+++ b/review/stand3/client.go
@@ -17,6 +17,12 @@
 	request.Header.Set("Greengagegate-Request-Id", id)
 	request.Header.Set("Greengagegate-Deadline-Ms", "1500")
 	request.Header.Set("Authorization", "Bearer key-of-agents-1")
+	return s.send(client, g, request)
+}
+
+// send sends a request and returns the status of the answer, or 0 if there is none.
+func (s *stand) send(client *http.Client, g *gateway, request *http.Request) int {
+	id := request.Header.Get("Greengagegate-Request-Id")
 	s.record.add("client sends %s to %s", id, g.name)
 	response, err := client.Do(request)
 	if err != nil {
--- a/review/stand3/configmemory.go
+++ b/review/stand3/configmemory.go
@@ -16,10 +16,13 @@
 	addedRoutes = 1400
 	// A storm brings a version of the configuration every stormGap.
 	stormLength, stormGap = 2 * time.Second, 80 * time.Millisecond
-	// stormPause is the pause between two storms, and storms their number. All together they are
-	// fewer than the changes of one day.
-	stormPause = 2500 * time.Millisecond
-	storms     = 14
+	// stormPause is the pause between two storms. All together they bring fewer versions than one day,
+	// and take no longer than stormsTime.
+	stormPause  = 2500 * time.Millisecond
+	maxVersions = 400
+	stormsTime  = 95 * time.Second
+	// calmTime is how long the case lasts without changes.
+	calmTime = 50 * time.Second
 	// workTime is how long a runner works on a charge.
 	workTime = 150 * time.Millisecond
 )
@@ -75,21 +78,22 @@
 	return kills > 0 && cut.Load() > 3, nil
 }
 
-// changeConfig writes new versions of the configuration in storms, or waits as long.
+// changeConfig writes new versions of the configuration in storms, or waits if trouble is false.
 func (s *stand) changeConfig(trouble bool) {
-	version := 1
-	for range storms {
+	if !trouble {
+		time.Sleep(calmTime)
+		return
+	}
+	last := time.Now().Add(stormsTime)
+	for version := 1; version < maxVersions && time.Now().Before(last); time.Sleep(stormPause) {
 		for end := time.Now().Add(stormLength); time.Now().Before(end); time.Sleep(stormGap) {
-			if trouble {
-				version++
-				s.store.put("config", "main", largeConfig(version))
-			}
+			version++
+			s.store.put("config", "main", largeConfig(version))
 		}
 		s.record.add("the configuration has version %d", version)
 		if s.kills.Load() >= int32(len(s.gateways)) {
 			return
 		}
-		time.Sleep(stormPause)
 	}
 }
 
@@ -109,7 +113,7 @@
 		s.kills.Add(1)
 		g.stop()
 		time.Sleep(300 * time.Millisecond)
-		g.start()
+		g.restart()
 		last = 0
 	}
 }
--- a/review/stand3/gateway.go
+++ b/review/stand3/gateway.go
@@ -111,6 +111,18 @@
 	}()
 }
 
+// restart starts the process again, after the whole system has started for the first time.
+func (g *gateway) restart() {
+	text, err := os.ReadFile(g.settings)
+	if err != nil {
+		panic(err)
+	}
+	if err := os.WriteFile(g.settings, []byte(strings.Replace(string(text), "first = true", "", 1)), 0o600); err != nil {
+		panic(err)
+	}
+	g.start()
+}
+
 // stop ends the process and waits for its end.
 func (g *gateway) stop() {
 	g.mu.Lock()
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -24,6 +24,7 @@
 	"foreign-entry": foreignEntry,
 	"options":       serverOptions,
 	"slow-reader":   slowReader,
+	"stray-entry":   strayEntry,
 }
 
 // stand is what a case works with.
--- a/review/stand3/runner.go
+++ b/review/stand3/runner.go
@@ -18,14 +18,14 @@
 // runner is a stand-in for a runner of a plain service.
 type runner struct {
 	id, address string
+	born        int64
+	// calls answers other calls than requests, and those that do not run; nil if there are none.
+	calls func(w http.ResponseWriter, r *http.Request) bool
 	// answer writes the response to a request that has run.
 	answer func(w http.ResponseWriter, r *http.Request)
-	// refuses makes the runner state that it doesn't run a request.
-	refuses  func() bool
-	mu       sync.Mutex
-	runs     []run
-	arrivals int
-	record   *record
+	mu     sync.Mutex
+	runs   []run
+	record *record
 }
 
 // startServer starts a server that is not in the store's list.
@@ -34,7 +34,7 @@
 	if err != nil {
 		panic(err)
 	}
-	r := &runner{id: id, address: listener.Addr().String(), record: s.record}
+	r := &runner{id: id, address: listener.Addr().String(), record: s.record, born: time.Now().UnixMilli()}
 	s.runners = append(s.runners, r)
 	go func() { _ = http.Serve(listener, r) }()
 	return r
@@ -51,7 +51,7 @@
 func entryOf(r *runner, service string, capacity int) map[string]any {
 	return map[string]any{
 		"service": service, "address": r.address, "zone": "zone-a", "version": "v1", "capacity": capacity, "state": "ready",
-		"cold_remaining_ms": 0, "sequence": 0, "born": time.Now().UnixMilli(),
+		"cold_remaining_ms": 0, "sequence": 0, "born": r.born,
 	}
 }
 
@@ -66,24 +66,17 @@
 func (r *runner) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	w.Header().Set("Greengagegate-Instance-Id", r.id)
 	id := request.Header.Get("Greengagegate-Request-Id")
-	if id == "" {
-		return
+	if id != "" {
+		w.Header().Set("Greengagegate-Request-Id", id)
 	}
-	w.Header().Set("Greengagegate-Request-Id", id)
-	_, _ = io.Copy(io.Discard, request.Body)
-	r.mu.Lock()
-	r.arrivals++
-	r.mu.Unlock()
 	if expected := request.Header.Get("Greengagegate-Expect-Instance"); expected != "" && expected != r.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if r.refuses != nil && r.refuses() {
-		r.record.add("runner %s refuses %s (not executed)", r.id, id)
-		w.Header().Set("Greengagegate-Not-Executed", "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+	if r.calls != nil && r.calls(w, request) || id == "" {
 		return
 	}
+	_, _ = io.Copy(io.Discard, request.Body)
 	r.mu.Lock()
 	r.runs = append(r.runs, run{id: id, tenant: request.Header.Get("Greengagegate-Tenant-Id"), at: time.Now()})
 	r.mu.Unlock()
--- a/review/stand3/store.go
+++ b/review/stand3/store.go
@@ -57,6 +57,21 @@
 	s.save(kind, former)
 }
 
+// remove removes an object, as the operator and runners do.
+func (s *store) remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drop(kind, s.objects[kind][name])
+}
+
+// drop removes an object. s.mu must be held.
+func (s *store) drop(kind string, removed object) {
+	delete(s.objects[kind], removed.Metadata.Name)
+	s.revision++
+	removed.Metadata.Revision = s.revision
+	s.note(change{kind: kind, removed: true, object: removed})
+}
+
 // save stores an object under the next revision. s.mu must be held.
 func (s *store) save(kind string, saved object) object {
 	s.revision++
@@ -176,10 +191,7 @@
 	case !exists && r.Method != http.MethodPost:
 		w.WriteHeader(http.StatusNotFound)
 	case r.Method == http.MethodDelete:
-		delete(s.objects[kind], name)
-		s.revision++
-		former.Metadata.Revision = s.revision
-		s.note(change{kind: kind, removed: true, object: former})
+		s.drop(kind, former)
 		reply(w, http.StatusOK, former)
 	default:
 		former.Metadata.Name = name
