--- a/review/stand3/configmemory.go
+++ b/review/stand3/configmemory.go
@@ -66,7 +66,7 @@
 	var cut atomic.Int32
 	for i, g := range s.gateways {
 		work.Go(func() { s.boundMemory(g, &ended) })
-		for k := range 6 {
+		for k := range 12 {
 			work.Go(func() { cut.Add(s.keepCharging(g, fmt.Sprintf("%d-%d", i+1, k), &ended)) })
 		}
 	}
