--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(c *stand, trouble bool) (broke bool, err error){
 	"config-memory": configMemory,
 	"foreign-entry": foreignEntry,
+	"large-entries": leaveUnheard,
 	"quota-restart": quotaRestart,
 	"slow-reader":   slowReader,
 	"stray-entry":   strayEntry,
--- a/review/stand3/runner.go
+++ b/review/stand3/runner.go
@@ -19,6 +19,8 @@
 type runner struct {
 	id, address string
 	born        int64
+	// stop ends the runner with all its connections.
+	stop func()
 	// calls answers other calls than requests, and those that do not run; nil if there are none.
 	calls func(w http.ResponseWriter, r *http.Request) bool
 	// answer writes the response to a request that has run.
@@ -36,7 +38,9 @@
 	}
 	r := &runner{id: id, address: listener.Addr().String(), record: s.record, born: time.Now().UnixMilli()}
 	s.runners = append(s.runners, r)
-	go func() { _ = http.Serve(listener, r) }()
+	server := &http.Server{Handler: r}
+	r.stop = func() { _ = server.Close() }
+	go func() { _ = server.Serve(listener) }()
 	return r
 }
 
--- a/review/stand3/store.go
+++ b/review/stand3/store.go
@@ -26,18 +26,23 @@
 
 // change is an entry of the store's history.
 type change struct {
+	at      time.Time
 	kind    string
 	removed bool
 	object  object
 }
 
-// store is a stand-in for the platform's store. It is linearizable and keeps its whole history.
+// store is a stand-in for the platform's store. It is linearizable.
 type store struct {
 	mu       sync.Mutex
 	revision int64
 	objects  map[string]map[string]object
 	history  []change
-	wake     chan struct{}
+	// keep is how long changes stay in the history; 0 means for good. dropped is the last revision that
+	// is no longer in it.
+	keep    time.Duration
+	dropped int64
+	wake    chan struct{}
 }
 
 func newStore() *store {
@@ -89,11 +94,19 @@
 
 // note adds a change to the history and wakes the watches. s.mu must be held.
 func (s *store) note(c change) {
+	c.at = time.Now()
 	s.history = append(s.history, c)
 	close(s.wake)
 	s.wake = make(chan struct{})
 }
 
+// dropOld drops the changes that are older than the history. s.mu must be held.
+func (s *store) dropOld() {
+	for s.keep > 0 && len(s.history) > 0 && time.Since(s.history[0].at) > s.keep {
+		s.dropped, s.history = s.history[0].object.Metadata.Revision, s.history[1:]
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	path := strings.Split(strings.TrimPrefix(r.URL.Path, "/api/objects/"), "/")
@@ -146,6 +159,12 @@
 	timeout := time.After(time.Duration(min(wait, 30_000)) * time.Millisecond)
 	for expired := false; ; {
 		s.mu.Lock()
+		s.dropOld()
+		if after < s.dropped {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		events := make([]map[string]any, 0)
 		for _, c := range s.history {
 			if c.kind == kind && c.object.Metadata.Revision > after {
